feat: add the design page, resources and wire messages

Cause: the modules need shared types before they can be written side by side. Conclusion: the interfaces are fixed enough to build the decisions and the plumbing in parallel.

--- /dev/null
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of the carawaycleat serving system.
+//!
+//! Everything here is deterministic and free of input and output: the present time is an argument, and what a
+//! decision wants done is returned as data. The daemons in the `carawaycleat` crate perform it.
+
+#[macro_use]
+extern crate quick_error;
+
+pub mod clock;
+pub mod config;
+pub mod name;
+pub mod outcome;
+pub mod resource;
--- /dev/null
+++ b/crates/carawaycleat-core/src/outcome.rs
@@ -0,0 +1,28 @@
+//! What is known about whether a request ran, and why a request was refused.
+
+mod reason;
+
+pub use reason::Reason;
+
+/// What is known about the execution of a request.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// The request ran.
+    Ran,
+    /// The request did not run and can no longer start.
+    NotRun,
+    /// The request may have run, or may still run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Returns the text used in headers and error bodies.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/outcome/reason.rs
@@ -0,0 +1,143 @@
+/// A machine-readable reason for a refusal or a failure.
+///
+/// The table in `docs/design.md`, section 3, gives the status and outcome of each.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The request is malformed or has a value out of range.
+    InvalidRequest,
+    /// The route needs a key and the request has none.
+    MissingKey,
+    /// The key is unknown or withdrawn.
+    UnknownKey,
+    /// The key's workspace may not use the route.
+    ForbiddenRoute,
+    /// No such model or adapter is configured.
+    UnknownModel,
+    /// No route matches the path.
+    UnknownRoute,
+    /// A request with the same idempotency key was already accepted.
+    DuplicateRequest,
+    /// The body is longer than the limit.
+    BodyTooLarge,
+    /// The header section is longer than the limit.
+    HeaderTooLarge,
+    /// The workspace has no tokens left for now.
+    RateLimited,
+    /// The request needs more tokens than the workspace's burst.
+    ExceedsBurst,
+    /// The workspace's queue is full.
+    QueueFull,
+    /// The deadline cannot be met at the present service rate.
+    DeadlineUnreachable,
+    /// The host is cut off and its configuration may be outdated.
+    ConfigurationStale,
+    /// The host is shutting down.
+    ShuttingDown,
+    /// No upstream can serve the request now.
+    NoUpstream,
+    /// The upstream is leaving.
+    UpstreamLeaving,
+    /// The claim of an idempotency key could not be recorded.
+    ClaimUnavailable,
+    /// The upstream answered with an error or the connection broke.
+    UpstreamFailed,
+    /// The upstream's answer was cut short or belonged to another request.
+    UpstreamIncomplete,
+    /// The upstream made no progress in time.
+    UpstreamTimeout,
+}
+
+impl Reason {
+    /// All reasons, in the order of the table in the design page.
+    pub const ALL: [Self; 21] = [
+        Self::InvalidRequest,
+        Self::MissingKey,
+        Self::UnknownKey,
+        Self::ForbiddenRoute,
+        Self::UnknownModel,
+        Self::UnknownRoute,
+        Self::DuplicateRequest,
+        Self::BodyTooLarge,
+        Self::HeaderTooLarge,
+        Self::RateLimited,
+        Self::ExceedsBurst,
+        Self::QueueFull,
+        Self::DeadlineUnreachable,
+        Self::ConfigurationStale,
+        Self::ShuttingDown,
+        Self::NoUpstream,
+        Self::UpstreamLeaving,
+        Self::ClaimUnavailable,
+        Self::UpstreamFailed,
+        Self::UpstreamIncomplete,
+        Self::UpstreamTimeout,
+    ];
+
+    /// Returns the text used in error bodies, metrics and the time line.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::InvalidRequest => "invalid_request",
+            Self::MissingKey => "missing_key",
+            Self::UnknownKey => "unknown_key",
+            Self::ForbiddenRoute => "forbidden_route",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownRoute => "unknown_route",
+            Self::DuplicateRequest => "duplicate_request",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeaderTooLarge => "header_too_large",
+            Self::RateLimited => "rate_limited",
+            Self::ExceedsBurst => "exceeds_burst",
+            Self::QueueFull => "queue_full",
+            Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::ConfigurationStale => "configuration_stale",
+            Self::ShuttingDown => "shutting_down",
+            Self::NoUpstream => "no_upstream",
+            Self::UpstreamLeaving => "upstream_leaving",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::UpstreamFailed => "upstream_failed",
+            Self::UpstreamIncomplete => "upstream_incomplete",
+            Self::UpstreamTimeout => "upstream_timeout",
+        }
+    }
+
+    /// Returns the HTTP status code that goes with the reason.
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::InvalidRequest => 400,
+            Self::MissingKey | Self::UnknownKey => 401,
+            Self::ForbiddenRoute => 403,
+            Self::UnknownModel | Self::UnknownRoute => 404,
+            Self::DuplicateRequest => 409,
+            Self::BodyTooLarge => 413,
+            Self::RateLimited | Self::ExceedsBurst => 429,
+            Self::HeaderTooLarge => 431,
+            Self::UpstreamFailed | Self::UpstreamIncomplete => 502,
+            Self::UpstreamTimeout => 504,
+            Self::QueueFull
+            | Self::DeadlineUnreachable
+            | Self::ConfigurationStale
+            | Self::ShuttingDown
+            | Self::NoUpstream
+            | Self::UpstreamLeaving
+            | Self::ClaimUnavailable => 503,
+        }
+    }
+
+    /// Returns whether the same request may succeed when it is sent again later.
+    pub const fn is_temporary(self) -> bool {
+        matches!(
+            self,
+            Self::RateLimited
+                | Self::QueueFull
+                | Self::DeadlineUnreachable
+                | Self::ConfigurationStale
+                | Self::ShuttingDown
+                | Self::NoUpstream
+                | Self::UpstreamLeaving
+                | Self::ClaimUnavailable
+        )
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests of the core crate, a module per feature.
+
+mod resource;
--- /dev/null
+++ b/crates/carawaycleat-store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapter to the key-value service that holds the configuration.
--- /dev/null
+++ b/crates/carawaycleat-wire/src/decoder.rs
@@ -0,0 +1,63 @@
+use crate::codec;
+use crate::message;
+
+/// Splits a byte stream into frames.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat_wire as wire;
+///
+/// let frame = wire::Frame::new(wire::Id::from_u128(7), wire::Part::Started);
+/// let mut bytes = Vec::new();
+/// wire::encode_frame(&frame, &mut bytes).expect("a short frame");
+/// let mut decoder = wire::Decoder::default();
+/// decoder.push(&bytes[..3]);
+/// assert!(decoder.next_frame().expect("no error").is_none());
+/// decoder.push(&bytes[3..]);
+/// assert_eq!(decoder.next_frame().expect("no error"), Some(frame));
+/// assert!(decoder.is_empty());
+/// ```
+#[derive(Debug, Default)]
+pub struct Decoder {
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl Decoder {
+    /// Adds bytes that were received.
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.start > 0 {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole frame, or none when more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the length is over the limit or the bytes are not a frame; the stream is then unusable.
+    pub fn next_frame(&mut self) -> codec::Result<Option<message::Frame>> {
+        let rest = &self.buffer[self.start..];
+        let Some((head, body)) = rest.split_first_chunk::<{ codec::LENGTH_BYTES }>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*head) as usize;
+        if length > codec::MAX_FRAME_BYTES {
+            return Err(codec::Error::Long(length));
+        }
+        let Some(bytes) = body.get(..length) else {
+            return Ok(None);
+        };
+        let frame = rmp_serde::from_slice(bytes)?;
+        self.start += codec::LENGTH_BYTES + length;
+        Ok(Some(frame))
+    }
+
+    /// Returns whether no bytes of an incomplete frame are left.
+    pub fn is_empty(&self) -> bool {
+        self.start == self.buffer.len()
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-wire/src/lib.rs
@@ -0,0 +1,37 @@
+//! Messages between the processes of the carawaycleat serving system.
+//!
+//! Bodies are MessagePack with named fields, see [`encode`] and [`decode`]. The answer to [`Job`] is a sequence of
+//! [`Frame`]s, each behind its length, see [`encode_frame`] and [`Decoder`].
+
+#[macro_use]
+extern crate quick_error;
+
+mod codec;
+mod decoder;
+mod message;
+
+pub use codec::Error;
+pub use codec::MAX_FRAME_BYTES;
+pub use codec::Result;
+pub use codec::decode;
+pub use codec::encode;
+pub use codec::encode_frame;
+pub use decoder::Decoder;
+pub use message::Account;
+pub use message::Ask;
+pub use message::Bundle;
+pub use message::Cancel;
+pub use message::Digest;
+pub use message::Directive;
+pub use message::Fetch;
+pub use message::Frame;
+pub use message::Holding;
+pub use message::Id;
+pub use message::Job;
+pub use message::Member;
+pub use message::Offer;
+pub use message::Pair;
+pub use message::Part;
+pub use message::Report;
+pub use message::Residence;
+pub use message::Transfer;
--- /dev/null
+++ b/crates/carawaycleat-wire/src/message.rs
@@ -0,0 +1,27 @@
+mod account;
+mod config;
+mod digest;
+mod frame;
+mod id;
+mod job;
+mod report;
+mod transfer;
+
+pub use account::Account;
+pub use account::Holding;
+pub use config::Bundle;
+pub use config::Fetch;
+pub use config::Pair;
+pub use digest::Digest;
+pub use digest::Member;
+pub use digest::Offer;
+pub use frame::Frame;
+pub use frame::Part;
+pub use id::Id;
+pub use job::Cancel;
+pub use job::Job;
+pub use report::Directive;
+pub use report::Report;
+pub use report::Residence;
+pub use transfer::Ask;
+pub use transfer::Transfer;
--- /dev/null
+++ b/crates/carawaycleat-wire/src/message/account.rs
@@ -0,0 +1,23 @@
+use carawaycleat_core::name;
+
+/// The memory account of an accelerator, in bytes.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Account {
+    /// The memory of the accelerator.
+    pub total: u64,
+    /// The memory taken by what is resident and by orders that may still land.
+    pub committed: u64,
+}
+
+/// A model version or adapter that an upstream is to hold.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+pub struct Holding {
+    /// The model.
+    pub model: name::Name,
+    /// The version of the model's weights.
+    pub version: name::Name,
+    /// The adapter, or none for the model itself.
+    pub adapter: Option<name::Name>,
+    /// The memory that it takes, in bytes.
+    pub bytes: u64,
+}
--- /dev/null
+++ b/crates/carawaycleat-wire/src/message/digest.rs
@@ -0,0 +1,42 @@
+use std::net;
+
+use carawaycleat_core::name;
+
+/// What entry hosts tell each other at each exchange.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Digest {
+    /// The host that sends it.
+    pub host: name::Name,
+    /// The incarnation of its process; a restart increases it.
+    pub incarnation: u64,
+    /// The revision that the host applies.
+    pub revision: u64,
+    /// The time since the last confirmed contact with the store, own or relayed, in milliseconds; none before the first.
+    pub store_age_ms: Option<u64>,
+    /// Whether the host is stopping.
+    pub leaving: bool,
+    /// The tokens that the host can lend.
+    pub offers: Vec<Offer>,
+}
+
+/// The tokens of a workspace that a host can lend.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Offer {
+    /// The workspace.
+    pub workspace: name::Name,
+    /// The tokens in the host's bucket.
+    pub tokens: u64,
+}
+
+/// An entry host in the roster.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+pub struct Member {
+    /// The name of the host.
+    pub host: name::Name,
+    /// The address of its peer endpoints.
+    pub peer_address: net::SocketAddr,
+    /// Its availability zone.
+    pub availability_zone: name::Name,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+}
--- /dev/null
+++ b/crates/carawaycleat-wire/src/message/job.rs
@@ -0,0 +1,44 @@
+use carawaycleat_core::name;
+
+/// A request that an entry host sends to a sidecar.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Job {
+    /// The identifier of the request.
+    pub id: super::Id,
+    /// The entry host that sends it.
+    pub host: name::Name,
+    /// The workspace that it runs for; none on a route open to all.
+    pub workspace: Option<name::Name>,
+    /// The model, for a request to an engine.
+    pub model: Option<name::Name>,
+    /// The adapter on top of the model.
+    pub adapter: Option<name::Name>,
+    /// The priority for the engine: 0 live, 1 short, 2 batch.
+    pub priority: u8,
+    /// Whether the operation may run more than once.
+    pub idempotent: bool,
+    /// The caller's idempotency key, with the workspace in front.
+    pub claim: Option<String>,
+    /// The HTTP method.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+    /// The headers to forward; the caller's key is never among them.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+    /// The number of tokens that the caller already has, for a stream that is resumed.
+    pub resume_at: u64,
+    /// The text of those tokens.
+    pub resume_text: String,
+    /// The time left until the deadline, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// A request that an entry host no longer wants.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Cancel {
+    /// The identifier of the request.
+    pub id: super::Id,
+}
--- /dev/null
+++ b/crates/carawaycleat-wire/tests/suite/codec.rs
@@ -0,0 +1,53 @@
+use carawaycleat_wire as wire;
+
+/// Guards against frames that cross a read boundary being lost or joined.
+#[test]
+fn frames_split_at_every_byte_arrive_whole() {
+    let id = wire::Id::from_u128(u128::MAX - 1);
+    let frames = [
+        wire::Frame::new(id, wire::Part::Started),
+        wire::Frame::new(
+            id,
+            wire::Part::Token {
+                position: 0,
+                text: "word".to_owned(),
+            },
+        ),
+        wire::Frame::new(id, wire::Part::Body(vec![0, 255, 7])),
+        wire::Frame::new(id, wire::Part::End { count: 1 }),
+    ];
+    let mut bytes = Vec::new();
+    for frame in &frames {
+        wire::encode_frame(frame, &mut bytes).expect("a short frame");
+    }
+    for split in 0..=bytes.len() {
+        let mut decoder = wire::Decoder::default();
+        let mut found = Vec::new();
+        for piece in [&bytes[..split], &bytes[split..]] {
+            decoder.push(piece);
+            while let Some(frame) = decoder.next_frame().expect("valid bytes") {
+                found.push(frame);
+            }
+        }
+        assert_eq!(found, frames, "split at byte {split}");
+        assert!(decoder.is_empty());
+    }
+}
+
+/// Guards against a hostile length reserving memory.
+#[test]
+fn a_length_over_the_limit_is_refused() {
+    let mut decoder = wire::Decoder::default();
+    decoder.push(&u32::MAX.to_be_bytes());
+    assert!(matches!(decoder.next_frame(), Err(wire::Error::Long(_))));
+}
+
+/// Guards against a frame that no receiver would accept.
+#[test]
+fn a_frame_over_the_limit_is_not_encoded() {
+    let part = wire::Part::Body(vec![0; wire::MAX_FRAME_BYTES + 1]);
+    let mut out = vec![1, 2];
+    let refused = wire::encode_frame(&wire::Frame::new(wire::Id::from_u128(1), part), &mut out);
+    assert!(matches!(refused, Err(wire::Error::Long(_))));
+    assert_eq!(out, [1, 2], "a refused frame leaves no bytes behind");
+}
--- /dev/null
+++ b/crates/carawaycleat-wire/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests of the wire crate, a module per feature.
+
+mod codec;
--- /dev/null
+++ b/crates/carawaycleat/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving system for many models on fewer accelerators.
