feat(net): add the HTTP server, the client pool and event streams

Cause: the daemons need HTTP/1.1 on async-h1, which reports cut bodies as complete and leaves malformed requests unanswered. Change: heads and the framing of bodies are checked before async-h1 decodes a message; the client passes it only the bytes of one message.

--- /dev/null
+++ b/crates/carawaycleat-net/src/body.rs
@@ -0,0 +1,16 @@
+use crate::stream;
+
+/// The body of a response.
+#[derive(Debug)]
+pub enum Body {
+    /// All bytes, sent with their length.
+    Bytes(Vec<u8>),
+    /// Chunks sent as they are written.
+    Stream(stream::Stream),
+}
+
+impl Default for Body {
+    fn default() -> Self {
+        Self::Bytes(Vec::new())
+    }
+}
--- a/crates/carawaycleat-net/src/lib.rs
+++ b/crates/carawaycleat-net/src/lib.rs
@@ -1,1 +1,42 @@
 //! HTTP/1.1 server and client of the carawaycleat serving system.
+//!
+//! [`Server`] checks every request head and body length before the handler runs and answers what it refuses. [`Pool`]
+//! reports whether a failed request may have left, and [`Reader`] never reports a cut body as complete. Messages are
+//! decoded and answers encoded by `async-h1`.
+
+#[macro_use]
+extern crate quick_error;
+
+mod body;
+mod error;
+mod head;
+mod headers;
+mod limits;
+mod pool;
+mod request;
+mod response;
+mod scanner;
+mod server;
+pub mod sse;
+mod stream;
+
+pub use body::Body;
+pub use error::Error;
+pub use error::Result;
+pub use headers::Headers;
+pub use limits::Limits;
+pub use pool::Failure;
+pub use pool::Pool;
+pub use pool::Reader;
+pub use pool::Reply;
+pub use request::Request;
+pub use response::Response;
+pub use server::Counts;
+pub use server::Handle;
+pub use server::Server;
+pub use stream::Stream;
+pub use stream::Writer;
+pub use stream::stream;
+
+/// The executor that runs servers.
+pub type Executor = async_executor::Executor<'static>;
--- /dev/null
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -0,0 +1,101 @@
+mod exchange;
+mod failure;
+mod idle;
+mod reader;
+mod reply;
+mod source;
+
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use crate::error;
+use crate::request;
+
+pub use failure::Failure;
+pub use reader::Reader;
+pub use reply::Reply;
+
+/// A client that keeps connections for reuse. Clones share the connections.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    connect_timeout: Duration,
+    idle: sync::Arc<idle::Idle>,
+}
+
+impl Default for Pool {
+    /// Returns a pool with 2 s to connect and 256 idle connections per address.
+    fn default() -> Self {
+        Self::new(Duration::from_secs(2), 256)
+    }
+}
+
+impl Pool {
+    /// Returns a pool that waits at most `connect_timeout` for a connection and keeps at most `idle` connections per
+    /// address.
+    #[must_use]
+    pub fn new(connect_timeout: Duration, idle: usize) -> Self {
+        Self {
+            connect_timeout,
+            idle: sync::Arc::new(idle::Idle::new(idle)),
+        }
+    }
+
+    /// Sends a request and returns the answer once its head has arrived. `timeout` covers connecting, sending and the
+    /// head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure that says whether bytes of the request may have left. Nothing is sent twice.
+    pub async fn send(
+        &self,
+        address: net::SocketAddr,
+        request: request::Request,
+        timeout: Duration,
+    ) -> Result<Reply, Failure> {
+        let mut sent = false;
+        let exchange = self.exchange(address, request, &mut sent);
+        let expired = async {
+            async_io::Timer::after(timeout).await;
+            Err(error::Error::Timeout)
+        };
+        let result = futures_lite::future::or(exchange, expired).await;
+        result.map_err(|error| Failure { sent, error })
+    }
+
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        request: request::Request,
+        sent: &mut bool,
+    ) -> error::Result<Reply> {
+        let head = exchange::encode(&request, address)?;
+        let stream = match self.idle.take(address) {
+            Some(stream) => stream,
+            None => self.connect(address).await?,
+        };
+        let home = idle::Home::new(&self.idle, address);
+        let no_body = request.method == "HEAD";
+        let written = exchange::write(&stream, &head, &request.body, sent).await;
+        match (written, exchange::read(stream, home, no_body)) {
+            (Ok(()), reply) => reply.await,
+            // The server may have answered early, for example because the body is too long.
+            (Err(error), reply) if *sent => match reply.await {
+                Ok(reply) => Ok(reply.not_reusable()),
+                Err(_) => Err(error.into()),
+            },
+            (Err(error), _) => Err(error.into()),
+        }
+    }
+
+    async fn connect(&self, address: net::SocketAddr) -> error::Result<idle::Connection> {
+        let connect = async { Ok(async_io::Async::<net::TcpStream>::connect(address).await?) };
+        let expired = async {
+            async_io::Timer::after(self.connect_timeout).await;
+            Err(error::Error::Timeout)
+        };
+        let stream = futures_lite::future::or(connect, expired).await?;
+        stream.get_ref().set_nodelay(true)?;
+        Ok(sync::Arc::new(stream))
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -0,0 +1,155 @@
+use std::io;
+use std::io::Write as _;
+use std::net;
+
+use futures_lite::AsyncReadExt as _;
+use futures_lite::AsyncWriteExt as _;
+
+use crate::error;
+use crate::head;
+use crate::limits;
+use crate::pool::idle;
+use crate::pool::reader;
+use crate::pool::reply;
+use crate::pool::source;
+use crate::request;
+use crate::scanner;
+
+const READ_BYTES: usize = 4 * 1024;
+/// A body up to this length is sent in one write with the head.
+const JOIN_BYTES: usize = 64 * 1024;
+
+/// Encodes the head of a request.
+///
+/// The encoder of `async-h1` takes a parsed URL, which resolves `..` and `%2e%2e` in the path: the request would reach
+/// another path than the one that was checked.
+pub(super) fn encode(request: &request::Request, address: net::SocketAddr) -> error::Result<Vec<u8>> {
+    let target = request.target();
+    if !target.starts_with('/') || !target.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(error::Error::malformed("the request target must be a path"));
+    }
+    if !is_token(&request.method) {
+        return Err(error::Error::malformed("invalid method"));
+    }
+    let mut head = Vec::with_capacity(256 + request.body.len().min(JOIN_BYTES));
+    write!(head, "{} {target} HTTP/1.1\r\n", request.method)?;
+    if request.headers.get("host").is_none() {
+        write!(head, "host: {address}\r\n")?;
+    }
+    for (name, value) in request.headers.iter() {
+        let framing = ["content-length", "transfer-encoding", "expect"];
+        if framing.iter().any(|other| name.eq_ignore_ascii_case(other)) {
+            continue;
+        }
+        if !is_token(name) || !value.bytes().all(|byte| byte == b'\t' || (b' '..=b'~').contains(&byte)) {
+            return Err(error::Error::malformed(format!("invalid header {name:?}")));
+        }
+        write!(head, "{name}: {value}\r\n")?;
+    }
+    if !request.body.is_empty() || !matches!(request.method.as_str(), "GET" | "HEAD") {
+        write!(head, "content-length: {}\r\n", request.body.len())?;
+    }
+    head.extend_from_slice(b"\r\n");
+    if request.body.len() <= JOIN_BYTES {
+        head.extend_from_slice(&request.body);
+    }
+    Ok(head)
+}
+
+fn is_token(text: &str) -> bool {
+    let token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !text.is_empty() && text.bytes().all(token)
+}
+
+/// Writes a request. `sent` becomes true with the first byte that the socket takes.
+pub(super) async fn write(
+    mut stream: &async_io::Async<net::TcpStream>,
+    head: &[u8],
+    body: &[u8],
+    sent: &mut bool,
+) -> io::Result<()> {
+    let body = if body.len() <= JOIN_BYTES { &[] } else { body };
+    for mut part in [head, body] {
+        while !part.is_empty() {
+            let length = stream.write(part).await?;
+            if length == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            *sent = true;
+            part = &part[length..];
+        }
+    }
+    Ok(())
+}
+
+/// Reads the head of the answer.
+pub(super) async fn read(
+    stream: idle::Connection,
+    home: idle::Home,
+    to_head: bool,
+) -> error::Result<reply::Reply> {
+    let mut bytes = Vec::new();
+    let (head, length) = loop {
+        match parse(&bytes)? {
+            Some((head, length)) if head.status >= 200 => break (head, length),
+            // An interim answer, for example `100 Continue`.
+            Some((_, length)) => {
+                bytes.drain(..length);
+            }
+            None => receive(&stream, &mut bytes).await?,
+        }
+    };
+    let no_body = to_head || matches!(head.status, 204 | 304);
+    let framing = match head::framing(&head.headers).map_err(error::Error::malformed)? {
+        _ if no_body => scanner::Framing::None,
+        // Without a length, a cut body looks like a complete one.
+        scanner::Framing::None => return Err(error::Error::Incomplete),
+        framing => framing,
+    };
+    let keep = !head.headers.has_token("connection", "close");
+    let (source, progress) = source::Source::new(stream.clone(), bytes, length, framing);
+    let mut decoded = async_h1::client::decode(source).await.map_err(error::Error::malformed)?;
+    let body = (framing != scanner::Framing::None).then(|| decoded.take_body().into_reader());
+    let body = reader::Reader::new(body, progress, stream, keep.then_some(home));
+    Ok(reply::Reply {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+struct Head {
+    status: u16,
+    headers: crate::Headers,
+}
+
+/// Parses the head of an answer; none when more bytes are needed.
+fn parse(bytes: &[u8]) -> error::Result<Option<(Head, usize)>> {
+    let Some(length) = head::end(bytes, 0) else {
+        if bytes.len() > limits::MAX_HEAD_BYTES {
+            return Err(error::Error::Long(limits::MAX_HEAD_BYTES));
+        }
+        return Ok(None);
+    };
+    let mut parsed = [httparse::EMPTY_HEADER; head::MAX_HEADERS];
+    let mut parser = httparse::Response::new(&mut parsed);
+    let status = parser.parse(&bytes[..length]).map_err(error::Error::malformed)?;
+    // A line feed without a carriage return can end the head earlier than its blank line.
+    if status != httparse::Status::Complete(length) || parser.version != Some(1) {
+        return Err(error::Error::malformed("invalid head of the answer"));
+    }
+    let headers = head::own(parser.headers).map_err(error::Error::malformed)?;
+    let status = parser.code.unwrap_or_default();
+    Ok(Some((Head { status, headers }, length)))
+}
+
+async fn receive(mut stream: &async_io::Async<net::TcpStream>, bytes: &mut Vec<u8>) -> error::Result<()> {
+    let mut buffer = [0; READ_BYTES];
+    match stream.read(&mut buffer).await? {
+        0 => Err(error::Error::Incomplete),
+        length => {
+            bytes.extend_from_slice(&buffer[..length]);
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/pool/failure.rs
@@ -0,0 +1,25 @@
+use std::fmt;
+
+use crate::error;
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// Whether bytes of the request may have left; only if not, the request was certainly not run.
+    pub sent: bool,
+    /// The error.
+    pub error: error::Error,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sent = if self.sent { "after" } else { "before" };
+        write!(formatter, "failed {sent} the request was sent: {}", self.error)
+    }
+}
+
+impl std::error::Error for Failure {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        Some(&self.error)
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/server.rs
@@ -0,0 +1,124 @@
+mod answer;
+mod connection;
+mod counts;
+mod handle;
+mod incoming;
+mod refusal;
+mod shared;
+
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use crate::error;
+use crate::limits;
+use crate::request;
+use crate::response;
+
+pub use counts::Counts;
+pub use handle::Handle;
+
+/// How long the server waits after `accept` failed, for example because no file descriptor was free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A server that is bound to its address.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync;
+///
+/// use carawaycleat_net as net;
+///
+/// let executor = sync::Arc::new(net::Executor::new());
+/// let server = net::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+/// let handle = server.start(executor.clone(), |request: net::Request| async move {
+///     net::Response::new(200).body(request.path)
+/// });
+/// let reply = futures_lite::future::block_on(executor.run(async {
+///     let pool = net::Pool::default();
+///     let request = net::Request::new("GET", "/models");
+///     let reply = pool.send(handle.local_address(), request, std::time::Duration::from_secs(5)).await;
+///     reply.expect("an answer").bytes(100).await.expect("a body")
+/// }));
+/// assert_eq!(reply, b"/models");
+/// ```
+#[derive(Debug)]
+pub struct Server {
+    listener: async_io::Async<net::TcpListener>,
+    address: net::SocketAddr,
+    limits: limits::Limits,
+}
+
+impl Server {
+    /// Binds a listener. Port 0 lets the system choose a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn bind(address: impl Into<net::SocketAddr>) -> error::Result<Self> {
+        let listener = async_io::Async::<net::TcpListener>::bind(address)?;
+        let address = listener.get_ref().local_addr()?;
+        Ok(Self {
+            listener,
+            address,
+            limits: limits::Limits::default(),
+        })
+    }
+
+    /// Sets the limits.
+    #[must_use]
+    pub fn limits(mut self, limits: limits::Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the address that the listener is bound to.
+    #[must_use]
+    pub fn local_address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Accepts connections on `executor` and answers requests with `handler`.
+    ///
+    /// The handler runs to its end even when the caller has gone away, see [`crate::Writer::closed`].
+    pub fn start<H, F>(self, executor: sync::Arc<crate::Executor>, handler: H) -> Handle
+    where
+        H: Fn(request::Request) -> F + Send + Sync + 'static,
+        F: Future<Output = response::Response> + Send + 'static,
+    {
+        let (shared, signals) = shared::Shared::new(self.limits);
+        let shared = sync::Arc::new(shared);
+        let accept = accept(self.listener, executor.clone(), shared.clone(), sync::Arc::new(handler));
+        executor
+            .spawn(async move {
+                let stopped = shared::ended(&signals.accepting);
+                futures_lite::future::or(stopped, accept).await;
+            })
+            .detach();
+        Handle::new(self.address, shared)
+    }
+}
+
+async fn accept<H, F>(
+    listener: async_io::Async<net::TcpListener>,
+    executor: sync::Arc<crate::Executor>,
+    shared: sync::Arc<shared::Shared>,
+    handler: sync::Arc<H>,
+) where
+    H: Fn(request::Request) -> F + Send + Sync + 'static,
+    F: Future<Output = response::Response> + Send + 'static,
+{
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            async_io::Timer::after(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if let Some(open) = shared::Open::new(&shared) {
+            let connection = connection::Connection::new(stream, peer, open);
+            executor.spawn(connection.run(handler.clone())).detach();
+        } else if let Some(open) = shared::Open::refused(&shared) {
+            executor.spawn(connection::refuse(stream, open)).detach();
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/server/answer.rs
@@ -0,0 +1,135 @@
+use std::io;
+use std::net;
+use std::pin;
+use std::task;
+use std::time::Duration;
+
+use futures_lite::AsyncRead as _;
+use futures_lite::AsyncReadExt as _;
+use futures_lite::AsyncWriteExt as _;
+
+use crate::body;
+use crate::response;
+
+/// The first size of the write buffer; it doubles when an answer fills it.
+const BUFFER_BYTES: usize = 4 * 1024;
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// The least room for a read: the head of the answer or one chunk with its framing.
+const MIN_ROOM_BYTES: usize = 512;
+
+/// Writes an answer.
+///
+/// The answer fails when a write makes no progress for `idle`, and when a streamed answer's caller closes its side.
+pub(super) async fn write(
+    stream: &async_io::Async<net::TcpStream>,
+    response: response::Response,
+    method: http_types::Method,
+    close: bool,
+    idle: Duration,
+) -> io::Result<()> {
+    let streamed = matches!(response.body, body::Body::Stream(_));
+    let encoder = async_h1::server::Encoder::new(convert(response, close), method);
+    let copy = copy(stream, encoder, idle);
+    if streamed {
+        futures_lite::future::or(copy, watch(stream)).await
+    } else {
+        copy.await
+    }
+}
+
+/// Converts an answer. One that cannot be represented becomes status 500, because `http-types` panics on names and
+/// values that are not ASCII.
+fn convert(response: response::Response, close: bool) -> http_types::Response {
+    let valid = |(name, value): (&str, &str)| {
+        let name_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+        let value_byte = |byte: u8| byte == b'\t' || (b' '..=b'~').contains(&byte);
+        !name.is_empty() && name.bytes().all(name_byte) && value.bytes().all(value_byte)
+    };
+    let status = http_types::StatusCode::try_from(response.status).ok();
+    let status = status.filter(|_| response.headers.iter().all(valid));
+    let mut converted = http_types::Response::new(status.unwrap_or(http_types::StatusCode::InternalServerError));
+    if status.is_some() {
+        converted.set_body(match response.body {
+            body::Body::Bytes(bytes) => http_types::Body::from_bytes(bytes),
+            body::Body::Stream(stream) => http_types::Body::from_reader(stream, None),
+        });
+        if response.headers.get("content-type").is_none() {
+            converted.remove_header("content-type");
+        }
+        let content_type = response.headers.get("content-type");
+        if let Some(content_type) = content_type {
+            converted.insert_header("content-type", content_type);
+        }
+        let framing = ["content-type", "content-length", "transfer-encoding", "connection"];
+        for (name, value) in response.headers.iter() {
+            if !framing.iter().any(|other| name.eq_ignore_ascii_case(other)) {
+                converted.append_header(name, value);
+            }
+        }
+    }
+    if close || response.headers.has_token("connection", "close") {
+        converted.insert_header("connection", "close");
+    }
+    converted
+}
+
+async fn copy(
+    mut stream: &async_io::Async<net::TcpStream>,
+    mut encoder: async_h1::server::Encoder,
+    idle: Duration,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let (filled, ended) = futures_lite::future::poll_fn(|context| fill(&mut encoder, &mut buffer, context)).await?;
+        if filled > 0 {
+            let write = stream.write_all(&buffer[..filled]);
+            let timeout = async {
+                async_io::Timer::after(idle).await;
+                Err(io::ErrorKind::TimedOut.into())
+            };
+            futures_lite::future::or(write, timeout).await?;
+        }
+        if ended {
+            return Ok(());
+        }
+        if filled + MIN_ROOM_BYTES > buffer.len() && buffer.len() < MAX_BUFFER_BYTES {
+            buffer.resize(buffer.len() * 2, 0);
+        }
+    }
+}
+
+/// Joins what the encoder has ready into one write. Returns the number of bytes and whether the answer has ended.
+fn fill(
+    encoder: &mut async_h1::server::Encoder,
+    buffer: &mut [u8],
+    context: &mut task::Context<'_>,
+) -> task::Poll<io::Result<(usize, bool)>> {
+    let mut filled = 0;
+    while buffer.len() - filled >= MIN_ROOM_BYTES {
+        match pin::Pin::new(&mut *encoder).poll_read(context, &mut buffer[filled..]) {
+            task::Poll::Ready(Ok(0)) => return task::Poll::Ready(Ok((filled, true))),
+            task::Poll::Ready(Ok(length)) => filled += length,
+            task::Poll::Ready(Err(error)) if filled == 0 => return task::Poll::Ready(Err(error)),
+            task::Poll::Pending if filled == 0 => return task::Poll::Pending,
+            // The stream reports its error again on the next read.
+            _ => break,
+        }
+    }
+    task::Poll::Ready(Ok((filled, false)))
+}
+
+/// Waits until the caller closes its side. Bytes that it sends meanwhile are dropped; the connection is closed after
+/// the answer because of them.
+async fn watch(stream: &async_io::Async<net::TcpStream>) -> io::Result<()> {
+    let mut byte = [0];
+    stream.readable().await?;
+    match stream.get_ref().peek(&mut byte) {
+        Ok(0) => return Err(io::ErrorKind::ConnectionReset.into()),
+        Err(error) if error.kind() != io::ErrorKind::WouldBlock => return Err(error),
+        _ => {}
+    }
+    let mut discard = [0; 512];
+    let mut reader = stream;
+    while reader.read(&mut discard).await? > 0 {}
+    Err(io::ErrorKind::ConnectionReset.into())
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -0,0 +1,288 @@
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_lite::AsyncReadExt as _;
+use futures_lite::AsyncWriteExt as _;
+
+use crate::request;
+use crate::response;
+use crate::scanner;
+use crate::server::answer;
+use crate::server::incoming;
+use crate::server::refusal;
+use crate::server::shared;
+
+const READ_BYTES: usize = 4 * 1024;
+/// How long and how much a closing connection still reads. Closing a socket with unread bytes resets the connection,
+/// and the caller may then lose the answer.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 1024 * 1024;
+
+/// Why no request came out of a connection.
+enum Stop {
+    /// The connection ended; nothing is to be answered.
+    End,
+    Refuse(refusal::Refusal),
+}
+
+impl From<io::Error> for Stop {
+    fn from(_: io::Error) -> Self {
+        Self::End
+    }
+}
+
+impl From<refusal::Refusal> for Stop {
+    fn from(refusal: refusal::Refusal) -> Self {
+        Self::Refuse(refusal)
+    }
+}
+
+/// A request, counted as active, and what its answer needs.
+struct Incoming {
+    request: request::Request,
+    method: http_types::Method,
+    close: bool,
+    active: shared::Active,
+}
+
+/// A connection of a caller.
+#[derive(Debug)]
+pub(super) struct Connection {
+    stream: async_io::Async<net::TcpStream>,
+    peer: net::SocketAddr,
+    open: shared::Open,
+    /// Bytes received and not used yet.
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    pub(super) fn new(stream: async_io::Async<net::TcpStream>, peer: net::SocketAddr, open: shared::Open) -> Self {
+        // Without it, small writes of a stream wait for the acknowledgement of the write before.
+        let _ = stream.get_ref().set_nodelay(true);
+        Self {
+            stream,
+            peer,
+            open,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Answers requests until the connection ends or the server is aborted.
+    pub(super) async fn run<H, F>(self, handler: sync::Arc<H>)
+    where
+        H: Fn(request::Request) -> F + Send + Sync + 'static,
+        F: Future<Output = response::Response> + Send + 'static,
+    {
+        let abort = self.open.shared.abort.clone();
+        futures_lite::future::or(shared::ended(&abort), self.serve(handler)).await;
+    }
+
+    async fn serve<H, F>(mut self, handler: sync::Arc<H>)
+    where
+        H: Fn(request::Request) -> F,
+        F: Future<Output = response::Response>,
+    {
+        loop {
+            let incoming = match self.receive().await {
+                Ok(incoming) => incoming,
+                Err(Stop::End) => return,
+                Err(Stop::Refuse(refusal)) => return self.refuse(refusal).await,
+            };
+            let shared = &self.open.shared;
+            shared.count_request();
+            let response = handler(incoming.request).await;
+            // async-h1 never reads a pipelined request; closing tells the caller that it was not run.
+            let close = incoming.close || !self.buffer.is_empty() || self.is_readable() || shared.is_stopping();
+            let close = close || response.headers.has_token("connection", "close");
+            let written = answer::write(&self.stream, response, incoming.method, close, shared.limits.idle).await;
+            drop(incoming.active);
+            match written {
+                Err(_) => return,
+                Ok(()) if close => return linger(&self.stream).await,
+                Ok(()) => {}
+            }
+        }
+    }
+
+    /// Returns whether bytes are waiting that do not belong to the request in progress.
+    fn is_readable(&self) -> bool {
+        matches!(self.stream.get_ref().peek(&mut [0]), Ok(length) if length > 0)
+    }
+
+    async fn receive(&mut self) -> Result<Incoming, Stop> {
+        self.wait().await?;
+        let deadline = Instant::now() + self.open.shared.limits.idle;
+        let read = async {
+            match self.read_request().await {
+                Err(Stop::End) => {
+                    // The connection ended within a request.
+                    self.open.shared.malformed.fetch_add(1, atomic::Ordering::Relaxed);
+                    Err(Stop::End)
+                }
+                other => other,
+            }
+        };
+        let timeout = async {
+            async_io::Timer::at(deadline).await;
+            Err(Stop::Refuse(refusal::Refusal::TOO_SLOW))
+        };
+        futures_lite::future::or(read, timeout).await
+    }
+
+    /// Waits for the first bytes of a request.
+    async fn wait(&mut self) -> Result<(), Stop> {
+        let shared = self.open.shared.clone();
+        let idle = async {
+            let timer = async_io::Timer::after(shared.limits.idle);
+            futures_lite::future::or(shared::ended(&shared.idle), async {
+                timer.await;
+            })
+            .await;
+            Ok(0)
+        };
+        match futures_lite::future::or(read(&self.stream, &mut self.buffer), idle).await? {
+            0 => Err(Stop::End),
+            _ => Ok(()),
+        }
+    }
+
+    async fn read_request(&mut self) -> Result<Incoming, Stop> {
+        let limits = &self.open.shared.limits;
+        let mut from = 0;
+        let head = loop {
+            if let Some(head) = incoming::head(&self.buffer, from, limits)? {
+                break head;
+            }
+            from = self.buffer.len();
+            if read(&self.stream, &mut self.buffer).await? == 0 {
+                return Err(Stop::End);
+            }
+        };
+        if matches!(head.framing, scanner::Framing::Length(length) if length > limits.body_bytes as u64) {
+            return Err(refusal::Refusal::BODY_TOO_LARGE.into());
+        }
+        // The request is counted before its body is read, so that the limit also bounds the memory of bodies.
+        let Some(active) = shared::Active::new(&self.open.shared) else {
+            return Err(refusal::Refusal::TOO_MANY_REQUESTS.into());
+        };
+        let (method, close) = (head.method, head.close);
+        let mut request = self.read_body(head).await?;
+        request.peer = Some(self.peer);
+        Ok(Incoming {
+            request,
+            method,
+            close,
+            active,
+        })
+    }
+
+    async fn read_body(&mut self, head: incoming::Head) -> Result<request::Request, Stop> {
+        let limits = &self.open.shared.limits;
+        let mut scanner = scanner::Scanner::new(head.framing);
+        let mut end = head.length;
+        let mut trailers = head.length;
+        if head.expects && self.buffer.len() == end && !scanner.is_done() {
+            (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        loop {
+            let scan = scanner.scan(&self.buffer[end..]).map_err(refusal::Refusal::invalid)?;
+            trailers = if scan.body > 0 { end + scan.body } else { trailers };
+            end += scan.used;
+            if scanner.body_bytes > limits.body_bytes as u64 {
+                return Err(refusal::Refusal::BODY_TOO_LARGE.into());
+            }
+            if scanner.is_done() {
+                break;
+            }
+            if read(&self.stream, &mut self.buffer).await? == 0 {
+                return Err(Stop::End);
+            }
+        }
+        let rest = self.buffer.split_off(end);
+        let mut message = std::mem::replace(&mut self.buffer, rest);
+        if head.framing == scanner::Framing::Chunked {
+            message.truncate(trailers);
+            message.extend_from_slice(b"\r\n");
+        } else {
+            trailers = message.len();
+        }
+        if head.expects {
+            // async-h1 would start a task on its own global executor to answer the expectation.
+            let removed = remove_expect(&mut message, head.length);
+            trailers -= removed;
+        }
+        Ok(incoming::body(head, message, trailers).await?)
+    }
+
+    async fn refuse(&self, refusal: refusal::Refusal) {
+        let shared = &self.open.shared;
+        if refusal.is_malformed() {
+            shared.malformed.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        write_refusal(&self.stream, refusal, shared.limits.idle).await;
+    }
+}
+
+/// Answers a connection over the limit and closes it.
+pub(super) async fn refuse(stream: async_io::Async<net::TcpStream>, open: shared::Open) {
+    let abort = open.shared.abort.clone();
+    let write = write_refusal(&stream, refusal::Refusal::TOO_MANY_CONNECTIONS, LINGER);
+    futures_lite::future::or(shared::ended(&abort), write).await;
+}
+
+async fn write_refusal(stream: &async_io::Async<net::TcpStream>, refusal: refusal::Refusal, idle: Duration) {
+    let method = http_types::Method::Get;
+    if answer::write(stream, refusal.response(), method, true, idle).await.is_ok() {
+        linger(stream).await;
+    }
+}
+
+/// Ends the sending side and reads until the caller ends its own, within bounds.
+async fn linger(mut stream: &async_io::Async<net::TcpStream>) {
+    if stream.get_ref().shutdown(net::Shutdown::Write).is_err() {
+        return;
+    }
+    let drain = async {
+        let mut discard = [0; READ_BYTES];
+        let mut total = 0;
+        while total < LINGER_BYTES {
+            match stream.read(&mut discard).await {
+                Ok(length) if length > 0 => total += length,
+                _ => return,
+            }
+        }
+    };
+    let timeout = async {
+        async_io::Timer::after(LINGER).await;
+    };
+    futures_lite::future::or(drain, timeout).await;
+}
+
+/// Appends what the socket has to `buffer`. Returns the number of bytes, 0 at the end of the connection.
+async fn read(mut stream: &async_io::Async<net::TcpStream>, buffer: &mut Vec<u8>) -> io::Result<usize> {
+    let mut bytes = [0; READ_BYTES];
+    let length = stream.read(&mut bytes).await?;
+    buffer.extend_from_slice(&bytes[..length]);
+    Ok(length)
+}
+
+/// Removes the `Expect` headers from the head of `message` and returns the number of bytes removed.
+fn remove_expect(message: &mut Vec<u8>, head: usize) -> usize {
+    let name = b"\r\nexpect:";
+    let mut removed = 0;
+    loop {
+        let rest = &message[..head - removed];
+        let Some(start) = rest.windows(name.len()).position(|part| part.eq_ignore_ascii_case(name)) else {
+            return removed;
+        };
+        // The line break in front of the removed line stays.
+        let start = start + 2;
+        let length = rest[start..].iter().position(|byte| *byte == b'\n').map_or(0, |end| end + 1);
+        message.drain(start..start + length);
+        removed += length;
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -0,0 +1,54 @@
+use std::net;
+use std::sync;
+
+use crate::server::counts;
+use crate::server::shared;
+
+/// Controls a running server. The server runs on when all handles are dropped.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    address: net::SocketAddr,
+    shared: sync::Arc<shared::Shared>,
+}
+
+impl Handle {
+    pub(super) fn new(address: net::SocketAddr, shared: sync::Arc<shared::Shared>) -> Self {
+        Self { address, shared }
+    }
+
+    /// Returns the address that the listener is bound to.
+    #[must_use]
+    pub fn local_address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener. Open connections are closed after their next answer.
+    pub fn stop_accepting(&self) {
+        self.shared.stop_accepting();
+    }
+
+    /// Returns the number of requests in progress, answers being streamed included.
+    #[must_use]
+    pub fn active(&self) -> usize {
+        self.shared.active()
+    }
+
+    /// Closes the listener, waits until no request is in progress, and closes the idle connections.
+    pub async fn drain(&self) {
+        self.shared.stop_accepting();
+        self.shared.quiet().await;
+        self.shared.idle.close();
+    }
+
+    /// Closes the listener and all connections; handlers in progress are dropped.
+    pub fn abort(&self) {
+        self.shared.stop_accepting();
+        self.shared.abort.close();
+    }
+
+    /// Returns what the server has counted since its start.
+    #[must_use]
+    pub fn counts(&self) -> counts::Counts {
+        self.shared.counts()
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/server/refusal.rs
@@ -0,0 +1,44 @@
+use crate::response;
+
+/// An answer that the server gives without calling the handler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Refusal {
+    status: u16,
+    code: &'static str,
+    message: &'static str,
+}
+
+impl Refusal {
+    pub(super) const BODY_TOO_LARGE: Self = Self::new(413, "body_too_large", "the body is too large");
+    pub(super) const HEADER_TOO_LARGE: Self = Self::new(431, "header_too_large", "the header section is too large");
+    pub(super) const TOO_MANY_CONNECTIONS: Self = Self::new(503, "queue_full", "too many connections");
+    pub(super) const TOO_MANY_REQUESTS: Self = Self::new(503, "queue_full", "too many requests in progress");
+    pub(super) const TOO_SLOW: Self = Self::new(408, "invalid_request", "the request arrived too slowly");
+
+    const fn new(status: u16, code: &'static str, message: &'static str) -> Self {
+        Self { status, code, message }
+    }
+
+    pub(super) const fn invalid(message: &'static str) -> Self {
+        Self::new(400, "invalid_request", message)
+    }
+
+    /// Returns whether the request was at fault, not the load.
+    pub(super) fn is_malformed(&self) -> bool {
+        self.status != 503
+    }
+
+    pub(super) fn response(&self) -> response::Response {
+        let body = serde_json::json!({"error": {
+            "message": self.message,
+            "type": "invalid_request_error",
+            "code": self.code,
+            "outcome": "not_run",
+        }});
+        let mut response = response::Response::json(self.status, &body).header("Carawaycleat-Outcome", "not_run");
+        if self.status == 503 {
+            response.headers.set("Retry-After", "1");
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/server/shared.rs
@@ -0,0 +1,170 @@
+use std::convert;
+use std::sync;
+use std::sync::atomic;
+
+use crate::limits;
+use crate::server::counts;
+
+/// The number of refused connections that are answered at the same time; others are closed without an answer.
+const REFUSALS: usize = 256;
+
+/// A channel that carries nothing; closing it is the signal.
+pub(super) type Signal = async_channel::Receiver<convert::Infallible>;
+
+/// Waits for a signal.
+pub(super) async fn ended(signal: &Signal) {
+    let _ = signal.recv().await;
+}
+
+#[derive(Debug)]
+pub(super) struct Signals {
+    pub(super) accepting: Signal,
+}
+
+/// State that the connections of a server share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) limits: limits::Limits,
+    pub(super) stopping: atomic::AtomicBool,
+    pub(super) malformed: atomic::AtomicU64,
+    pub(super) idle: Signal,
+    pub(super) abort: Signal,
+    accepted: atomic::AtomicU64,
+    refused: atomic::AtomicU64,
+    queue_full: atomic::AtomicU64,
+    requests: atomic::AtomicU64,
+    open: atomic::AtomicUsize,
+    refusals: atomic::AtomicUsize,
+    active: atomic::AtomicUsize,
+    accepting: Signal,
+    quiet: (async_channel::Sender<()>, async_channel::Receiver<()>),
+    _senders: [async_channel::Sender<convert::Infallible>; 3],
+}
+
+impl Shared {
+    pub(super) fn new(limits: limits::Limits) -> (Self, Signals) {
+        let (accepting_sender, accepting) = async_channel::bounded(1);
+        let (idle_sender, idle) = async_channel::bounded(1);
+        let (abort_sender, abort) = async_channel::bounded(1);
+        let shared = Self {
+            limits,
+            stopping: atomic::AtomicBool::new(false),
+            malformed: atomic::AtomicU64::new(0),
+            idle,
+            abort,
+            accepted: atomic::AtomicU64::new(0),
+            refused: atomic::AtomicU64::new(0),
+            queue_full: atomic::AtomicU64::new(0),
+            requests: atomic::AtomicU64::new(0),
+            open: atomic::AtomicUsize::new(0),
+            refusals: atomic::AtomicUsize::new(0),
+            active: atomic::AtomicUsize::new(0),
+            accepting: accepting.clone(),
+            quiet: async_channel::bounded(1),
+            _senders: [accepting_sender, idle_sender, abort_sender],
+        };
+        (shared, Signals { accepting })
+    }
+
+    pub(super) fn stop_accepting(&self) {
+        self.stopping.store(true, atomic::Ordering::SeqCst);
+        self.accepting.close();
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(atomic::Ordering::SeqCst)
+    }
+
+    pub(super) fn active(&self) -> usize {
+        self.active.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Waits until no request is in progress.
+    pub(super) async fn quiet(&self) {
+        while self.active() > 0 {
+            let _ = self.quiet.1.recv().await;
+        }
+        // Another caller may wait for the same notice.
+        let _ = self.quiet.0.try_send(());
+    }
+
+    pub(super) fn counts(&self) -> counts::Counts {
+        counts::Counts {
+            accepted: self.accepted.load(atomic::Ordering::Relaxed),
+            refused: self.refused.load(atomic::Ordering::Relaxed),
+            malformed: self.malformed.load(atomic::Ordering::Relaxed),
+            queue_full: self.queue_full.load(atomic::Ordering::Relaxed),
+            requests: self.requests.load(atomic::Ordering::Relaxed),
+        }
+    }
+
+    pub(super) fn count_request(&self) {
+        self.requests.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Adds one to `counter` unless it has reached `limit`.
+fn take(counter: &atomic::AtomicUsize, limit: usize) -> bool {
+    let next = |count: usize| (count < limit).then_some(count + 1);
+    counter.fetch_update(atomic::Ordering::SeqCst, atomic::Ordering::SeqCst, next).is_ok()
+}
+
+/// An open connection, counted until it is dropped.
+#[derive(Debug)]
+pub(super) struct Open {
+    pub(super) shared: sync::Arc<Shared>,
+    refused: bool,
+}
+
+impl Open {
+    /// Counts a connection, unless too many are open.
+    pub(super) fn new(shared: &sync::Arc<Shared>) -> Option<Self> {
+        if !take(&shared.open, shared.limits.connections) {
+            shared.refused.fetch_add(1, atomic::Ordering::Relaxed);
+            return None;
+        }
+        shared.accepted.fetch_add(1, atomic::Ordering::Relaxed);
+        Some(Self {
+            shared: shared.clone(),
+            refused: false,
+        })
+    }
+
+    /// Counts a refused connection while it is answered, unless too many are.
+    pub(super) fn refused(shared: &sync::Arc<Shared>) -> Option<Self> {
+        take(&shared.refusals, REFUSALS).then(|| Self {
+            shared: shared.clone(),
+            refused: true,
+        })
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let counter = if self.refused { &self.shared.refusals } else { &self.shared.open };
+        counter.fetch_sub(1, atomic::Ordering::SeqCst);
+    }
+}
+
+/// A request in progress, counted until it is dropped.
+#[derive(Debug)]
+pub(super) struct Active(sync::Arc<Shared>);
+
+impl Active {
+    /// Counts a request, unless too many are in progress.
+    pub(super) fn new(shared: &sync::Arc<Shared>) -> Option<Self> {
+        if !take(&shared.active, shared.limits.requests) {
+            shared.queue_full.fetch_add(1, atomic::Ordering::Relaxed);
+            return None;
+        }
+        Some(Self(shared.clone()))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        if self.0.active.fetch_sub(1, atomic::Ordering::SeqCst) == 1 && self.0.is_stopping() {
+            let _ = self.0.quiet.0.try_send(());
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/src/sse.rs
@@ -0,0 +1,7 @@
+//! Server-sent events.
+
+mod decoder;
+mod event;
+
+pub use decoder::Decoder;
+pub use event::Event;
