--- a/crates/carawaycleat-net/src/head.rs
+++ b/crates/carawaycleat-net/src/head.rs
@@ -7,7 +7,10 @@
 /// Returns the length of the head in `bytes`, or none when it is not complete.
 pub(crate) fn end(bytes: &[u8], from: usize) -> Option<usize> {
     let from = from.saturating_sub(3);
-    bytes[from..].windows(4).position(|part| part == b"\r\n\r\n").map(|at| from + at + 4)
+    bytes[from..]
+        .windows(4)
+        .position(|part| part == b"\r\n\r\n")
+        .map(|at| from + at + 4)
 }
 
 /// Returns the headers in owned form. The error is a description of the fault.
@@ -16,7 +19,9 @@
 pub(crate) fn own(parsed: &[httparse::Header<'_>]) -> Result<headers::Headers, &'static str> {
     let mut headers = headers::Headers::new();
     for header in parsed {
-        let value = std::str::from_utf8(header.value).ok().filter(|value| value.is_ascii());
+        let value = std::str::from_utf8(header.value)
+            .ok()
+            .filter(|value| value.is_ascii());
         headers.append(header.name, value.ok_or("header value is not ASCII")?);
     }
     Ok(headers)
@@ -39,7 +44,9 @@
         (None, _, None) => Ok(scanner::Framing::None),
         (None, _, Some(length)) => Ok(scanner::Framing::Length(length)),
         (Some(_), _, Some(_)) => Err("both content-length and transfer-encoding"),
-        (Some(encoding), None, None) if encoding.eq_ignore_ascii_case("chunked") => Ok(scanner::Framing::Chunked),
+        (Some(encoding), None, None) if encoding.eq_ignore_ascii_case("chunked") => {
+            Ok(scanner::Framing::Chunked)
+        }
         _ => Err("unsupported transfer-encoding"),
     }
 }
--- a/crates/carawaycleat-net/src/headers.rs
+++ b/crates/carawaycleat-net/src/headers.rs
@@ -14,7 +14,9 @@
     /// Returns the first value of `name`.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.iter().find(|(other, _)| other.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+        self.iter()
+            .find(|(other, _)| other.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
     }
 
     /// Returns all values of `name` in order.
@@ -51,7 +53,9 @@
 
     /// Returns the pairs in order.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
-        self.pairs.iter().map(|(name, value)| (name.as_str(), value.as_str()))
+        self.pairs
+            .iter()
+            .map(|(name, value)| (name.as_str(), value.as_str()))
     }
 
     /// Returns whether `token` is in one of the comma-separated values of `name`.
--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -23,7 +23,10 @@
 ///
 /// The encoder of `async-h1` takes a parsed URL, which resolves `..` and `%2e%2e` in the path: the request would reach
 /// another path than the one that was checked.
-pub(super) fn encode(request: &request::Request, address: net::SocketAddr) -> error::Result<Vec<u8>> {
+pub(super) fn encode(
+    request: &request::Request,
+    address: net::SocketAddr,
+) -> error::Result<Vec<u8>> {
     let target = request.target();
     if !target.starts_with('/') || !target.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err(error::Error::malformed("the request target must be a path"));
@@ -41,7 +44,11 @@
         if framing.iter().any(|other| name.eq_ignore_ascii_case(other)) {
             continue;
         }
-        if !is_token(name) || !value.bytes().all(|byte| byte == b'\t' || (b' '..=b'~').contains(&byte)) {
+        if !is_token(name)
+            || !value
+                .bytes()
+                .all(|byte| byte == b'\t' || (b' '..=b'~').contains(&byte))
+        {
             return Err(error::Error::malformed(format!("invalid header {name:?}")));
         }
         write!(head, "{name}: {value}\r\n")?;
@@ -108,7 +115,9 @@
     };
     let keep = !head.headers.has_token("connection", "close");
     let (source, progress) = source::Source::new(stream.clone(), bytes, length, framing);
-    let mut decoded = async_h1::client::decode(source).await.map_err(error::Error::malformed)?;
+    let mut decoded = async_h1::client::decode(source)
+        .await
+        .map_err(error::Error::malformed)?;
     let body = (framing != scanner::Framing::None).then(|| decoded.take_body().into_reader());
     let body = reader::Reader::new(body, progress, stream, keep.then_some(home));
     Ok(reply::Reply {
@@ -133,7 +142,9 @@
     };
     let mut parsed = [httparse::EMPTY_HEADER; head::MAX_HEADERS];
     let mut parser = httparse::Response::new(&mut parsed);
-    let status = parser.parse(&bytes[..length]).map_err(error::Error::malformed)?;
+    let status = parser
+        .parse(&bytes[..length])
+        .map_err(error::Error::malformed)?;
     // A line feed without a carriage return can end the head earlier than its blank line.
     if status != httparse::Status::Complete(length) || parser.version != Some(1) {
         return Err(error::Error::malformed("invalid head of the answer"));
@@ -143,7 +154,10 @@
     Ok(Some((Head { status, headers }, length)))
 }
 
-async fn receive(mut stream: &async_io::Async<net::TcpStream>, bytes: &mut Vec<u8>) -> error::Result<()> {
+async fn receive(
+    mut stream: &async_io::Async<net::TcpStream>,
+    bytes: &mut Vec<u8>,
+) -> error::Result<()> {
     let mut buffer = [0; READ_BYTES];
     match stream.read(&mut buffer).await? {
         0 => Err(error::Error::Incomplete),
--- a/crates/carawaycleat-net/src/pool/failure.rs
+++ b/crates/carawaycleat-net/src/pool/failure.rs
@@ -14,7 +14,11 @@
 impl fmt::Display for Failure {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let sent = if self.sent { "after" } else { "before" };
-        write!(formatter, "failed {sent} the request was sent: {}", self.error)
+        write!(
+            formatter,
+            "failed {sent} the request was sent: {}",
+            self.error
+        )
     }
 }
 
--- a/crates/carawaycleat-net/src/pool/idle.rs
+++ b/crates/carawaycleat-net/src/pool/idle.rs
@@ -57,7 +57,9 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, Connections> {
-        self.connections.lock().unwrap_or_else(sync::PoisonError::into_inner)
+        self.connections
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -32,7 +32,10 @@
 
 impl fmt::Debug for Reader {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("Reader").field("ended", &self.body.is_none()).finish_non_exhaustive()
+        formatter
+            .debug_struct("Reader")
+            .field("ended", &self.body.is_none())
+            .finish_non_exhaustive()
     }
 }
 
@@ -128,7 +131,9 @@
     fn end(&mut self) {
         self.body = None;
         let reusable = self.progress.is_reusable();
-        if let (Some(connection), Some(home), true) = (self.connection.take(), self.home.take(), reusable) {
+        if let (Some(connection), Some(home), true) =
+            (self.connection.take(), self.home.take(), reusable)
+        {
             home.put(connection);
         }
     }
@@ -138,7 +143,9 @@
         self.body = None;
         self.connection = None;
         match error.kind() {
-            io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset => error::Error::Incomplete,
+            io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset => {
+                error::Error::Incomplete
+            }
             io::ErrorKind::InvalidData => error::Error::malformed(error),
             _ => error.into(),
         }
@@ -146,7 +153,11 @@
 }
 
 /// Joins what has arrived into one piece.
-fn fill(body: &mut Body, piece: &mut [u8], context: &mut task::Context<'_>) -> task::Poll<io::Result<usize>> {
+fn fill(
+    body: &mut Body,
+    piece: &mut [u8],
+    context: &mut task::Context<'_>,
+) -> task::Poll<io::Result<usize>> {
     let mut filled = 0;
     while filled < piece.len() {
         match pin::Pin::new(&mut *body).poll_read(context, &mut piece[filled..]) {
--- a/crates/carawaycleat-net/src/pool/source.rs
+++ b/crates/carawaycleat-net/src/pool/source.rs
@@ -82,10 +82,18 @@
     }
 
     /// Copies waiting bytes or reads from the socket.
-    fn poll_raw(&mut self, context: &mut task::Context<'_>, buffer: &mut [u8]) -> task::Poll<io::Result<usize>> {
+    fn poll_raw(
+        &mut self,
+        context: &mut task::Context<'_>,
+        buffer: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
         if self.position < self.received.len() {
             // The head is passed on by itself, so that the scanner sees only the body.
-            let end = if self.position < self.head { self.head } else { self.received.len() };
+            let end = if self.position < self.head {
+                self.head
+            } else {
+                self.received.len()
+            };
             let length = buffer.len().min(end - self.position);
             buffer[..length].copy_from_slice(&self.received[self.position..self.position + length]);
             self.position += length;
--- a/crates/carawaycleat-net/src/response.rs
+++ b/crates/carawaycleat-net/src/response.rs
@@ -28,7 +28,9 @@
     #[must_use]
     pub fn json(status: u16, value: &impl serde::Serialize) -> Self {
         match serde_json::to_vec(value) {
-            Ok(bytes) => Self::new(status).header("content-type", "application/json").body(bytes),
+            Ok(bytes) => Self::new(status)
+                .header("content-type", "application/json")
+                .body(bytes),
             Err(_) => Self::new(500),
         }
     }
--- a/crates/carawaycleat-net/src/scanner.rs
+++ b/crates/carawaycleat-net/src/scanner.rs
@@ -48,9 +48,15 @@
         let state = match framing {
             Framing::None | Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Data(length),
-            Framing::Chunked => State::Size { digits: 0, value: 0 },
+            Framing::Chunked => State::Size {
+                digits: 0,
+                value: 0,
+            },
         };
-        Self { state, body_bytes: 0 }
+        Self {
+            state,
+            body_bytes: 0,
+        }
     }
 
     pub(crate) fn is_done(&self) -> bool {
@@ -101,9 +107,14 @@
             (State::SizeEnd(0), b'\n') => State::Trailer { bytes: 0, line: 0 },
             (State::SizeEnd(size), b'\n') => State::Chunk(*size),
             (State::ChunkCr, b'\r') => State::ChunkLf,
-            (State::ChunkLf, b'\n') => State::Size { digits: 0, value: 0 },
+            (State::ChunkLf, b'\n') => State::Size {
+                digits: 0,
+                value: 0,
+            },
             (State::Trailer { line: 0, .. }, b'\n') => State::Done,
-            (State::Trailer { bytes, .. }, _) if *bytes >= MAX_TRAILER_BYTES => return Err("trailers too long"),
+            (State::Trailer { bytes, .. }, _) if *bytes >= MAX_TRAILER_BYTES => {
+                return Err("trailers too long");
+            }
             (State::Trailer { bytes, .. }, b'\n') => State::Trailer {
                 bytes: bytes + 1,
                 line: 0,
--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -89,7 +89,12 @@
     {
         let (shared, signals) = shared::Shared::new(self.limits);
         let shared = sync::Arc::new(shared);
-        let accept = accept(self.listener, executor.clone(), shared.clone(), sync::Arc::new(handler));
+        let accept = accept(
+            self.listener,
+            executor.clone(),
+            shared.clone(),
+            sync::Arc::new(handler),
+        );
         executor
             .spawn(async move {
                 let stopped = shared::ended(&signals.accepting);
--- a/crates/carawaycleat-net/src/server/answer.rs
+++ b/crates/carawaycleat-net/src/server/answer.rs
@@ -41,13 +41,15 @@
 /// values that are not ASCII.
 fn convert(response: response::Response, close: bool) -> http_types::Response {
     let valid = |(name, value): (&str, &str)| {
-        let name_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+        let name_byte =
+            |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
         let value_byte = |byte: u8| byte == b'\t' || (b' '..=b'~').contains(&byte);
         !name.is_empty() && name.bytes().all(name_byte) && value.bytes().all(value_byte)
     };
     let status = http_types::StatusCode::try_from(response.status).ok();
     let status = status.filter(|_| response.headers.iter().all(valid));
-    let mut converted = http_types::Response::new(status.unwrap_or(http_types::StatusCode::InternalServerError));
+    let mut converted =
+        http_types::Response::new(status.unwrap_or(http_types::StatusCode::InternalServerError));
     if status.is_some() {
         converted.set_body(match response.body {
             body::Body::Bytes(bytes) => http_types::Body::from_bytes(bytes),
@@ -60,7 +62,12 @@
         if let Some(content_type) = content_type {
             converted.insert_header("content-type", content_type);
         }
-        let framing = ["content-type", "content-length", "transfer-encoding", "connection"];
+        let framing = [
+            "content-type",
+            "content-length",
+            "transfer-encoding",
+            "connection",
+        ];
         for (name, value) in response.headers.iter() {
             if !framing.iter().any(|other| name.eq_ignore_ascii_case(other)) {
                 converted.append_header(name, value);
@@ -80,7 +87,9 @@
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let (filled, ended) = futures_lite::future::poll_fn(|context| fill(&mut encoder, &mut buffer, context)).await?;
+        let (filled, ended) =
+            futures_lite::future::poll_fn(|context| fill(&mut encoder, &mut buffer, context))
+                .await?;
         if filled > 0 {
             let write = stream.write_all(&buffer[..filled]);
             let timeout = async {
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -60,7 +60,11 @@
 }
 
 impl Connection {
-    pub(super) fn new(stream: async_io::Async<net::TcpStream>, peer: net::SocketAddr, open: shared::Open) -> Self {
+    pub(super) fn new(
+        stream: async_io::Async<net::TcpStream>,
+        peer: net::SocketAddr,
+        open: shared::Open,
+    ) -> Self {
         // Without it, small writes of a stream wait for the acknowledgement of the write before.
         let _ = stream.get_ref().set_nodelay(true);
         Self {
@@ -96,9 +100,19 @@
             shared.count_request();
             let response = handler(incoming.request).await;
             // async-h1 never reads a pipelined request; closing tells the caller that it was not run.
-            let close = incoming.close || !self.buffer.is_empty() || self.is_readable() || shared.is_stopping();
+            let close = incoming.close
+                || !self.buffer.is_empty()
+                || self.is_readable()
+                || shared.is_stopping();
             let close = close || response.headers.has_token("connection", "close");
-            let written = answer::write(&self.stream, response, incoming.method, close, shared.limits.idle).await;
+            let written = answer::write(
+                &self.stream,
+                response,
+                incoming.method,
+                close,
+                shared.limits.idle,
+            )
+            .await;
             drop(incoming.active);
             match written {
                 Err(_) => return,
@@ -120,7 +134,10 @@
             match self.read_request().await {
                 Err(Stop::End) => {
                     // The connection ended within a request.
-                    self.open.shared.malformed.fetch_add(1, atomic::Ordering::Relaxed);
+                    self.open
+                        .shared
+                        .malformed
+                        .fetch_add(1, atomic::Ordering::Relaxed);
                     Err(Stop::End)
                 }
                 other => other,
@@ -162,7 +179,8 @@
                 return Err(Stop::End);
             }
         };
-        if matches!(head.framing, scanner::Framing::Length(length) if length > limits.body_bytes as u64) {
+        if matches!(head.framing, scanner::Framing::Length(length) if length > limits.body_bytes as u64)
+        {
             return Err(refusal::Refusal::BODY_TOO_LARGE.into());
         }
         // The request is counted before its body is read, so that the limit also bounds the memory of bodies.
@@ -186,11 +204,19 @@
         let mut end = head.length;
         let mut trailers = head.length;
         if head.expects && self.buffer.len() == end && !scanner.is_done() {
-            (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            (&self.stream)
+                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+                .await?;
         }
         loop {
-            let scan = scanner.scan(&self.buffer[end..]).map_err(refusal::Refusal::invalid)?;
-            trailers = if scan.body > 0 { end + scan.body } else { trailers };
+            let scan = scanner
+                .scan(&self.buffer[end..])
+                .map_err(refusal::Refusal::invalid)?;
+            trailers = if scan.body > 0 {
+                end + scan.body
+            } else {
+                trailers
+            };
             end += scan.used;
             if scanner.body_bytes > limits.body_bytes as u64 {
                 return Err(refusal::Refusal::BODY_TOO_LARGE.into());
@@ -234,9 +260,16 @@
     futures_lite::future::or(shared::ended(&abort), write).await;
 }
 
-async fn write_refusal(stream: &async_io::Async<net::TcpStream>, refusal: refusal::Refusal, idle: Duration) {
+async fn write_refusal(
+    stream: &async_io::Async<net::TcpStream>,
+    refusal: refusal::Refusal,
+    idle: Duration,
+) {
     let method = http_types::Method::Get;
-    if answer::write(stream, refusal.response(), method, true, idle).await.is_ok() {
+    if answer::write(stream, refusal.response(), method, true, idle)
+        .await
+        .is_ok()
+    {
         linger(stream).await;
     }
 }
@@ -263,7 +296,10 @@
 }
 
 /// Appends what the socket has to `buffer`. Returns the number of bytes, 0 at the end of the connection.
-async fn read(mut stream: &async_io::Async<net::TcpStream>, buffer: &mut Vec<u8>) -> io::Result<usize> {
+async fn read(
+    mut stream: &async_io::Async<net::TcpStream>,
+    buffer: &mut Vec<u8>,
+) -> io::Result<usize> {
     let mut bytes = [0; READ_BYTES];
     let length = stream.read(&mut bytes).await?;
     buffer.extend_from_slice(&bytes[..length]);
@@ -276,12 +312,18 @@
     let mut removed = 0;
     loop {
         let rest = &message[..head - removed];
-        let Some(start) = rest.windows(name.len()).position(|part| part.eq_ignore_ascii_case(name)) else {
+        let Some(start) = rest
+            .windows(name.len())
+            .position(|part| part.eq_ignore_ascii_case(name))
+        else {
             return removed;
         };
         // The line break in front of the removed line stays.
         let start = start + 2;
-        let length = rest[start..].iter().position(|byte| *byte == b'\n').map_or(0, |end| end + 1);
+        let length = rest[start..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+            .map_or(0, |end| end + 1);
         message.drain(start..start + length);
         removed += length;
     }
--- a/crates/carawaycleat-net/src/server/incoming.rs
+++ b/crates/carawaycleat-net/src/server/incoming.rs
@@ -60,7 +60,9 @@
 fn lines(bytes: &[u8]) -> Result<(), refusal::Refusal> {
     let bare = |(at, byte): (usize, &u8)| *byte == b'\n' && (at == 0 || bytes[at - 1] != b'\r');
     if bytes.iter().enumerate().any(bare) {
-        return Err(refusal::Refusal::invalid("a line ends without a carriage return"));
+        return Err(refusal::Refusal::invalid(
+            "a line ends without a carriage return",
+        ));
     }
     Ok(())
 }
@@ -82,12 +84,17 @@
     let mut parser = httparse::Request::new(&mut parsed);
     parser.parse(bytes).map_err(invalid)?;
     let (Some(name), Some(target), Some(1)) = (parser.method, parser.path, parser.version) else {
-        return Err(refusal::Refusal::invalid("the protocol version must be HTTP/1.1"));
+        return Err(refusal::Refusal::invalid(
+            "the protocol version must be HTTP/1.1",
+        ));
     };
     if !target.starts_with('/') || !target.is_ascii() || target.contains('#') {
-        return Err(refusal::Refusal::invalid("the request target must be a path"));
+        return Err(refusal::Refusal::invalid(
+            "the request target must be a path",
+        ));
     }
-    let method = http_types::Method::from_str(name).map_err(|_| refusal::Refusal::invalid("unknown method"))?;
+    let method = http_types::Method::from_str(name)
+        .map_err(|_| refusal::Refusal::invalid("unknown method"))?;
     // `Method::from_str` ignores the case, but methods are case-sensitive.
     if method.as_ref() != name {
         return Err(refusal::Refusal::invalid("unknown method"));
@@ -96,7 +103,9 @@
     request.headers = head::own(parser.headers).map_err(refusal::Refusal::invalid)?;
     let headers = &request.headers;
     if headers.all("host").count() != 1 {
-        return Err(refusal::Refusal::invalid("exactly one host header is required"));
+        return Err(refusal::Refusal::invalid(
+            "exactly one host header is required",
+        ));
     }
     let framing = head::framing(headers).map_err(refusal::Refusal::invalid)?;
     let expects = expects(headers)?;
@@ -122,7 +131,11 @@
 /// Decodes the body of a request that was received whole.
 ///
 /// `message` ends with `\r\n` in place of the trailers of a chunked body, `trailers` is where that starts.
-pub(super) async fn body(head: Head, message: Vec<u8>, trailers: usize) -> Result<request::Request, refusal::Refusal> {
+pub(super) async fn body(
+    head: Head,
+    message: Vec<u8>,
+    trailers: usize,
+) -> Result<request::Request, refusal::Refusal> {
     let mut request = head.request;
     if head.framing == scanner::Framing::None {
         return Ok(request);
@@ -133,10 +146,15 @@
         trailers,
     };
     let malformed = || refusal::Refusal::invalid("malformed request");
-    let decoded = async_h1::server::decode(replay).await.map_err(|_| malformed())?;
+    let decoded = async_h1::server::decode(replay)
+        .await
+        .map_err(|_| malformed())?;
     let (mut decoded, _) = decoded.ok_or_else(malformed)?;
     let mut reader = decoded.take_body().into_reader();
-    reader.read_to_end(&mut request.body).await.map_err(|_| malformed())?;
+    reader
+        .read_to_end(&mut request.body)
+        .await
+        .map_err(|_| malformed())?;
     Ok(request)
 }
 
@@ -156,7 +174,11 @@
         _: &mut task::Context<'_>,
         buffer: &mut [u8],
     ) -> task::Poll<io::Result<usize>> {
-        let end = if self.position < self.trailers { self.trailers } else { self.message.len() };
+        let end = if self.position < self.trailers {
+            self.trailers
+        } else {
+            self.message.len()
+        };
         let length = buffer.len().min(end - self.position);
         buffer[..length].copy_from_slice(&self.message[self.position..self.position + length]);
         self.position += length;
@@ -173,11 +195,17 @@
         task::Poll::Ready(Ok(buffer.len()))
     }
 
-    fn poll_flush(self: pin::Pin<&mut Self>, _: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
         task::Poll::Ready(Ok(()))
     }
 
-    fn poll_close(self: pin::Pin<&mut Self>, _: &mut task::Context<'_>) -> task::Poll<io::Result<()>> {
+    fn poll_close(
+        self: pin::Pin<&mut Self>,
+        _: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
         task::Poll::Ready(Ok(()))
     }
 }
--- a/crates/carawaycleat-net/src/server/refusal.rs
+++ b/crates/carawaycleat-net/src/server/refusal.rs
@@ -9,14 +9,23 @@
 }
 
 impl Refusal {
-    pub(super) const BODY_TOO_LARGE: Self = Self::new(413, "body_too_large", "the body is too large");
-    pub(super) const HEADER_TOO_LARGE: Self = Self::new(431, "header_too_large", "the header section is too large");
-    pub(super) const TOO_MANY_CONNECTIONS: Self = Self::new(503, "queue_full", "too many connections");
-    pub(super) const TOO_MANY_REQUESTS: Self = Self::new(503, "queue_full", "too many requests in progress");
-    pub(super) const TOO_SLOW: Self = Self::new(408, "invalid_request", "the request arrived too slowly");
+    pub(super) const BODY_TOO_LARGE: Self =
+        Self::new(413, "body_too_large", "the body is too large");
+    pub(super) const HEADER_TOO_LARGE: Self =
+        Self::new(431, "header_too_large", "the header section is too large");
+    pub(super) const TOO_MANY_CONNECTIONS: Self =
+        Self::new(503, "queue_full", "too many connections");
+    pub(super) const TOO_MANY_REQUESTS: Self =
+        Self::new(503, "queue_full", "too many requests in progress");
+    pub(super) const TOO_SLOW: Self =
+        Self::new(408, "invalid_request", "the request arrived too slowly");
 
     const fn new(status: u16, code: &'static str, message: &'static str) -> Self {
-        Self { status, code, message }
+        Self {
+            status,
+            code,
+            message,
+        }
     }
 
     pub(super) const fn invalid(message: &'static str) -> Self {
@@ -35,7 +44,8 @@
             "code": self.code,
             "outcome": "not_run",
         }});
-        let mut response = response::Response::json(self.status, &body).header("Carawaycleat-Outcome", "not_run");
+        let mut response =
+            response::Response::json(self.status, &body).header("Carawaycleat-Outcome", "not_run");
         if self.status == 503 {
             response.headers.set("Retry-After", "1");
         }
--- a/crates/carawaycleat-net/src/server/shared.rs
+++ b/crates/carawaycleat-net/src/server/shared.rs
@@ -106,7 +106,9 @@
 /// Adds one to `counter` unless it has reached `limit`.
 fn take(counter: &atomic::AtomicUsize, limit: usize) -> bool {
     let next = |count: usize| (count < limit).then_some(count + 1);
-    counter.fetch_update(atomic::Ordering::SeqCst, atomic::Ordering::SeqCst, next).is_ok()
+    counter
+        .fetch_update(atomic::Ordering::SeqCst, atomic::Ordering::SeqCst, next)
+        .is_ok()
 }
 
 /// An open connection, counted until it is dropped.
@@ -141,7 +143,11 @@
 
 impl Drop for Open {
     fn drop(&mut self) {
-        let counter = if self.refused { &self.shared.refusals } else { &self.shared.open };
+        let counter = if self.refused {
+            &self.shared.refusals
+        } else {
+            &self.shared.open
+        };
         counter.fetch_sub(1, atomic::Ordering::SeqCst);
     }
 }
--- a/crates/carawaycleat-net/src/sse/decoder.rs
+++ b/crates/carawaycleat-net/src/sse/decoder.rs
@@ -32,7 +32,10 @@
     ///
     /// Returns an error when an event is longer than 1 MiB or not UTF-8; the stream is then unusable.
     pub fn next_event(&mut self) -> error::Result<Option<event::Event>> {
-        while let Some(offset) = self.buffer[self.scanned..].iter().position(|byte| *byte == b'\n') {
+        while let Some(offset) = self.buffer[self.scanned..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
             let end = self.scanned + offset;
             let line = self.buffer[self.start..end].to_vec();
             self.start = end + 1;
--- a/crates/carawaycleat-net/src/stream.rs
+++ b/crates/carawaycleat-net/src/stream.rs
@@ -79,7 +79,10 @@
 }
 
 impl futures_lite::AsyncBufRead for Stream {
-    fn poll_fill_buf(self: pin::Pin<&mut Self>, context: &mut task::Context<'_>) -> task::Poll<io::Result<&[u8]>> {
+    fn poll_fill_buf(
+        self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<&[u8]>> {
         self.get_mut().poll_current(context)
     }
 
--- a/crates/carawaycleat-net/src/stream/writer.rs
+++ b/crates/carawaycleat-net/src/stream/writer.rs
@@ -13,7 +13,10 @@
 }
 
 impl Writer {
-    pub(super) fn new(sender: async_channel::Sender<Vec<u8>>, finished: sync::Arc<atomic::AtomicBool>) -> Self {
+    pub(super) fn new(
+        sender: async_channel::Sender<Vec<u8>>,
+        finished: sync::Arc<atomic::AtomicBool>,
+    ) -> Self {
         Self { sender, finished }
     }
 
@@ -23,7 +26,10 @@
     ///
     /// Returns [`error::Error::Closed`] when the caller is gone.
     pub async fn send(&self, chunk: impl Into<Vec<u8>>) -> error::Result<()> {
-        self.sender.send(chunk.into()).await.map_err(|_| error::Error::Closed)
+        self.sender
+            .send(chunk.into())
+            .await
+            .map_err(|_| error::Error::Closed)
     }
 
     /// Sends a chunk if there is room.
@@ -32,10 +38,12 @@
     ///
     /// Returns [`error::Error::Full`] when there is no room and [`error::Error::Closed`] when the caller is gone.
     pub fn try_send(&self, chunk: impl Into<Vec<u8>>) -> error::Result<()> {
-        self.sender.try_send(chunk.into()).map_err(|failure| match failure {
-            async_channel::TrySendError::Full(_) => error::Error::Full,
-            async_channel::TrySendError::Closed(_) => error::Error::Closed,
-        })
+        self.sender
+            .try_send(chunk.into())
+            .map_err(|failure| match failure {
+                async_channel::TrySendError::Full(_) => error::Error::Full,
+                async_channel::TrySendError::Closed(_) => error::Error::Closed,
+            })
     }
 
     /// Ends the body. Chunks that wait are still sent.
--- /dev/null
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -0,0 +1,297 @@
+//! The pool and the bodies of answers.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time::Duration;
+
+use carawaycleat_net as http;
+
+use crate::peer;
+
+async fn get(pool: &http::Pool, address: net::SocketAddr) -> Result<http::Reply, http::Failure> {
+    pool.send(address, http::Request::new("GET", "/"), peer::WAIT)
+        .await
+}
+
+/// Guards against a cut answer that is taken for a complete one.
+#[yare::parameterized(
+    length = { vec![b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc"] },
+    length_later = { vec![b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n", b"abc"] },
+    in_chunk = { vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nabc"] },
+    before_last_chunk = { vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"] },
+    before_trailers = { vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"] },
+    before_line_feed = { vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r"] },
+)]
+fn reports_cut_body(answer: Vec<&'static [u8]>) {
+    peer::run(async |_| {
+        let reply = get(&http::Pool::default(), peer::answering(vec![answer]))
+            .await
+            .expect("a head");
+        let mut body = reply.body;
+        assert_eq!(body.next().await.expect("a piece"), Some(b"abc".to_vec()));
+        assert!(matches!(body.next().await, Err(http::Error::Incomplete)));
+    });
+}
+
+/// Guards against an answer whose end cannot be told from a lost connection, and other heads without a clear meaning.
+#[yare::parameterized(
+    no_length = { b"HTTP/1.1 200 OK\r\n\r\nabc" },
+    cut_head = { b"HTTP/1.1 200 OK\r\ncontent-le" },
+    nothing = { b"" },
+)]
+fn refuses_answer_as_incomplete(answer: &'static [u8]) {
+    peer::run(async |_| {
+        let failure = get(&http::Pool::default(), peer::answering(vec![vec![answer]]))
+            .await
+            .expect_err("a failure");
+        assert!(failure.sent);
+        assert!(
+            matches!(failure.error, http::Error::Incomplete),
+            "{failure}"
+        );
+    });
+}
+
+/// Guards against an answer with two meanings, and against panics of `http-types` on a value that is not ASCII.
+#[yare::parameterized(
+    both = { b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n" },
+    differ = { b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd" },
+    not_ascii = { b"HTTP/1.1 200 OK\r\na: \xc3\xa9\r\ncontent-length: 0\r\n\r\n" },
+    garbage = { b"garbage\r\n\r\n" },
+)]
+fn refuses_answer_as_malformed(answer: &'static [u8]) {
+    peer::run(async |_| {
+        let failure = get(&http::Pool::default(), peer::answering(vec![vec![answer]]))
+            .await
+            .expect_err("a failure");
+        assert!(failure.sent);
+        assert!(
+            matches!(failure.error, http::Error::Malformed(_)),
+            "{failure}"
+        );
+    });
+}
+
+/// Guards against a complete answer that is refused or never ends.
+#[yare::parameterized(
+    interim = { vec![b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc"], 200, b"abc" },
+    no_content = { vec![b"HTTP/1.1 204 No Content\r\n\r\n"], 204, b"" },
+    not_modified = { vec![b"HTTP/1.1 304 Not Modified\r\ncontent-length: 7\r\n\r\n"], 304, b"" },
+    split_end = {
+        vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r", b"\nab", b"c\r\n0\r\n\r", b"\n"], 200, b"abc"
+    },
+    trailers = {
+        vec![b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nt: 1", b"\r\n\r\n"], 200, b"abc"
+    },
+)]
+fn reads_complete_answer(answer: Vec<&'static [u8]>, status: u16, body: &[u8]) {
+    peer::run(async |_| {
+        let reply = get(&http::Pool::default(), peer::answering(vec![answer]))
+            .await
+            .expect("an answer");
+        assert_eq!(reply.status, status);
+        assert_eq!(reply.bytes(10).await.expect("a body"), body);
+    });
+}
+
+/// Guards against a fault of the framing that is forgotten after the bytes in front of it.
+#[test]
+fn reports_invalid_chunk() {
+    let answer =
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\nxyz\r\n0\r\n\r\n";
+    peer::run(async |_| {
+        let reply = get(&http::Pool::default(), peer::answering(vec![vec![answer]]))
+            .await
+            .expect("a head");
+        assert!(matches!(
+            reply.bytes(100).await,
+            Err(http::Error::Malformed(_))
+        ));
+    });
+}
+
+/// Guards against a wait for a body that an answer to `HEAD` does not have.
+#[test]
+fn reads_answer_to_head() {
+    peer::run(async |_| {
+        let address = peer::answering(vec![vec![b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n"]]);
+        let request = http::Request::new("HEAD", "/");
+        let reply = http::Pool::default()
+            .send(address, request, peer::WAIT)
+            .await
+            .expect("an answer");
+        assert_eq!(reply.headers.get("content-length"), Some("7"));
+        assert_eq!(reply.bytes(0).await.expect("no body"), b"");
+    });
+}
+
+/// Guards against connections that are not reused after a clean end, and against reuse of one with an unread answer.
+#[test]
+fn reuses_connection_after_clean_end_only() {
+    peer::run(async |_| {
+        let handle = peer::echo(http::Limits::default());
+        let pool = http::Pool::default();
+        for _ in 0..3 {
+            let reply = get(&pool, handle.local_address()).await.expect("an answer");
+            assert_eq!(reply.bytes(100).await.expect("a body"), b"GET / ");
+        }
+        assert_eq!(handle.counts().accepted, 1);
+        drop(get(&pool, handle.local_address()).await.expect("an answer"));
+        let reply = get(&pool, handle.local_address()).await.expect("an answer");
+        assert_eq!(reply.bytes(100).await.expect("a body"), b"GET / ");
+        assert_eq!(handle.counts().accepted, 2);
+    });
+}
+
+/// Guards against the answer of an earlier request, sent late, being taken for that of the next.
+#[test]
+fn does_not_reuse_connection_with_excess_bytes() {
+    let twice = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb";
+    let next = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nc";
+    peer::run(async |_| {
+        let address = peer::answering(vec![vec![twice], vec![next]]);
+        let pool = http::Pool::default();
+        let first = get(&pool, address)
+            .await
+            .expect("an answer")
+            .bytes(10)
+            .await;
+        let second = get(&pool, address)
+            .await
+            .expect("an answer")
+            .bytes(10)
+            .await;
+        assert_eq!(
+            (first.expect("a body"), second.expect("a body")),
+            (b"a".to_vec(), b"c".to_vec())
+        );
+    });
+}
+
+/// Guards against a request sent on a connection that the server has closed.
+#[test]
+fn does_not_reuse_closed_connection() {
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (close, closes) = sync::mpsc::channel::<()>();
+    let (closed, is_closed) = sync::mpsc::channel();
+    thread::spawn(move || {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            peer::read_until(&stream, "\r\n\r\n");
+            stream.write_all(answer).expect("sent");
+            closes.recv().expect("the test goes on");
+            drop(stream);
+            closed.send(()).expect("the test goes on");
+        }
+    });
+    peer::run(async |_| {
+        let pool = http::Pool::default();
+        for _ in 0..2 {
+            let reply = get(&pool, address).await.expect("an answer");
+            assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
+            close.send(()).expect("the peer waits");
+            is_closed.recv().expect("closed");
+        }
+    });
+}
+
+/// Guards against `sent: true` for a request that cannot have been run.
+#[test]
+fn reports_refused_connection_as_not_sent() {
+    let address =
+        net::TcpListener::bind(("127.0.0.1", 0)).and_then(|listener| listener.local_addr());
+    peer::run(async |_| {
+        let failure = get(&http::Pool::default(), address.expect("an address"))
+            .await
+            .expect_err("a failure");
+        assert!(!failure.sent);
+    });
+}
+
+/// Guards against a wait without a bound, and `sent: false` for a request that may be running.
+#[test]
+fn reports_silent_server_as_sent() {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    peer::run(async |_| {
+        let request = http::Request::new("POST", "/");
+        let result = http::Pool::default()
+            .send(address, request, Duration::from_millis(50))
+            .await;
+        let failure = result.expect_err("a failure");
+        assert!(failure.sent);
+        assert!(matches!(failure.error, http::Error::Timeout));
+    });
+}
+
+/// Guards against a wait without a bound in the middle of a body.
+#[test]
+fn reader_times_out() {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        peer::read_until(&stream, "\r\n\r\n");
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc")
+            .expect("sent");
+        let _ = stream.read(&mut [0]);
+    });
+    peer::run(async |_| {
+        let mut body = get(&http::Pool::default(), address)
+            .await
+            .expect("a head")
+            .body;
+        assert_eq!(body.next().await.expect("a piece"), Some(b"abc".to_vec()));
+        assert!(matches!(
+            body.next_within(Duration::from_millis(50)).await,
+            Err(http::Error::Timeout)
+        ));
+    });
+}
+
+/// Guards against a request that reaches another path than the one that was checked, and against header injection.
+#[test]
+fn sends_request_as_given() {
+    peer::run(async |_| {
+        let handle = peer::echo(http::Limits::default());
+        let pool = http::Pool::default();
+        let body = vec![b'x'; 300_000];
+        let request = http::Request::new("POST", "/a/../%2e%2e/b?c").body(body.clone());
+        let reply = pool
+            .send(handle.local_address(), request, peer::WAIT)
+            .await
+            .expect("an answer");
+        let bytes = reply.bytes(400_000).await.expect("a body");
+        assert!(bytes == [b"POST /a/../%2e%2e/b?c ".as_slice(), &body].concat());
+        for request in [
+            http::Request::new("GET", "/").header("a", "b\r\nc: d"),
+            http::Request::new("GET", "/ HTTP/1.1\r\na: b"),
+            http::Request::new("GET /", "/"),
+        ] {
+            let failure = pool
+                .send(handle.local_address(), request, peer::WAIT)
+                .await
+                .expect_err("refused");
+            assert!(!failure.sent);
+        }
+    });
+}
+
+/// Guards against an early refusal that is lost because the body is still being written.
+#[test]
+fn reads_early_answer() {
+    peer::run(async |_| {
+        let handle = peer::echo(http::Limits::default().body_bytes(10));
+        let request = http::Request::new("POST", "/").body(vec![0; 600_000]);
+        let reply = http::Pool::default()
+            .send(handle.local_address(), request, peer::WAIT)
+            .await;
+        assert_eq!(reply.expect("an answer").status, 413);
+    });
+}
--- /dev/null
+++ b/crates/carawaycleat-net/tests/suite/guard.rs
@@ -0,0 +1,192 @@
+//! Requests that `async-h1` would pass on, or drop without an answer.
+
+use std::io::Write as _;
+use std::net;
+use std::thread;
+use std::time::Duration;
+
+use carawaycleat_net as http;
+
+use crate::peer;
+
+const HOST: &str = "host: a\r\n";
+
+fn post(headers: &str, body: &str) -> String {
+    format!("POST /x HTTP/1.1\r\n{HOST}{headers}\r\n{body}")
+}
+
+/// Guards against a request that is dropped without an answer, or run although it is ambiguous.
+#[yare::parameterized(
+    lengths_differ = { &post("content-length: 3\r\ncontent-length: 4\r\n", "abcd") },
+    length_negative = { &post("content-length: -1\r\n", "") },
+    length_signed = { &post("content-length: +1\r\n", "a") },
+    length_list = { &post("content-length: 1, 1\r\n", "a") },
+    length_and_chunked = { &post("content-length: 3\r\ntransfer-encoding: chunked\r\n", "0\r\n\r\n") },
+    encoding_unknown = { &post("transfer-encoding: gzip, chunked\r\n", "0\r\n\r\n") },
+    encoding_twice = { &post("transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n", "0\r\n\r\n") },
+    chunk_size_empty = { &post("transfer-encoding: chunked\r\n", "\r\n\r\n") },
+    chunk_size_invalid = { &post("transfer-encoding: chunked\r\n", "xyz\r\n") },
+    chunk_end_missing = { &post("transfer-encoding: chunked\r\n", "1\r\nabc") },
+    host_missing = { "GET / HTTP/1.1\r\n\r\n" },
+    host_twice = { "GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n" },
+    folded_line = { &post("a: b\r\n c\r\n", "") },
+    space_before_colon = { &post("a : b\r\n", "") },
+    bare_line_feed = { "GET / HTTP/1.1\nhost: a\r\n\r\n" },
+    not_ascii = { &post("a: \u{e9}\r\n", "") },
+    garbage = { "garbage\r\n" },
+    garbage_without_line = { "\u{16}\u{3}\u{1}" },
+    old_version = { "GET / HTTP/1.0\r\nhost: a\r\n\r\n" },
+    relative_target = { "GET x HTTP/1.1\r\nhost: a\r\n\r\n" },
+    method_unknown = { "NONSENSE / HTTP/1.1\r\nhost: a\r\n\r\n" },
+    method_lower_case = { "get / HTTP/1.1\r\nhost: a\r\n\r\n" },
+)]
+fn answers_400(request: &str) {
+    let handle = peer::echo(http::Limits::default());
+    let stream = peer::connect(handle.local_address(), request.as_bytes());
+    let answer = peer::read_all(&stream);
+    check(&answer, 400, "invalid_request");
+    assert_eq!(handle.counts().malformed, 1);
+    assert_eq!(handle.counts().requests, 0);
+}
+
+fn check(answer: &str, status: u16, code: &str) {
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
+    );
+    let answer_lower = answer.to_ascii_lowercase();
+    assert!(
+        answer_lower.contains("carawaycleat-outcome: not_run\r\n"),
+        "{answer}"
+    );
+    assert!(answer_lower.contains("connection: close\r\n"), "{answer}");
+    assert!(
+        answer_lower.contains("content-type: application/json\r\n"),
+        "{answer}"
+    );
+    assert_eq!(
+        answer_lower.contains("retry-after: 1\r\n"),
+        status == 503,
+        "{answer}"
+    );
+    let (_, body) = answer.split_once("\r\n\r\n").expect("a body");
+    let body: serde_json::Value = serde_json::from_str(body).expect("JSON");
+    assert_eq!(body["error"]["code"], code);
+    assert_eq!(body["error"]["type"], "invalid_request_error");
+    assert_eq!(body["error"]["outcome"], "not_run");
+    assert!(body["error"]["message"].is_string());
+}
+
+/// Guards against a header section without a bound.
+#[yare::parameterized(
+    too_many = { &"a: b\r\n".repeat(400) },
+    too_long = { &format!("a: {}\r\n", "b".repeat(9000)) },
+)]
+fn answers_431(headers: &str) {
+    let handle = peer::echo(http::Limits::default());
+    let stream = peer::connect(handle.local_address(), post(headers, "").as_bytes());
+    check(&peer::read_all(&stream), 431, "header_too_large");
+    assert_eq!(handle.counts().malformed, 1);
+}
+
+/// Guards against a body without a bound, declared or chunked.
+#[yare::parameterized(
+    declared = { "content-length: 11\r\n", "" },
+    chunked = { "transfer-encoding: chunked\r\n", "b\r\n01234567890\r\n" },
+)]
+fn answers_413(headers: &str, body: &str) {
+    let handle = peer::echo(http::Limits::default().body_bytes(10));
+    let stream = peer::connect(handle.local_address(), post(headers, body).as_bytes());
+    check(&peer::read_all(&stream), 413, "body_too_large");
+    assert_eq!(handle.counts().requests, 0);
+}
+
+/// Guards against a handler that runs with a part of the body.
+#[yare::parameterized(
+    length = { "content-length: 9\r\n", "abc" },
+    chunked_in_chunk = { "transfer-encoding: chunked\r\n", "5\r\nabc" },
+    chunked_before_last = { "transfer-encoding: chunked\r\n", "3\r\nabc\r\n" },
+    chunked_before_trailers = { "transfer-encoding: chunked\r\n", "3\r\nabc\r\n0\r\n" },
+    chunked_before_line_feed = { "transfer-encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r" },
+)]
+fn does_not_run_cut_request(headers: &str, body: &str) {
+    let handle = peer::echo(http::Limits::default());
+    let stream = peer::connect(handle.local_address(), post(headers, body).as_bytes());
+    stream.shutdown(net::Shutdown::Write).expect("half-closed");
+    assert_eq!(peer::read_all(&stream), "");
+    assert_eq!(handle.counts().requests, 0);
+    assert_eq!(handle.counts().malformed, 1);
+}
+
+/// Guards against a pipelined request whose caller waits for ever.
+#[test]
+fn closes_after_pipelined_request() {
+    let handle = peer::echo(http::Limits::default());
+    let two = "GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n";
+    let stream = peer::connect(handle.local_address(), two.as_bytes());
+    let answer = peer::read_all(&stream);
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+    assert!(answer.ends_with("GET /1 "), "{answer}");
+    assert_eq!(handle.counts().requests, 1);
+}
+
+/// Guards against a chunked body whose last bytes come one by one, for which `async-h1` never wakes up.
+#[test]
+fn reads_chunked_body_byte_by_byte() {
+    let handle = peer::echo(http::Limits::default());
+    let stream = peer::connect(handle.local_address(), b"");
+    stream.set_nodelay(true).expect("a socket");
+    let request = post(
+        "transfer-encoding: chunked\r\nconnection: close\r\n",
+        "3\r\nabc\r\n2\r\nde\r\n0\r\nt: 1\r\n\r\n",
+    );
+    for byte in request.bytes() {
+        (&stream).write_all(&[byte]).expect("sent");
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert!(peer::read_all(&stream).ends_with("POST /x abcde"));
+}
+
+/// Guards against a chunked body whose end crosses the boundary of a buffer in `async-h1`.
+#[test]
+fn reads_chunked_body_of_any_length() {
+    let handle = peer::echo(http::Limits::default());
+    for length in (8100..8200).chain([16_000, 70_000]) {
+        let body = format!("{length:x}\r\n{}\r\n0\r\n\r\n", "a".repeat(length));
+        let request = post("transfer-encoding: chunked\r\nconnection: close\r\n", &body);
+        let stream = peer::connect(handle.local_address(), request.as_bytes());
+        let answer = peer::read_all(&stream);
+        assert_eq!(
+            answer.len() - answer.find("POST /x ").expect("the body"),
+            length + 8
+        );
+    }
+}
+
+/// Guards against a caller that holds a connection by sending slowly.
+#[test]
+fn cuts_slow_request() {
+    let handle = peer::echo(http::Limits::default().idle(Duration::from_millis(100)));
+    let stream = peer::connect(handle.local_address(), b"GET / HTTP/1.1\r\n");
+    check(&peer::read_all(&stream), 408, "invalid_request");
+}
+
+/// Guards against idle connections without a bound.
+#[test]
+fn closes_idle_connection() {
+    let handle = peer::echo(http::Limits::default().idle(Duration::from_millis(100)));
+    let stream = peer::connect(handle.local_address(), b"");
+    assert_eq!(peer::read_all(&stream), "");
+    assert_eq!(handle.counts().malformed, 0);
+}
+
+/// Guards against a refused connection that gets no answer.
+#[test]
+fn refuses_connection_over_limit() {
+    let handle = peer::echo(http::Limits::default().connections(1));
+    let first = peer::connect(handle.local_address(), post("", "").as_bytes());
+    peer::read_until(&first, "POST /x ");
+    let second = peer::connect(handle.local_address(), post("", "").as_bytes());
+    check(&peer::read_all(&second), 503, "queue_full");
+    assert_eq!((handle.counts().accepted, handle.counts().refused), (1, 1));
+}
--- /dev/null
+++ b/crates/carawaycleat-net/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Integration tests of the network crate, a module per feature.
+
+mod client;
+mod guard;
+mod peer;
+mod server;
+mod sse;
+mod stream;
--- /dev/null
+++ b/crates/carawaycleat-net/tests/suite/peer.rs
@@ -0,0 +1,85 @@
+//! A raw TCP peer, and a server that answers with the request that its handler saw.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time::Duration;
+
+use carawaycleat_net as http;
+
+/// No test waits this long unless it fails.
+pub(crate) const WAIT: Duration = Duration::from_secs(10);
+
+/// Runs a future on an executor, whose tasks run meanwhile.
+pub(crate) fn run<T>(test: impl AsyncFnOnce(sync::Arc<http::Executor>) -> T) -> T {
+    let executor = sync::Arc::new(http::Executor::new());
+    futures_lite::future::block_on(executor.clone().run(test(executor)))
+}
+
+/// Runs an executor on a thread of its own, for tests with a blocking peer.
+pub(crate) fn background() -> sync::Arc<http::Executor> {
+    let executor = sync::Arc::new(http::Executor::new());
+    let runner = executor.clone();
+    thread::spawn(move || futures_lite::future::block_on(runner.run(std::future::pending::<()>())));
+    executor
+}
+
+/// Starts a server that answers with method, target and body.
+pub(crate) fn echo(limits: http::Limits) -> http::Handle {
+    let server = http::Server::bind(([127, 0, 0, 1], 0))
+        .expect("a free port")
+        .limits(limits);
+    server.start(background(), |request: http::Request| async move {
+        let mut body = format!("{} {} ", request.method, request.target()).into_bytes();
+        body.extend_from_slice(&request.body);
+        http::Response::new(200).body(body)
+    })
+}
+
+/// Connects and sends `bytes`.
+pub(crate) fn connect(address: net::SocketAddr, bytes: &[u8]) -> net::TcpStream {
+    let mut stream = net::TcpStream::connect(address).expect("a connection");
+    stream.set_read_timeout(Some(WAIT)).expect("a socket");
+    stream.write_all(bytes).expect("sent");
+    stream
+}
+
+/// Reads until the server closes.
+pub(crate) fn read_all(mut stream: &net::TcpStream) -> String {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).expect("closed in time");
+    String::from_utf8(bytes).expect("text")
+}
+
+/// Reads until the received text ends with `end`.
+pub(crate) fn read_until(mut stream: &net::TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut byte = [0];
+    while !text.ends_with(end) {
+        stream.read_exact(&mut byte).expect("more bytes in time");
+        text.push(char::from(byte[0]));
+    }
+    text
+}
+
+/// Listens, reads a request head per connection, answers the n-th with the n-th of `answers` and closes. The pieces of
+/// an answer are sent apart.
+pub(crate) fn answering(answers: Vec<Vec<&'static [u8]>>) -> net::SocketAddr {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for answer in answers {
+            let (stream, _) = listener.accept().expect("a connection");
+            stream.set_nodelay(true).expect("a socket");
+            read_until(&stream, "\r\n\r\n");
+            for piece in answer {
+                (&stream).write_all(piece).expect("sent");
+                // Lets the client read the piece by itself; the outcome must not depend on it.
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+    });
+    address
+}
--- /dev/null
+++ b/crates/carawaycleat-net/tests/suite/server.rs
@@ -0,0 +1,147 @@
+//! Answers, keep-alive and the end of a server.
+
+use std::io::Write as _;
+use std::net;
+use std::sync;
+
+use carawaycleat_net as http;
+
+use crate::peer;
+
+/// Guards against connections that are closed after each answer, and bytes of one body taken for the next request.
+#[test]
+fn keeps_connection() {
+    let handle = peer::echo(http::Limits::default());
+    let stream = peer::connect(handle.local_address(), b"");
+    for count in 1..=3 {
+        let request = format!("POST /{count}?q HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab");
+        (&stream).write_all(request.as_bytes()).expect("sent");
+        peer::read_until(&stream, &format!("POST /{count}?q ab"));
+    }
+    assert_eq!((handle.counts().accepted, handle.counts().requests), (1, 3));
+}
+
+/// Guards against a caller that waits for leave to send its body, and against a body left unread.
+#[test]
+fn continues_on_expectation() {
+    let handle = peer::echo(http::Limits::default());
+    let head = b"POST /x HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\nconnection: close\r\n\r\n";
+    let stream = peer::connect(handle.local_address(), head);
+    assert_eq!(
+        peer::read_until(&stream, "\r\n\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n"
+    );
+    (&stream).write_all(b"abc").expect("sent");
+    assert!(peer::read_all(&stream).ends_with("POST /x abc"));
+}
+
+/// Guards against a path that is resolved, so that the handler checks another path than the caller sent.
+#[test]
+fn leaves_path_alone() {
+    let handle = peer::echo(http::Limits::default());
+    let request = b"GET /a/../%2e%2e//b?x=/../ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let stream = peer::connect(handle.local_address(), request);
+    assert!(peer::read_all(&stream).ends_with("GET /a/../%2e%2e//b?x=/../ "));
+}
+
+/// Guards against a panic in `http-types` on a header that is not ASCII.
+#[test]
+fn refuses_invalid_answer_header() {
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let handle = server.start(peer::background(), |_| async {
+        http::Response::new(200).header("a", "b\r\nc: d")
+    });
+    let stream = peer::connect(
+        handle.local_address(),
+        b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+    );
+    assert!(peer::read_all(&stream).starts_with("HTTP/1.1 500 "));
+}
+
+/// A server whose handler waits until `release` is closed.
+fn held() -> (
+    http::Handle,
+    async_channel::Sender<()>,
+    async_channel::Receiver<()>,
+) {
+    let (release, gate) = async_channel::bounded::<()>(1);
+    let (entered, entries) = async_channel::unbounded();
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let server = server.limits(http::Limits::default().requests(1));
+    let gate = sync::Arc::new(gate);
+    let handle = server.start(peer::background(), move |_| {
+        let (gate, entered) = (gate.clone(), entered.clone());
+        async move {
+            let _ = entered.send(()).await;
+            let _ = gate.recv().await;
+            http::Response::new(200).body("done")
+        }
+    });
+    (handle, release, entries)
+}
+
+const GET: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+
+/// Guards against requests in progress without a bound.
+#[test]
+fn refuses_request_over_limit() {
+    let (handle, release, entries) = held();
+    let first = peer::connect(handle.local_address(), GET);
+    entries.recv_blocking().expect("entered");
+    let second = peer::connect(handle.local_address(), GET);
+    let answer = peer::read_all(&second);
+    assert!(
+        answer.starts_with("HTTP/1.1 503 ") && answer.contains("queue_full"),
+        "{answer}"
+    );
+    assert_eq!(handle.counts().queue_full, 1);
+    release.close();
+    peer::read_until(&first, "done");
+}
+
+/// Guards against a planned stop that cuts an answer, or that leaves connections open.
+#[test]
+fn drains() {
+    let (handle, release, entries) = held();
+    let idle = peer::connect(handle.local_address(), b"");
+    let busy = peer::connect(handle.local_address(), GET);
+    entries.recv_blocking().expect("entered");
+    assert_eq!(handle.active(), 1);
+    handle.stop_accepting();
+    release.close();
+    futures_lite::future::block_on(handle.drain());
+    assert_eq!(handle.active(), 0);
+    let answer = peer::read_all(&busy);
+    assert!(
+        answer.ends_with("done") && answer.contains("connection: close\r\n"),
+        "{answer}"
+    );
+    assert_eq!(peer::read_all(&idle), "");
+}
+
+/// Guards against a drain that ends while a request is in progress.
+#[test]
+fn drain_waits() {
+    let (handle, _release, entries) = held();
+    let _busy = peer::connect(handle.local_address(), GET);
+    entries.recv_blocking().expect("entered");
+    let drained = futures_lite::future::block_on(futures_lite::future::poll_once(handle.drain()));
+    assert!(drained.is_none());
+}
+
+/// Guards against an abort that leaves a handler running or a connection open.
+#[test]
+fn aborts() {
+    let (handle, release, entries) = held();
+    let busy = peer::connect(handle.local_address(), GET);
+    entries.recv_blocking().expect("entered");
+    handle.abort();
+    assert_eq!(peer::read_all(&busy), "");
+    while handle.active() > 0 {
+        std::thread::yield_now();
+    }
+    drop(release);
+    while net::TcpStream::connect(handle.local_address()).is_ok() {
+        std::thread::yield_now();
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-net/tests/suite/stream.rs
@@ -0,0 +1,130 @@
+//! Streamed answers.
+
+use std::net;
+use std::sync;
+
+use carawaycleat_net as http;
+
+use crate::peer;
+
+/// Starts a server that hands the writer of each streamed answer out.
+fn streaming() -> (http::Handle, async_channel::Receiver<http::Writer>) {
+    let (sender, writers) = async_channel::unbounded();
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let handle = server.start(peer::background(), move |_| {
+        let sender = sender.clone();
+        async move {
+            let (writer, stream) = http::stream();
+            sender.send(writer).await.expect("a receiver");
+            http::Response::new(200)
+                .header("content-type", "text/event-stream")
+                .stream(stream)
+        }
+    });
+    (handle, writers)
+}
+
+async fn open(
+    handle: &http::Handle,
+    writers: &async_channel::Receiver<http::Writer>,
+) -> (http::Reply, http::Writer) {
+    let request = http::Request::new("GET", "/");
+    let reply = http::Pool::default()
+        .send(handle.local_address(), request, peer::WAIT)
+        .await
+        .expect("an answer");
+    assert_eq!(reply.headers.get("Content-Type"), Some("text/event-stream"));
+    (reply, writers.recv().await.expect("a writer"))
+}
+
+/// Guards against chunks held back until the end, and lost or reordered chunks.
+#[test]
+fn sends_chunks_as_written() {
+    peer::run(async |_| {
+        let (handle, writers) = streaming();
+        let (mut reply, writer) = open(&handle, &writers).await;
+        for count in 0..3 {
+            writer.send(format!("{count}")).await.expect("sent");
+            let piece = reply.body.next_within(peer::WAIT).await.expect("a piece");
+            assert_eq!(piece, Some(format!("{count}").into_bytes()));
+        }
+        writer
+            .send("")
+            .await
+            .expect("an empty chunk does not end the body");
+        writer.send("end").await.expect("sent");
+        assert_eq!(handle.active(), 1);
+        writer.finish();
+        assert_eq!(reply.bytes(10).await.expect("a clean end"), b"end");
+    });
+}
+
+/// Guards against bytes lost when many chunks are joined.
+#[test]
+fn joins_many_chunks() {
+    peer::run(async |executor: sync::Arc<http::Executor>| {
+        let (handle, writers) = streaming();
+        let (reply, writer) = open(&handle, &writers).await;
+        let expected: String = (0..20_000).map(|count| format!("{count},")).collect();
+        let task = executor.spawn(async move {
+            for count in 0..20_000 {
+                writer.send(format!("{count},")).await.expect("sent");
+            }
+            writer.finish();
+        });
+        assert!(reply.bytes(1 << 20).await.expect("a body") == expected.into_bytes());
+        task.await;
+    });
+}
+
+/// Guards against an abandoned answer that looks complete.
+#[test]
+fn dropped_writer_cuts_body() {
+    peer::run(async |_| {
+        let (handle, writers) = streaming();
+        let (mut reply, writer) = open(&handle, &writers).await;
+        writer.send("part").await.expect("sent");
+        drop(writer);
+        assert_eq!(
+            reply.body.next().await.expect("a piece"),
+            Some(b"part".to_vec())
+        );
+        assert!(matches!(
+            reply.body.next().await,
+            Err(http::Error::Incomplete)
+        ));
+        assert!(matches!(
+            reply.body.next().await,
+            Err(http::Error::Incomplete)
+        ));
+    });
+}
+
+/// Guards against work that goes on for a caller that has gone away while nothing is written.
+#[yare::parameterized(
+    silent = { b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" },
+    with_pipelined_bytes = { b"GET / HTTP/1.1\r\nhost: a\r\n\r\nGET / HTTP/1.1\r\n" },
+)]
+fn writer_sees_disconnect(request: &[u8]) {
+    let (handle, writers) = streaming();
+    let stream = peer::connect(handle.local_address(), request);
+    let writer = writers.recv_blocking().expect("a writer");
+    peer::read_until(&stream, "\r\n\r\n");
+    assert!(!writer.is_closed());
+    stream.shutdown(net::Shutdown::Both).expect("closed");
+    futures_lite::future::block_on(writer.closed());
+    assert!(matches!(writer.try_send("late"), Err(http::Error::Closed)));
+}
+
+/// Guards against a stream without a bound.
+#[test]
+fn stream_is_bounded() {
+    let (writer, stream) = http::stream();
+    let sent = (0..1000)
+        .take_while(|_| writer.try_send("a").is_ok())
+        .count();
+    assert!((64..1000).contains(&sent));
+    assert!(matches!(writer.try_send("a"), Err(http::Error::Full)));
+    drop(stream);
+    assert!(matches!(writer.try_send("a"), Err(http::Error::Closed)));
+}
