--- /dev/null
+++ b/crates/carawaycleat-core/src/config/check.rs
@@ -0,0 +1,120 @@
+use crate::name;
+use crate::resource;
+
+use super::Error;
+
+impl super::Snapshot {
+    /// Checks the rules that would be broken by writing `resource` as `id`.
+    ///
+    /// A version may be written before its model, since the model names the version.
+    ///
+    /// # Errors
+    ///
+    /// Returns all broken rules: fields out of range, missing references, and conflicts with other resources.
+    pub fn check_put(&self, id: &resource::Id, resource: &resource::Resource) -> super::Result<()> {
+        if resource.kind() != id.kind {
+            return Err(Error::Kind(id.clone(), resource.kind()));
+        }
+        let mut problems = Vec::new();
+        if let Err(error) = resource.validate() {
+            problems.push(Error::Invalid(id.clone(), error));
+        }
+        for target in references(resource) {
+            if self.get(&target).is_none() {
+                problems.push(Error::Missing(id.clone(), target));
+            }
+        }
+        problems.extend(self.foreign(id, resource));
+        if own_addresses_equal(resource) {
+            problems.push(Error::Conflict(id.clone(), id.clone(), "address"));
+        }
+        for (other, entry) in self.iter().filter(|(other, _)| *other != id) {
+            if let Some(what) = conflict(resource, &entry.resource) {
+                problems.push(Error::Conflict(id.clone(), other.clone(), what));
+            }
+        }
+        Error::collect(problems)
+    }
+
+    /// Checks that no other resource names `id`.
+    ///
+    /// A model can be deleted while its versions exist, which must name it.
+    ///
+    /// # Errors
+    ///
+    /// Returns each resource that names `id`.
+    pub fn check_delete(&self, id: &resource::Id) -> super::Result<()> {
+        let users = self
+            .iter()
+            .filter(|(_, entry)| references(&entry.resource).contains(id))
+            .map(|(by, _)| Error::InUse(id.clone(), by.clone()));
+        Error::collect(users.collect())
+    }
+
+    fn foreign(&self, id: &resource::Id, resource: &resource::Resource) -> Vec<Error> {
+        match resource {
+            resource::Resource::Model(model) => {
+                let version = resource::Id::new(resource::Kind::Version, model.version.clone());
+                let found = self.version(&model.version);
+                let is_foreign = found.is_some_and(|v| v.model != id.name);
+                let error = || Error::Foreign(id.clone(), version.clone());
+                is_foreign.then(error).into_iter().collect()
+            }
+            resource::Resource::Version(version) => self
+                .models()
+                .filter(|(name, m)| m.version == id.name && **name != version.model)
+                .map(|(name, _)| {
+                    let model = resource::Id::new(resource::Kind::Model, name.clone());
+                    Error::Foreign(model, id.clone())
+                })
+                .collect(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn references(resource: &resource::Resource) -> Vec<resource::Id> {
+    let id = |kind, name: &name::Name| resource::Id::new(kind, name.clone());
+    match resource {
+        resource::Resource::Model(model) => vec![id(resource::Kind::Version, &model.version)],
+        resource::Resource::Adapter(adapter) => vec![id(resource::Kind::Model, &adapter.model)],
+        resource::Resource::Key(key) => vec![id(resource::Kind::Workspace, &key.workspace)],
+        resource::Resource::Rate(rate) => vec![id(resource::Kind::Workspace, &rate.workspace)],
+        resource::Resource::Route(route) => route
+            .workspaces
+            .iter()
+            .map(|name| id(resource::Kind::Workspace, name))
+            .collect(),
+        resource::Resource::Version(_)
+        | resource::Resource::Workspace(_)
+        | resource::Resource::Upstream(_) => Vec::new(),
+    }
+}
+
+fn own_addresses_equal(resource: &resource::Resource) -> bool {
+    match resource {
+        resource::Resource::Upstream(upstream) => upstream.side_address == Some(upstream.address),
+        _ => false,
+    }
+}
+
+fn conflict(first: &resource::Resource, second: &resource::Resource) -> Option<&'static str> {
+    match (first, second) {
+        (resource::Resource::Key(a), resource::Resource::Key(b)) => {
+            (a.digest == b.digest).then_some("digest")
+        }
+        (resource::Resource::Rate(a), resource::Resource::Rate(b)) => {
+            (a.workspace == b.workspace).then_some("workspace")
+        }
+        (resource::Resource::Route(a), resource::Resource::Route(b)) => {
+            (a.prefix == b.prefix).then_some("prefix")
+        }
+        (resource::Resource::Upstream(a), resource::Resource::Upstream(b)) => {
+            let mine = [Some(a.address), a.side_address];
+            let theirs = [Some(b.address), b.side_address];
+            let is_shared = mine.iter().flatten().any(|x| theirs.contains(&Some(*x)));
+            is_shared.then_some("address")
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/config/history.rs
@@ -0,0 +1,243 @@
+use std::collections;
+
+use super::record;
+
+/// The changes kept for peers.
+pub const LOG_CHANGES: usize = 4_096;
+
+/// What became of changes or of a listing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Applied {
+    /// The copy shows a higher revision now.
+    Advanced,
+    /// The copy has the revision already; nothing changed.
+    Known,
+    /// The changes start above the applied revision, so changes in between are missing.
+    Gap,
+    /// A key lies outside of [`PREFIX`](super::PREFIX), or a revision outside of the stated range.
+    Malformed,
+}
+
+/// Counts of what a [`History`] did not apply.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Changes at or below the applied revision, and listings below it.
+    pub ignored: u64,
+    /// Batches that started above the applied revision.
+    pub gaps: u64,
+    /// Batches and listings with a foreign key or a revision out of range.
+    pub malformed: u64,
+    /// Values that could not be decoded.
+    pub undecodable: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Value {
+    bytes: Vec<u8>,
+    revision: u64,
+}
+
+/// A process's copy of the store, whose revision only increases.
+///
+/// The snapshot depends on the applied revision alone and not on the way there: a resource whose value cannot be
+/// decoded is absent even when an earlier value could be, so that all hosts at one revision agree.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat_core::config;
+///
+/// let mut history = config::History::new();
+/// assert_eq!(history.apply(0, 5, Vec::new()), config::Applied::Advanced);
+/// assert_eq!(history.apply(0, 4, Vec::new()), config::Applied::Known);
+/// assert_eq!(history.apply(6, 7, Vec::new()), config::Applied::Gap);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    snapshot: super::Snapshot,
+    values: collections::BTreeMap<String, Value>,
+    problems: collections::BTreeMap<String, String>,
+    log: collections::VecDeque<super::Change>,
+    log_start: u64,
+    counts: Counts,
+}
+
+impl History {
+    /// Returns an empty copy at revision 0.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies the changes after revision `since` up to and including `through`, in the order of their revisions.
+    ///
+    /// `since` is the revision that was asked for: of the peer's fetch, or of the last batch of the watch. Changes that
+    /// are applied already are skipped. A batch that starts above the applied revision is not applied, because
+    /// changes in between would be lost without notice.
+    pub fn apply(&mut self, since: u64, through: u64, changes: Vec<super::Change>) -> Applied {
+        if !is_ordered(since, through, &changes) {
+            self.counts.malformed += 1;
+            return Applied::Malformed;
+        }
+        let applied = self.revision();
+        if through <= applied {
+            self.counts.ignored += changes.len().max(1) as u64;
+            return Applied::Known;
+        }
+        if since > applied {
+            self.counts.gaps += 1;
+            return Applied::Gap;
+        }
+        for change in changes {
+            if change.revision <= applied {
+                self.counts.ignored += 1;
+            } else {
+                self.put(change.clone());
+                self.remember(change);
+            }
+        }
+        self.snapshot.advance(through);
+        Applied::Advanced
+    }
+
+    /// Replaces everything by a whole listing at `revision`, when that is above the applied one.
+    ///
+    /// Pairs without a value are left out.
+    pub fn replace(&mut self, revision: u64, pairs: Vec<super::Change>) -> Applied {
+        let is_sound =
+            |c: &super::Change| c.key.starts_with(super::PREFIX) && c.revision <= revision;
+        if !pairs.iter().all(is_sound) {
+            self.counts.malformed += 1;
+            return Applied::Malformed;
+        }
+        if revision <= self.revision() {
+            self.counts.ignored += u64::from(revision < self.revision());
+            return Applied::Known;
+        }
+        *self = Self {
+            log_start: revision,
+            counts: self.counts,
+            ..Self::default()
+        };
+        for pair in pairs.into_iter().filter(|pair| pair.value.is_some()) {
+            self.put(pair);
+        }
+        self.snapshot.advance(revision);
+        Applied::Advanced
+    }
+
+    fn put(&mut self, change: super::Change) {
+        self.problems.remove(&change.key);
+        match record::parse_key(&change.key) {
+            Some(Ok(id)) => self.put_resource(&id, &change),
+            Some(Err(problem)) if change.value.is_some() => {
+                self.note(change.key.clone(), problem);
+            }
+            _ => {}
+        }
+        match change.value {
+            Some(bytes) => {
+                let revision = change.revision;
+                self.values.insert(change.key, Value { bytes, revision });
+            }
+            None => {
+                self.values.remove(&change.key);
+            }
+        }
+    }
+
+    fn put_resource(&mut self, id: &crate::resource::Id, change: &super::Change) {
+        self.snapshot.remove(id, change.revision);
+        let Some(value) = &change.value else {
+            return;
+        };
+        match super::Record::decode(id, value) {
+            Ok(record) => {
+                let entry = super::Entry {
+                    revision: change.revision,
+                    resource: record.resource,
+                };
+                self.snapshot.insert(id.name.clone(), entry);
+            }
+            Err(problem) => self.note(change.key.clone(), problem),
+        }
+    }
+
+    fn note(&mut self, key: String, problem: String) {
+        self.counts.undecodable += 1;
+        self.problems.insert(key, problem);
+    }
+
+    fn remember(&mut self, change: super::Change) {
+        self.log.push_back(change);
+        if self.log.len() > LOG_CHANGES
+            && let Some(oldest) = self.log.pop_front()
+        {
+            self.log_start = oldest.revision;
+        }
+    }
+
+    /// Returns the applied revision.
+    pub fn revision(&self) -> u64 {
+        self.snapshot.revision()
+    }
+
+    /// Returns the resources at the applied revision.
+    pub fn snapshot(&self) -> &super::Snapshot {
+        &self.snapshot
+    }
+
+    /// Returns the value of a key and the revision of its last change.
+    pub fn raw(&self, key: &str) -> Option<(&[u8], u64)> {
+        let value = self.values.get(key)?;
+        Some((&value.bytes, value.revision))
+    }
+
+    /// Returns the keys that start with `prefix`, each with its value and revision.
+    pub fn with_prefix<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a [u8], u64)> {
+        self.values
+            .range(prefix.to_owned()..)
+            .take_while(move |(key, _)| key.starts_with(prefix))
+            .map(|(key, value)| (key.as_str(), value.bytes.as_slice(), value.revision))
+    }
+
+    /// Returns the changes after `revision`, or none when they are no longer kept and the peer needs the listing.
+    pub fn changes_since(&self, revision: u64) -> Option<Vec<super::Change>> {
+        if revision < self.log_start {
+            return None;
+        }
+        let later = self.log.iter().filter(|c| c.revision > revision);
+        Some(later.cloned().collect())
+    }
+
+    /// Returns all pairs in the order of their keys.
+    pub fn listing(&self) -> Vec<super::Change> {
+        let pair = |(key, value): (&String, &Value)| super::Change {
+            key: key.clone(),
+            value: Some(value.bytes.clone()),
+            revision: value.revision,
+        };
+        self.values.iter().map(pair).collect()
+    }
+
+    /// Returns the keys whose value could not be decoded, each with the reason.
+    pub fn problems(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.problems.iter().map(|(k, p)| (k.as_str(), p.as_str()))
+    }
+
+    /// Returns the counts of what was not applied.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+}
+
+fn is_ordered(since: u64, through: u64, changes: &[super::Change]) -> bool {
+    let mut last = since;
+    changes.iter().all(|change| {
+        let is_next = change.revision >= last && change.revision > since;
+        last = change.revision;
+        is_next && change.revision <= through && change.key.starts_with(super::PREFIX)
+    })
+}
--- a/crates/carawaycleat-core/src/config/snapshot.rs
+++ b/crates/carawaycleat-core/src/config/snapshot.rs
@@ -49,6 +49,11 @@
         self.entries.remove(id)
     }
 
+    /// Raises the revision without a change to a resource.
+    pub(super) fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Returns the store revision that the snapshot shows.
     pub fn revision(&self) -> u64 {
         self.revision
--- /dev/null
+++ b/crates/carawaycleat-core/src/key/index.rs
@@ -0,0 +1,73 @@
+use std::collections;
+
+use crate::config;
+use crate::name;
+use crate::resource;
+
+/// What a key permits.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Grant {
+    /// The resource name of the key.
+    pub key: name::Name,
+    /// The workspace that requests with the key run for.
+    pub workspace: name::Name,
+}
+
+/// The keys of a snapshot by digest.
+///
+/// The first two bytes of the digest select a bucket, and every digest of the bucket is compared in constant time.
+/// The time taken therefore shows at most how many stored digests share those two bytes; a caller chooses a key and
+/// not its digest, so this does not help to guess one.
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    buckets: collections::HashMap<u16, Vec<(super::Digest, Grant)>>,
+}
+
+impl Index {
+    /// Returns the index of the keys in `snapshot`.
+    ///
+    /// When two keys have the same digest, which two concurrent writes can bring about, the one written first is
+    /// used, so that a later key cannot take over the requests of an earlier one.
+    pub fn new(snapshot: &config::Snapshot) -> Self {
+        let mut keys: Vec<_> = snapshot
+            .iter()
+            .filter_map(|(id, entry)| match &entry.resource {
+                resource::Resource::Key(key) => Some((entry.revision, &id.name, key)),
+                _ => None,
+            })
+            .collect();
+        keys.sort_by_key(|(revision, name, _)| (*revision, *name));
+        let mut index = Self::default();
+        for (_, name, key) in keys {
+            index.insert(name, key);
+        }
+        index
+    }
+
+    fn insert(&mut self, name: &name::Name, key: &resource::Key) {
+        let Ok(digest) = super::Digest::parse(&key.digest) else {
+            return;
+        };
+        let bucket = self.buckets.entry(digest.prefix()).or_default();
+        if bucket.iter().all(|(other, _)| *other != digest) {
+            let grant = Grant {
+                key: name.clone(),
+                workspace: key.workspace.clone(),
+            };
+            bucket.push((digest, grant));
+        }
+    }
+
+    /// Returns what the key with `digest` permits, or none for an unknown key.
+    pub fn find(&self, digest: &super::Digest) -> Option<&Grant> {
+        let bucket = self.buckets.get(&digest.prefix())?;
+        let mut found = None;
+        // No early exit: each digest of the bucket is compared.
+        for (stored, grant) in bucket {
+            if stored.matches(digest).into() {
+                found = Some(grant);
+            }
+        }
+        found
+    }
+}
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -8,6 +8,9 @@
 
 pub mod clock;
 pub mod config;
+pub mod freshness;
+pub mod key;
 pub mod name;
 pub mod outcome;
+pub mod rate;
 pub mod resource;
--- /dev/null
+++ b/crates/carawaycleat-core/src/rate.rs
@@ -0,0 +1,66 @@
+//! Fleet-wide rate limits: shards of each rate, their holders, and the buckets of one host.
+//!
+//! A [`Holder`] decides which shards the host may spend, and a [`Ledger`] holds the host's bucket of each workspace.
+//! The caller passes [`Holder::spendable`] to [`Ledger::set_held`] before each reservation and before it performs the
+//! effects of [`Holder::tick`], so that a released or expired shard is never spent.
+
+mod bucket;
+mod effect;
+mod holder;
+mod ledger;
+mod owner;
+mod refusal;
+mod reservation;
+mod rules;
+mod shard;
+mod slot;
+
+use std::time;
+
+pub use effect::Answer;
+pub use effect::Effect;
+pub use effect::Operation;
+pub use effect::Put;
+pub use effect::Write;
+pub use holder::Holder;
+pub use ledger::Ledger;
+pub use owner::Owner;
+pub use refusal::Refusal;
+pub use reservation::Reservation;
+pub use rules::Rules;
+pub use shard::Observed;
+pub use shard::Shard;
+pub use shard::shard_key;
+
+/// The shards that a rate is divided into by default.
+pub const SHARDS: u32 = 64;
+
+/// The default validity of a shard without a renewal; it outlasts a store outage of an hour.
+pub const VALIDITY: time::Duration = time::Duration::from_secs(2 * 60 * 60);
+
+/// The part of the validity in percent after which the holder stops; the rest covers differences in clock speed.
+pub const HOLDER_PERCENT: u32 = 90;
+
+/// The renewals in one validity: every 10 minutes of 2 hours.
+pub const RENEWALS_PER_VALIDITY: u32 = 12;
+
+/// The shards in one transaction; the store accepts up to 128 operations.
+pub const MAX_PUTS: usize = 64;
+
+/// The time after which a write without an answer counts as unknown.
+pub const ANSWER_WITHIN: time::Duration = time::Duration::from_secs(10);
+
+/// The time between two attempts to read records back.
+pub const RETRY_EVERY: time::Duration = time::Duration::from_secs(1);
+
+/// The time after asking for which lent tokens can be spent.
+///
+/// The lender's bucket stays smaller by the lent tokens for 10% longer ([`LENT_FOR`]), so that the tokens of all hosts
+/// together never exceed the burst.
+pub const TRANSFER_VALIDITY: time::Duration = time::Duration::from_secs(1);
+
+/// The time for which a lender's bucket is smaller by what it lent.
+pub const LENT_FOR: time::Duration = time::Duration::from_millis(1_100);
+
+/// The transfers remembered so that none is credited twice; beyond that, transfers are refused.
+pub const MAX_TRANSFERS: usize = 4_096;
--- /dev/null
+++ b/crates/carawaycleat-core/src/rate/owner.rs
@@ -0,0 +1,14 @@
+use std::net;
+
+use crate::name;
+
+/// The process that holds a shard.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Owner {
+    /// The host.
+    pub host: name::Name,
+    /// The address that the process has bound.
+    pub address: net::SocketAddr,
+    /// The incarnation of the process, different after each restart.
+    pub incarnation: u64,
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/rate/reservation.rs
@@ -0,0 +1,23 @@
+use crate::name;
+
+/// Tokens taken from a bucket for one request.
+///
+/// It is given back once, by value, to [`Ledger::settle`](super::Ledger::settle).
+#[must_use = "tokens that are not settled are lost"]
+#[derive(Debug, Eq, PartialEq)]
+pub struct Reservation {
+    pub(super) workspace: name::Name,
+    pub(super) tokens: u64,
+}
+
+impl Reservation {
+    /// Returns the workspace.
+    pub const fn workspace(&self) -> &name::Name {
+        &self.workspace
+    }
+
+    /// Returns the tokens that were taken.
+    pub const fn tokens(&self) -> u64 {
+        self.tokens
+    }
+}
