feat(core): add admission, routing, retry and stream decisions

Cause: an entry host needs rules for which request runs next, where it runs, whether it runs again, and whether its answer is whole. Change: add the modules admission, routing, retry, stream and request, free of input and output. Conclusion: compiles; not yet tested.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -6,8 +6,13 @@
 #[macro_use]
 extern crate quick_error;
 
+pub mod admission;
 pub mod clock;
 pub mod config;
 pub mod name;
 pub mod outcome;
+pub mod request;
 pub mod resource;
+pub mod retry;
+pub mod routing;
+pub mod stream;
--- /dev/null
+++ b/crates/carawaycleat-core/src/request.rs
@@ -0,0 +1,5 @@
+//! Identity of requests.
+
+mod id;
+
+pub use id::Id;
--- /dev/null
+++ b/crates/carawaycleat-core/src/routing/history.rs
@@ -0,0 +1,57 @@
+use std::collections;
+use std::time;
+
+const SAMPLES: usize = 64;
+const COLD_SAMPLES: usize = 8;
+const FIRST_TOKEN_FACTOR: u32 = 8;
+const GAP_FACTOR: u32 = 20;
+const GAP_SMOOTHING: u32 = 16;
+
+/// The times that the answers of one model or service usually take.
+#[derive(Clone, Debug, Default)]
+pub(super) struct History {
+    first_tokens: collections::VecDeque<time::Duration>,
+    gap: Option<time::Duration>,
+}
+
+impl History {
+    pub(super) fn add_first_token(&mut self, sample: time::Duration) {
+        if self.first_tokens.len() == SAMPLES {
+            self.first_tokens.pop_front();
+        }
+        self.first_tokens.push_back(sample);
+    }
+
+    /// Adds the time after which a request was given up.
+    ///
+    /// It is used only while there are few samples: a slow model could otherwise never show that it is slow, and later
+    /// one faulty upstream would raise the limit for all.
+    pub(super) fn add_stall(&mut self, elapsed: time::Duration) {
+        if self.first_tokens.len() < COLD_SAMPLES {
+            self.add_first_token(elapsed);
+        }
+    }
+
+    pub(super) fn add_gap(&mut self, sample: time::Duration) {
+        self.gap = Some(self.gap.map_or(sample, |gap| {
+            (gap * (GAP_SMOOTHING - 1) + sample) / GAP_SMOOTHING
+        }));
+    }
+
+    /// Returns the time within which 95 in 100 first tokens arrive, or none without a sample.
+    pub(super) fn first_token_p95(&self) -> Option<time::Duration> {
+        let mut sorted: Vec<_> = self.first_tokens.iter().copied().collect();
+        sorted.sort_unstable();
+        let rank = (sorted.len() * 95).div_ceil(100);
+        sorted.get(rank.checked_sub(1)?).copied()
+    }
+
+    pub(super) fn first_token_limit(&self, floor: time::Duration) -> time::Duration {
+        let usual = self.first_token_p95().unwrap_or_default();
+        floor.max(usual * FIRST_TOKEN_FACTOR)
+    }
+
+    pub(super) fn gap_limit(&self, floor: time::Duration) -> time::Duration {
+        floor.max(self.gap.unwrap_or_default() * GAP_FACTOR)
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -0,0 +1,342 @@
+use std::collections;
+use std::time;
+
+use super::affinity;
+use super::flight;
+use super::history;
+use super::upstream;
+use crate::clock;
+use crate::config;
+use crate::name;
+use crate::request;
+
+/// What one entry host knows about the upstreams, and the requests that it has sent to them.
+#[derive(Clone, Debug)]
+pub struct Table {
+    policy: super::Policy,
+    revision: u64,
+    upstreams: collections::BTreeMap<name::Name, upstream::Upstream>,
+    flights: collections::BTreeMap<request::Id, flight::Flight>,
+    histories: collections::BTreeMap<name::Name, history::History>,
+    affinity: affinity::Affinity,
+    turn: usize,
+}
+
+impl Table {
+    /// Returns an empty table.
+    pub fn new(policy: super::Policy) -> Self {
+        Self {
+            policy,
+            revision: 0,
+            upstreams: collections::BTreeMap::new(),
+            flights: collections::BTreeMap::new(),
+            histories: collections::BTreeMap::new(),
+            affinity: affinity::Affinity::new(policy.prefixes),
+            turn: 0,
+        }
+    }
+
+    /// Takes over the upstreams of a snapshot; an older snapshot than the last one is ignored.
+    pub fn configure(&mut self, snapshot: &config::Snapshot) {
+        if snapshot.revision() < self.revision {
+            return;
+        }
+        self.revision = snapshot.revision();
+        let mut previous = std::mem::take(&mut self.upstreams);
+        for (name, resource) in snapshot.upstreams() {
+            let kept = previous.remove(name).and_then(|mut known| {
+                let is_same = known.configure(resource);
+                is_same.then_some(known)
+            });
+            let known = kept.unwrap_or_else(|| {
+                self.affinity.drop_upstream(name);
+                upstream::Upstream::new(resource)
+            });
+            self.upstreams.insert(name.clone(), known);
+        }
+        for name in previous.keys() {
+            self.affinity.drop_upstream(name);
+        }
+        let kinds: collections::BTreeSet<_> = snapshot
+            .models()
+            .map(|(name, _)| name)
+            .chain(snapshot.upstreams().map(|(_, resource)| &resource.group))
+            .collect();
+        self.histories.retain(|kind, _| kinds.contains(kind));
+    }
+
+    /// Takes a report, and returns whether it was newer than the last one of its upstream.
+    pub fn report(&mut self, now: clock::Instant, load: super::Load) -> bool {
+        let name = load.upstream.clone();
+        let known = self.upstreams.get_mut(&name);
+        let accepted = known.and_then(|known| known.report(now, load, self.policy.report_age));
+        if accepted == Some(true) {
+            // The numbers of cache events may begin again.
+            self.affinity.drop_upstream(&name);
+        }
+        accepted.is_some()
+    }
+
+    /// Notes what the host list says about the host of an upstream.
+    pub fn set_leaving(&mut self, upstream: &name::Name, leaving: bool) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.listed_leaving = leaving;
+        }
+    }
+
+    /// Applies a cache event of an upstream.
+    pub fn cache_event(&mut self, upstream: &name::Name, sequence: u64, event: super::Cache) {
+        if self.upstreams.contains_key(upstream) {
+            self.affinity.apply(upstream, sequence, event);
+        }
+    }
+
+    /// Returns the number of prefixes that are remembered over all upstreams.
+    pub fn prefixes(&self) -> usize {
+        self.affinity.len()
+    }
+
+    /// Chooses the upstream that runs a request; `random` returns uniform 64-bit numbers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no upstream holds what the request needs, or all that do are at their capacity.
+    pub fn pick(
+        &mut self,
+        now: clock::Instant,
+        need: &super::Need<'_>,
+        random: &mut impl FnMut() -> u64,
+    ) -> super::Result<name::Name> {
+        let candidates = self.candidates(now, need);
+        if candidates.is_empty() {
+            return Err(super::Error::Absent);
+        }
+        let with_capacity: Vec<_> = candidates
+            .into_iter()
+            .filter(|(_, known)| known.has_capacity())
+            .collect();
+        // After an ejection one request at a time tests an upstream, except where there is no other.
+        let proven = with_capacity
+            .iter()
+            .filter(|(_, known)| known.is_open())
+            .copied()
+            .collect::<Vec<_>>();
+        let free = if proven.is_empty() {
+            with_capacity
+        } else {
+            proven
+        };
+        let Some(last) = free.len().checked_sub(1) else {
+            return Err(super::Error::Busy);
+        };
+        let chosen = match self.policy.choice {
+            super::Choice::Cost => self.cheapest(need, &free, random),
+            super::Choice::RoundRobin => free[self.turn % (last + 1)].0,
+            super::Choice::LeastReported => {
+                let least = free.iter().min_by_key(|(_, known)| known.reported_load());
+                least.unwrap_or(&free[last]).0
+            }
+        };
+        let chosen = chosen.clone();
+        self.turn = self.turn.wrapping_add(1);
+        Ok(chosen)
+    }
+
+    /// Returns whether some upstream could run the request now.
+    pub fn can_run(&self, now: clock::Instant, need: &super::Need<'_>) -> bool {
+        let candidates = self.candidates(now, need);
+        candidates.iter().any(|(_, known)| known.has_capacity())
+    }
+
+    /// Notes that a request is sent to `upstream`.
+    pub fn started(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        upstream: &name::Name,
+        need: &super::Need<'_>,
+    ) {
+        self.end(id);
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.start();
+        }
+        let flight = flight::Flight {
+            upstream: upstream.clone(),
+            kind: need.model.unwrap_or(need.group).clone(),
+            sent: now,
+            last_token: None,
+            is_stalled: false,
+        };
+        self.flights.insert(id, flight);
+    }
+
+    /// Notes the first token, or the head of a service's answer.
+    pub fn first_token(&mut self, now: clock::Instant, id: request::Id) {
+        if let Some(flight) = self.flights.get_mut(&id) {
+            let history = self.histories.entry(flight.kind.clone()).or_default();
+            history.add_first_token(now.since(flight.sent));
+            flight.last_token = Some(now);
+        }
+    }
+
+    /// Notes a further token, or a piece of a service's body.
+    pub fn token(&mut self, now: clock::Instant, id: request::Id) {
+        if let Some(flight) = self.flights.get_mut(&id) {
+            if let (Some(last), Some(history)) =
+                (flight.last_token, self.histories.get_mut(&flight.kind))
+            {
+                history.add_gap(now.since(last));
+            }
+            flight.last_token = Some(now);
+        }
+    }
+
+    /// Notes that a request's answer is complete.
+    pub fn finished(&mut self, now: clock::Instant, id: request::Id) {
+        if let Some(flight) = self.end(id)
+            && let Some(known) = self.upstreams.get_mut(&flight.upstream)
+        {
+            known.succeed(now);
+        }
+    }
+
+    /// Notes that a request ended without a complete answer.
+    pub fn failed(&mut self, now: clock::Instant, id: request::Id, failure: super::Failure) {
+        let Some(flight) = self.end(id) else { return };
+        let Some(known) = self.upstreams.get_mut(&flight.upstream) else {
+            return;
+        };
+        if failure == super::Failure::Leaving {
+            known.refuse_leaving(now);
+        } else if failure.is_fault() && !flight.is_stalled {
+            known.strike(
+                now,
+                self.policy.first_ejection,
+                self.policy.longest_ejection,
+            );
+        }
+    }
+
+    /// Returns the requests that have newly stalled, with their upstreams, which are ejected.
+    ///
+    /// The requests stay in flight until [`failed`](Self::failed) is called for them.
+    pub fn stalled(&mut self, now: clock::Instant) -> Vec<(request::Id, name::Name)> {
+        let policy = self.policy;
+        let limits: collections::BTreeMap<_, _> = self
+            .histories
+            .iter()
+            .map(|(kind, history)| {
+                let first = history.first_token_limit(policy.first_token_floor);
+                (kind.clone(), (first, history.gap_limit(policy.gap_floor)))
+            })
+            .collect();
+        let mut stalled = Vec::new();
+        for (id, flight) in self
+            .flights
+            .iter_mut()
+            .filter(|(_, flight)| !flight.is_stalled)
+        {
+            let limits = limits.get(&flight.kind);
+            let (first, gap) = limits
+                .copied()
+                .unwrap_or((policy.first_token_floor, policy.gap_floor));
+            let (since, limit) = match flight.last_token {
+                None => (flight.sent, first),
+                Some(last) => (last, gap),
+            };
+            if now.since(since) <= limit {
+                continue;
+            }
+            flight.is_stalled = true;
+            stalled.push((*id, flight.upstream.clone()));
+            if flight.last_token.is_none() {
+                let history = self.histories.entry(flight.kind.clone()).or_default();
+                history.add_stall(now.since(since));
+            }
+            if let Some(known) = self.upstreams.get_mut(&flight.upstream) {
+                known.strike(now, policy.first_ejection, policy.longest_ejection);
+            }
+        }
+        stalled
+    }
+
+    /// Returns the time within which 95 in 100 first tokens of a model arrive, or none without a sample.
+    pub fn first_token_p95(&self, model: &name::Name) -> Option<time::Duration> {
+        self.histories.get(model)?.first_token_p95()
+    }
+
+    /// Returns the number of requests that this host has in flight at `upstream`.
+    pub fn in_flight(&self, upstream: &name::Name) -> u32 {
+        self.upstreams.get(upstream).map_or(0, |known| known.local)
+    }
+
+    fn end(&mut self, id: request::Id) -> Option<flight::Flight> {
+        let flight = self.flights.remove(&id)?;
+        if let Some(known) = self.upstreams.get_mut(&flight.upstream) {
+            known.end();
+        }
+        Some(flight)
+    }
+
+    /// Returns the upstreams that may run the request, without those that are ejected within the bound.
+    fn candidates(
+        &self,
+        now: clock::Instant,
+        need: &super::Need<'_>,
+    ) -> Vec<(&name::Name, &upstream::Upstream)> {
+        let mut serving: Vec<_> = self
+            .upstreams
+            .iter()
+            .filter(|(_, known)| known.can_serve(now, need, self.policy.report_age))
+            .collect();
+        let bound = serving.len() * self.policy.ejected_percent / 100;
+        let mut ejected: Vec<_> = serving
+            .iter()
+            .filter(|(_, known)| known.ejected_until() > now)
+            .map(|(name, known)| (known.ejected_until(), *name))
+            .collect();
+        // Beyond the bound, those whose ejection ends first are candidates again.
+        ejected.sort_unstable_by(|a, b| b.cmp(a));
+        ejected.truncate(bound);
+        serving.retain(|(name, _)| !need.exclude.contains(name));
+        let is_ejected = |name: &name::Name| ejected.iter().any(|(_, ejected)| *ejected == name);
+        // An ejected upstream is better than none for a request that has failed at all others.
+        if !serving.iter().all(|(name, _)| is_ejected(name)) {
+            serving.retain(|(name, _)| !is_ejected(name));
+        }
+        serving
+    }
+
+    fn cheapest<'a>(
+        &'a self,
+        need: &super::Need<'_>,
+        free: &[(&'a name::Name, &'a upstream::Upstream)],
+        random: &mut impl FnMut() -> u64,
+    ) -> &'a name::Name {
+        let first = index(random(), free.len());
+        // The second is another one than the first wherever there are two.
+        let second = (first + 1 + index(random(), free.len().max(2) - 1)) % free.len();
+        let mut compared = vec![free[first], free[second]];
+        if !need.prefixes.is_empty() {
+            let names: Vec<_> = free.iter().map(|(name, _)| *name).collect();
+            let holders = self.affinity.holders(need.prefixes, &names);
+            if !holders.is_empty() {
+                let holder = holders[index(random(), holders.len())];
+                compared.extend(free.iter().find(|(name, _)| *name == holder));
+            }
+        }
+        let cost = |(name, known): &(&name::Name, &upstream::Upstream)| {
+            known.cost(need.zone, self.affinity.depth(name, need.prefixes))
+        };
+        compared
+            .into_iter()
+            .min_by_key(cost)
+            .map_or(free[first].0, |(name, _)| name)
+    }
+}
+
+/// Returns a uniform index below `length` from a uniform number.
+fn index(random: u64, length: usize) -> usize {
+    let scaled = (u128::from(random) * length as u128) >> 64;
+    scaled as usize
+}
