--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 extern crate quick_error;
 
+pub mod admission;
 pub mod clock;
 pub mod config;
 pub mod freshness;
@@ -13,4 +14,8 @@
 pub mod name;
 pub mod outcome;
 pub mod rate;
+pub mod request;
 pub mod resource;
+pub mod retry;
+pub mod routing;
+pub mod stream;
