feat(core): add the timeline and the hybrid logical clock

Cause: events of several processes have to be read in one order, and wall clocks of hosts differ and jump.

Change: clock::Stamp and clock::Hybrid order the events.

Conclusion: causal order between hosts holds while their clocks differ by at most 60 s; the order within a host always holds.

--- /dev/null
+++ b/crates/carawaycleat-core/src/clock/hybrid.rs
@@ -0,0 +1,71 @@
+use crate::name;
+
+/// A hybrid logical clock of one host.
+///
+/// Each stamp is later than all earlier stamps of the clock, and later than each received stamp within
+/// [`Hybrid::MAX_AHEAD_MS`] of the wall clock.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat_core::clock;
+/// use carawaycleat_core::name;
+///
+/// let mut clock = clock::Hybrid::new(name::Name::parse("entry-1").expect("a valid name"));
+/// let first = clock.tick(1_000);
+/// let second = clock.tick(900);
+/// assert!(first < second);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Hybrid {
+    host: name::Name,
+    wall_ms: u64,
+    counter: u64,
+}
+
+impl Hybrid {
+    /// How far a received stamp may be ahead of the local wall clock, in milliseconds.
+    ///
+    /// A stamp further ahead comes from a wrong clock. Following it would move the stamps of all hosts into the
+    /// future, so it is not followed, and the events of its host sort after those of the others.
+    pub const MAX_AHEAD_MS: u64 = 60_000;
+
+    /// Returns a clock for `host`.
+    pub const fn new(host: name::Name) -> Self {
+        Self {
+            host,
+            wall_ms: 0,
+            counter: 0,
+        }
+    }
+
+    /// Returns a stamp for a local event at the wall clock `wall_ms`, in milliseconds since the Unix epoch.
+    pub fn tick(&mut self, wall_ms: u64) -> super::Stamp {
+        if wall_ms > self.wall_ms {
+            self.wall_ms = wall_ms;
+            self.counter = 0;
+        } else {
+            self.counter += 1;
+        }
+        self.stamp()
+    }
+
+    /// Returns a stamp for the receipt of a message with the stamp `remote`.
+    pub fn receive(&mut self, wall_ms: u64, remote: &super::Stamp) -> super::Stamp {
+        let is_near = remote.wall_ms <= wall_ms.saturating_add(Self::MAX_AHEAD_MS);
+        let position = (remote.wall_ms, remote.counter);
+        // A counter at its maximum cannot be followed by a later one; no correct host comes near it.
+        if is_near && remote.counter < u64::MAX && position > (self.wall_ms, self.counter) {
+            (self.wall_ms, self.counter) = position;
+        }
+        self.tick(wall_ms)
+    }
+
+    fn stamp(&self) -> super::Stamp {
+        super::Stamp {
+            wall_ms: self.wall_ms,
+            counter: self.counter,
+            host: self.host.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/clock/stamp.rs
@@ -0,0 +1,24 @@
+use std::fmt;
+
+use crate::name;
+
+/// A hybrid logical clock stamp.
+///
+/// Stamps are totally ordered by wall clock, then counter, then host name.
+#[derive(
+    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub struct Stamp {
+    /// The wall clock, in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// The number of the stamp among those with the same wall clock.
+    pub counter: u64,
+    /// The host whose clock made the stamp.
+    pub host: name::Name,
+}
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}@{}", self.wall_ms, self.counter, self.host)
+    }
+}
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod name;
 pub mod outcome;
 pub mod resource;
+pub mod timeline;
--- /dev/null
+++ b/crates/carawaycleat-core/src/timeline/kind.rs
@@ -0,0 +1,95 @@
+use std::fmt;
+
+/// What an event records.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A request arrived at an entry host.
+    Arrived,
+    /// A request passed admission and was queued.
+    Admitted,
+    /// A request was refused.
+    Refused,
+    /// A request was sent to an upstream.
+    Dispatched,
+    /// An upstream began to execute a request.
+    Started,
+    /// The first token of an answer arrived.
+    FirstToken,
+    /// An answer was completed.
+    Finished,
+    /// A request failed after it was admitted.
+    Failed,
+    /// A request was sent again to another upstream.
+    Retried,
+    /// A caller went away and the request was cancelled.
+    Cancelled,
+    /// An idempotency key was claimed.
+    Claimed,
+    /// A placement plan was written or taken up.
+    PlanChanged,
+    /// A placement order was sent to an engine.
+    OrderSent,
+    /// A placement order landed or can no longer land.
+    OrderSettled,
+    /// An upstream or host began to leave.
+    Leaving,
+    /// An upstream was ejected.
+    Ejected,
+    /// An ejected upstream was admitted again.
+    Readmitted,
+    /// A configuration revision was applied.
+    ConfigurationApplied,
+    /// A key was withdrawn.
+    KeyWithdrawn,
+    /// A shard of a rate was claimed.
+    ShardClaimed,
+    /// A shard of a rate was released.
+    ShardReleased,
+    /// Tokens were lent to another host.
+    TokensLent,
+    /// Tokens were borrowed from another host.
+    TokensBorrowed,
+    /// The freshness state or the readiness of a process changed.
+    StateChanged,
+}
+
+impl Kind {
+    /// Returns the text used in JSON and on the command line.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Arrived => "arrived",
+            Self::Admitted => "admitted",
+            Self::Refused => "refused",
+            Self::Dispatched => "dispatched",
+            Self::Started => "started",
+            Self::FirstToken => "first_token",
+            Self::Finished => "finished",
+            Self::Failed => "failed",
+            Self::Retried => "retried",
+            Self::Cancelled => "cancelled",
+            Self::Claimed => "claimed",
+            Self::PlanChanged => "plan_changed",
+            Self::OrderSent => "order_sent",
+            Self::OrderSettled => "order_settled",
+            Self::Leaving => "leaving",
+            Self::Ejected => "ejected",
+            Self::Readmitted => "readmitted",
+            Self::ConfigurationApplied => "configuration_applied",
+            Self::KeyWithdrawn => "key_withdrawn",
+            Self::ShardClaimed => "shard_claimed",
+            Self::ShardReleased => "shard_released",
+            Self::TokensLent => "tokens_lent",
+            Self::TokensBorrowed => "tokens_borrowed",
+            Self::StateChanged => "state_changed",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
