feat: read the settings of both daemons

Cause: a daemon has to refuse a wrong settings file at its start, with every problem at once.

Change: settings::Entry and settings::Side are read from TOML. Unknown keys, wrong types, values out of range and contradictions between settings are collected as settings::Problem with line, key, what was found and what is allowed. Commented examples with each default are in settings/ and returned by example(). The reader in `document` is also meant for resource files.

--- /dev/null
+++ b/crates/carawaycleat/src/document/table.rs
@@ -0,0 +1,298 @@
+use std::cell;
+use std::fmt;
+use std::ops;
+use std::str;
+
+use toml::de::DeValue;
+
+/// A table of a document whose keys are read one by one.
+///
+/// A key that is missing gives the default. A key with a wrong value is reported and also gives the default, so that
+/// reading continues and all problems are found at once.
+pub(crate) struct Table<'a> {
+    sink: &'a super::Sink<'a>,
+    path: String,
+    line: usize,
+    entries: Option<&'a toml::de::DeTable<'a>>,
+    known: cell::RefCell<Vec<&'static str>>,
+}
+
+impl<'a> Table<'a> {
+    pub(super) fn root(sink: &'a super::Sink<'a>, entries: &'a toml::de::DeTable<'a>) -> Self {
+        Self::new(sink, String::new(), 1, Some(entries))
+    }
+
+    fn new(
+        sink: &'a super::Sink<'a>,
+        path: String,
+        line: usize,
+        entries: Option<&'a toml::de::DeTable<'a>>,
+    ) -> Self {
+        let known = cell::RefCell::default();
+        Self {
+            sink,
+            path,
+            line,
+            entries,
+            known,
+        }
+    }
+
+    /// Returns the line of `key`, or none when it is missing.
+    pub(crate) fn line_of(&self, key: &str) -> Option<usize> {
+        let (found, _) = self.entry(key)?;
+        Some(self.sink.line(found.span()))
+    }
+
+    /// Returns the line at which the table starts.
+    pub(crate) fn line(&self) -> usize {
+        self.line
+    }
+
+    /// Reports that `key` has a value that is not allowed.
+    pub(crate) fn report(&self, key: &str, found: impl fmt::Display, allowed: impl fmt::Display) {
+        self.sink.push(super::Problem {
+            line: self.line_of(key).unwrap_or(self.line),
+            key: self.path_of(key),
+            found: found.to_string(),
+            allowed: allowed.to_string(),
+        });
+    }
+
+    /// Returns the table `key`; a missing one is empty.
+    pub(crate) fn table(&self, key: &'static str) -> Self {
+        let entries = match self.value(key) {
+            Some(DeValue::Table(table)) => Some(table),
+            Some(other) => {
+                self.report(key, describe(other), "a table");
+                None
+            }
+            None => None,
+        };
+        let line = self.line_of(key).unwrap_or(self.line);
+        Self::new(self.sink, self.path_of(key), line, entries)
+    }
+
+    /// Returns the tables of the array `key`; a missing one is empty.
+    pub(crate) fn tables(&self, key: &'static str) -> Vec<Self> {
+        let Some(value) = self.value(key) else {
+            return Vec::new();
+        };
+        let Some(array) = value.as_array() else {
+            self.report(
+                key,
+                describe(value),
+                format_args!("an array of tables, `[[{key}]]`"),
+            );
+            return Vec::new();
+        };
+        let mut tables = Vec::new();
+        for item in array.iter() {
+            let line = self.sink.line(item.span());
+            match item.get_ref() {
+                DeValue::Table(table) => {
+                    tables.push(Self::new(self.sink, self.path_of(key), line, Some(table)));
+                }
+                other => self.report(key, describe(other), "tables only"),
+            }
+        }
+        tables
+    }
+
+    /// Returns the whole number `key` within `range`, or `default`.
+    pub(crate) fn integer(
+        &self,
+        key: &'static str,
+        range: ops::RangeInclusive<u64>,
+        default: u64,
+    ) -> u64 {
+        let Some(value) = self.value(key) else {
+            return default;
+        };
+        match integer(value).filter(|number| range.contains(number)) {
+            Some(number) => number,
+            None => {
+                let (low, high) = range.into_inner();
+                self.report(
+                    key,
+                    describe(value),
+                    format_args!("a whole number from {low} to {high}"),
+                );
+                default
+            }
+        }
+    }
+
+    /// Returns the whole number `key` within `range`, or `default`, as a size.
+    pub(crate) fn size(
+        &self,
+        key: &'static str,
+        range: ops::RangeInclusive<u64>,
+        default: usize,
+    ) -> usize {
+        let number = self.integer(key, range, default as u64);
+        usize::try_from(number).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the number `key` within `range`, or `default`.
+    pub(crate) fn number(
+        &self,
+        key: &'static str,
+        range: ops::RangeInclusive<f64>,
+        default: f64,
+    ) -> f64 {
+        let Some(value) = self.value(key) else {
+            return default;
+        };
+        let number = match value {
+            DeValue::Float(float) => float.as_str().parse().ok(),
+            DeValue::Integer(integer) => integer.as_str().parse().ok(),
+            _ => None,
+        };
+        match number.filter(|number| range.contains(number)) {
+            Some(number) => number,
+            None => {
+                let (low, high) = range.into_inner();
+                self.report(
+                    key,
+                    describe(value),
+                    format_args!("a number from {low} to {high}"),
+                );
+                default
+            }
+        }
+    }
+
+    /// Returns the truth value `key`, or `default`.
+    pub(crate) fn flag(&self, key: &'static str, default: bool) -> bool {
+        let Some(value) = self.value(key) else {
+            return default;
+        };
+        value.as_bool().unwrap_or_else(|| {
+            self.report(key, describe(value), "true or false");
+            default
+        })
+    }
+
+    /// Returns the string `key` parsed as `T`, or none when it is missing or wrong.
+    pub(crate) fn parsed<T: str::FromStr>(&self, key: &'static str, allowed: &str) -> Option<T> {
+        let value = self.value(key)?;
+        let parsed = value.as_str().and_then(|text| text.parse().ok());
+        if parsed.is_none() {
+            self.report(key, describe(value), allowed);
+        }
+        parsed
+    }
+
+    /// Returns the string `key` converted by `convert`, or `default`.
+    pub(crate) fn text<T>(
+        &self,
+        key: &'static str,
+        allowed: &str,
+        default: T,
+        convert: impl FnOnce(&str) -> Option<T>,
+    ) -> T {
+        let Some(value) = self.value(key) else {
+            return default;
+        };
+        value.as_str().and_then(convert).unwrap_or_else(|| {
+            self.report(key, describe(value), allowed);
+            default
+        })
+    }
+
+    /// Returns the strings of the array `key` parsed as `T`, or none when the key is missing.
+    pub(crate) fn list<T: str::FromStr>(&self, key: &'static str, allowed: &str) -> Option<Vec<T>> {
+        let value = self.value(key)?;
+        let Some(array) = value.as_array() else {
+            self.report(
+                key,
+                describe(value),
+                format_args!("an array, each {allowed}"),
+            );
+            return None;
+        };
+        let mut items = Vec::new();
+        for item in array.iter() {
+            match item.get_ref().as_str().and_then(|text| text.parse().ok()) {
+                Some(parsed) => items.push(parsed),
+                None => self.sink.push(super::Problem {
+                    line: self.sink.line(item.span()),
+                    key: self.path_of(key),
+                    found: describe(item.get_ref()),
+                    allowed: allowed.to_owned(),
+                }),
+            }
+        }
+        Some(items)
+    }
+
+    /// Reports `key` as missing when it is.
+    pub(crate) fn require(&self, key: &'static str, allowed: &str) {
+        if self.value(key).is_none() {
+            self.report(key, "nothing", format_args!("{allowed} (required)"));
+        }
+    }
+
+    /// Reports the keys that were not read.
+    pub(crate) fn finish(&self) {
+        let known = self.known.borrow();
+        for key in self.entries.into_iter().flat_map(|entries| entries.keys()) {
+            if !known.contains(&key.get_ref().as_ref()) {
+                self.report(key.get_ref(), "an unknown key", known.join(", "));
+            }
+        }
+    }
+
+    /// Marks `key` as known and returns its value.
+    pub(crate) fn value(&self, key: &'static str) -> Option<&'a DeValue<'a>> {
+        if !self.known.borrow().contains(&key) {
+            self.known.borrow_mut().push(key);
+        }
+        self.entry(key).map(|(_, value)| value.get_ref())
+    }
+
+    /// Returns all keys and values, and leaves it to the caller to check them.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = (&'a str, &'a DeValue<'a>)> {
+        let entries = self.entries.into_iter().flat_map(|entries| entries.iter());
+        entries.map(|(key, value)| (key.get_ref().as_ref(), value.get_ref()))
+    }
+
+    fn entry(
+        &self,
+        key: &str,
+    ) -> Option<(
+        &'a toml::Spanned<toml::de::DeString<'a>>,
+        &'a toml::Spanned<DeValue<'a>>,
+    )> {
+        self.entries?
+            .iter()
+            .find(|(found, _)| found.get_ref() == key)
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+}
+
+fn integer(value: &DeValue<'_>) -> Option<u64> {
+    let integer = value.as_integer()?;
+    u64::from_str_radix(integer.as_str(), integer.radix()).ok()
+}
+
+/// Returns a short text for a value in a message.
+pub(super) fn describe(value: &DeValue<'_>) -> String {
+    match value {
+        DeValue::String(text) => format!("{text:?}"),
+        DeValue::Integer(integer) => integer.as_str().to_owned(),
+        DeValue::Float(float) => float.as_str().to_owned(),
+        DeValue::Boolean(flag) => flag.to_string(),
+        DeValue::Datetime(datetime) => datetime.to_string(),
+        DeValue::Array(_) => "an array".to_owned(),
+        DeValue::Table(_) => "a table".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings.rs
@@ -0,0 +1,69 @@
+//! Settings of the two daemons, read from TOML files.
+//!
+//! All problems of a file are reported at once, each with its line and what is allowed.
+
+mod engine;
+mod entry;
+mod hosts;
+mod limits;
+mod listen;
+mod log;
+mod placement;
+mod rates;
+mod read;
+mod shutdown;
+mod side;
+mod store;
+mod timeline;
+
+use std::io;
+use std::path;
+
+pub use crate::document::Problem;
+pub use engine::Engine;
+pub use engine::Kind;
+pub use entry::Entry;
+pub use hosts::Hosts;
+pub use limits::Limits;
+pub use listen::Advertise;
+pub use listen::Listen;
+pub use listen::Work;
+pub use log::Format;
+pub use log::Level;
+pub use log::Log;
+pub use placement::Placement;
+pub use rates::Rates;
+pub use shutdown::Shutdown;
+pub use side::Side;
+pub use store::Store;
+pub use timeline::Timeline;
+
+quick_error! {
+    /// An error of reading a settings file.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The file cannot be read.
+        Read(path: path::PathBuf, source: io::Error) {
+            display("cannot read {}: {source}", path.display())
+            source(source)
+        }
+        /// The file has problems.
+        Invalid(path: path::PathBuf, problems: Vec<Problem>) {
+            display("{}", list(path, problems))
+        }
+    }
+}
+
+/// A result whose error is [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The exit code of a daemon whose settings are invalid.
+pub const EXIT_INVALID: u8 = 2;
+
+pub(crate) fn list(path: &path::Path, problems: &[Problem]) -> String {
+    let lines: Vec<_> = problems
+        .iter()
+        .map(|problem| format!("{}: {problem}", path.display()))
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/engine.rs
@@ -0,0 +1,110 @@
+use std::net;
+
+use carawaycleat_core::resource;
+
+use super::read;
+use crate::document;
+
+/// The engine or service beside a sidecar.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Engine {
+    /// The address of the engine or service.
+    pub address: net::SocketAddr,
+    /// What it is.
+    pub kind: Kind,
+    /// The accelerator memory, in bytes; 0 for a service.
+    pub memory_bytes: u64,
+    /// Whether the engine checks fencing numbers.
+    pub fencing: resource::Fencing,
+}
+
+/// What stands beside a sidecar.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A model engine with an accelerator.
+    #[default]
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            address: read::loopback(8000),
+            kind: Kind::Engine,
+            memory_bytes: 80_000_000_000,
+            fencing: resource::Fencing::Ignored,
+        }
+    }
+}
+
+const MAX_MEMORY_BYTES: u64 = 1 << 50;
+
+impl Engine {
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let default = Self::default();
+        let kind = table.text("kind", "\"engine\" or \"service\"", default.kind, kind);
+        let fallback = if kind == Kind::Service {
+            0
+        } else {
+            default.memory_bytes
+        };
+        let engine = Self {
+            address: read::address(table, "address", default.address),
+            kind,
+            memory_bytes: table.integer("memory_bytes", 0..=MAX_MEMORY_BYTES, fallback),
+            fencing: table.text(
+                "fencing",
+                "\"checked\" or \"ignored\"",
+                default.fencing,
+                fencing,
+            ),
+        };
+        table.finish();
+        engine.check(table);
+        engine
+    }
+
+    fn check(&self, table: &document::Table<'_>) {
+        read::check_port(table, "address", self.address);
+        match self.kind {
+            // A guessed memory size could overcommit the accelerator.
+            Kind::Engine => table.require("memory_bytes", "the accelerator memory in bytes"),
+            Kind::Service if self.memory_bytes > 0 => {
+                let found = format!("{} with `engine.kind` = \"service\"", self.memory_bytes);
+                table.report("memory_bytes", found, "0 for a service");
+            }
+            Kind::Service => {}
+        }
+        if self.kind == Kind::Engine && self.memory_bytes == 0 {
+            let found = "0 with `engine.kind` = \"engine\"";
+            table.report("memory_bytes", found, "at least 1 for an engine");
+        }
+        if self.kind == Kind::Service && self.fencing == resource::Fencing::Checked {
+            let found = "\"checked\" with `engine.kind` = \"service\"";
+            table.report(
+                "fencing",
+                found,
+                "\"ignored\" for a service, which gets no orders",
+            );
+        }
+    }
+}
+
+fn kind(text: &str) -> Option<Kind> {
+    match text {
+        "engine" => Some(Kind::Engine),
+        "service" => Some(Kind::Service),
+        _ => None,
+    }
+}
+
+fn fencing(text: &str) -> Option<resource::Fencing> {
+    match text {
+        "checked" => Some(resource::Fencing::Checked),
+        "ignored" => Some(resource::Fencing::Ignored),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/limits.rs
@@ -0,0 +1,89 @@
+use crate::document;
+
+/// Limits that protect a process from its callers.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Limits {
+    /// The longest header section, in bytes.
+    pub header_bytes: usize,
+    /// The longest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// The most connections of callers.
+    pub connections: usize,
+    /// The most requests that run or wait.
+    pub requests: usize,
+    /// The longest time without traffic on a connection, in milliseconds.
+    pub idle_ms: u64,
+    /// The most requests that wait for one workspace.
+    pub queue_requests: usize,
+    /// The most bytes of requests that wait for one workspace.
+    pub queue_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 8 << 10,
+            body_bytes: 1 << 20,
+            connections: 4_096,
+            requests: 2_048,
+            idle_ms: 60_000,
+            queue_requests: 256,
+            queue_bytes: 16 << 20,
+        }
+    }
+}
+
+impl Limits {
+    /// Reads the limits of an entry host.
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let default = Self::default();
+        let limits = Self {
+            queue_requests: table.size("queue_requests", 1..=100_000, default.queue_requests),
+            queue_bytes: table.size("queue_bytes", 1_024..=1 << 30, default.queue_bytes),
+            ..Self::read_common(table)
+        };
+        if limits.queue_bytes < limits.body_bytes {
+            let key = table
+                .line_of("queue_bytes")
+                .map_or("body_bytes", |_| "queue_bytes");
+            let found = format!(
+                "`limits.queue_bytes` = {} with `limits.body_bytes` = {}",
+                limits.queue_bytes, limits.body_bytes
+            );
+            table.report(key, found, "a queue that holds at least one body");
+        }
+        table.finish();
+        limits
+    }
+
+    /// Reads the limits of a sidecar, which has no queue.
+    pub(super) fn read_side(table: &document::Table<'_>) -> Self {
+        let limits = Self::read_common(table);
+        table.finish();
+        limits
+    }
+
+    fn read_common(table: &document::Table<'_>) -> Self {
+        let default = Self::default();
+        let limits = Self {
+            header_bytes: table.size("header_bytes", 1_024..=65_536, default.header_bytes),
+            body_bytes: table.size("body_bytes", 1_024..=1 << 28, default.body_bytes),
+            connections: table.size("connections", 1..=1_000_000, default.connections),
+            requests: table.size("requests", 1..=1_000_000, default.requests),
+            idle_ms: table.integer("idle_ms", 100..=3_600_000, default.idle_ms),
+            ..default
+        };
+        if limits.connections < limits.requests {
+            let key = table
+                .line_of("requests")
+                .map_or("connections", |_| "requests");
+            let found = format!(
+                "`limits.requests` = {} with `limits.connections` = {}",
+                limits.requests, limits.connections
+            );
+            // HTTP/1.1 carries one request at a time on a connection.
+            table.report(key, found, "at most as many requests as connections");
+        }
+        limits
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/listen.rs
@@ -0,0 +1,108 @@
+use std::net;
+
+use super::read;
+use crate::document;
+
+/// The addresses on which an entry host listens. A port of 0 lets the system choose.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Listen {
+    /// The address for callers.
+    pub callers: net::SocketAddr,
+    /// The address for operators.
+    pub operators: net::SocketAddr,
+    /// The address for other entry hosts and sidecars.
+    pub peers: net::SocketAddr,
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        Self {
+            callers: read::loopback(8080),
+            operators: read::loopback(8081),
+            peers: read::loopback(8082),
+        }
+    }
+}
+
+impl Listen {
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let default = Self::default();
+        let listen = Self {
+            callers: read::address(table, "callers", default.callers),
+            operators: read::address(table, "operators", default.operators),
+            peers: read::address(table, "peers", default.peers),
+        };
+        table.finish();
+        listen.check(table);
+        listen
+    }
+
+    fn check(&self, table: &document::Table<'_>) {
+        let all = [
+            ("callers", self.callers),
+            ("operators", self.operators),
+            ("peers", self.peers),
+        ];
+        for (index, (key, address)) in all.iter().enumerate() {
+            let same =
+                |other: &&(&str, net::SocketAddr)| other.1 == *address && address.port() != 0;
+            if let Some((other, _)) = all[..index].iter().find(same) {
+                let found = format!("{address}, which is also `listen.{other}`");
+                table.report(key, found, "an address of its own");
+            }
+        }
+    }
+}
+
+/// The addresses that an entry host gives to others.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize)]
+pub struct Advertise {
+    /// The address for other entry hosts and sidecars; `listen.peers` when it is not set.
+    pub peers: Option<net::SocketAddr>,
+}
+
+impl Advertise {
+    pub(super) fn read(table: &document::Table<'_>, listen: &Listen) -> Self {
+        let peers = table.parsed::<net::SocketAddr>("peers", read::ADDRESS);
+        match peers {
+            Some(address) if address.ip().is_unspecified() => {
+                table.report(
+                    "peers",
+                    address,
+                    "an address that other hosts can connect to",
+                );
+            }
+            Some(address) => read::check_port(table, "peers", address),
+            None if listen.peers.ip().is_unspecified() && table.line_of("peers").is_none() => {
+                let found = format!("nothing, with `listen.peers` = {}", listen.peers);
+                table.report("peers", found, "an address that other hosts can connect to");
+            }
+            None => {}
+        }
+        table.finish();
+        Self { peers }
+    }
+}
+
+/// The address on which a sidecar listens. A port of 0 lets the system choose.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Work {
+    /// The address for entry hosts.
+    pub work: net::SocketAddr,
+}
+
+impl Default for Work {
+    fn default() -> Self {
+        Self {
+            work: read::loopback(8083),
+        }
+    }
+}
+
+impl Work {
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let work = read::address(table, "work", Self::default().work);
+        table.finish();
+        Self { work }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/log.rs
@@ -0,0 +1,73 @@
+use crate::document;
+
+/// What is written to the log.
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize)]
+pub struct Log {
+    /// The format of a line.
+    pub format: Format,
+    /// The least severe level that is written.
+    pub level: Level,
+}
+
+/// The format of a log line.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Format {
+    /// Text for people.
+    #[default]
+    Text,
+    /// One JSON object per line.
+    Json,
+}
+
+/// The severity of a log line.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Level {
+    /// A fault that needs attention.
+    Error,
+    /// A fault that the process works around.
+    Warn,
+    /// A change of state.
+    #[default]
+    Info,
+    /// Details for the search of faults.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl Log {
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let log = Self {
+            format: table.text("format", "\"text\" or \"json\"", Format::default(), format),
+            level: table.text(
+                "level",
+                "\"error\", \"warn\", \"info\", \"debug\" or \"trace\"",
+                Level::default(),
+                level,
+            ),
+        };
+        table.finish();
+        log
+    }
+}
+
+fn format(text: &str) -> Option<Format> {
+    match text {
+        "text" => Some(Format::Text),
+        "json" => Some(Format::Json),
+        _ => None,
+    }
+}
+
+fn level(text: &str) -> Option<Level> {
+    match text {
+        "error" => Some(Level::Error),
+        "warn" => Some(Level::Warn),
+        "info" => Some(Level::Info),
+        "debug" => Some(Level::Debug),
+        "trace" => Some(Level::Trace),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/side.rs
@@ -0,0 +1,132 @@
+use std::net;
+use std::path;
+
+use carawaycleat_core::name;
+
+use super::read;
+use crate::document;
+
+/// The settings of a sidecar.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat::settings;
+///
+/// let side = settings::Side::parse(settings::Side::example()).expect("a valid example");
+/// assert_eq!(side, settings::Side::default());
+/// ```
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+pub struct Side {
+    /// The name of the host.
+    pub host: name::Name,
+    /// The upstream beside the sidecar; a resource of kind `upstream`.
+    pub upstream: name::Name,
+    /// The availability zone of the host.
+    pub availability_zone: name::Name,
+    /// The peer addresses of entry hosts that are contacted first.
+    pub entries: Vec<net::SocketAddr>,
+    /// The time between two reports, in milliseconds.
+    pub report_ms: u64,
+    /// How long an order of a predecessor may still land, in milliseconds.
+    pub order_settle_ms: u64,
+    /// The address to listen on.
+    pub listen: super::Work,
+    /// The engine or service.
+    pub engine: super::Engine,
+    /// The limits for entry hosts; the queue limits do not apply.
+    pub limits: super::Limits,
+    /// The graceful shutdown.
+    pub shutdown: super::Shutdown,
+    /// The log.
+    pub log: super::Log,
+    /// The timeline.
+    pub timeline: super::Timeline,
+}
+
+impl Default for Side {
+    fn default() -> Self {
+        Self {
+            host: read::example("engine-1"),
+            upstream: read::example("engine-1"),
+            availability_zone: read::example("zone-1"),
+            entries: vec![read::loopback(8082)],
+            report_ms: 500,
+            order_settle_ms: 10_000,
+            listen: super::Work::default(),
+            engine: super::Engine::default(),
+            limits: super::Limits::default(),
+            shutdown: super::Shutdown::default(),
+            log: super::Log::default(),
+            timeline: super::Timeline::default(),
+        }
+    }
+}
+
+impl Side {
+    /// Returns a commented settings file that shows each default.
+    pub const fn example() -> &'static str {
+        include_str!("../../settings/side.toml")
+    }
+
+    /// Reads the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be read, or all problems when it is invalid.
+    pub fn load(path: &path::Path) -> super::Result<Self> {
+        read::load(path, Self::parse)
+    }
+
+    /// Parses a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems, in the order of their lines.
+    pub fn parse(text: &str) -> Result<Self, Vec<super::Problem>> {
+        document::read(text, Self::read)
+    }
+
+    fn read(table: &document::Table<'_>) -> Self {
+        let default = Self::default();
+        let side = Self {
+            host: read::name(table, "host", default.host),
+            upstream: read::name(table, "upstream", default.upstream),
+            availability_zone: read::name(table, "availability_zone", default.availability_zone),
+            entries: read::addresses(table, "entries", &default.entries),
+            report_ms: table.integer("report_ms", 50..=1_000, default.report_ms),
+            order_settle_ms: table.integer("order_settle_ms", 0..=600_000, default.order_settle_ms),
+            listen: super::Work::read(&table.table("listen")),
+            engine: super::Engine::read(&table.table("engine")),
+            limits: super::Limits::read_side(&table.table("limits")),
+            shutdown: super::Shutdown::read(&table.table("shutdown")),
+            log: super::Log::read(&table.table("log")),
+            timeline: super::Timeline::read(&table.table("timeline")),
+        };
+        table.finish();
+        side.check(table);
+        side
+    }
+
+    fn check(&self, table: &document::Table<'_>) {
+        if self.entries.is_empty() && table.line_of("entries").is_some() {
+            table.report("entries", "no valid address", "at least one address");
+        }
+        if self.order_settle_ms < self.report_ms {
+            let key = table
+                .line_of("order_settle_ms")
+                .map_or("report_ms", |_| "order_settle_ms");
+            let found = format!(
+                "`order_settle_ms` = {} with `report_ms` = {}",
+                self.order_settle_ms, self.report_ms
+            );
+            table.report(key, found, "a settling time of at least one report");
+        }
+        if self.engine.address == self.listen.work {
+            let found = format!("{}, which is also `listen.work`", self.engine.address);
+            table
+                .table("engine")
+                .report("address", found, "an address of its own");
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/store.rs
@@ -0,0 +1,53 @@
+use std::net;
+
+use super::read;
+use crate::document;
+
+/// The key-value service that holds the configuration.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Store {
+    /// The addresses of the service; the next one is tried when one fails.
+    pub endpoints: Vec<net::SocketAddr>,
+    /// The prefix of all keys.
+    pub prefix: String,
+    /// The longest wait for an answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            endpoints: vec![read::loopback(2379)],
+            prefix: "/carawaycleat/v1".to_owned(),
+            timeout_ms: 1_000,
+        }
+    }
+}
+
+/// A wait as long as the freshness bound of 3 s would turn one slow answer into an outage.
+const MAX_TIMEOUT_MS: u64 = 2_500;
+
+impl Store {
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let default = Self::default();
+        let store = Self {
+            endpoints: read::addresses(table, "endpoints", &default.endpoints),
+            prefix: table.text(
+                "prefix",
+                "a path that starts with '/' and does not end with '/'",
+                default.prefix,
+                |text| is_prefix(text).then(|| text.to_owned()),
+            ),
+            timeout_ms: table.integer("timeout_ms", 10..=MAX_TIMEOUT_MS, default.timeout_ms),
+        };
+        if store.endpoints.is_empty() && table.line_of("endpoints").is_some() {
+            table.report("endpoints", "no valid address", "at least one address");
+        }
+        table.finish();
+        store
+    }
+}
+
+fn is_prefix(text: &str) -> bool {
+    text.len() > 1 && text.starts_with('/') && !text.ends_with('/')
+}
--- /dev/null
+++ b/crates/carawaycleat/src/settings/timeline.rs
@@ -0,0 +1,22 @@
+use crate::document;
+
+/// How much of the timeline is kept.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct Timeline {
+    /// The most events in memory.
+    pub events: usize,
+}
+
+impl Default for Timeline {
+    fn default() -> Self {
+        Self { events: 10_000 }
+    }
+}
+
+impl Timeline {
+    pub(super) fn read(table: &document::Table<'_>) -> Self {
+        let events = table.size("events", 1..=1_000_000, Self::default().events);
+        table.finish();
+        Self { events }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Integration tests of the library and the programs, a module per feature.
+
+mod settings;
