feat: add the log set-up and the metrics of both daemons

Cause: operators need counters with a bounded number of series, and a log that tools can read.

Change: log::install sets up spdlog-rs on standard error as text or JSON. metric::Entry and metric::Side register their metrics in registries of their own and render the Prometheus text format. Labels have fixed values or names of configured workspaces; others are counted as `other`.

The output of the log is not covered by a test yet.

Conclusion: the number of series depends on the configuration only.

--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -5,4 +5,6 @@
 
 mod document;
 
+pub mod log;
+pub mod metric;
 pub mod settings;
--- /dev/null
+++ b/crates/carawaycleat/src/log.rs
@@ -0,0 +1,89 @@
+//! The log of a process, written to standard error.
+//!
+//! Counters come first: a line is written for a change of state and not for each request.
+
+use std::sync;
+
+use spdlog::formatter;
+use spdlog::sink;
+
+use crate::settings;
+
+quick_error! {
+    /// An error of the log's set-up.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The logging library refused the set-up.
+        Library(source: spdlog::Error) {
+            display("cannot set up the log: {source}")
+            source(source)
+            from()
+        }
+    }
+}
+
+/// A result whose error is [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Sets up the log of the process.
+///
+/// The macros of the `spdlog` crate write to it from then on.
+///
+/// # Errors
+///
+/// Returns an error when the logging library refuses the set-up.
+pub fn install(settings: &settings::Log, program: &str) -> Result<()> {
+    let stderr = sink::StdStreamSink::builder()
+        .stderr()
+        .formatter(formatter(settings.format))
+        .build()?;
+    let logger = spdlog::Logger::builder()
+        .name(program)
+        .level_filter(filter(settings.level))
+        // A line that is still in a buffer when the process is killed would be lost.
+        .flush_level_filter(spdlog::LevelFilter::All)
+        .sink(sync::Arc::new(stderr))
+        .build()?;
+    spdlog::set_default_logger(sync::Arc::new(logger));
+    Ok(())
+}
+
+/// Logs a change of state.
+pub fn info(text: &str) {
+    spdlog::info!("{text}");
+}
+
+/// Logs a fault that the process works around.
+pub fn warn(text: &str) {
+    spdlog::warn!("{text}");
+}
+
+/// Logs a fault that needs attention.
+pub fn error(text: &str) {
+    spdlog::error!("{text}");
+}
+
+/// Logs a detail for the search of faults; `text` is called only when the level is enabled.
+pub fn debug(text: impl FnOnce() -> String) {
+    let logger = spdlog::default_logger();
+    if logger.should_log(spdlog::Level::Debug) {
+        spdlog::debug!(logger: logger, "{}", text());
+    }
+}
+
+fn formatter(format: settings::Format) -> Box<dyn formatter::Formatter> {
+    match format {
+        settings::Format::Text => Box::new(formatter::FullFormatter::new()),
+        settings::Format::Json => Box::new(formatter::JsonFormatter::new()),
+    }
+}
+
+fn filter(level: settings::Level) -> spdlog::LevelFilter {
+    spdlog::LevelFilter::MoreSevereEqual(match level {
+        settings::Level::Error => spdlog::Level::Error,
+        settings::Level::Warn => spdlog::Level::Warn,
+        settings::Level::Info => spdlog::Level::Info,
+        settings::Level::Debug => spdlog::Level::Debug,
+        settings::Level::Trace => spdlog::Level::Trace,
+    })
+}
--- /dev/null
+++ b/crates/carawaycleat/src/metric/entry.rs
@@ -0,0 +1,274 @@
+use std::collections;
+use std::sync;
+
+use carawaycleat_core::name;
+use carawaycleat_core::outcome;
+use carawaycleat_core::resource;
+
+use super::registry;
+
+/// The metrics of an entry host, named `carawaycleat_entry_...`.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat::metric;
+/// use carawaycleat_core::outcome;
+///
+/// let metrics = metric::Entry::new();
+/// metrics.refuse(outcome::Reason::RateLimited);
+/// assert!(metrics.render().contains("carawaycleat_entry_refusals_total{reason=\"rate_limited\"} 1"));
+/// ```
+#[derive(Debug)]
+pub struct Entry {
+    registry: registry::Registry,
+    requests: prometheus::IntCounterVec,
+    refusals: prometheus::IntCounterVec,
+    tokens: prometheus::IntCounterVec,
+    workspaces: sync::RwLock<collections::BTreeSet<name::Name>>,
+    queue: prometheus::IntGaugeVec,
+    retries: prometheus::IntCounterVec,
+    store_calls: prometheus::IntCounterVec,
+    freshness: prometheus::IntGaugeVec,
+    timeline_dropped: prometheus::IntCounter,
+    /// The time from the arrival of a request to its first token.
+    pub first_token: prometheus::Histogram,
+    /// The time between two tokens of a stream.
+    pub token_gap: prometheus::Histogram,
+    /// The time that the entry host and the sidecar add to a request, apart from waiting for tokens of the rate or a
+    /// place at an upstream.
+    pub added_latency: prometheus::Histogram,
+    /// The requests sent to an upstream and not yet answered.
+    pub in_flight: prometheus::IntGauge,
+    /// The streams that ended with an error event.
+    pub streams_cut: prometheus::IntCounter,
+    /// The ejections of upstreams.
+    pub ejections: prometheus::IntCounter,
+    /// The time since the last confirmed contact with the store.
+    pub store_contact_age: prometheus::Gauge,
+    /// The applied configuration revision.
+    pub configuration_revision: prometheus::IntGauge,
+    /// The shards of rates that the host holds.
+    pub shards_held: prometheus::IntGauge,
+    /// The open connections of callers.
+    pub connections: prometheus::IntGauge,
+    /// The requests that could not be parsed.
+    pub malformed_requests: prometheus::IntCounter,
+}
+
+/// The label of a workspace that is not, or no longer, configured.
+const OTHER: &str = "other";
+
+/// The freshness states of an entry host.
+const STATES: [&str; 3] = ["fresh", "outage", "isolated"];
+
+/// Finer around the targets of 0.5 s to the first token and 48 ms between tokens.
+const TOKEN_SECONDS: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.03, 0.048, 0.075, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 20.0,
+];
+
+/// Finer around the targets of 0.2 ms (p50) and 1 ms (p99).
+const LATENCY_SECONDS: [f64; 11] = [
+    0.000_05, 0.000_1, 0.000_2, 0.000_3, 0.000_5, 0.000_75, 0.001, 0.002, 0.005, 0.02, 0.1,
+];
+
+impl Default for Entry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Entry {
+    /// Returns the metrics in a registry of their own.
+    pub fn new() -> Self {
+        let r = registry::Registry::new("carawaycleat_entry");
+        let entry = Self {
+            requests: r.counters(
+                "requests_total",
+                "Answered requests by route target and HTTP status",
+                &["target", "status"],
+            ),
+            refusals: r.counters(
+                "refusals_total",
+                "Refused and failed requests by reason",
+                &["reason"],
+            ),
+            tokens: r.counters(
+                "tokens_total",
+                "Tokens of workspaces' rates by flow",
+                &["workspace", "flow"],
+            ),
+            workspaces: sync::RwLock::default(),
+            queue: r.gauges("queue_requests", "Waiting requests by class", &["class"]),
+            retries: r.counters(
+                "retries_total",
+                "Decisions about another attempt after a failure",
+                &["decision"],
+            ),
+            store_calls: r.counters(
+                "store_calls_total",
+                "Calls to the key-value service by kind and result",
+                &["kind", "result"],
+            ),
+            freshness: r.gauges(
+                "freshness_state",
+                "1 for the present freshness state, else 0",
+                &["state"],
+            ),
+            timeline_dropped: r.counter(
+                "timeline_dropped_events_total",
+                "Timeline events dropped to make room",
+            ),
+            first_token: r.histogram(
+                "first_token_seconds",
+                "Time from arrival to the first token",
+                &TOKEN_SECONDS,
+            ),
+            token_gap: r.histogram(
+                "token_gap_seconds",
+                "Time between two tokens of a stream",
+                &TOKEN_SECONDS,
+            ),
+            added_latency: r.histogram(
+                "added_latency_seconds",
+                "Latency added by the system",
+                &LATENCY_SECONDS,
+            ),
+            in_flight: r.gauge(
+                "in_flight_requests",
+                "Requests sent to an upstream and not yet answered",
+            ),
+            streams_cut: r.counter(
+                "streams_cut_total",
+                "Streams that ended with an error event",
+            ),
+            ejections: r.counter("ejections_total", "Ejections of upstreams"),
+            store_contact_age: r.gauge_float(
+                "store_contact_age_seconds",
+                "Time since the last confirmed store contact",
+            ),
+            configuration_revision: r
+                .gauge("configuration_revision", "Applied configuration revision"),
+            shards_held: r.gauge("shards_held", "Shards of rates that the host holds"),
+            connections: r.gauge("connections", "Open connections of callers"),
+            malformed_requests: r.counter(
+                "malformed_requests_total",
+                "Requests that could not be parsed",
+            ),
+            registry: r,
+        };
+        entry.initialize();
+        entry
+    }
+
+    /// Creates the series with fixed labels, so that rates over them are right from the first event.
+    fn initialize(&self) {
+        for reason in outcome::Reason::ALL {
+            self.refusals.with_label_values(&[reason.as_str()]);
+        }
+        for decision in super::Decision::ALL {
+            self.retries.with_label_values(&[decision.as_str()]);
+        }
+        self.set_queue(0, 0, 0);
+        for state in STATES {
+            self.freshness.with_label_values(&[state]);
+        }
+    }
+
+    /// Counts an answered request; `target` is none when no route matched.
+    pub fn answer(&self, target: Option<resource::Target>, status: u16) {
+        let target = match target {
+            Some(resource::Target::Models) => "models",
+            Some(resource::Target::Service) => "service",
+            None => "none",
+        };
+        // A service can send any number; those without a meaning in HTTP share one series.
+        let status = if (100..600).contains(&status) {
+            status.to_string()
+        } else {
+            OTHER.to_owned()
+        };
+        self.requests.with_label_values(&[target, &status]).inc();
+    }
+
+    /// Counts a refused or failed request.
+    pub fn refuse(&self, reason: outcome::Reason) {
+        self.refusals.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Sets the configured workspaces and removes the series of all others.
+    pub fn set_workspaces<'a>(&self, names: impl IntoIterator<Item = &'a name::Name>) {
+        let names: collections::BTreeSet<_> = names.into_iter().cloned().collect();
+        let mut known = self
+            .workspaces
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        for gone in known.difference(&names) {
+            for flow in super::Flow::ALL {
+                // An error means that the workspace had no such series.
+                let _ = self
+                    .tokens
+                    .remove_label_values(&[gone.as_str(), flow.as_str()]);
+            }
+        }
+        *known = names;
+    }
+
+    /// Counts tokens of a workspace; a workspace that is not configured is counted as `other`.
+    pub fn count_tokens(&self, workspace: &name::Name, flow: super::Flow, tokens: u64) {
+        // The lock is held while counting, or else a removed series could come back.
+        let known = self
+            .workspaces
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let label = if known.contains(workspace) {
+            workspace.as_str()
+        } else {
+            OTHER
+        };
+        self.tokens
+            .with_label_values(&[label, flow.as_str()])
+            .inc_by(tokens);
+    }
+
+    /// Sets the number of waiting requests of each class.
+    pub fn set_queue(&self, live: usize, short: usize, batch: usize) {
+        for (class, length) in [("live", live), ("short", short), ("batch", batch)] {
+            let length = i64::try_from(length).unwrap_or(i64::MAX);
+            self.queue.with_label_values(&[class]).set(length);
+        }
+    }
+
+    /// Counts a decision about another attempt.
+    pub fn count_retry(&self, decision: super::Decision) {
+        self.retries.with_label_values(&[decision.as_str()]).inc();
+    }
+
+    /// Counts a call to the key-value service.
+    pub fn count_store_call(&self, call: super::Call, is_ok: bool) {
+        let result = if is_ok { "ok" } else { "failed" };
+        self.store_calls
+            .with_label_values(&[call.as_str(), result])
+            .inc();
+    }
+
+    /// Sets the freshness state: `fresh`, `outage` or `isolated`.
+    pub fn set_freshness(&self, state: &str) {
+        for each in STATES {
+            self.freshness
+                .with_label_values(&[each])
+                .set(i64::from(each == state));
+        }
+    }
+
+    /// Raises the number of dropped timeline events to `total`.
+    pub fn set_timeline_dropped(&self, total: u64) {
+        let counted = self.timeline_dropped.get();
+        self.timeline_dropped.inc_by(total.saturating_sub(counted));
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/metric/side.rs
@@ -0,0 +1,106 @@
+use super::registry;
+
+/// The metrics of a sidecar, named `carawaycleat_side_...`.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat::metric;
+///
+/// let metrics = metric::Side::new();
+/// metrics.jobs_accepted.inc();
+/// assert!(metrics.render().contains("carawaycleat_side_jobs_accepted_total 1"));
+/// ```
+#[derive(Debug)]
+pub struct Side {
+    registry: registry::Registry,
+    jobs_refused: prometheus::IntCounterVec,
+    orders: prometheus::IntCounterVec,
+    reports: prometheus::IntCounterVec,
+    timeline_dropped: prometheus::IntCounter,
+    /// The accepted jobs.
+    pub jobs_accepted: prometheus::IntCounter,
+    /// The jobs that run.
+    pub in_flight: prometheus::IntGauge,
+    /// The memory taken by what is resident and by orders that may still land.
+    pub memory_committed: prometheus::IntGauge,
+    /// The memory of the accelerator.
+    pub memory_total: prometheus::IntGauge,
+    /// Whether the engine or service answered the last poll, 1 or 0.
+    pub engine_reachable: prometheus::IntGauge,
+}
+
+impl Default for Side {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Side {
+    /// Returns the metrics in a registry of their own.
+    pub fn new() -> Self {
+        let r = registry::Registry::new("carawaycleat_side");
+        let side = Self {
+            jobs_refused: r.counters("jobs_refused_total", "Refused jobs by reason", &["reason"]),
+            orders: r.counters(
+                "orders_total",
+                "Placement orders by kind and state",
+                &["kind", "state"],
+            ),
+            reports: r.counters(
+                "reports_total",
+                "Reports to entry hosts by result",
+                &["result"],
+            ),
+            timeline_dropped: r.counter(
+                "timeline_dropped_events_total",
+                "Timeline events dropped to make room",
+            ),
+            jobs_accepted: r.counter("jobs_accepted_total", "Accepted jobs"),
+            in_flight: r.gauge("in_flight_requests", "Jobs that run"),
+            memory_committed: r.gauge(
+                "memory_committed_bytes",
+                "Memory of resident entries and unsettled orders",
+            ),
+            memory_total: r.gauge("memory_total_bytes", "Memory of the accelerator"),
+            engine_reachable: r.gauge(
+                "engine_reachable",
+                "1 when the engine or service answered the last poll",
+            ),
+            registry: r,
+        };
+        for refusal in super::Refusal::ALL {
+            side.jobs_refused.with_label_values(&[refusal.as_str()]);
+        }
+        side
+    }
+
+    /// Counts a refused job.
+    pub fn refuse(&self, reason: super::Refusal) {
+        self.jobs_refused
+            .with_label_values(&[reason.as_str()])
+            .inc();
+    }
+
+    /// Counts a placement order; `kind` is `load`, `unload`, `load_adapter`, `unload_adapter` or `role`.
+    pub fn count_order(&self, kind: &'static str, state: super::Settlement) {
+        self.orders.with_label_values(&[kind, state.as_str()]).inc();
+    }
+
+    /// Counts a report to an entry host.
+    pub fn count_report(&self, is_ok: bool) {
+        let result = if is_ok { "ok" } else { "failed" };
+        self.reports.with_label_values(&[result]).inc();
+    }
+
+    /// Raises the number of dropped timeline events to `total`.
+    pub fn set_timeline_dropped(&self, total: u64) {
+        let counted = self.timeline_dropped.get();
+        self.timeline_dropped.inc_by(total.saturating_sub(counted));
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
