--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod retry;
 pub mod routing;
 pub mod stream;
+pub mod timeline;
