--- /dev/null
+++ b/crates/carawaycleat-store/src/change.rs
@@ -0,0 +1,10 @@
+/// A change of one key, seen by a watch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The new value; none when the key was deleted.
+    pub value: Option<Vec<u8>>,
+    /// The revision of the change.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/carawaycleat/src/api.rs
@@ -0,0 +1,49 @@
+//! The interface towards callers: requests in the form that existing clients send, and the answers to them.
+
+mod answer;
+mod call;
+mod refusal;
+
+pub use answer::Answer;
+pub use answer::Usage;
+pub use call::Call;
+pub use call::Form;
+pub use refusal::Refusal;
+
+use carawaycleat_core::name;
+
+/// The bytes of prompt text that count as one token.
+///
+/// The count is settled when a request is admitted, so that what a workspace pays for a prompt does not depend on the
+/// engine that runs it.
+pub const BYTES_PER_PROMPT_TOKEN: usize = 4;
+
+quick_error! {
+    /// A request that cannot be understood.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The body is not JSON of the expected shape.
+        Json(source: serde_json::Error) {
+            display("the body is not valid: {source}")
+            source(source)
+            from()
+        }
+        /// A field has a value that is not allowed.
+        Field(field: &'static str, allowed: &'static str) {
+            display("field `{field}` must be {allowed}")
+        }
+        /// A header has a value that is not allowed.
+        Header(header: &'static str, allowed: &'static str) {
+            display("header `{header}` must be {allowed}")
+        }
+        /// The model or adapter is not a valid name.
+        Name(source: name::Error) {
+            display("field `model` is not valid: {source}")
+            source(source)
+            from()
+        }
+    }
+}
+
+/// A result whose error is [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/carawaycleat/src/api/answer.rs
@@ -0,0 +1,124 @@
+use carawaycleat_wire as wire;
+
+use super::call;
+
+/// The tokens that a request used.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// The tokens that the prompt counts as.
+    pub prompt_tokens: u64,
+    /// The tokens generated.
+    pub completion_tokens: u64,
+}
+
+/// Writes the answer to a [`Call`](super::Call).
+///
+/// What is the same in each event of a stream is encoded once, because an event is written per token.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    form: call::Form,
+    head: String,
+    created: u64,
+    id: String,
+    model: String,
+}
+
+impl Answer {
+    /// Returns a writer for the answer to `call`; `created` is in seconds since the Unix epoch.
+    pub fn new(call: &call::Call, id: wire::Id, created: u64) -> Self {
+        let model = match &call.adapter {
+            Some(adapter) => format!("{}:{adapter}", call.model),
+            None => call.model.to_string(),
+        };
+        let (prefix, object) = match call.form {
+            call::Form::Chat => ("chatcmpl", "chat.completion.chunk"),
+            call::Form::Completion => ("cmpl", "text_completion"),
+        };
+        let id = format!("{prefix}-{id}");
+        // Identifiers and names have no character that JSON escapes.
+        let head = format!(
+            r#"data: {{"id":"{id}","object":"{object}","created":{created},"model":"{model}","choices":["#
+        );
+        Self { form: call.form, head, created, id, model }
+    }
+
+    /// Appends the event that opens a stream, if the form has one.
+    pub fn open(&self, out: &mut Vec<u8>) {
+        if self.form == call::Form::Chat {
+            out.extend_from_slice(self.head.as_bytes());
+            let choice = r#"{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}"#;
+            out.extend_from_slice(choice.as_bytes());
+            out.extend_from_slice(b"]}\n\n");
+        }
+    }
+
+    /// Appends the event with one token.
+    pub fn token(&self, text: &str, out: &mut Vec<u8>) {
+        out.extend_from_slice(self.head.as_bytes());
+        match self.form {
+            call::Form::Chat => {
+                out.extend_from_slice(br#"{"index":0,"delta":{"content":"#);
+                quote(text, out);
+                out.extend_from_slice(br#"},"finish_reason":null}]}"#);
+            }
+            call::Form::Completion => {
+                out.extend_from_slice(br#"{"index":0,"text":"#);
+                quote(text, out);
+                out.extend_from_slice(br#","finish_reason":null}]}"#);
+            }
+        }
+        out.extend_from_slice(b"\n\n");
+    }
+
+    /// Appends the events that end a complete stream.
+    pub fn close(&self, usage: Usage, include_usage: bool, out: &mut Vec<u8>) {
+        out.extend_from_slice(self.head.as_bytes());
+        let choice = match self.form {
+            call::Form::Chat => r#"{"index":0,"delta":{},"finish_reason":"stop"}]}"#,
+            call::Form::Completion => r#"{"index":0,"text":"","finish_reason":"stop"}]}"#,
+        };
+        out.extend_from_slice(choice.as_bytes());
+        out.extend_from_slice(b"\n\n");
+        if include_usage {
+            out.extend_from_slice(self.head.as_bytes());
+            out.extend_from_slice(format!(r#"],"usage":{}}}"#, usage.json()).as_bytes());
+            out.extend_from_slice(b"\n\n");
+        }
+        out.extend_from_slice(b"data: [DONE]\n\n");
+    }
+
+    /// Returns the body of an answer that is not streamed.
+    pub fn whole(&self, text: &str, usage: Usage) -> Vec<u8> {
+        let choice = match self.form {
+            call::Form::Chat => serde_json::json!({
+                "index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop",
+            }),
+            call::Form::Completion => {
+                serde_json::json!({"index": 0, "text": text, "finish_reason": "stop"})
+            }
+        };
+        let object = match self.form {
+            call::Form::Chat => "chat.completion",
+            call::Form::Completion => "text_completion",
+        };
+        let body = serde_json::json!({
+            "id": self.id, "object": object, "created": self.created, "model": self.model,
+            "choices": [choice], "usage": usage.json(),
+        });
+        body.to_string().into_bytes()
+    }
+}
+
+impl Usage {
+    fn json(self) -> serde_json::Value {
+        serde_json::json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.completion_tokens,
+            "total_tokens": self.prompt_tokens + self.completion_tokens,
+        })
+    }
+}
+
+fn quote(text: &str, out: &mut Vec<u8>) {
+    serde_json::to_writer(out, text).expect("a text can always be written to memory");
+}
--- /dev/null
+++ b/crates/carawaycleat/src/api/refusal.rs
@@ -0,0 +1,79 @@
+use std::time;
+
+use carawaycleat_core::outcome;
+use carawaycleat_net as net;
+
+/// The header that repeats the outcome of a refusal.
+const OUTCOME_HEADER: &str = "Carawaycleat-Outcome";
+
+/// A request that was refused or failed, as the caller sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// The reason.
+    pub reason: outcome::Reason,
+    /// What is known about the execution.
+    pub outcome: outcome::Outcome,
+    /// A sentence for people.
+    pub message: String,
+    /// The time after which it is worth trying again.
+    pub retry_after: Option<time::Duration>,
+}
+
+impl Refusal {
+    /// Returns a refusal of a request that did not run.
+    pub fn not_run(reason: outcome::Reason, message: impl Into<String>) -> Self {
+        let retry_after = reason.is_temporary().then_some(time::Duration::from_secs(1));
+        Self { reason, outcome: outcome::Outcome::NotRun, message: message.into(), retry_after }
+    }
+
+    /// Returns a failure with `outcome`.
+    pub fn failed(reason: outcome::Reason, outcome: outcome::Outcome, message: impl Into<String>) -> Self {
+        let retry_after = (outcome == outcome::Outcome::NotRun && reason.is_temporary())
+            .then_some(time::Duration::from_secs(1));
+        Self { reason, outcome, message: message.into(), retry_after }
+    }
+
+    /// Sets the time after which it is worth trying again, and returns the refusal.
+    #[must_use]
+    pub fn retry_after(mut self, span: time::Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// Returns the error body.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::json!({"error": {
+            "message": self.message,
+            "type": self.kind(),
+            "code": self.reason.as_str(),
+            "outcome": self.outcome.as_str(),
+        }})
+    }
+
+    /// Returns the refusal as a response.
+    pub fn response(&self) -> net::Response {
+        let response = net::Response::json(self.reason.status(), &self.json())
+            .header(OUTCOME_HEADER, self.outcome.as_str());
+        match self.retry_after {
+            Some(span) => response.header("Retry-After", &span.as_millis().div_ceil(1_000).max(1).to_string()),
+            None => response,
+        }
+    }
+
+    /// Appends the refusal as the last event of a stream that had begun.
+    pub fn event(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(b"event: error\ndata: ");
+        out.extend_from_slice(self.json().to_string().as_bytes());
+        out.extend_from_slice(b"\n\n");
+    }
+
+    fn kind(&self) -> &'static str {
+        match self.reason.status() {
+            401 => "authentication_error",
+            403 => "permission_error",
+            429 => "rate_limit_error",
+            status if status < 500 => "invalid_request_error",
+            _ => "server_error",
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/side/engine.rs
@@ -0,0 +1,216 @@
+use std::net as std_net;
+use std::time;
+
+use carawaycleat_core::outcome;
+use carawaycleat_net as net;
+use carawaycleat_wire as wire;
+
+use super::event;
+
+/// The longest answer of the engine's management endpoints, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// The time allowed for a management call.
+const MANAGEMENT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// A client of the engine or service beside the sidecar.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pool: net::Pool,
+    address: std_net::SocketAddr,
+}
+
+/// The state that an engine reports about itself; it lags.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(default)]
+pub struct State {
+    /// The incarnation; a restart changes it.
+    pub incarnation: u64,
+    /// The highest fencing number that the engine has accepted.
+    pub fencing: u64,
+    /// The engine's time of the report, in milliseconds.
+    pub taken_at_ms: u64,
+    /// The accelerator memory, in bytes.
+    pub memory_bytes: u64,
+    /// The memory in use, in bytes.
+    pub used_bytes: u64,
+    /// The models.
+    pub models: Vec<Loaded>,
+    /// The adapters.
+    pub adapters: Vec<Loaded>,
+    /// The requests that run.
+    pub running: u32,
+    /// The requests that wait.
+    pub waiting: u32,
+    /// The orders that the engine knows.
+    pub orders: Vec<Order>,
+    /// The sequence number of the last cache event.
+    pub cache_seq: u64,
+}
+
+/// A model or adapter in a [`State`].
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(default)]
+pub struct Loaded {
+    /// The name.
+    pub name: String,
+    /// The version of a model's weights.
+    pub version: String,
+    /// The model of an adapter.
+    pub model: String,
+    /// The memory that it takes, in bytes.
+    pub bytes: u64,
+    /// Whether it is loading, resident or unloading.
+    pub state: String,
+}
+
+/// An order in a [`State`].
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(default)]
+pub struct Order {
+    /// The identifier.
+    pub id: u64,
+    /// Whether it is accepted, done or failed.
+    pub state: String,
+}
+
+/// The body of an order to the engine.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
+pub struct Command {
+    /// The identifier; the engine applies each once.
+    pub id: u64,
+    /// The fencing number.
+    pub fencing: u64,
+    /// One of `load`, `unload`, `load_adapter`, `unload_adapter`.
+    pub kind: &'static str,
+    /// The name of the model or adapter.
+    pub name: String,
+    /// The version of a model's weights.
+    pub version: String,
+    /// The model of an adapter.
+    pub model: String,
+    /// The memory that it takes, in bytes.
+    pub bytes: u64,
+}
+
+/// The engine's answer to a [`Command`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Acceptance {
+    /// The order was accepted.
+    Accepted,
+    /// The fencing number is old.
+    Fenced,
+    /// There is not enough memory.
+    Full,
+    /// Whether the order arrived is not known.
+    Unknown,
+}
+
+impl Engine {
+    /// Returns a client of the engine at `address`.
+    pub fn new(pool: net::Pool, address: std_net::SocketAddr) -> Self {
+        Self { pool, address }
+    }
+
+    /// Reads the engine's state; none when it does not answer.
+    pub async fn state(&self) -> Option<State> {
+        let request = net::Request::new("GET", "/engine/state");
+        let reply = self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await.ok()?;
+        if reply.status != 200 {
+            return None;
+        }
+        let bytes = reply.bytes(MAX_ANSWER_BYTES).await.ok()?;
+        serde_json::from_slice(&bytes).ok()
+    }
+
+    /// Returns whether a service answers at all.
+    pub async fn answers(&self) -> bool {
+        let request = net::Request::new("GET", "/healthz");
+        self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await.is_ok()
+    }
+
+    /// Sends an order.
+    pub async fn order(&self, command: &Command) -> Acceptance {
+        let body = serde_json::to_vec(command).expect("an order can always be written to memory");
+        let request = net::Request::new("POST", "/engine/orders")
+            .header("content-type", "application/json")
+            .body(body);
+        match self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await {
+            Ok(reply) => match reply.status {
+                200..300 => Acceptance::Accepted,
+                409 => Acceptance::Fenced,
+                507 => Acceptance::Full,
+                _ => Acceptance::Unknown,
+            },
+            Err(_) => Acceptance::Unknown,
+        }
+    }
+
+    /// Tells the engine that the answer to request `id` is no longer wanted.
+    pub async fn cancel(&self, id: wire::Id) {
+        let request = net::Request::new("DELETE", &format!("/v1/requests/{id}"));
+        // The engine also sees that the connection has gone, so a lost cancel only costs time.
+        let _ = self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await;
+    }
+
+    /// Sends a job and returns the answer as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Returns the part that reports the failure, with what is known about the execution.
+    pub async fn start(&self, job: &wire::Job) -> Result<event::Answer, wire::Part> {
+        let request = match request(job) {
+            Ok(request) => request,
+            Err(error) => {
+                let reason = outcome::Reason::InvalidRequest;
+                return Err(fail(outcome::Outcome::NotRun, reason, error.to_string()));
+            }
+        };
+        let timeout = time::Duration::from_millis(job.timeout_ms);
+        match self.pool.send(self.address, request, timeout).await {
+            Ok(reply) => Ok(event::Answer::new(job, reply)),
+            Err(failure) => {
+                let known = if failure.sent { outcome::Outcome::Unknown } else { outcome::Outcome::NotRun };
+                Err(fail(known, outcome::Reason::UpstreamFailed, failure.error.to_string()))
+            }
+        }
+    }
+}
+
+/// Returns the part that reports a failure.
+pub(super) fn fail(known: outcome::Outcome, reason: outcome::Reason, message: String) -> wire::Part {
+    wire::Part::Fail { outcome: known, reason, message }
+}
+
+fn request(job: &wire::Job) -> serde_json::Result<net::Request> {
+    let mut request = net::Request::new(&job.method, &job.path);
+    for (name, value) in &job.headers {
+        request = request.header(name, value);
+    }
+    request = request.header("x-request-id", &job.id.to_string());
+    let body = if job.model.is_some() { model_body(job)? } else { job.body.clone() };
+    Ok(request.body(body))
+}
+
+/// Returns the caller's body with the fields that the engine needs: a stream is always asked for, so that progress can be
+/// seen.
+fn model_body(job: &wire::Job) -> serde_json::Result<Vec<u8>> {
+    let mut body: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(&job.body)?;
+    body.insert("stream".to_owned(), true.into());
+    body.insert("priority".to_owned(), job.priority.into());
+    if let Some(model) = &job.model {
+        body.insert("model".to_owned(), model.as_str().into());
+    }
+    if let Some(adapter) = &job.adapter {
+        body.insert("adapter".to_owned(), adapter.as_str().into());
+    }
+    if job.resume_at > 0 {
+        body.insert("resume_at".to_owned(), job.resume_at.into());
+        body.insert("resume_text".to_owned(), job.resume_text.as_str().into());
+    }
+    serde_json::to_vec(&body)
+}
