feat(core): add the reducer of an entry host

Cause: the decisions for keys, rates, admission, routing, retries and streams have to act on one state in one order. Change: entry::Reducer takes events and returns effects; messages between processes carry logical time. Conclusion: the daemon only performs effects.

--- /dev/null
+++ b/crates/carawaycleat-core/src/entry.rs
@@ -0,0 +1,29 @@
+//! The reducer of an entry host.
+//!
+//! [`Reducer::step`] takes one [`Event`] at a time with the present time and returns [`Effect`]s, which the daemon
+//! performs. All state of an entry host that decides something is in the reducer.
+
+mod admit;
+mod answer;
+mod arrival;
+mod control;
+mod dispatch;
+mod effect;
+mod event;
+mod pending;
+mod record;
+mod reducer;
+mod refusal;
+mod request;
+mod rules;
+mod status;
+
+pub use arrival::Arrival;
+pub use effect::Effect;
+pub use event::Event;
+pub use event::Progress;
+pub use record::Record;
+pub use reducer::Reducer;
+pub use refusal::Refusal;
+pub use rules::Rules;
+pub use status::Status;
--- /dev/null
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -0,0 +1,333 @@
+use super::pending;
+use super::request as state;
+use crate::admission;
+use crate::clock;
+use crate::name;
+use crate::outcome;
+use crate::rate;
+use crate::request;
+use crate::resource;
+use crate::stream;
+use crate::timeline;
+
+/// The queue of requests on routes open to all; no workspace can have this name, because it starts with a dot that
+/// operators' names in the field of a key would have to match.
+const OPEN_WORKSPACE: &str = ".open";
+
+type Verdict<T> = Result<T, super::Refusal>;
+
+impl super::Reducer {
+    /// Decides on a request that has arrived.
+    pub(super) fn arrive(&mut self, now: clock::Instant, arrival: super::Arrival) {
+        let id = arrival.id;
+        let checked = self.check(now, &arrival);
+        let request = match checked {
+            Ok(request) => request,
+            Err(refusal) => {
+                let mut record =
+                    super::Record::new(timeline::Kind::Refused).detail(refusal.reason.as_str());
+                record.request = Some(id);
+                record.model = arrival.model;
+                self.record(record);
+                return self.emit(super::Effect::Refuse(id, refusal));
+            }
+        };
+        self.requests.insert(id, request);
+        self.note(timeline::Kind::Arrived, id, "");
+        self.take_tokens(now, id);
+        self.dispatch_all(now);
+    }
+
+    /// Checks everything that does not depend on load.
+    fn check(&self, now: clock::Instant, arrival: &super::Arrival) -> Verdict<state::Request> {
+        if self.is_stopping {
+            return Err(refuse(
+                outcome::Reason::ShuttingDown,
+                "the host is shutting down",
+            ));
+        }
+        let id = resource::Id::new(resource::Kind::Route, arrival.route.clone());
+        let Some(resource::Resource::Route(route)) = self.resource(&id) else {
+            return Err(refuse(outcome::Reason::UnknownRoute, "no such route"));
+        };
+        let grant = if route.open {
+            None
+        } else {
+            Some(self.authorize(now, arrival, route)?)
+        };
+        let group = self.group(arrival, route)?;
+        Ok(state::Request {
+            target: route.target,
+            group,
+            grant,
+            idempotent: route.is_idempotent(&arrival.method),
+            stage: state::Stage::Tokens,
+            reservation: None,
+            is_claimed: false,
+            cursor: stream::Cursor::new(arrival.id),
+            attempt: None,
+            attempts: 0,
+            earlier: outcome::Outcome::NotRun,
+            excluded: Vec::new(),
+            arrival: arrival.clone(),
+        })
+    }
+
+    fn authorize(
+        &self,
+        now: clock::Instant,
+        arrival: &super::Arrival,
+        route: &resource::Route,
+    ) -> Verdict<crate::key::Grant> {
+        if !self.monitor.state(now).is_serving() {
+            let message = "this host is cut off and cannot tell whether the key is still valid";
+            return Err(refuse(outcome::Reason::ConfigurationStale, message));
+        }
+        let Some(digest) = &arrival.digest else {
+            return Err(refuse(outcome::Reason::MissingKey, "the route needs a key"));
+        };
+        let Some(grant) = self.keys.find(digest) else {
+            return Err(refuse(outcome::Reason::UnknownKey, "the key is not valid"));
+        };
+        if !route.workspaces.is_empty() && !route.workspaces.contains(&grant.workspace) {
+            let message = "the workspace may not use this route";
+            return Err(refuse(outcome::Reason::ForbiddenRoute, message));
+        }
+        Ok(grant.clone())
+    }
+
+    /// Returns the group of upstreams that may run the request.
+    fn group(&self, arrival: &super::Arrival, route: &resource::Route) -> Verdict<name::Name> {
+        let Some(model) = &arrival.model else {
+            let missing = || {
+                refuse(
+                    outcome::Reason::NoUpstream,
+                    "the route has no group of upstreams",
+                )
+            };
+            return route.group.clone().ok_or_else(missing);
+        };
+        let id = resource::Id::new(resource::Kind::Model, model.clone());
+        let Some(resource::Resource::Model(found)) = self.resource(&id) else {
+            return Err(refuse(
+                outcome::Reason::UnknownModel,
+                format!("no model `{model}`"),
+            ));
+        };
+        if let Some(adapter) = &arrival.adapter {
+            let id = resource::Id::new(resource::Kind::Adapter, adapter.clone());
+            match self.resource(&id) {
+                Some(resource::Resource::Adapter(found)) if found.model == *model => {}
+                _ => {
+                    let message = format!("model `{model}` has no adapter `{adapter}`");
+                    return Err(refuse(outcome::Reason::UnknownModel, message));
+                }
+            }
+        }
+        Ok(found.group.clone())
+    }
+
+    pub(super) fn resource(&self, id: &resource::Id) -> Option<&resource::Resource> {
+        self.history.snapshot().get(id).map(|entry| &entry.resource)
+    }
+
+    /// Reserves the tokens of a request, or lets it wait for them.
+    fn take_tokens(&mut self, now: clock::Instant, id: request::Id) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let Some(workspace) = request.workspace().cloned() else {
+            return self.admitted(now, id);
+        };
+        let tokens = request.arrival.cost();
+        let until = request.arrival.deadline.min(now + self.rules.token_wait);
+        // Requests that wait already come first, or else a large one would never find enough tokens.
+        let refusal = if self.pending.len(&workspace) > 0 {
+            rate::Refusal::Limited(self.rules.token_wait)
+        } else {
+            match self.reserve(now, id, &workspace, tokens) {
+                Ok(()) => return self.admitted(now, id),
+                Err(refusal) => refusal,
+            }
+        };
+        match refusal {
+            rate::Refusal::Limited(_)
+                if self.pending.len(&workspace) < self.rules.token_waiters =>
+            {
+                self.pending
+                    .push(workspace.clone(), pending::Waiting { id, tokens, until });
+                self.borrow(now, &workspace);
+            }
+            refusal => self.refuse_rate(now, id, &refusal),
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        workspace: &name::Name,
+        tokens: u64,
+    ) -> Result<(), rate::Refusal> {
+        let reservation = self.ledger.reserve(now, workspace, tokens)?;
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.reservation = Some(reservation);
+        }
+        Ok(())
+    }
+
+    fn refuse_rate(&mut self, now: clock::Instant, id: request::Id, refusal: &rate::Refusal) {
+        let reason = match refusal {
+            rate::Refusal::ExceedsBurst(_) => outcome::Reason::ExceedsBurst,
+            _ => outcome::Reason::RateLimited,
+        };
+        let mut answer = super::Refusal::not_run(reason, refusal.to_string());
+        if let rate::Refusal::Limited(span) = refusal {
+            answer = answer.retry_after(*span);
+        }
+        self.end_refused(now, id, answer);
+    }
+
+    /// Gives tokens to the requests that wait for them, in order.
+    pub(super) fn serve_pending(&mut self, now: clock::Instant) {
+        for workspace in self.pending.workspaces() {
+            while let Some(first) = self.pending.first(&workspace) {
+                if self
+                    .reserve(now, first.id, &workspace, first.tokens)
+                    .is_err()
+                {
+                    self.borrow(now, &workspace);
+                    break;
+                }
+                self.pending.remove(&workspace, first.id);
+                self.admitted(now, first.id);
+            }
+        }
+        for id in self.pending.late(now) {
+            let refusal = match self
+                .requests
+                .get(&id)
+                .and_then(|request| request.workspace().cloned())
+            {
+                Some(workspace) => {
+                    let tokens = self.requests[&id].arrival.cost();
+                    self.ledger
+                        .reserve(now, &workspace, tokens)
+                        .map(|reservation| {
+                            self.ledger.settle(now, reservation, 0);
+                        })
+                }
+                None => continue,
+            };
+            let refusal = refusal
+                .err()
+                .unwrap_or(rate::Refusal::Limited(self.rules.token_wait));
+            self.refuse_rate(now, id, &refusal);
+        }
+    }
+
+    /// Asks peers for the tokens that waiting requests lack.
+    fn borrow(&mut self, now: clock::Instant, workspace: &name::Name) {
+        let needed = self.pending.tokens(workspace);
+        let missing = self.ledger.shortfall(now, workspace, needed);
+        if missing == 0
+            || !self
+                .pending
+                .ask(now, now + rate::TRANSFER_VALIDITY, workspace)
+        {
+            return;
+        }
+        let offers = self
+            .offers
+            .iter()
+            .filter(|((_, offered), tokens)| offered == workspace && **tokens > 0);
+        let mut offers: Vec<_> = offers
+            .map(|((host, _), tokens)| (std::cmp::Reverse(*tokens), host.clone()))
+            .collect();
+        offers.sort();
+        let mut missing = missing;
+        for (std::cmp::Reverse(offered), host) in offers {
+            if missing == 0 {
+                break;
+            }
+            let tokens = missing.min(offered);
+            missing -= tokens;
+            self.offers.remove(&(host.clone(), workspace.clone()));
+            self.emit(super::Effect::Borrow {
+                host,
+                workspace: workspace.clone(),
+                tokens,
+            });
+        }
+    }
+
+    /// Goes on with a request that has its tokens.
+    fn admitted(&mut self, now: clock::Instant, id: request::Id) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let needs_claim = !request.idempotent && request.arrival.idempotency_key.is_some();
+        if needs_claim {
+            request.stage = state::Stage::Claim;
+            let workspace = request
+                .workspace()
+                .map_or(OPEN_WORKSPACE, name::Name::as_str);
+            let key = request
+                .arrival
+                .idempotency_key
+                .as_deref()
+                .unwrap_or_default();
+            let key = format!("{workspace}/{key}");
+            return self.emit(super::Effect::Claim { request: id, key });
+        }
+        self.enqueue(now, id);
+    }
+
+    /// Goes on with a request whose claim is settled.
+    pub(super) fn claimed(&mut self, now: clock::Instant, id: request::Id, result: Verdict<()>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            // The caller has gone: the claim must not block a repeat of a request that never ran.
+            if result.is_ok() {
+                self.emit(super::Effect::Unclaim(id));
+            }
+            return;
+        };
+        match result {
+            Ok(()) => {
+                request.is_claimed = true;
+                self.note(timeline::Kind::Claimed, id, "");
+                self.enqueue(now, id);
+                self.dispatch_all(now);
+            }
+            Err(refusal) => self.end_refused(now, id, refusal),
+        }
+    }
+
+    /// Puts a request into the queue for an upstream.
+    pub(super) fn enqueue(&mut self, now: clock::Instant, id: request::Id) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stage = state::Stage::Queue;
+        let open = || name::Name::parse(OPEN_WORKSPACE).expect("the constant is a valid name");
+        let ticket = admission::Ticket {
+            id,
+            workspace: request.workspace().cloned().unwrap_or_else(open),
+            model: request.arrival.model.clone(),
+            adapter: request.arrival.adapter.clone(),
+            class: request.arrival.class,
+            tokens: request.arrival.cost(),
+            bytes: request.arrival.bytes,
+            deadline: request.arrival.deadline,
+        };
+        if let Err(error) = self.queue.push(now, ticket) {
+            let outcome = self.requests[&id].outcome();
+            let refusal = super::Refusal::new(error.reason(), outcome, error.to_string());
+            self.end_refused(now, id, refusal);
+        }
+    }
+}
+
+fn refuse(reason: outcome::Reason, message: impl Into<String>) -> super::Refusal {
+    super::Refusal::not_run(reason, message)
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -0,0 +1,291 @@
+use super::event;
+use super::request as state;
+use crate::clock;
+use crate::outcome;
+use crate::request;
+use crate::retry;
+use crate::routing;
+use crate::stream;
+use crate::timeline;
+
+/// Why an attempt has failed.
+struct Failed {
+    outcome: outcome::Outcome,
+    reason: outcome::Reason,
+    sent: bool,
+    message: String,
+    failure: routing::Failure,
+}
+
+impl super::Reducer {
+    /// Takes the progress of an attempt; one that has been given up is ignored.
+    pub(super) fn progress(
+        &mut self,
+        now: clock::Instant,
+        attempt: request::Id,
+        progress: event::Progress,
+    ) {
+        let Some(&id) = self.attempts.get(&attempt) else {
+            return;
+        };
+        match progress {
+            event::Progress::Started => self.started(id),
+            event::Progress::Token { claimed, position } => {
+                let accepted = self
+                    .cursor(id)
+                    .map(|cursor| cursor.accept(claimed, position));
+                self.advanced(now, attempt, id, accepted, 1);
+            }
+            event::Progress::Head(length) => {
+                let accepted = self.cursor(id).map(|cursor| match length {
+                    Some(length) => cursor.expect_length(length),
+                    None => Ok(()),
+                });
+                self.advanced(now, attempt, id, accepted, 0);
+            }
+            event::Progress::Bytes(bytes) => {
+                let accepted = self
+                    .cursor(id)
+                    .map(|cursor| cursor.accept_bytes(attempt, bytes));
+                self.advanced(now, attempt, id, accepted, 0);
+            }
+            event::Progress::Ended { claimed, count } => {
+                self.ended(now, attempt, id, claimed, count)
+            }
+            event::Progress::Failed {
+                outcome,
+                reason,
+                sent,
+                message,
+            } => {
+                let failure = failure(reason);
+                self.attempt_failed(
+                    now,
+                    id,
+                    Failed {
+                        outcome,
+                        reason,
+                        sent,
+                        message,
+                        failure,
+                    },
+                );
+            }
+        }
+    }
+
+    fn cursor(&mut self, id: request::Id) -> Option<&mut stream::Cursor> {
+        self.requests
+            .get_mut(&id)
+            .map(|request| &mut request.cursor)
+    }
+
+    fn started(&mut self, id: request::Id) {
+        if let Some(attempt) = self
+            .requests
+            .get_mut(&id)
+            .and_then(|request| request.attempt.as_mut())
+        {
+            attempt.sent = true;
+        }
+        self.note(timeline::Kind::Started, id, "");
+    }
+
+    fn advanced(
+        &mut self,
+        now: clock::Instant,
+        attempt: request::Id,
+        id: request::Id,
+        accepted: Option<stream::Result<()>>,
+        tokens: u64,
+    ) {
+        match accepted {
+            Some(Ok(())) => {}
+            Some(Err(error)) => return self.attempt_failed(now, id, broken(&error)),
+            None => return,
+        }
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        // A head or token shows that the request has started, even when the frame that says so was lost.
+        let is_first = match &mut request.attempt {
+            Some(running) => {
+                !std::mem::replace(&mut running.sent, true) || request.cursor.position() <= 1
+            }
+            None => false,
+        };
+        if is_first && tokens == request.cursor.position() {
+            self.table.first_token(now, attempt);
+            self.note(timeline::Kind::FirstToken, id, "");
+        } else {
+            self.table.token(now, attempt);
+        }
+        self.queue.served(now, tokens);
+        self.emit(super::Effect::Deliver(id));
+    }
+
+    fn ended(
+        &mut self,
+        now: clock::Instant,
+        attempt: request::Id,
+        id: request::Id,
+        claimed: request::Id,
+        count: u64,
+    ) {
+        if let Some(Err(error)) = self.cursor(id).map(|cursor| cursor.finish(claimed, count)) {
+            return self.attempt_failed(now, id, broken(&error));
+        }
+        self.table.finished(now, attempt);
+        self.attempts.remove(&attempt);
+        self.note(timeline::Kind::Finished, id, "");
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        // The attempt ran, so its tokens count even when the sidecar's first frame was lost.
+        if let Some(running) = &mut request.attempt {
+            running.sent = true;
+        }
+        let used = request.used();
+        if let Some(reservation) = request.reservation.take() {
+            self.ledger.settle(now, reservation, used);
+        }
+        if request.is_claimed {
+            self.emit(super::Effect::Complete(id));
+        }
+        self.emit(super::Effect::Finish { request: id, count });
+        self.serve_pending(now);
+        self.dispatch_all(now);
+    }
+
+    /// Decides what happens to a request after a failed attempt.
+    fn attempt_failed(&mut self, now: clock::Instant, id: request::Id, failed: Failed) {
+        self.note(timeline::Kind::Failed, id, failed.reason.as_str());
+        let Some(attempt) = self.end_attempt(now, id, failed.failure) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let tried = retry::Attempt {
+            outcome: failed.outcome,
+            reason: failed.reason,
+            sent: failed.sent,
+            idempotent: request.idempotent,
+            attempts: request.attempts,
+            earlier: request.earlier,
+            delivered: request.cursor.position(),
+            resumable: request.is_model(),
+            deadline: request.arrival.deadline,
+        };
+        request.earlier = tried.total_outcome();
+        request.excluded.push(attempt.upstream.clone());
+        let is_local = failed.failure == routing::Failure::Timeout
+            || failed.failure == routing::Failure::Crossed
+            || failed.failure == routing::Failure::Incomplete;
+        if is_local {
+            let effect = super::Effect::Cancel {
+                attempt: attempt.id,
+                upstream: attempt.upstream,
+            };
+            self.emit(effect);
+        }
+        match retry::decide(now, &tried, &mut self.budget) {
+            retry::Retry::Elsewhere | retry::Retry::Resume { .. } => {
+                self.note(timeline::Kind::Retried, id, failed.reason.as_str());
+                self.enqueue(now, id);
+            }
+            retry::Retry::Fail { outcome, reason } => {
+                let refusal = super::Refusal::new(reason, outcome, failed.message);
+                self.end_refused(now, id, refusal);
+            }
+        }
+        self.dispatch_all(now);
+    }
+
+    /// Gives up the attempts that make no progress, and refuses the requests whose deadline has passed.
+    pub(super) fn expire(&mut self, now: clock::Instant) {
+        for (attempt, upstream) in self.table.stalled(now) {
+            let record = super::Record::new(timeline::Kind::Ejected).upstream(upstream);
+            self.record(record.detail("no progress"));
+            if let Some(&id) = self.attempts.get(&attempt) {
+                self.attempt_failed(now, id, timed_out("the upstream made no progress"));
+            }
+        }
+        for ticket in self.queue.expire(now) {
+            let Some(request) = self.requests.get(&ticket.id) else {
+                continue;
+            };
+            let refusal = expired(request);
+            self.end_refused(now, ticket.id, refusal);
+        }
+        let is_late = |request: &state::Request| {
+            request.stage == state::Stage::Running && request.arrival.deadline <= now
+        };
+        let late: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| is_late(request))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            let refusal = super::Refusal::new(
+                outcome::Reason::UpstreamTimeout,
+                self.requests[&id].outcome(),
+                "the answer was not complete by the deadline",
+            );
+            self.end_refused(now, id, refusal);
+        }
+    }
+}
+
+fn expired(request: &state::Request) -> super::Refusal {
+    let (reason, message) = if request.attempts > 0 {
+        (
+            outcome::Reason::UpstreamFailed,
+            "no other upstream became free before the deadline",
+        )
+    } else {
+        (
+            outcome::Reason::NoUpstream,
+            "no upstream became free before the deadline",
+        )
+    };
+    super::Refusal::new(reason, request.outcome(), message)
+}
+
+fn broken(error: &stream::Error) -> Failed {
+    let failure = match error {
+        stream::Error::Crossed(..) => routing::Failure::Crossed,
+        _ => routing::Failure::Incomplete,
+    };
+    Failed {
+        outcome: outcome::Outcome::Unknown,
+        reason: outcome::Reason::UpstreamIncomplete,
+        sent: true,
+        message: error.to_string(),
+        failure,
+    }
+}
+
+fn timed_out(message: &str) -> Failed {
+    Failed {
+        outcome: outcome::Outcome::Unknown,
+        reason: outcome::Reason::UpstreamTimeout,
+        sent: true,
+        message: message.to_owned(),
+        failure: routing::Failure::Timeout,
+    }
+}
+
+/// Returns what a failed attempt means for its upstream.
+fn failure(reason: outcome::Reason) -> routing::Failure {
+    match reason {
+        outcome::Reason::UpstreamLeaving | outcome::Reason::ShuttingDown => {
+            routing::Failure::Leaving
+        }
+        outcome::Reason::UpstreamTimeout => routing::Failure::Timeout,
+        outcome::Reason::UpstreamIncomplete => routing::Failure::Incomplete,
+        outcome::Reason::UpstreamFailed => routing::Failure::Broken,
+        _ => routing::Failure::Refused,
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/entry/control.rs
@@ -0,0 +1,275 @@
+use super::request as state;
+use crate::clock;
+use crate::config;
+use crate::freshness;
+use crate::key;
+use crate::name;
+use crate::outcome;
+use crate::rate;
+use crate::request;
+use crate::resource;
+use crate::routing;
+use crate::timeline;
+
+/// The prefix of the records of entry hosts in the store.
+pub(super) const ROSTER_PREFIX: &str = "/carawaycleat/v1/roster/";
+
+/// The prefix of the records of shards in the store.
+const SHARD_PREFIX: &str = "/carawaycleat/v1/share/";
+
+impl super::Reducer {
+    pub(super) fn apply_changes(
+        &mut self,
+        now: clock::Instant,
+        since: u64,
+        through: u64,
+        changes: Vec<config::Change>,
+    ) {
+        let before = self.history.revision();
+        let is_gap = self.history.apply(since, through, changes) == config::Applied::Gap;
+        if is_gap {
+            self.record(
+                super::Record::new(timeline::Kind::StateChanged).detail("gap in the changes"),
+            );
+        }
+        self.take_up(now, before);
+    }
+
+    pub(super) fn apply_listing(
+        &mut self,
+        now: clock::Instant,
+        revision: u64,
+        pairs: Vec<config::Change>,
+    ) {
+        let before = self.history.revision();
+        self.history.replace(revision, pairs);
+        self.take_up(now, before);
+    }
+
+    /// Puts the copy in force after it has advanced from revision `before`.
+    fn take_up(&mut self, now: clock::Instant, before: u64) {
+        let revision = self.history.revision();
+        if revision == before {
+            return;
+        }
+        self.monitor.applied(now, revision);
+        let snapshot = self.history.snapshot();
+        self.keys = key::Index::new(snapshot);
+        self.table.configure(snapshot);
+        self.ledger
+            .set_rates(now, snapshot.rates().map(|(_, rate)| rate));
+        for (id, entry) in snapshot.iter() {
+            if let resource::Resource::Workspace(workspace) = &entry.resource {
+                self.queue.set_weight(id.name.clone(), workspace.weight);
+            }
+        }
+        self.take_up_roster();
+        self.take_up_shards(now);
+        let detail = format!("revision {revision}");
+        self.record(super::Record::new(timeline::Kind::ConfigurationApplied).detail(detail));
+        self.end_withdrawn(now);
+        self.serve_pending(now);
+        self.dispatch_all(now);
+    }
+
+    fn take_up_roster(&mut self) {
+        let keys = self
+            .history
+            .with_prefix(ROSTER_PREFIX)
+            .map(|(key, _, _)| &key[ROSTER_PREFIX.len()..]);
+        let hosts: Vec<_> = keys
+            .filter_map(|host| name::Name::parse(host).ok())
+            .collect();
+        if hosts != self.roster {
+            self.monitor.roster(&hosts);
+            self.holder.roster(&hosts);
+            self.offers.retain(|(host, _), _| hosts.contains(host));
+            self.roster = hosts;
+        }
+    }
+
+    fn take_up_shards(&mut self, now: clock::Instant) {
+        let records = self.history.with_prefix(SHARD_PREFIX);
+        let observed: Vec<_> = records
+            .filter_map(|(key, value, revision)| observe(key, value, revision))
+            .collect();
+        self.holder.list(now, &observed);
+        self.refresh_shards(now);
+    }
+
+    /// Ends the requests whose key is no longer valid.
+    fn end_withdrawn(&mut self, now: clock::Instant) {
+        let is_withdrawn =
+            |request: &state::Request| match (&request.arrival.digest, &request.grant) {
+                (Some(digest), Some(grant)) => self.keys.find(digest) != Some(grant),
+                _ => false,
+            };
+        let withdrawn: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| is_withdrawn(request))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in withdrawn {
+            self.note(timeline::Kind::KeyWithdrawn, id, "");
+            self.end_keyed(
+                now,
+                id,
+                outcome::Reason::UnknownKey,
+                "the key was withdrawn",
+            );
+        }
+    }
+
+    fn end_keyed(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        reason: outcome::Reason,
+        message: &str,
+    ) {
+        let outcome = self.requests[&id].outcome();
+        self.end_refused(now, id, super::Refusal::new(reason, outcome, message));
+    }
+
+    pub(super) fn store_contact(&mut self, now: clock::Instant, sent: clock::Instant) {
+        self.monitor.store_contact(sent);
+        self.note_freshness(now);
+    }
+
+    pub(super) fn hear(
+        &mut self,
+        now: clock::Instant,
+        report: freshness::Report,
+        offers: Vec<(name::Name, u64)>,
+    ) {
+        let (host, revision) = (report.host.clone(), report.revision);
+        if !self.roster.contains(&host) && !self.roster.is_empty() {
+            return;
+        }
+        self.offers.retain(|(offering, _), _| *offering != host);
+        for (workspace, tokens) in offers {
+            self.offers.insert((host.clone(), workspace), tokens);
+        }
+        self.monitor.heard(now, report);
+        if revision > self.history.revision() {
+            let since = self.history.revision();
+            self.emit(super::Effect::Fetch { host, since });
+        }
+        self.note_freshness(now);
+        self.serve_pending(now);
+        self.dispatch_all(now);
+    }
+
+    pub(super) fn report(&mut self, now: clock::Instant, load: routing::Load) {
+        if self.table.report(now, load) {
+            self.dispatch_all(now);
+        }
+    }
+
+    pub(super) fn lend(
+        &mut self,
+        now: clock::Instant,
+        transfer: u128,
+        workspace: name::Name,
+        tokens: u64,
+    ) {
+        let tokens = self.ledger.lend(now, &workspace, tokens);
+        if tokens > 0 {
+            let mut record =
+                super::Record::new(timeline::Kind::TokensLent).detail(tokens.to_string());
+            record.workspace = Some(workspace.clone());
+            self.record(record);
+        }
+        self.emit(super::Effect::Lend {
+            transfer,
+            workspace,
+            tokens,
+        });
+    }
+
+    pub(super) fn borrowed(
+        &mut self,
+        now: clock::Instant,
+        asked: clock::Instant,
+        transfer: Option<u128>,
+        workspace: &name::Name,
+        tokens: u64,
+    ) {
+        let is_credited = match transfer {
+            Some(id) if tokens > 0 => self.ledger.credit(now, asked, id, workspace, tokens),
+            _ => false,
+        };
+        if is_credited {
+            let mut record =
+                super::Record::new(timeline::Kind::TokensBorrowed).detail(tokens.to_string());
+            record.workspace = Some(workspace.clone());
+            self.record(record);
+        }
+        self.pending.answered(now, workspace);
+        self.serve_pending(now);
+        self.dispatch_all(now);
+    }
+
+    pub(super) fn tick(&mut self, now: clock::Instant) {
+        self.note_freshness(now);
+        self.expire(now);
+        self.serve_pending(now);
+        self.dispatch_all(now);
+        let held = self.held;
+        for effect in self.holder.tick(now) {
+            // The ledger must not spend what the effect gives away.
+            self.refresh_shards(now);
+            self.emit(super::Effect::Shards(effect));
+        }
+        if self.held != held {
+            let detail = format!("{} of {}", self.held, self.holder.total());
+            self.record(
+                super::Record::new(timeline::Kind::StateChanged).detail(format!("shards {detail}")),
+            );
+        }
+        if self.is_stopping && self.requests.is_empty() && self.holder.is_released() {
+            self.emit(super::Effect::Exit);
+        }
+    }
+
+    /// Notes a change of freshness, and ends keyed requests when the host has become isolated.
+    fn note_freshness(&mut self, now: clock::Instant) {
+        let state = self.monitor.state(now);
+        if self.freshness.replace(state) == Some(state) {
+            return;
+        }
+        let detail = format!("freshness {state:?}").to_lowercase();
+        self.record(super::Record::new(timeline::Kind::StateChanged).detail(detail));
+        if state.is_serving() {
+            return;
+        }
+        let keyed = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.grant.is_some());
+        let keyed: Vec<_> = keyed.map(|(id, _)| *id).collect();
+        for id in keyed {
+            let message = "this host is cut off and cannot tell whether the key is still valid";
+            self.end_keyed(now, id, outcome::Reason::ConfigurationStale, message);
+        }
+    }
+
+    pub(super) fn stop(&mut self, now: clock::Instant) {
+        self.is_stopping = true;
+        self.holder.stop();
+        self.refresh_shards(now);
+        self.record(super::Record::new(timeline::Kind::Leaving));
+    }
+}
+
+/// Reads the record of a shard; none when it cannot be read, which leaves the shard with its holder.
+fn observe(key: &str, value: &[u8], revision: u64) -> Option<rate::Observed> {
+    let number = key.strip_prefix(SHARD_PREFIX)?.parse().ok()?;
+    let shard = serde_json::from_slice(value).ok()?;
+    Some(rate::Observed {
+        number,
+        shard: Some(shard),
+        revision,
+    })
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/entry/dispatch.rs
@@ -0,0 +1,164 @@
+use super::request as state;
+use crate::clock;
+use crate::outcome;
+use crate::request;
+use crate::routing;
+use crate::timeline;
+
+impl super::Reducer {
+    /// Sends waiting requests to upstreams for as long as there is capacity.
+    pub(super) fn dispatch_all(&mut self, now: clock::Instant) {
+        loop {
+            let (table, requests, zone) = (&self.table, &self.requests, &self.zone);
+            let ticket = self.queue.pop(now, |ticket| {
+                requests
+                    .get(&ticket.id)
+                    .is_none_or(|request| table.can_run(now, &need(request, zone)))
+            });
+            let Some(ticket) = ticket else { return };
+            self.dispatch(now, ticket.id);
+        }
+    }
+
+    fn dispatch(&mut self, now: clock::Instant, id: request::Id) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let need = need(request, &self.zone);
+        let random = &mut self.random;
+        let Ok(upstream) = self.table.pick(now, &need, &mut || random.u64(..)) else {
+            return self.enqueue(now, id);
+        };
+        let attempt = attempt_id(id, request.attempts);
+        self.table.started(now, attempt, &upstream, &need);
+        if request.attempts == 0 {
+            self.budget.request(now);
+        }
+        request.cursor.resume(attempt);
+        request.attempts += 1;
+        request.stage = state::Stage::Running;
+        request.attempt = Some(state::Attempt {
+            id: attempt,
+            upstream: upstream.clone(),
+            sent: false,
+        });
+        let effect = super::Effect::Dispatch {
+            request: id,
+            attempt,
+            upstream,
+            workspace: request.workspace().cloned(),
+            idempotent: request.idempotent,
+            position: request.cursor.position(),
+        };
+        self.attempts.insert(attempt, id);
+        self.emit(effect);
+        self.note(timeline::Kind::Dispatched, id, "");
+    }
+
+    /// Ends the running attempt of a request and returns it.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        failure: routing::Failure,
+    ) -> Option<state::Attempt> {
+        let attempt = self.requests.get_mut(&id)?.attempt.take()?;
+        self.attempts.remove(&attempt.id);
+        self.table.failed(now, attempt.id, failure);
+        Some(attempt)
+    }
+
+    /// Ends a request without a complete answer.
+    pub(super) fn end_refused(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        refusal: super::Refusal,
+    ) {
+        if !self.requests.contains_key(&id) {
+            return;
+        }
+        self.note(timeline::Kind::Refused, id, refusal.reason.as_str());
+        self.release(now, id);
+        self.emit(super::Effect::Refuse(id, refusal));
+    }
+
+    /// Ends a request whose caller has gone away.
+    pub(super) fn abandon(&mut self, now: clock::Instant, id: request::Id) {
+        if self.requests.contains_key(&id) {
+            self.note(timeline::Kind::Cancelled, id, "");
+            self.release(now, id);
+            self.dispatch_all(now);
+        }
+    }
+
+    /// Gives back all that a request holds: its place, its attempt, its claim and its unused tokens.
+    fn release(&mut self, now: clock::Instant, id: request::Id) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        // Read before the attempt is taken away, which tells whether anything was sent.
+        let (outcome, used) = (request.outcome(), request.used());
+        if let Some(workspace) = request.workspace().cloned() {
+            self.pending.remove(&workspace, id);
+        }
+        self.queue.remove(now, id);
+        if let Some(attempt) = self.end_attempt(now, id, routing::Failure::Cancelled) {
+            let effect = super::Effect::Cancel {
+                attempt: attempt.id,
+                upstream: attempt.upstream,
+            };
+            self.emit(effect);
+        }
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        if let Some(reservation) = request.reservation {
+            self.ledger.settle(now, reservation, used);
+        }
+        // An unknown outcome keeps the claim, so that a repeat cannot run a second time.
+        if request.is_claimed && outcome == outcome::Outcome::NotRun {
+            self.emit(super::Effect::Unclaim(id));
+        }
+    }
+
+    /// Notes something about a request in the timeline.
+    pub(super) fn note(&mut self, kind: timeline::Kind, id: request::Id, detail: &str) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let record = super::Record {
+            kind,
+            request: Some(id),
+            workspace: request.workspace().cloned(),
+            model: request.arrival.model.clone(),
+            upstream: request
+                .attempt
+                .as_ref()
+                .map(|attempt| attempt.upstream.clone()),
+            detail: detail.to_owned(),
+        };
+        self.record(record);
+    }
+}
+
+/// Returns what a request needs of an upstream.
+pub(super) fn need<'a>(
+    request: &'a state::Request,
+    zone: &'a crate::name::Name,
+) -> routing::Need<'a> {
+    routing::Need {
+        model: request.arrival.model.as_ref(),
+        adapter: request.arrival.adapter.as_ref(),
+        group: &request.group,
+        prefixes: &request.arrival.prefixes,
+        zone,
+        exclude: &request.excluded,
+    }
+}
+
+/// Returns the identifier of the attempt after `earlier` ones. Identifiers of requests are random, so that those of
+/// attempts are unique as well.
+fn attempt_id(id: request::Id, earlier: u32) -> request::Id {
+    request::Id::from_u128(id.as_u128().wrapping_add(u128::from(earlier)))
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/entry/request.rs
@@ -0,0 +1,78 @@
+use crate::key;
+use crate::name;
+use crate::outcome;
+use crate::rate;
+use crate::request;
+use crate::resource;
+use crate::stream;
+
+/// A request that has not ended.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) arrival: super::Arrival,
+    pub(super) target: resource::Target,
+    pub(super) group: name::Name,
+    pub(super) grant: Option<key::Grant>,
+    pub(super) idempotent: bool,
+    pub(super) stage: Stage,
+    pub(super) reservation: Option<rate::Reservation>,
+    pub(super) is_claimed: bool,
+    pub(super) cursor: stream::Cursor,
+    pub(super) attempt: Option<Attempt>,
+    pub(super) attempts: u32,
+    pub(super) earlier: outcome::Outcome,
+    pub(super) excluded: Vec<name::Name>,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// It waits for tokens.
+    Tokens,
+    /// Its idempotency key is being claimed.
+    Claim,
+    /// It waits for an upstream.
+    Queue,
+    /// An attempt is running.
+    Running,
+}
+
+/// A running attempt at a request.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    pub(super) id: request::Id,
+    pub(super) upstream: name::Name,
+    pub(super) sent: bool,
+}
+
+impl Request {
+    pub(super) fn workspace(&self) -> Option<&name::Name> {
+        self.grant.as_ref().map(|grant| &grant.workspace)
+    }
+
+    pub(super) fn is_model(&self) -> bool {
+        self.target == resource::Target::Models
+    }
+
+    /// Returns what is known about the execution when the request ends now without an answer.
+    pub(super) fn outcome(&self) -> outcome::Outcome {
+        let is_sent = self.attempt.as_ref().is_some_and(|attempt| attempt.sent);
+        if is_sent || self.cursor.position() > 0 {
+            return outcome::Outcome::Unknown;
+        }
+        self.earlier
+    }
+
+    /// Returns the tokens that the request has used so far.
+    pub(super) fn used(&self) -> u64 {
+        if self.attempts == 0 || self.outcome() == outcome::Outcome::NotRun {
+            return 0;
+        }
+        let generated = if self.is_model() {
+            self.cursor.position()
+        } else {
+            0
+        };
+        self.arrival.prompt_tokens.saturating_add(generated)
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/entry/rules.rs
@@ -0,0 +1,39 @@
+use std::time;
+
+use crate::admission;
+use crate::rate;
+use crate::routing;
+
+/// The rules of an entry host as plain values.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// The bounds and the policy of the queue.
+    pub admission: admission::Limits,
+    /// The rules for choosing an upstream.
+    pub routing: routing::Policy,
+    /// The rules that keep the tokens of all hosts within the rate.
+    pub rate: rate::Rules,
+    /// The number of shards that each rate is divided into.
+    pub shards: u32,
+    /// The time for which a shard is valid without a renewal.
+    pub shard_validity: time::Duration,
+    /// The longest time that a request waits for tokens before it is refused.
+    pub token_wait: time::Duration,
+    /// The most requests of one workspace that wait for tokens.
+    pub token_waiters: usize,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            admission: admission::Limits::default(),
+            routing: routing::Policy::default(),
+            rate: rate::Rules::GUARDED,
+            shards: rate::SHARDS,
+            shard_validity: rate::VALIDITY,
+            // Longer than one round trip to a peer, shorter than the bound on the first token.
+            token_wait: time::Duration::from_millis(250),
+            token_waiters: 64,
+        }
+    }
+}
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod clock;
 pub mod config;
+pub mod entry;
 pub mod freshness;
 pub mod key;
 pub mod name;
--- a/crates/carawaycleat-wire/src/decoder.rs
+++ b/crates/carawaycleat-wire/src/decoder.rs
@@ -8,7 +8,7 @@
 /// ```
 /// use carawaycleat_wire as wire;
 ///
-/// let frame = wire::Frame::new(wire::Id::from_u128(7), wire::Part::Started);
+/// let frame = wire::Frame::new(wire::Id::from_u128(7), wire::Part::End { count: 0 });
 /// let mut bytes = Vec::new();
 /// wire::encode_frame(&frame, &mut bytes).expect("a short frame");
 /// let mut decoder = wire::Decoder::default();
--- a/crates/carawaycleat-wire/src/message/digest.rs
+++ b/crates/carawaycleat-wire/src/message/digest.rs
@@ -1,10 +1,13 @@
 use std::net;
 
+use carawaycleat_core::clock;
 use carawaycleat_core::name;
 
 /// What entry hosts tell each other at each exchange.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Digest {
+    /// The sender's logical time.
+    pub stamp: clock::Stamp,
     /// The host that sends it.
     pub host: name::Name,
     /// The incarnation of its process; a restart increases it.
--- a/crates/carawaycleat-wire/src/message/frame.rs
+++ b/crates/carawaycleat-wire/src/message/frame.rs
@@ -1,3 +1,4 @@
+use carawaycleat_core::clock;
 use carawaycleat_core::outcome;
 
 /// A part of the answer to a [`Job`](super::Job).
@@ -20,7 +21,10 @@
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum Part {
     /// The first byte is about to leave for the upstream; from here on the request may have run.
-    Started,
+    Started {
+        /// The sidecar's logical time.
+        stamp: clock::Stamp,
+    },
     /// A token of a model's answer.
     Token {
         /// The number of tokens before this one.
--- a/crates/carawaycleat-wire/src/message/job.rs
+++ b/crates/carawaycleat-wire/src/message/job.rs
@@ -1,3 +1,4 @@
+use carawaycleat_core::clock;
 use carawaycleat_core::name;
 
 /// A request that an entry host sends to a sidecar.
@@ -5,6 +6,8 @@
 pub struct Job {
     /// The identifier of the request.
     pub id: super::Id,
+    /// The sender's logical time.
+    pub stamp: clock::Stamp,
     /// The entry host that sends it.
     pub host: name::Name,
     /// The workspace that it runs for; none on a route open to all.
--- a/crates/carawaycleat-wire/src/message/report.rs
+++ b/crates/carawaycleat-wire/src/message/report.rs
@@ -1,8 +1,11 @@
+use carawaycleat_core::clock;
 use carawaycleat_core::name;
 
 /// What a sidecar tells an entry host about its upstream.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Report {
+    /// The sender's logical time.
+    pub stamp: clock::Stamp,
     /// The upstream.
     pub upstream: name::Name,
     /// The incarnation of the sidecar; a restart increases it.
@@ -21,6 +24,8 @@
     pub in_flight: u32,
     /// The requests that wait in the engine, from its lagging load report.
     pub waiting: u32,
+    /// The most requests in flight that the upstream takes; 0 when it is not known.
+    pub capacity: u32,
     /// The tokens generated since the sidecar started.
     pub tokens: u64,
     /// The revision of the plan that was last taken up.
@@ -43,6 +48,8 @@
 /// An entry host's answer to a [`Report`].
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Directive {
+    /// The sender's logical time.
+    pub stamp: clock::Stamp,
     /// The revision of the configuration that the directive was made from.
     pub revision: u64,
     /// Whether the upstream is configured at all.
--- a/crates/carawaycleat-wire/tests/suite/codec.rs
+++ b/crates/carawaycleat-wire/tests/suite/codec.rs
@@ -1,11 +1,18 @@
+use carawaycleat_core::clock;
+use carawaycleat_core::name;
 use carawaycleat_wire as wire;
 
+fn stamp() -> clock::Stamp {
+    let host = name::Name::parse("engine-1").expect("a valid name");
+    clock::Hybrid::new(host).tick(1)
+}
+
 /// Guards against frames that cross a read boundary being lost or joined.
 #[test]
 fn frames_split_at_every_byte_arrive_whole() {
     let id = wire::Id::from_u128(u128::MAX - 1);
     let frames = [
-        wire::Frame::new(id, wire::Part::Started),
+        wire::Frame::new(id, wire::Part::Started { stamp: stamp() }),
         wire::Frame::new(
             id,
             wire::Part::Token {
