feat(standin): add the stand-ins' state machines

Cause: tests, the demonstration and the load tool need the systems around carawaycleat without those systems. Change: state machines of the store, engine, plain service, weight store and host list, each with the time as an argument and its faults as data.

--- /dev/null
+++ b/crates/carawaycleat-standin/src/service.rs
@@ -0,0 +1,9 @@
+//! A stand-in of a plain service that records what it executed.
+
+mod state;
+
+pub use state::Action;
+pub use state::Execution;
+pub use state::Faults;
+pub use state::State;
+pub use state::expected;
--- /dev/null
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Integration tests of the stand-ins, a module per feature.
+
+mod engine;
+mod engine_faults;
+mod hosts;
+mod service;
+mod store;
+mod weights;
