feat(standin): serve the stand-ins over HTTP and as a program

Cause: the state machines could only be called in process. Change: a thin HTTP layer on carawaycleat-net for each stand-in, started in process on any port, and the program carawaycleat-standin with the sub-commands store, engine, service, weights and hosts.

--- a/crates/carawaycleat-standin/src/engine.rs
+++ b/crates/carawaycleat-standin/src/engine.rs
@@ -9,6 +9,7 @@
 mod order;
 mod report;
 mod request;
+mod server;
 mod state;
 mod text;
 
@@ -35,6 +36,7 @@
 pub use report::ResidentState;
 pub use request::Execution;
 pub use request::Request;
+pub use server::Engine;
 pub use state::Records;
 pub use state::State;
 pub use text::chat_prompt;
--- a/crates/carawaycleat-standin/src/engine/memory.rs
+++ b/crates/carawaycleat-standin/src/engine/memory.rs
@@ -193,7 +193,7 @@
             free_at: now,
         };
         self.held.insert(key.clone(), held);
-        if options.external_weights {
+        if options.weights.is_some() {
             self.fetches.push(order::Fetch {
                 order: order.id.clone(),
                 incarnation: self.incarnation,
--- a/crates/carawaycleat-standin/src/engine/options.rs
+++ b/crates/carawaycleat-standin/src/engine/options.rs
@@ -1,3 +1,4 @@
+use std::net;
 use std::time;
 
 use carawaycleat_core::resource;
@@ -7,6 +8,11 @@
 /// The properties of an engine.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// The address to listen on; only for [`Engine`](super::Engine).
+    pub listen: net::SocketAddr,
+    /// The weight store to load from. Without one, loads run at the rates of `site`. The state machine returns the
+    /// loads from [`State::take_fetches`](super::State::take_fetches).
+    pub weights: Option<net::SocketAddr>,
     /// The accelerator memory for models and adapters, in bytes. The prefix cache has its own memory.
     pub memory_bytes: u64,
     /// The requests that run at once.
@@ -21,8 +27,6 @@
     pub cache_blocks: usize,
     /// The rates of loads when no weight store is asked.
     pub site: weights::Site,
-    /// Whether loads wait for [`State::finish_load`](super::State::finish_load) instead of the rates of `site`.
-    pub external_weights: bool,
     /// The time from an unload order until the memory is free.
     pub unload_time: time::Duration,
     /// Whether orders with an old fencing number are refused.
@@ -42,6 +46,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            listen: ([127, 0, 0, 1], 0).into(),
+            weights: None,
             memory_bytes: 80 * GIGABYTE,
             max_batch: 32,
             step_base: time::Duration::from_millis(8),
@@ -49,7 +55,6 @@
             prefill_per_token: time::Duration::from_micros(100),
             cache_blocks: 4_096,
             site: weights::Site::SAVANNAH,
-            external_weights: false,
             unload_time: time::Duration::from_millis(20),
             fencing: resource::Fencing::Checked,
             checks_memory: true,
--- /dev/null
+++ b/crates/carawaycleat-standin/src/main.rs
@@ -0,0 +1,44 @@
+//! The stand-ins as a program.
+
+use std::future;
+use std::io::Write as _;
+use std::net;
+use std::process;
+use std::sync;
+
+use carawaycleat_net as http;
+use carawaycleat_standin as standin;
+
+mod command;
+
+fn main() -> process::ExitCode {
+    let executor = sync::Arc::new(http::Executor::new());
+    let started = command::parser()
+        .run()
+        .start(&executor)
+        .and_then(|address| announce(address).map_err(http::Error::from));
+    if let Err(error) = started {
+        eprintln!("carawaycleat-standin: {error}");
+        return process::ExitCode::FAILURE;
+    }
+    futures_lite::future::block_on(executor.run(future::pending()))
+}
+
+/// Prints the address, for which a starting script waits.
+fn announce(address: net::SocketAddr) -> std::io::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "listening on {address}")?;
+    out.flush()
+}
+
+impl command::Command {
+    fn start(self, executor: &sync::Arc<http::Executor>) -> http::Result<net::SocketAddr> {
+        Ok(match self {
+            Self::Store(options) => standin::Store::start(executor, options)?.local_address(),
+            Self::Engine(options) => standin::Engine::start(executor, options)?.local_address(),
+            Self::Service(options) => standin::Service::start(executor, options)?.local_address(),
+            Self::Weights(options) => standin::Weights::start(executor, options)?.local_address(),
+            Self::Hosts(options) => standin::Hosts::start(executor, options)?.local_address(),
+        })
+    }
+}
--- a/crates/carawaycleat-standin/src/store/state.rs
+++ b/crates/carawaycleat-standin/src/store/state.rs
@@ -196,6 +196,11 @@
         line(&Streamed { result })
     }
 
+    /// Counts all watches as closed, as they are after a stop.
+    pub(super) fn forget_watches(&mut self) {
+        self.counts.watches = 0;
+    }
+
     /// Counts a watch as closed.
     pub fn close_watch(&mut self) {
         self.counts.watches = self.counts.watches.saturating_sub(1);
--- a/crates/carawaycleat-standin/tests/suite/engine_faults.rs
+++ b/crates/carawaycleat-standin/tests/suite/engine_faults.rs
@@ -128,7 +128,7 @@
 #[test]
 fn a_delivery_to_an_earlier_incarnation_is_ignored() {
     let mut state = engine::State::new(engine::Options {
-        external_weights: true,
+        weights: Some(([127, 0, 0, 1], 1).into()),
         ..Default::default()
     });
     let now = carawaycleat_core::clock::Instant::default();
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod engine;
 mod engine_faults;
 mod hosts;
+mod http;
 mod service;
 mod store;
 mod weights;
