--- /dev/null
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -0,0 +1,9 @@
+//! Integration tests of the stand-ins, a module per feature.
+
+mod engine;
+mod engine_faults;
+mod hosts;
+mod http;
+mod service;
+mod store;
+mod weights;
