feat: add the command line and the resource files

Cause: operators need to check resource files without a server, write them safely and see what the system does.

Change: `manifest` reads resource files and reports all problems of all files with file, line and what is allowed; a key may name a secret file, of which only the digest is used, and no message quotes a secret. `carawaycleat check | apply | get | delete | watch | status | timeline` use the operators' interface. A write is conditional on what was read before it, and goes to another server only when it has certainly not left for the one before. The header limit of the settings is now at most 8191 bytes, because async-h1 decodes no longer header section.

The command line is tested against a small server in the test suite, not yet against the entry host.

Conclusion: the command line is complete apart from what the entry host's answers show once it serves them.

--- /dev/null
+++ b/crates/carawaycleat/src/bin/carawaycleat.rs
@@ -0,0 +1,7 @@
+//! Command line for operators of the carawaycleat serving system.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    carawaycleat::cli::main().into()
+}
--- /dev/null
+++ b/crates/carawaycleat/src/cli.rs
@@ -0,0 +1,92 @@
+//! The command line for operators.
+
+mod answer;
+mod apply;
+mod check;
+mod client;
+mod delete;
+mod error;
+mod get;
+mod options;
+mod status;
+mod text;
+mod timeline;
+mod watch;
+
+use std::io;
+
+pub use error::Error;
+pub use error::Result;
+pub use options::Command;
+pub use options::Common;
+pub use options::Options;
+pub use options::Output;
+
+/// The exit code of success.
+pub const EXIT_OK: u8 = 0;
+/// The exit code when the server refused or a file could not be written.
+pub const EXIT_FAILED: u8 = 1;
+/// The exit code for a wrong command line or an invalid file.
+pub const EXIT_USAGE: u8 = 2;
+/// The exit code when the resource has changed or is in use.
+pub const EXIT_CONFLICT: u8 = 3;
+/// The exit code when a server cannot be reached.
+pub const EXIT_UNREACHABLE: u8 = 4;
+
+/// Parses the command line, runs the command and returns the exit code.
+pub fn main() -> u8 {
+    match options::parser().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => report(run(&options, &mut io::stdout().lock())),
+        Err(failure) => {
+            failure.print_message(options::WIDTH);
+            if failure.exit_code() == 0 {
+                EXIT_OK
+            } else {
+                EXIT_USAGE
+            }
+        }
+    }
+}
+
+/// Runs a command and writes its output to `out`.
+///
+/// # Errors
+///
+/// Returns an error whose [`Error::code`] is the exit code.
+pub fn run(options: &Options, out: &mut dyn io::Write) -> Result<()> {
+    let client = client::Client::new(&options.common.servers);
+    let output = options.common.output;
+    futures_lite::future::block_on(async {
+        match &options.command {
+            Command::Check { files } => check::run(files, output, out),
+            Command::Apply {
+                files,
+                if_match,
+                dry_run,
+            } => apply::run(&client, files, *if_match, *dry_run, output, out).await,
+            Command::Get { kind, name } => {
+                get::run(&client, *kind, name.as_ref(), output, out).await
+            }
+            Command::Delete {
+                kind,
+                name,
+                if_match,
+            } => delete::run(&client, *kind, name, *if_match, output, out).await,
+            Command::Watch { kind } => watch::run(&client, *kind, output, out).await,
+            Command::Status => status::run(&client, output, out).await,
+            Command::Timeline { filter } => timeline::run(&client, filter, output, out).await,
+        }
+    })
+}
+
+fn report(result: Result<()>) -> u8 {
+    match result {
+        Ok(()) => EXIT_OK,
+        // The reader of a pipe, such as `head`, has seen enough.
+        Err(Error::Output(error)) if error.kind() == io::ErrorKind::BrokenPipe => EXIT_OK,
+        Err(error) => {
+            eprintln!("{error}");
+            error.code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/cli/answer.rs
@@ -0,0 +1,71 @@
+//! Answers of the operators' interface.
+
+use carawaycleat_core::name;
+use carawaycleat_core::resource;
+
+/// The resources of a kind.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub(super) struct Listing {
+    /// The configuration revision of the listing.
+    pub(super) revision: u64,
+    /// The resources.
+    pub(super) items: Vec<Item>,
+}
+
+/// A resource with its revision.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub(super) struct Item {
+    /// The name.
+    pub(super) name: name::Name,
+    /// The revision of the last write.
+    pub(super) revision: u64,
+    /// The resource.
+    pub(super) resource: resource::Resource,
+}
+
+/// The result of a write.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub(super) struct Written {
+    /// The name.
+    pub(super) name: name::Name,
+    /// The revision of the write.
+    pub(super) revision: u64,
+    /// The number of entry hosts that have applied the write.
+    #[serde(default)]
+    pub(super) applied: u64,
+    /// The number of known entry hosts.
+    #[serde(default)]
+    pub(super) hosts: u64,
+}
+
+/// A change of a resource.
+#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+pub(super) struct Change {
+    /// The revision of the change.
+    pub(super) revision: u64,
+    /// The kind.
+    pub(super) kind: resource::Kind,
+    /// The name.
+    pub(super) name: name::Name,
+    /// The resource, or none when it was deleted.
+    pub(super) resource: Option<resource::Resource>,
+}
+
+/// The body of a refusal.
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+pub(super) struct Refusal {
+    /// The error.
+    #[serde(default)]
+    pub(super) error: Detail,
+    /// The current revision, for a conflict.
+    #[serde(default)]
+    pub(super) revision: u64,
+}
+
+/// The error of a refusal.
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+pub(super) struct Detail {
+    /// The text for people.
+    #[serde(default)]
+    pub(super) message: String,
+}
--- /dev/null
+++ b/crates/carawaycleat/src/cli/client.rs
@@ -0,0 +1,137 @@
+use std::net;
+use std::time;
+
+use carawaycleat_net as http;
+
+use super::answer;
+
+/// A client of the operators' interface.
+pub(super) struct Client {
+    pool: http::Pool,
+    servers: Vec<net::SocketAddr>,
+}
+
+/// An answer that is not a refusal.
+pub(super) struct Answer {
+    /// The server that answered.
+    pub(super) server: net::SocketAddr,
+    /// The HTTP status.
+    pub(super) status: u16,
+    /// The body.
+    pub(super) body: Vec<u8>,
+}
+
+/// The server waits up to 3 s for a majority before it answers a write.
+const TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Holds the resources of the target scale several times over.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+impl Client {
+    pub(super) fn new(servers: &[net::SocketAddr]) -> Self {
+        Self {
+            pool: http::Pool::default(),
+            servers: servers.to_owned(),
+        }
+    }
+
+    /// Sends `request` to the first server that can be reached.
+    ///
+    /// A write goes to another server only when it has certainly not left for the one before.
+    pub(super) async fn call(&self, request: http::Request) -> super::Result<Answer> {
+        let (server, mut reply) = self.open(request).await?;
+        read(server, &mut reply).await
+    }
+
+    /// Sends `request` to every server, and returns the answers and the errors of the servers without one.
+    ///
+    /// The error of a single server is returned as it is.
+    pub(super) async fn call_all(
+        &self,
+        request: &http::Request,
+    ) -> super::Result<(Vec<Answer>, Vec<String>)> {
+        let mut answers = Vec::new();
+        let mut failed = Vec::new();
+        for &server in &self.servers {
+            match self.call_one(server, request.clone()).await {
+                Ok(answer) => answers.push(answer),
+                Err(error) if self.servers.len() == 1 => return Err(error),
+                Err(error) => failed.push(format!("{server}: {error}")),
+            }
+        }
+        Ok((answers, failed))
+    }
+
+    async fn call_one(
+        &self,
+        server: net::SocketAddr,
+        request: http::Request,
+    ) -> super::Result<Answer> {
+        let mut reply = self.send(server, request).await?;
+        read(server, &mut reply).await
+    }
+
+    /// Sends `request` to the first server that can be reached and returns the answer before its body has arrived.
+    pub(super) async fn open(
+        &self,
+        request: http::Request,
+    ) -> super::Result<(net::SocketAddr, http::Reply)> {
+        let mut result = Err(super::Error::Usage("no server is given".to_owned()));
+        for &server in &self.servers {
+            result = self
+                .send(server, request.clone())
+                .await
+                .map(|reply| (server, reply));
+            if !matches!(result, Err(super::Error::Unreachable(..))) {
+                break;
+            }
+        }
+        result
+    }
+
+    async fn send(
+        &self,
+        server: net::SocketAddr,
+        request: http::Request,
+    ) -> super::Result<http::Reply> {
+        let is_read = request.method == "GET";
+        let result = self.pool.send(server, request, TIMEOUT).await;
+        result.map_err(|failure| {
+            let text = failure.error.to_string();
+            if failure.sent && !is_read {
+                super::Error::Unknown(server, text)
+            } else {
+                super::Error::Unreachable(server, text)
+            }
+        })
+    }
+}
+
+async fn read(server: net::SocketAddr, reply: &mut http::Reply) -> super::Result<Answer> {
+    let body = reply.body.bytes(MAX_BODY_BYTES).await;
+    let status = reply.status;
+    match body {
+        Ok(body) if status < 300 => Ok(Answer {
+            server,
+            status,
+            body,
+        }),
+        Ok(body) => Err(refusal(status, &body)),
+        Err(error) => Err(super::Error::Answer(format!(
+            "{server}, status {status}: {error}"
+        ))),
+    }
+}
+
+/// Returns the error for an answer with a status of 300 or more.
+pub(super) fn refusal(status: u16, body: &[u8]) -> super::Error {
+    let refusal: answer::Refusal = serde_json::from_slice(body).unwrap_or_default();
+    let text = match refusal.error.message {
+        text if text.is_empty() => "no reason given".to_owned(),
+        text => text,
+    };
+    match status {
+        409 | 412 => super::Error::Conflict(text, refusal.revision),
+        _ => super::Error::Refused(status, text),
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/cli/get.rs
@@ -0,0 +1,58 @@
+use std::io;
+
+use carawaycleat_core::name;
+use carawaycleat_core::resource;
+use carawaycleat_net as http;
+
+use super::answer;
+use super::client;
+use super::text;
+
+/// Shows one resource or all of a kind.
+pub(super) async fn run(
+    client: &client::Client,
+    kind: resource::Kind,
+    name: Option<&name::Name>,
+    output: super::Output,
+    out: &mut dyn io::Write,
+) -> super::Result<()> {
+    let Some(name) = name else {
+        let answer = client
+            .call(http::Request::new("GET", format!("/v1/resources/{kind}")))
+            .await?;
+        let listing: answer::Listing = serde_json::from_slice(&answer.body)?;
+        return match output {
+            super::Output::Json => text::json(out, &listing),
+            super::Output::Text => {
+                writeln!(
+                    out,
+                    "# {} resources at revision {}",
+                    listing.items.len(),
+                    listing.revision
+                )?;
+                listing.items.iter().try_for_each(|item| write(out, item))
+            }
+        };
+    };
+    let item = one(client, kind, name).await?;
+    match output {
+        super::Output::Json => text::json(out, &item),
+        super::Output::Text => write(out, &item),
+    }
+}
+
+/// Returns the resource `name`.
+pub(super) async fn one(
+    client: &client::Client,
+    kind: resource::Kind,
+    name: &name::Name,
+) -> super::Result<answer::Item> {
+    let request = http::Request::new("GET", format!("/v1/resources/{kind}/{name}"));
+    Ok(serde_json::from_slice(&client.call(request).await?.body)?)
+}
+
+fn write(out: &mut dyn io::Write, item: &answer::Item) -> super::Result<()> {
+    let table = text::table(&item.name, &item.resource)?;
+    writeln!(out, "# revision {}\n{table}", item.revision)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/carawaycleat/src/cli/status.rs
@@ -0,0 +1,68 @@
+use std::io;
+
+use carawaycleat_net as http;
+
+use super::client;
+use super::text;
+
+/// Shows the state of each entry host.
+pub(super) async fn run(
+    client: &client::Client,
+    output: super::Output,
+    out: &mut dyn io::Write,
+) -> super::Result<()> {
+    let request = http::Request::new("GET", "/v1/status");
+    let (answers, failed) = client.call_all(&request).await?;
+    for answer in answers {
+        let server = answer.server;
+        let status: serde_json::Value = serde_json::from_slice(&answer.body)?;
+        if output == super::Output::Json {
+            text::json(
+                out,
+                &serde_json::json!({ "server": server, "status": status }),
+            )?;
+        } else {
+            writeln!(out, "server {server}")?;
+            write(out, &status)?;
+        }
+    }
+    if failed.is_empty() {
+        Ok(())
+    } else {
+        Err(super::Error::Partial(failed))
+    }
+}
+
+/// Writes a line per field, and a line per element of a field that is a list.
+fn write(out: &mut dyn io::Write, status: &serde_json::Value) -> super::Result<()> {
+    for (key, value) in status.as_object().into_iter().flatten() {
+        match value {
+            serde_json::Value::Array(items) => {
+                writeln!(out, "  {key}: {}", items.len())?;
+                for item in items {
+                    writeln!(out, "    {}", flat(item))?;
+                }
+            }
+            other => writeln!(out, "  {key}: {}", flat(other))?,
+        }
+    }
+    Ok(())
+}
+
+fn flat(value: &serde_json::Value) -> String {
+    match value {
+        serde_json::Value::Object(fields) => {
+            let fields: Vec<_> = fields
+                .iter()
+                .map(|(key, value)| format!("{key}={}", flat(value)))
+                .collect();
+            fields.join(" ")
+        }
+        serde_json::Value::Array(items) => {
+            let items: Vec<_> = items.iter().map(flat).collect();
+            format!("[{}]", items.join(", "))
+        }
+        serde_json::Value::String(text) => text.escape_debug().to_string(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/cli/watch.rs
@@ -0,0 +1,110 @@
+use std::io;
+use std::time;
+
+use carawaycleat_core::resource;
+use carawaycleat_net as http;
+
+use super::answer;
+use super::client;
+use super::text;
+
+/// The pause before a watch that ended without a change is opened again.
+const PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// The longest line, which is one resource of at most 1 MB with its name.
+const MAX_LINE_BYTES: usize = 2 << 20;
+
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
+/// Follows changes until a server cannot be reached or the output is closed.
+///
+/// A watch that ends is opened again after the last revision that was shown.
+pub(super) async fn run(
+    client: &client::Client,
+    kind: Option<resource::Kind>,
+    output: super::Output,
+    out: &mut dyn io::Write,
+) -> super::Result<()> {
+    let mut since = None;
+    loop {
+        let before = since;
+        let request = http::Request::new("GET", path(kind, since));
+        let (_, mut reply) = client.open(request).await?;
+        if reply.status >= 300 {
+            let body = reply
+                .body
+                .bytes(MAX_REFUSAL_BYTES)
+                .await
+                .unwrap_or_default();
+            return Err(client::refusal(reply.status, &body));
+        }
+        follow(&mut reply.body, &mut since, output, out).await?;
+        if since == before {
+            async_io::Timer::after(PAUSE).await;
+        }
+    }
+}
+
+fn path(kind: Option<resource::Kind>, since: Option<u64>) -> String {
+    let kind = kind.map(|kind| format!("kind={kind}"));
+    let since = since.map(|since| format!("since={since}"));
+    let query: Vec<_> = kind.into_iter().chain(since).collect();
+    match query.is_empty() {
+        true => "/v1/watch".to_owned(),
+        false => format!("/v1/watch?{}", query.join("&")),
+    }
+}
+
+/// Shows changes until the body ends or breaks off.
+async fn follow(
+    body: &mut http::Reader,
+    since: &mut Option<u64>,
+    output: super::Output,
+    out: &mut dyn io::Write,
+) -> super::Result<()> {
+    let mut pending = Vec::new();
+    while let Ok(Some(piece)) = body.next().await {
+        pending.extend_from_slice(&piece);
+        while let Some(end) = pending.iter().position(|&byte| byte == b'\n') {
+            let line: Vec<_> = pending.drain(..=end).collect();
+            if line.trim_ascii().is_empty() {
+                // An empty line keeps an idle connection open.
+                continue;
+            }
+            let change: answer::Change = serde_json::from_slice(&line)?;
+            *since = Some(change.revision);
+            show(&change, output, out)?;
+        }
+        if pending.len() > MAX_LINE_BYTES {
+            return Err(super::Error::Answer(format!(
+                "a line of more than {MAX_LINE_BYTES} bytes"
+            )));
+        }
+    }
+    Ok(())
+}
+
+fn show(
+    change: &answer::Change,
+    output: super::Output,
+    out: &mut dyn io::Write,
+) -> super::Result<()> {
+    if output == super::Output::Json {
+        return text::json(out, change);
+    }
+    let verb = if change.resource.is_some() {
+        "written"
+    } else {
+        "deleted"
+    };
+    writeln!(
+        out,
+        "revision {}: {}/{} {verb}",
+        change.revision, change.kind, change.name
+    )?;
+    if let Some(resource) = &change.resource {
+        writeln!(out, "{}", text::table(&change.name, resource)?)?;
+    }
+    out.flush()?;
+    Ok(())
+}
--- a/crates/carawaycleat/src/document/sink.rs
+++ b/crates/carawaycleat/src/document/sink.rs
@@ -35,6 +35,11 @@
         1 + before.filter(|&&byte| byte == b'\n').count()
     }
 
+    /// Returns the number of problems.
+    pub(super) fn len(&self) -> usize {
+        self.problems.borrow().len()
+    }
+
     pub(super) fn into_problems(self) -> Vec<super::Problem> {
         let mut problems = self.problems.into_inner();
         problems.sort();
--- a/crates/carawaycleat/src/document/table.rs
+++ b/crates/carawaycleat/src/document/table.rs
@@ -3,8 +3,11 @@
 use std::ops;
 use std::str;
 
+use carawaycleat_core::name;
 use toml::de::DeValue;
 
+const NAME: &str = "a name of 1 to 128 characters of a-z, A-Z, 0-9, '-', '_', '.' and '@'";
+
 /// A table of a document whose keys are read one by one.
 ///
 /// A key that is missing gives the default. A key with a wrong value is reported and also gives the default, so that
@@ -176,12 +179,7 @@
 
     /// Returns the string `key` parsed as `T`, or none when it is missing or wrong.
     pub(crate) fn parsed<T: str::FromStr>(&self, key: &'static str, allowed: &str) -> Option<T> {
-        let value = self.value(key)?;
-        let parsed = value.as_str().and_then(|text| text.parse().ok());
-        if parsed.is_none() {
-            self.report(key, describe(value), allowed);
-        }
-        parsed
+        self.converted(key, allowed, |text| text.parse().ok())
     }
 
     /// Returns the string `key` converted by `convert`, or `default`.
@@ -192,17 +190,53 @@
         default: T,
         convert: impl FnOnce(&str) -> Option<T>,
     ) -> T {
-        let Some(value) = self.value(key) else {
-            return default;
-        };
-        value.as_str().and_then(convert).unwrap_or_else(|| {
+        self.converted(key, allowed, convert).unwrap_or(default)
+    }
+
+    /// Returns the string `key` converted by `convert`, or none when it is missing or wrong.
+    pub(crate) fn converted<T>(
+        &self,
+        key: &'static str,
+        allowed: &str,
+        convert: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.value(key)?;
+        let converted = value.as_str().and_then(convert);
+        if converted.is_none() {
             self.report(key, describe(value), allowed);
-            default
-        })
+        }
+        converted
+    }
+
+    /// Returns the name `key`, or none when it is missing or wrong.
+    pub(crate) fn name(&self, key: &'static str) -> Option<name::Name> {
+        self.converted(key, NAME, |text| name::Name::parse(text).ok())
+    }
+
+    /// Returns the required name `key`, or none when it is missing or wrong, which is reported.
+    pub(crate) fn required_name(&self, key: &'static str) -> Option<name::Name> {
+        self.require(key, NAME);
+        self.name(key)
+    }
+
+    /// Returns the names of the array `key`; a missing one is empty.
+    pub(crate) fn names(&self, key: &'static str) -> Vec<name::Name> {
+        self.list_with(key, NAME, |text| name::Name::parse(text).ok())
+            .unwrap_or_default()
     }
 
     /// Returns the strings of the array `key` parsed as `T`, or none when the key is missing.
     pub(crate) fn list<T: str::FromStr>(&self, key: &'static str, allowed: &str) -> Option<Vec<T>> {
+        self.list_with(key, allowed, |text| text.parse().ok())
+    }
+
+    /// Returns the strings of the array `key` converted by `convert`, or none when the key is missing.
+    pub(crate) fn list_with<T>(
+        &self,
+        key: &'static str,
+        allowed: &str,
+        convert: impl Fn(&str) -> Option<T>,
+    ) -> Option<Vec<T>> {
         let value = self.value(key)?;
         let Some(array) = value.as_array() else {
             self.report(
@@ -214,7 +248,7 @@
         };
         let mut items = Vec::new();
         for item in array.iter() {
-            match item.get_ref().as_str().and_then(|text| text.parse().ok()) {
+            match item.get_ref().as_str().and_then(&convert) {
                 Some(parsed) => items.push(parsed),
                 None => self.sink.push(super::Problem {
                     line: self.sink.line(item.span()),
@@ -244,6 +278,11 @@
         }
     }
 
+    /// Returns the number of problems reported so far in the document.
+    pub(crate) fn problems(&self) -> usize {
+        self.sink.len()
+    }
+
     /// Marks `key` as known and returns its value.
     pub(crate) fn value(&self, key: &'static str) -> Option<&'a DeValue<'a>> {
         if !self.known.borrow().contains(&key) {
@@ -252,12 +291,6 @@
         self.entry(key).map(|(_, value)| value.get_ref())
     }
 
-    /// Returns all keys and values, and leaves it to the caller to check them.
-    pub(crate) fn entries(&self) -> impl Iterator<Item = (&'a str, &'a DeValue<'a>)> {
-        let entries = self.entries.into_iter().flat_map(|entries| entries.iter());
-        entries.map(|(key, value)| (key.get_ref().as_ref(), value.get_ref()))
-    }
-
     fn entry(
         &self,
         key: &str,
--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod document;
 
+pub mod cli;
 pub mod log;
+pub mod manifest;
 pub mod metric;
 pub mod settings;
--- a/crates/carawaycleat/src/log.rs
+++ b/crates/carawaycleat/src/log.rs
@@ -2,6 +2,7 @@
 //!
 //! Counters come first: a line is written for a change of state and not for each request.
 
+use std::io;
 use std::sync;
 
 use spdlog::formatter;
@@ -33,19 +34,33 @@
 ///
 /// Returns an error when the logging library refuses the set-up.
 pub fn install(settings: &settings::Log, program: &str) -> Result<()> {
-    let stderr = sink::StdStreamSink::builder()
-        .stderr()
+    let logger = logger(settings, program, io::stderr())?;
+    spdlog::set_default_logger(sync::Arc::new(logger));
+    Ok(())
+}
+
+/// Returns a logger that writes to `target`.
+///
+/// # Errors
+///
+/// Returns an error when the logging library refuses the set-up.
+pub fn logger(
+    settings: &settings::Log,
+    program: &str,
+    target: impl io::Write + Send + 'static,
+) -> Result<spdlog::Logger> {
+    let sink = sink::WriteSink::builder()
         .formatter(formatter(settings.format))
+        .target(target)
         .build()?;
     let logger = spdlog::Logger::builder()
         .name(program)
         .level_filter(filter(settings.level))
         // A line that is still in a buffer when the process is killed would be lost.
         .flush_level_filter(spdlog::LevelFilter::All)
-        .sink(sync::Arc::new(stderr))
+        .sink(sync::Arc::new(sink))
         .build()?;
-    spdlog::set_default_logger(sync::Arc::new(logger));
-    Ok(())
+    Ok(logger)
 }
 
 /// Logs a change of state.
--- /dev/null
+++ b/crates/carawaycleat/src/manifest/item.rs
@@ -0,0 +1,37 @@
+use std::path;
+
+use carawaycleat_core::resource;
+
+/// A resource in a manifest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item {
+    /// The kind and name.
+    pub id: resource::Id,
+    /// The resource.
+    pub resource: resource::Resource,
+    /// The file.
+    pub file: path::PathBuf,
+    /// The line in the file, starting at 1.
+    pub line: usize,
+}
+
+impl Item {
+    /// Returns the resources that this one names.
+    pub fn references(&self) -> Vec<resource::Id> {
+        let id = |kind, name: &carawaycleat_core::name::Name| resource::Id::new(kind, name.clone());
+        match &self.resource {
+            resource::Resource::Model(model) => vec![id(resource::Kind::Version, &model.version)],
+            resource::Resource::Adapter(adapter) => vec![id(resource::Kind::Model, &adapter.model)],
+            resource::Resource::Version(version) => vec![id(resource::Kind::Model, &version.model)],
+            resource::Resource::Key(key) => vec![id(resource::Kind::Workspace, &key.workspace)],
+            resource::Resource::Rate(rate) => vec![id(resource::Kind::Workspace, &rate.workspace)],
+            resource::Resource::Route(route) => {
+                let names = route.workspaces.iter();
+                names
+                    .map(|name| id(resource::Kind::Workspace, name))
+                    .collect()
+            }
+            resource::Resource::Workspace(_) | resource::Resource::Upstream(_) => Vec::new(),
+        }
+    }
+}
--- a/crates/carawaycleat/src/settings/limits.rs
+++ b/crates/carawaycleat/src/settings/limits.rs
@@ -19,10 +19,13 @@
     pub queue_bytes: usize,
 }
 
+/// `async-h1` decodes header sections shorter than 8 KiB; a larger limit would have no effect.
+const MAX_HEADER_BYTES: usize = 8_191;
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            header_bytes: 8 << 10,
+            header_bytes: MAX_HEADER_BYTES,
             body_bytes: 1 << 20,
             connections: 4_096,
             requests: 2_048,
@@ -66,7 +69,11 @@
     fn read_common(table: &document::Table<'_>) -> Self {
         let default = Self::default();
         let limits = Self {
-            header_bytes: table.size("header_bytes", 1_024..=65_536, default.header_bytes),
+            header_bytes: table.size(
+                "header_bytes",
+                1_024..=MAX_HEADER_BYTES as u64,
+                default.header_bytes,
+            ),
             body_bytes: table.size("body_bytes", 1_024..=1 << 28, default.body_bytes),
             connections: table.size("connections", 1..=1_000_000, default.connections),
             requests: table.size("requests", 1..=1_000_000, default.requests),
--- a/crates/carawaycleat/src/settings/read.rs
+++ b/crates/carawaycleat/src/settings/read.rs
@@ -9,7 +9,6 @@
 use crate::document;
 
 pub(super) const ADDRESS: &str = "an IP address with a port, such as \"127.0.0.1:8080\"";
-const NAME: &str = "a name of 1 to 128 characters of a-z, A-Z, 0-9, '-', '_', '.' and '@'";
 
 /// Reads and parses the file at `path`.
 pub(super) fn load<T>(
@@ -20,14 +19,13 @@
     parse(&text).map_err(|problems| super::Error::Invalid(path.to_owned(), problems))
 }
 
-/// Returns the required name `key`.
+/// Returns the required name `key`; `default` stands in for one that is reported.
 pub(super) fn name(
     table: &document::Table<'_>,
     key: &'static str,
     default: name::Name,
 ) -> name::Name {
-    table.require(key, NAME);
-    table.text(key, NAME, default, |text| name::Name::parse(text).ok())
+    table.required_name(key).unwrap_or(default)
 }
 
 /// Returns the address `key`, or `default`.
--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -1,4 +1,8 @@
 //! Integration tests of the library and the programs, a module per feature.
 
+mod cli;
+mod fake;
+mod log;
+mod manifest;
 mod metric;
 mod settings;
