--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -27,12 +27,16 @@
     connection: Option<idle::Connection>,
     home: Option<idle::Home>,
     failed: bool,
-    piece_bytes: usize,
+    /// Where the next piece is received.
+    piece: Vec<u8>,
 }
 
 impl fmt::Debug for Reader {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("Reader").field("ended", &self.body.is_none()).finish_non_exhaustive()
+        formatter
+            .debug_struct("Reader")
+            .field("ended", &self.body.is_none())
+            .finish_non_exhaustive()
     }
 }
 
@@ -49,7 +53,7 @@
             connection: Some(connection),
             home,
             failed: false,
-            piece_bytes: PIECE_BYTES,
+            piece: Vec::new(),
         };
         if reader.body.is_none() {
             reader.end();
@@ -70,19 +74,23 @@
         let Some(body) = &mut self.body else {
             return Ok(None);
         };
-        let mut piece = vec![0; self.piece_bytes];
-        match futures_lite::future::poll_fn(|context| fill(body, &mut piece, context)).await {
+        if self.piece.is_empty() {
+            self.piece.resize(PIECE_BYTES, 0);
+        }
+        let piece = &mut self.piece;
+        match futures_lite::future::poll_fn(|context| fill(body, piece, context)).await {
             Ok(0) if self.progress.is_ended() => {
                 self.end();
                 Ok(None)
             }
             Ok(0) => Err(self.fail(io::ErrorKind::UnexpectedEof.into())),
             Ok(length) => {
-                if length == piece.len() {
-                    self.piece_bytes = (piece.len() * 2).min(MAX_PIECE_BYTES);
+                // A copy of the exact size, because pieces may wait in queues in large numbers.
+                let bytes = self.piece[..length].to_vec();
+                if length == self.piece.len() && length < MAX_PIECE_BYTES {
+                    self.piece.resize(length * 2, 0);
                 }
-                piece.truncate(length);
-                Ok(Some(piece))
+                Ok(Some(bytes))
             }
             Err(error) => Err(self.fail(error)),
         }
@@ -127,8 +135,11 @@
 
     fn end(&mut self) {
         self.body = None;
+        self.piece = Vec::new();
         let reusable = self.progress.is_reusable();
-        if let (Some(connection), Some(home), true) = (self.connection.take(), self.home.take(), reusable) {
+        if let (Some(connection), Some(home), true) =
+            (self.connection.take(), self.home.take(), reusable)
+        {
             home.put(connection);
         }
     }
@@ -138,7 +149,9 @@
         self.body = None;
         self.connection = None;
         match error.kind() {
-            io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset => error::Error::Incomplete,
+            io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset => {
+                error::Error::Incomplete
+            }
             io::ErrorKind::InvalidData => error::Error::malformed(error),
             _ => error.into(),
         }
@@ -146,7 +159,11 @@
 }
 
 /// Joins what has arrived into one piece.
-fn fill(body: &mut Body, piece: &mut [u8], context: &mut task::Context<'_>) -> task::Poll<io::Result<usize>> {
+fn fill(
+    body: &mut Body,
+    piece: &mut [u8],
+    context: &mut task::Context<'_>,
+) -> task::Poll<io::Result<usize>> {
     let mut filled = 0;
     while filled < piece.len() {
         match pin::Pin::new(&mut *body).poll_read(context, &mut piece[filled..]) {
