test: end a started program when its test fails

Cause: a failed assertion of the watch test left the program running.

Change: the program is held by a guard that ends it when the test ends.

Conclusion: a failing test leaves no process behind.

--- a/crates/carawaycleat/tests/suite/cli.rs
+++ b/crates/carawaycleat/tests/suite/cli.rs
@@ -307,18 +307,17 @@
         .watches
         .extend([format!("{written}\n\n"), format!("{deleted}\n")]);
     let address = server.address.to_string();
-    let mut child = fake::program(&[
+    let args = [
         "watch",
         "workspace",
         "--server",
         &address,
         "--output",
         "json",
-    ])
-    .stdout(process::Stdio::piped())
-    .spawn()
-    .expect("the program starts");
-    let mut lines = io::BufReader::new(child.stdout.take().expect("a pipe")).lines();
+    ];
+    let mut command = fake::program(&args);
+    let mut child = fake::Child::start(command.stdout(process::Stdio::piped()));
+    let mut lines = io::BufReader::new(child.output()).lines();
     for expected in [written, deleted] {
         let line = lines.next().expect("a line").expect("UTF-8");
         assert_eq!(
@@ -326,8 +325,7 @@
             expected
         );
     }
-    child.kill().expect("the program runs");
-    child.wait().expect("the program ends");
+    drop(child);
     let targets: Vec<_> = server
         .lock()
         .requests
--- a/crates/carawaycleat/tests/suite/fake.rs
+++ b/crates/carawaycleat/tests/suite/fake.rs
@@ -185,6 +185,28 @@
     command
 }
 
+/// A running program that ends with the test, also when the test fails.
+pub(crate) struct Child(process::Child);
+
+impl Child {
+    pub(crate) fn start(command: &mut process::Command) -> Self {
+        Self(command.spawn().expect("the program starts"))
+    }
+
+    /// Returns the output, which can be taken once.
+    pub(crate) fn output(&mut self) -> process::ChildStdout {
+        self.0.stdout.take().expect("a pipe")
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        // The program may have ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// Runs the program to its end.
 pub(crate) fn run(args: &[&str]) -> Output {
     let output = program(args).output().expect("the program starts");
