test: cover a write whose answer is lost

Cause: the rule that a write goes to another server only when it has not left was not tested.

Change: a server reads the write and closes the connection; the command must end with 4 and not ask the next server.

Conclusion: a write of the command line is sent at most once.

--- a/crates/carawaycleat/tests/suite/cli.rs
+++ b/crates/carawaycleat/tests/suite/cli.rs
@@ -1,6 +1,9 @@
 use std::io;
 use std::io::BufRead as _;
+use std::io::Read as _;
+use std::net;
 use std::process;
+use std::thread;
 
 use crate::fake;
 use crate::manifest;
@@ -420,3 +423,29 @@
     assert_eq!(targets, ["/timeline?request=r1&limit=2"]);
     assert_eq!(first.run(&["timeline", "--request", "a&limit=9"]).code, 2);
 }
+
+/// Guards against a write that is sent a second time after it may have taken effect.
+#[test]
+fn a_write_without_an_answer_is_not_repeated() {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let silent = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.read(&mut [0; 1024]).expect("a request")
+    });
+    let second = fake::Server::start();
+    let args = [
+        "--server",
+        &address,
+        "--server",
+        &second.address.to_string(),
+        "delete",
+        "workspace",
+        "city",
+    ];
+    let output = fake::run(&args);
+    assert!(silent.join().expect("no panic") > 0);
+    assert_eq!(output.code, 4, "{output:?}");
+    assert!(output.err.contains("may have taken effect"), "{output:?}");
+    assert!(second.lock().requests.is_empty());
+}
