--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -38,6 +38,22 @@
         self.dispatch_all(now);
     }
 
+    /// Checks whether a caller may list the models.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when the route needs a key and the request has none that is valid for it.
+    pub fn authorize_listing(&self, now: clock::Instant, arrival: &super::Arrival) -> Verdict<()> {
+        let id = resource::Id::new(resource::Kind::Route, arrival.route.clone());
+        match self.resource(&id) {
+            Some(resource::Resource::Route(route)) if route.open => Ok(()),
+            Some(resource::Resource::Route(route)) => {
+                self.authorize(now, arrival, route).map(|_| ())
+            }
+            _ => Err(refuse(outcome::Reason::UnknownRoute, "no such route")),
+        }
+    }
+
     /// Checks everything that does not depend on load.
     fn check(&self, now: clock::Instant, arrival: &super::Arrival) -> Verdict<state::Request> {
         if self.is_stopping {
--- a/crates/carawaycleat/src/api/answer.rs
+++ b/crates/carawaycleat/src/api/answer.rs
@@ -39,14 +39,21 @@
         let head = format!(
             r#"data: {{"id":"{id}","object":"{object}","created":{created},"model":"{model}","choices":["#
         );
-        Self { form: call.form, head, created, id, model }
+        Self {
+            form: call.form,
+            head,
+            created,
+            id,
+            model,
+        }
     }
 
     /// Appends the event that opens a stream, if the form has one.
     pub fn open(&self, out: &mut Vec<u8>) {
         if self.form == call::Form::Chat {
             out.extend_from_slice(self.head.as_bytes());
-            let choice = r#"{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}"#;
+            let choice =
+                r#"{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}"#;
             out.extend_from_slice(choice.as_bytes());
             out.extend_from_slice(b"]}\n\n");
         }
--- a/crates/carawaycleat/src/api/call.rs
+++ b/crates/carawaycleat/src/api/call.rs
@@ -115,7 +115,10 @@
         let body: Body = serde_json::from_slice(body)?;
         let text = body.text(form)?;
         let (model, adapter) = body.target()?;
-        let max_tokens = body.max_completion_tokens.or(body.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+        let max_tokens = body
+            .max_completion_tokens
+            .or(body.max_tokens)
+            .unwrap_or(DEFAULT_MAX_TOKENS);
         if !(1..=MAX_MAX_TOKENS).contains(&max_tokens) {
             return Err(super::Error::Field("max_tokens", "from 1 to 1048576"));
         }
@@ -154,7 +157,10 @@
             Form::Chat => {
                 let messages = self.messages.as_deref().unwrap_or_default();
                 if messages.is_empty() {
-                    return Err(super::Error::Field("messages", "a list with at least one message"));
+                    return Err(super::Error::Field(
+                        "messages",
+                        "a list with at least one message",
+                    ));
                 }
                 Ok(messages.iter().map(Message::text).collect())
             }
@@ -168,9 +174,15 @@
             None => (self.model.as_str(), None),
         };
         if suffix.is_some() && self.adapter.is_some() {
-            return Err(super::Error::Field("adapter", "absent when `model` names an adapter"));
+            return Err(super::Error::Field(
+                "adapter",
+                "absent when `model` names an adapter",
+            ));
         }
-        let adapter = suffix.or(self.adapter.as_deref()).map(name::Name::parse).transpose()?;
+        let adapter = suffix
+            .or(self.adapter.as_deref())
+            .map(name::Name::parse)
+            .transpose()?;
         Ok((name::Name::parse(model)?, adapter))
     }
 }
@@ -203,14 +215,20 @@
     };
     match text.parse() {
         Ok(millis) if (1..=MAX_DEADLINE_MS).contains(&millis) => Ok(Some(millis)),
-        _ => Err(super::Error::Header(DEADLINE_HEADER, "a number of milliseconds from 1 to 3600000")),
+        _ => Err(super::Error::Header(
+            DEADLINE_HEADER,
+            "a number of milliseconds from 1 to 3600000",
+        )),
     }
 }
 
 fn prefixes(model: &name::Name, text: &str) -> Vec<u64> {
     let mut state = hash::DefaultHasher::new();
     hash::Hash::hash(model, &mut state);
-    let chunks = text.as_bytes().chunks_exact(PREFIX_BYTES).take(MAX_PREFIXES);
+    let chunks = text
+        .as_bytes()
+        .chunks_exact(PREFIX_BYTES)
+        .take(MAX_PREFIXES);
     let hashes = chunks.map(|chunk| {
         hash::Hasher::write(&mut state, chunk);
         hash::Hasher::finish(&state)
--- a/crates/carawaycleat/src/api/refusal.rs
+++ b/crates/carawaycleat/src/api/refusal.rs
@@ -1,5 +1,6 @@
 use std::time;
 
+use carawaycleat_core::entry;
 use carawaycleat_core::outcome;
 use carawaycleat_net as net;
 
@@ -22,15 +23,31 @@
 impl Refusal {
     /// Returns a refusal of a request that did not run.
     pub fn not_run(reason: outcome::Reason, message: impl Into<String>) -> Self {
-        let retry_after = reason.is_temporary().then_some(time::Duration::from_secs(1));
-        Self { reason, outcome: outcome::Outcome::NotRun, message: message.into(), retry_after }
+        let retry_after = reason
+            .is_temporary()
+            .then_some(time::Duration::from_secs(1));
+        Self {
+            reason,
+            outcome: outcome::Outcome::NotRun,
+            message: message.into(),
+            retry_after,
+        }
     }
 
     /// Returns a failure with `outcome`.
-    pub fn failed(reason: outcome::Reason, outcome: outcome::Outcome, message: impl Into<String>) -> Self {
+    pub fn failed(
+        reason: outcome::Reason,
+        outcome: outcome::Outcome,
+        message: impl Into<String>,
+    ) -> Self {
         let retry_after = (outcome == outcome::Outcome::NotRun && reason.is_temporary())
             .then_some(time::Duration::from_secs(1));
-        Self { reason, outcome, message: message.into(), retry_after }
+        Self {
+            reason,
+            outcome,
+            message: message.into(),
+            retry_after,
+        }
     }
 
     /// Sets the time after which it is worth trying again, and returns the refusal.
@@ -55,7 +72,10 @@
         let response = net::Response::json(self.reason.status(), &self.json())
             .header(OUTCOME_HEADER, self.outcome.as_str());
         match self.retry_after {
-            Some(span) => response.header("Retry-After", &span.as_millis().div_ceil(1_000).max(1).to_string()),
+            Some(span) => response.header(
+                "Retry-After",
+                span.as_millis().div_ceil(1_000).max(1).to_string(),
+            ),
             None => response,
         }
     }
@@ -77,3 +97,14 @@
         }
     }
 }
+
+impl From<entry::Refusal> for Refusal {
+    fn from(refusal: entry::Refusal) -> Self {
+        Self {
+            reason: refusal.reason,
+            outcome: refusal.outcome,
+            message: refusal.message,
+            retry_after: refusal.retry_after,
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/entry/callers/intake.rs
@@ -0,0 +1,179 @@
+use std::time;
+
+use carawaycleat_core::admission;
+use carawaycleat_core::entry;
+use carawaycleat_core::key;
+use carawaycleat_core::outcome;
+use carawaycleat_core::request;
+use carawaycleat_core::resource;
+use carawaycleat_net as net;
+
+use super::shared;
+use crate::api;
+
+/// Headers that hold for one connection only, or that carry a caller's credentials.
+const DROPPED_HEADERS: [&str; 14] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "cookie",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-api-key",
+    "x-request-id",
+];
+
+/// The longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
+
+/// A request that was read but not yet decided on.
+#[derive(Debug)]
+pub(super) struct Intake {
+    pub(super) arrival: entry::Arrival,
+    pub(super) target: resource::Target,
+    pub(super) call: Option<api::Call>,
+    pub(super) timeout: time::Duration,
+    pub(super) path: String,
+    pub(super) headers: Vec<(String, String)>,
+    pub(super) body: Vec<u8>,
+}
+
+type Failure = (Option<resource::Target>, api::Refusal);
+
+impl Intake {
+    /// Reads a request. The caller's key is dropped here; only its digest goes on.
+    pub(super) fn read(shared: &shared::Shared, request: net::Request) -> Result<Self, Failure> {
+        let route = shared.with(|reducer, _| {
+            reducer
+                .route(&request.path)
+                .map(|(name, route)| (name.clone(), route.clone()))
+        });
+        let Some((name, route)) = route else {
+            let message = format!("no route matches {}", request.path);
+            return Err((None, super::refuse(outcome::Reason::UnknownRoute, message)));
+        };
+        let refused = |refusal| (Some(route.target), refusal);
+        let key = bearer(&request.headers)
+            .map_err(refused)?
+            .map(str::to_owned);
+        if key
+            .as_deref()
+            .is_some_and(|key| request.target().contains(key))
+        {
+            let message = "the key must not stand in the path or query";
+            return Err(refused(super::refuse(
+                outcome::Reason::InvalidRequest,
+                message,
+            )));
+        }
+        let call = match route.target {
+            resource::Target::Models => call(&request).map_err(refused)?,
+            resource::Target::Service => None,
+        };
+        let idempotency_key = idempotency_key(&request.headers).map_err(refused)?;
+        let timeout = time::Duration::from_millis(
+            call.as_ref()
+                .and_then(|call| call.deadline_ms)
+                .unwrap_or(route.timeout_ms)
+                .min(route.timeout_ms),
+        );
+        let arrival = entry::Arrival {
+            id: request::Id::from_u128(random_id()),
+            digest: key.as_deref().map(key::Digest::of),
+            route: name,
+            method: request.method.clone(),
+            model: call.as_ref().map(|call| call.model.clone()),
+            adapter: call.as_ref().and_then(|call| call.adapter.clone()),
+            class: call
+                .as_ref()
+                .map_or(admission::Class::Short, |call| call.class),
+            prompt_tokens: call
+                .as_ref()
+                .map_or(route.cost_tokens, |call| call.prompt_tokens),
+            max_tokens: call.as_ref().map_or(0, |call| call.max_tokens),
+            bytes: request.body.len(),
+            prefixes: call
+                .as_ref()
+                .map(|call| call.prefixes.clone())
+                .unwrap_or_default(),
+            idempotency_key,
+            deadline: shared.now() + timeout,
+        };
+        Ok(Self {
+            arrival,
+            target: route.target,
+            call,
+            timeout,
+            path: request.target(),
+            headers: forwarded(&request.headers, key.as_deref()),
+            body: request.body,
+        })
+    }
+}
+
+fn bearer(headers: &net::Headers) -> Result<Option<&str>, api::Refusal> {
+    let Some(value) = headers.get("authorization") else {
+        return Ok(None);
+    };
+    let key = match value.split_once(' ') {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case("bearer") => key.trim(),
+        _ => "",
+    };
+    if key.is_empty() {
+        let message = "the header `authorization` must be `Bearer` and a key";
+        return Err(super::refuse(outcome::Reason::MissingKey, message));
+    }
+    Ok(Some(key))
+}
+
+fn call(request: &net::Request) -> Result<Option<api::Call>, api::Refusal> {
+    let form = match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/v1/models") => return Ok(None),
+        ("POST", "/v1/chat/completions") => api::Form::Chat,
+        ("POST", "/v1/completions") => api::Form::Completion,
+        (method, path) => {
+            let message = format!("no operation {method} {path}");
+            return Err(super::refuse(outcome::Reason::UnknownRoute, message));
+        }
+    };
+    let call = api::Call::parse(form, &request.headers, &request.body);
+    let invalid =
+        |error: api::Error| super::refuse(outcome::Reason::InvalidRequest, error.to_string());
+    call.map(Some).map_err(invalid)
+}
+
+fn idempotency_key(headers: &net::Headers) -> Result<Option<String>, api::Refusal> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    if value.is_empty() || value.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        let message = "the header `idempotency-key` must have from 1 to 256 bytes";
+        return Err(super::refuse(outcome::Reason::InvalidRequest, message));
+    }
+    Ok(Some(value.to_owned()))
+}
+
+/// Returns the headers to forward. One that contains the key is dropped, wherever the caller has put it.
+fn forwarded(headers: &net::Headers, key: Option<&str>) -> Vec<(String, String)> {
+    let is_dropped = |name: &str, value: &str| {
+        let is_listed = DROPPED_HEADERS
+            .iter()
+            .any(|dropped| dropped.eq_ignore_ascii_case(name));
+        is_listed || key.is_some_and(|key| value.contains(key))
+    };
+    let kept = headers
+        .iter()
+        .filter(|(name, value)| !is_dropped(name, value));
+    kept.map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn random_id() -> u128 {
+    fastrand::u128(..)
+}
--- /dev/null
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -0,0 +1,297 @@
+use std::sync;
+use std::time;
+
+use carawaycleat_core::entry;
+use carawaycleat_core::request;
+use carawaycleat_core::resource;
+use carawaycleat_net as net;
+use carawaycleat_wire as wire;
+
+use super::intake;
+use super::shared;
+use super::sink;
+use crate::api;
+use crate::entry::attempt;
+use crate::entry::claims;
+use crate::entry::mailbox;
+
+/// The bytes of events that are joined into one write when they are there at the same time.
+const JOINED_BYTES: usize = 16 << 10;
+
+/// A request while it is served.
+struct Serving {
+    shared: sync::Arc<shared::Shared>,
+    intake: intake::Intake,
+    orders: mailbox::Receiver,
+    attempt: Option<attempt::Attempt>,
+    sink: sink::Sink,
+    /// The text that the caller already has, to resume from.
+    text: String,
+    arrived: time::Instant,
+    last_token: Option<time::Instant>,
+    ended: bool,
+}
+
+/// What happened while a request was served.
+enum Happened {
+    /// There are bytes for the caller.
+    Content,
+    /// The answer is complete.
+    Finished,
+    /// The request has failed.
+    Refused(api::Refusal),
+}
+
+/// Serves a request from its arrival to the end of its answer.
+pub(super) async fn serve(
+    shared: sync::Arc<shared::Shared>,
+    intake: intake::Intake,
+) -> net::Response {
+    let id = intake.arrival.id;
+    let mut serving = Serving {
+        orders: shared.open_mailbox(id),
+        sink: sink::Sink::new(intake.call.as_ref(), wire::Id::from_u128(id.as_u128())),
+        attempt: None,
+        text: String::new(),
+        arrived: time::Instant::now(),
+        last_token: None,
+        ended: false,
+        shared,
+        intake,
+    };
+    let arrival = serving.intake.arrival.clone();
+    serving
+        .shared
+        .step(entry::Event::Arrived(Box::new(arrival)));
+    serving.answer().await
+}
+
+impl Serving {
+    async fn answer(mut self) -> net::Response {
+        let mut body = Vec::new();
+        loop {
+            match self.next(&mut body).await {
+                Happened::Content if self.sink.is_streamed() => break,
+                Happened::Content => {}
+                Happened::Finished if self.sink.is_streamed() => {
+                    return self.sink.head().body(body);
+                }
+                Happened::Finished => {
+                    return net::Response::new(200)
+                        .header("content-type", "application/json")
+                        .body(body);
+                }
+                Happened::Refused(refusal) => return refusal.response(),
+            }
+        }
+        let mut opening = Vec::new();
+        self.sink.open(&mut opening);
+        opening.append(&mut body);
+        let (writer, stream) = net::stream();
+        let response = self.sink.head().stream(stream);
+        let executor = self.shared.executor.clone();
+        executor.spawn(self.stream(writer, opening)).detach();
+        response
+    }
+
+    /// Passes the rest of the answer on as it arrives.
+    async fn stream(mut self, writer: net::Writer, mut body: Vec<u8>) {
+        loop {
+            if !body.is_empty() && writer.send(std::mem::take(&mut body)).await.is_err() {
+                return;
+            }
+            let closed = async {
+                writer.closed().await;
+                None
+            };
+            let next = async { Some(self.next(&mut body).await) };
+            match futures_lite::future::or(next, closed).await {
+                Some(Happened::Content) => {}
+                Some(Happened::Finished) => {
+                    if writer.send(body).await.is_ok() {
+                        writer.finish();
+                    }
+                    return;
+                }
+                Some(Happened::Refused(refusal)) => {
+                    self.shared.metric.streams_cut.inc();
+                    self.sink.fail(&refusal, &mut body);
+                    // Events have a way to say that the answer is incomplete. The body of a service has none, so that
+                    // its connection is cut by dropping the writer.
+                    if !body.is_empty() && writer.send(body).await.is_ok() {
+                        writer.finish();
+                    }
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Waits until there is something for the caller, and appends it to `body`.
+    async fn next(&mut self, body: &mut Vec<u8>) -> Happened {
+        loop {
+            // Orders come first: the end of a request overrides what an attempt still brings.
+            let order = match self.orders.try_recv() {
+                Ok(order) => Some(order),
+                Err(_) => match &mut self.attempt {
+                    None => self.orders.recv().await.ok(),
+                    Some(attempt) => {
+                        let order = async { Incoming::Order(self.orders.recv().await.ok()) };
+                        let step = async { Incoming::Step(attempt.next().await) };
+                        match futures_lite::future::or(order, step).await {
+                            Incoming::Order(order) => order,
+                            Incoming::Step(Some(step)) => {
+                                if self.take(step, body) {
+                                    self.take_ready(body);
+                                    return Happened::Content;
+                                }
+                                continue;
+                            }
+                            Incoming::Step(None) => {
+                                self.attempt = None;
+                                continue;
+                            }
+                        }
+                    }
+                },
+            };
+            match order {
+                Some(mailbox::Order::Claim(key)) => self.claim(&key).await,
+                Some(mailbox::Order::Dispatch(dispatch)) => self.dispatch(dispatch).await,
+                Some(mailbox::Order::Finish(count)) => {
+                    self.ended = true;
+                    self.sink.close(count, body);
+                    return Happened::Finished;
+                }
+                Some(mailbox::Order::Refuse(refusal)) => {
+                    self.ended = true;
+                    return Happened::Refused(refusal.into());
+                }
+                None => unreachable!("the mailbox is open until the request has ended"),
+            }
+        }
+    }
+
+    /// Takes the steps that have already arrived, so that they leave in one write.
+    fn take_ready(&mut self, body: &mut Vec<u8>) {
+        while body.len() < JOINED_BYTES && self.orders.is_empty() {
+            let Some(step) = self.attempt.as_mut().and_then(attempt::Attempt::ready) else {
+                return;
+            };
+            self.take(step, body);
+        }
+    }
+
+    /// Gives a step to the reducer, and returns whether it brought something for the caller.
+    fn take(&mut self, step: attempt::Step, body: &mut Vec<u8>) -> bool {
+        let Some(attempt) = &self.attempt else {
+            return false;
+        };
+        let event = entry::Event::Attempt(attempt.id, step.progress);
+        let is_delivered = self.shared.step_for(Some(self.intake.arrival.id), event);
+        if !is_delivered {
+            return false;
+        }
+        match step.content {
+            attempt::Content::Nothing => false,
+            attempt::Content::Token(text) => {
+                self.measure();
+                self.sink.token(&text, body);
+                self.text.push_str(&text);
+                true
+            }
+            attempt::Content::Head(status, headers) => {
+                self.sink = sink::Sink::Raw { status, headers };
+                true
+            }
+            attempt::Content::Body(bytes) => {
+                body.extend(bytes);
+                true
+            }
+        }
+    }
+
+    fn measure(&mut self) {
+        let now = time::Instant::now();
+        match self.last_token.replace(now) {
+            None => {
+                let span = now.duration_since(self.arrived);
+                self.shared.metric.first_token.observe(span.as_secs_f64());
+            }
+            Some(last) => {
+                self.shared
+                    .metric
+                    .token_gap
+                    .observe(now.duration_since(last).as_secs_f64());
+            }
+        }
+    }
+
+    async fn claim(&mut self, key: &str) {
+        let id = self.intake.arrival.id;
+        let result = claims::record(&self.shared, id, key).await;
+        self.shared.step(entry::Event::Claimed(id, result));
+    }
+
+    async fn dispatch(&mut self, dispatch: mailbox::Dispatch) {
+        let job = self.job(&dispatch);
+        let attempt =
+            attempt::Attempt::start(&self.shared, &dispatch.upstream, dispatch.attempt, &job).await;
+        self.attempt = Some(attempt);
+    }
+
+    fn job(&self, dispatch: &mailbox::Dispatch) -> wire::Job {
+        let arrival = &self.intake.arrival;
+        let left = self.intake.timeout.saturating_sub(self.arrived.elapsed());
+        let claim = arrival
+            .idempotency_key
+            .as_ref()
+            .filter(|_| !dispatch.idempotent);
+        let workspace = dispatch.workspace.as_deref().unwrap_or_default();
+        wire::Job {
+            id: wire::Id::from_u128(dispatch.attempt.as_u128()),
+            stamp: self.shared.stamp(),
+            host: self.shared.host().clone(),
+            workspace: dispatch.workspace.clone(),
+            model: arrival.model.clone(),
+            adapter: arrival.adapter.clone(),
+            priority: arrival.class.priority(),
+            idempotent: dispatch.idempotent,
+            claim: claim.map(|key| format!("{workspace}/{key}")),
+            method: arrival.method.clone(),
+            path: self.intake.path.clone(),
+            headers: self.intake.headers.clone(),
+            body: self.intake.body.clone(),
+            resume_at: dispatch.position,
+            resume_text: if self.is_model() {
+                self.text.clone()
+            } else {
+                String::new()
+            },
+            timeout_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
+        }
+    }
+
+    fn is_model(&self) -> bool {
+        self.intake.target == resource::Target::Models
+    }
+
+    fn id(&self) -> request::Id {
+        self.intake.arrival.id
+    }
+}
+
+enum Incoming {
+    Order(Option<mailbox::Order>),
+    Step(Option<attempt::Step>),
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.shared.close_mailbox(self.id());
+        if !self.ended {
+            self.shared.step(entry::Event::CallerGone(self.id()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/entry/error.rs
@@ -0,0 +1,16 @@
+use carawaycleat_net as net;
+
+quick_error! {
+    /// An error that keeps an entry host from starting.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An address cannot be bound.
+        Bind(what: &'static str, source: net::Error) {
+            display("cannot listen for {what}: {source}")
+            source(source)
+        }
+    }
+}
+
+/// A result whose error is [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/carawaycleat/src/entry/exchange.rs
@@ -0,0 +1,189 @@
+use std::collections;
+use std::net as std_net;
+use std::sync;
+use std::time;
+
+use carawaycleat_core::config;
+use carawaycleat_core::entry;
+use carawaycleat_core::freshness;
+use carawaycleat_core::name;
+use carawaycleat_net as net;
+use carawaycleat_wire as wire;
+
+use super::members;
+use super::shared;
+
+/// The time between two exchanges with a peer.
+const EVERY: time::Duration = time::Duration::from_millis(500);
+
+/// The time allowed for an answer of a peer.
+const TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+
+/// The longest answer of a peer, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// The most peers that one host exchanges digests with.
+const MAX_PEERS: usize = 16;
+
+/// Exchanges digests with peers for as long as the process runs.
+pub(super) async fn run(shared: sync::Arc<shared::Shared>) {
+    loop {
+        async_io::Timer::after(EVERY).await;
+        for address in peers(&shared) {
+            shared.spawn(exchange(shared.clone(), address));
+        }
+    }
+}
+
+/// Returns the addresses of the peers in the roster and in the settings.
+fn peers(shared: &shared::Shared) -> Vec<std_net::SocketAddr> {
+    let roster = shared.with(|reducer, _| members::of(reducer.history()));
+    let others = roster.iter().filter(|member| member.host != *shared.host());
+    let known: collections::BTreeSet<_> = others
+        .map(|member| member.peer_address)
+        .chain(shared.settings.peers.iter().copied())
+        .filter(|address| *address != shared.member.peer_address)
+        .collect();
+    known.into_iter().take(MAX_PEERS).collect()
+}
+
+/// Returns what this host tells its peers.
+pub(super) fn digest(shared: &shared::Shared) -> wire::Digest {
+    let (revision, store_age, offers) = shared.with(|reducer, now| {
+        let offers = reducer.offers(now);
+        (
+            reducer.monitor().revision(),
+            reducer.monitor().store_age(now),
+            offers,
+        )
+    });
+    let offers = offers
+        .into_iter()
+        .map(|(workspace, tokens)| wire::Offer { workspace, tokens });
+    wire::Digest {
+        stamp: shared.stamp(),
+        host: shared.host().clone(),
+        incarnation: shared.member.incarnation,
+        revision,
+        store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        leaving: shared.is_draining(),
+        offers: offers.collect(),
+    }
+}
+
+async fn exchange(shared: sync::Arc<shared::Shared>, address: std_net::SocketAddr) {
+    let sent = shared.now();
+    let digest = digest(&shared);
+    if let Some(answer) = call::<wire::Digest>(&shared, address, "/peer/exchange", &digest).await {
+        shared.receive(&answer.stamp);
+        let offers = answer
+            .offers
+            .into_iter()
+            .map(|offer| (offer.workspace, offer.tokens));
+        let report = freshness::Report {
+            host: answer.host,
+            incarnation: answer.incarnation,
+            revision: answer.revision,
+            store_age: answer.store_age_ms.map(time::Duration::from_millis),
+            sent,
+        };
+        shared.step(entry::Event::Heard {
+            report,
+            offers: offers.collect(),
+        });
+    }
+}
+
+/// Fetches from a peer what changed after `since`.
+pub(super) async fn fetch(shared: sync::Arc<shared::Shared>, host: name::Name, since: u64) {
+    let Some(address) = address_of(&shared, &host) else {
+        return;
+    };
+    let request = wire::Fetch { since };
+    let Some(bundle) = call::<wire::Bundle>(&shared, address, "/peer/config", &request).await
+    else {
+        return;
+    };
+    let change = |pair: wire::Pair| config::Change {
+        key: pair.key,
+        value: pair.value.map(serde_bytes::ByteBuf::into_vec),
+        revision: pair.revision,
+    };
+    let changes = bundle.pairs.into_iter().map(change).collect();
+    shared.step(if bundle.whole {
+        entry::Event::Listing {
+            revision: bundle.revision,
+            pairs: changes,
+        }
+    } else {
+        entry::Event::Changes {
+            since,
+            through: bundle.revision,
+            changes,
+        }
+    });
+}
+
+/// Asks a peer for tokens.
+pub(super) async fn borrow(
+    shared: sync::Arc<shared::Shared>,
+    host: name::Name,
+    workspace: name::Name,
+    tokens: u64,
+) {
+    let asked = shared.now();
+    let request = wire::Ask {
+        host: shared.host().clone(),
+        workspace: workspace.clone(),
+        tokens,
+    };
+    let answer = match address_of(&shared, &host) {
+        Some(address) => call::<wire::Transfer>(&shared, address, "/peer/tokens", &request).await,
+        None => None,
+    };
+    shared.step(entry::Event::Lent {
+        asked,
+        transfer: answer.as_ref().map(|transfer| transfer.id.as_u128()),
+        workspace,
+        tokens: answer.map_or(0, |transfer| transfer.tokens),
+    });
+}
+
+/// Tells a sidecar that the answer to an attempt is no longer wanted.
+pub(super) async fn cancel(shared: sync::Arc<shared::Shared>, id: wire::Id, upstream: name::Name) {
+    if let Some(address) = super::attempt::side_address(&shared, &upstream) {
+        // The sidecar also sees that the connection has gone, so a lost cancel only costs time.
+        call::<()>(&shared, address, "/cancel", &wire::Cancel { id }).await;
+    }
+}
+
+fn address_of(shared: &shared::Shared, host: &name::Name) -> Option<std_net::SocketAddr> {
+    let roster = shared.with(|reducer, _| members::of(reducer.history()));
+    roster
+        .into_iter()
+        .find(|member| member.host == *host)
+        .map(|member| member.peer_address)
+}
+
+async fn call<T: serde::de::DeserializeOwned>(
+    shared: &shared::Shared,
+    address: std_net::SocketAddr,
+    path: &str,
+    message: &impl serde::Serialize,
+) -> Option<T> {
+    let body = wire::encode(message).ok()?;
+    let request = net::Request::new("POST", path).body(body);
+    let exchange = async {
+        let reply = shared.pool.send(address, request, TIMEOUT).await.ok()?;
+        if reply.status != 200 {
+            return None;
+        }
+        let bytes = reply.bytes(MAX_ANSWER_BYTES).await.ok()?;
+        wire::decode(&bytes).ok()
+    };
+    let expired = async {
+        async_io::Timer::after(TIMEOUT).await;
+        None
+    };
+    futures_lite::future::or(exchange, expired).await
+}
--- /dev/null
+++ b/crates/carawaycleat/src/entry/peers.rs
@@ -0,0 +1,168 @@
+use std::sync;
+
+use carawaycleat_core::entry;
+use carawaycleat_core::memory;
+use carawaycleat_core::name;
+use carawaycleat_core::placement;
+use carawaycleat_core::resource;
+use carawaycleat_core::routing;
+use carawaycleat_core::timeline;
+use carawaycleat_net as net;
+use carawaycleat_wire as wire;
+
+use super::exchange;
+use super::members;
+use super::placing;
+use super::shared;
+
+/// The most entry hosts that a sidecar is told to report to.
+const MAX_MEMBERS: usize = 6;
+
+/// Answers a peer or a sidecar.
+pub(super) async fn answer(
+    shared: sync::Arc<shared::Shared>,
+    request: net::Request,
+) -> net::Response {
+    match (request.method.as_str(), request.path.as_str()) {
+        ("POST", "/peer/exchange") => with_body(&request, |digest: wire::Digest| {
+            shared.receive(&digest.stamp);
+            exchange::digest(&shared)
+        }),
+        ("POST", "/peer/report") => with_body(&request, |report| reported(&shared, report)),
+        ("POST", "/peer/config") => with_body(&request, |fetch| bundle(&shared, &fetch)),
+        ("POST", "/peer/tokens") => with_body(&request, |ask| lend(&shared, ask)),
+        ("GET", "/timeline") => timeline(&shared, &request),
+        _ => net::Response::new(404),
+    }
+}
+
+fn with_body<T, R>(request: &net::Request, answer: impl FnOnce(T) -> R) -> net::Response
+where
+    T: serde::de::DeserializeOwned,
+    R: serde::Serialize,
+{
+    let message = match wire::decode(&request.body) {
+        Ok(message) => message,
+        Err(error) => return net::Response::new(400).body(error.to_string()),
+    };
+    match wire::encode(&answer(message)) {
+        Ok(bytes) => net::Response::new(200)
+            .header("content-type", "application/msgpack")
+            .body(bytes),
+        Err(error) => net::Response::new(500).body(error.to_string()),
+    }
+}
+
+fn lend(shared: &sync::Arc<shared::Shared>, ask: wire::Ask) -> wire::Transfer {
+    let id = u128::from(fastrand::u64(..)) << 64 | u128::from(fastrand::u64(..));
+    let event = entry::Event::Asked {
+        transfer: id,
+        workspace: ask.workspace.clone(),
+        tokens: ask.tokens,
+    };
+    let tokens = shared.lend(id, event);
+    wire::Transfer {
+        id: wire::Id::from_u128(id),
+        workspace: ask.workspace,
+        tokens,
+    }
+}
+
+fn bundle(shared: &shared::Shared, fetch: &wire::Fetch) -> wire::Bundle {
+    let (revision, changes, whole) = shared.with(|reducer, _| {
+        let history = reducer.history();
+        match history.changes_since(fetch.since) {
+            Some(changes) => (history.revision(), changes, false),
+            None => (history.revision(), history.listing(), true),
+        }
+    });
+    let pair = |change: carawaycleat_core::config::Change| wire::Pair {
+        key: change.key,
+        value: change.value.map(serde_bytes::ByteBuf::from),
+        revision: change.revision,
+    };
+    wire::Bundle {
+        revision,
+        whole,
+        pairs: changes.into_iter().map(pair).collect(),
+    }
+}
+
+fn reported(shared: &sync::Arc<shared::Shared>, report: wire::Report) -> wire::Directive {
+    shared.receive(&report.stamp);
+    let upstream = report.upstream.clone();
+    shared.observe(&report);
+    shared.step(entry::Event::Reported(Box::new(load(report))));
+    directive(shared, &upstream)
+}
+
+fn load(report: wire::Report) -> routing::Load {
+    let resident = |item: wire::Residence| routing::Resident {
+        model: item.model,
+        adapter: item.adapter,
+        answered: item.answered,
+    };
+    routing::Load {
+        upstream: report.upstream,
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        leaving: report.leaving,
+        reachable: report.reachable,
+        resident: report.resident.into_iter().map(resident).collect(),
+        in_flight: report.in_flight,
+        waiting: report.waiting,
+        capacity: report.capacity,
+    }
+}
+
+fn directive(shared: &shared::Shared, upstream: &name::Name) -> wire::Directive {
+    let stamp = shared.stamp();
+    shared.with(|reducer, _| {
+        let history = reducer.history();
+        let found = history
+            .snapshot()
+            .upstreams()
+            .find(|(name, _)| *name == upstream);
+        let found = found.map(|(_, resource)| resource);
+        let plan = found.and_then(|resource| plan(history, resource));
+        let items = plan
+            .as_ref()
+            .and_then(|plan| plan.holdings(upstream))
+            .unwrap_or_default();
+        wire::Directive {
+            stamp,
+            revision: history.revision(),
+            known: found.is_some(),
+            leaving: found.is_some_and(|resource| resource.leaving),
+            plan_revision: plan.as_ref().map_or(0, |plan| plan.revision),
+            holdings: items.iter().map(holding).collect(),
+            members: members::of(history).into_iter().take(MAX_MEMBERS).collect(),
+        }
+    })
+}
+
+fn plan(
+    history: &carawaycleat_core::config::History,
+    upstream: &resource::Upstream,
+) -> Option<placement::Plan> {
+    let (value, revision) = history.raw(&placing::plan_key(&upstream.group))?;
+    let plan: placement::Plan = serde_json::from_slice(value).ok()?;
+    Some(plan.at_revision(revision))
+}
+
+fn holding(item: &memory::Item) -> wire::Holding {
+    wire::Holding {
+        model: item.id.model.clone(),
+        version: item.id.version.clone(),
+        adapter: item.id.adapter.clone(),
+        bytes: item.bytes,
+    }
+}
+
+/// Answers with the events of the timeline that match the query.
+pub(super) fn timeline(shared: &shared::Shared, request: &net::Request) -> net::Response {
+    match timeline::Filter::parse(request.query.as_deref().unwrap_or_default()) {
+        Ok(filter) => net::Response::json(200, &shared.events(&filter)),
+        Err(error) => net::Response::new(400).body(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/entry/perform.rs
@@ -0,0 +1,89 @@
+use std::sync;
+
+use carawaycleat_core::entry;
+use carawaycleat_core::timeline;
+use carawaycleat_wire as wire;
+
+use super::claims;
+use super::exchange;
+use super::mailbox;
+use super::shards;
+use super::shared;
+use crate::log;
+use crate::metric;
+
+impl shared::Shared {
+    /// Performs an effect of the reducer without waiting.
+    pub(super) fn perform(self: &sync::Arc<Self>, effect: entry::Effect) {
+        match effect {
+            entry::Effect::Claim { request, key } => self.send(request, mailbox::Order::Claim(key)),
+            entry::Effect::Unclaim(request) => {
+                self.spawn(claims::remove(self.clone(), request));
+            }
+            entry::Effect::Complete(request) => {
+                self.spawn(claims::complete(self.clone(), request));
+            }
+            entry::Effect::Dispatch {
+                request,
+                attempt,
+                upstream,
+                workspace,
+                idempotent,
+                position,
+            } => {
+                let dispatch = mailbox::Dispatch {
+                    attempt,
+                    upstream,
+                    workspace,
+                    idempotent,
+                    position,
+                };
+                self.send(request, mailbox::Order::Dispatch(dispatch));
+            }
+            // A part is passed on by the task that received it.
+            entry::Effect::Deliver(_) => {}
+            entry::Effect::Finish { request, count } => {
+                self.send(request, mailbox::Order::Finish(count));
+            }
+            entry::Effect::Refuse(request, refusal) => {
+                self.metric.refuse(refusal.reason);
+                self.send(request, mailbox::Order::Refuse(refusal));
+            }
+            entry::Effect::Cancel { attempt, upstream } => {
+                let id = wire::Id::from_u128(attempt.as_u128());
+                self.spawn(exchange::cancel(self.clone(), id, upstream));
+            }
+            entry::Effect::Borrow {
+                host,
+                workspace,
+                tokens,
+            } => {
+                self.spawn(exchange::borrow(self.clone(), host, workspace, tokens));
+            }
+            // The answer to the peer carries the transfer.
+            entry::Effect::Lend { .. } => {}
+            entry::Effect::Fetch { host, since } => {
+                self.spawn(exchange::fetch(self.clone(), host, since));
+            }
+            entry::Effect::Shards(effect) => self.spawn(shards::perform(self.clone(), effect)),
+            entry::Effect::Record(record) => self.record(record),
+            entry::Effect::Exit => {
+                self.exiting.close();
+            }
+        }
+    }
+
+    /// Notes a record in the timeline, counts it, and logs it when it is a change of the host's state.
+    fn record(&self, record: entry::Record) {
+        match record.kind {
+            timeline::Kind::Ejected => self.metric.ejections.inc(),
+            timeline::Kind::Retried => self.metric.count_retry(metric::Decision::Retried),
+            timeline::Kind::Dispatched => self.metric.in_flight.inc(),
+            timeline::Kind::StateChanged | timeline::Kind::Leaving => {
+                log::info(&format!("{}: {}", record.kind, record.detail));
+            }
+            _ => {}
+        }
+        self.note(record);
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -0,0 +1,258 @@
+use std::collections;
+use std::sync;
+use std::time;
+
+use carawaycleat_core::clock;
+use carawaycleat_core::entry;
+use carawaycleat_core::name;
+use carawaycleat_core::placement;
+use carawaycleat_core::rate;
+use carawaycleat_core::request;
+use carawaycleat_core::timeline;
+use carawaycleat_net as net;
+use carawaycleat_store as store;
+use carawaycleat_wire as wire;
+
+use super::mailbox;
+use super::placing;
+use crate::metric;
+use crate::settings;
+
+/// What all tasks of an entry host share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) settings: settings::Entry,
+    pub(super) executor: sync::Arc<net::Executor>,
+    pub(super) pool: net::Pool,
+    pub(super) store: store::Client,
+    pub(super) metric: metric::Entry,
+    pub(super) member: wire::Member,
+    /// Closed when the reducer says that the process can exit.
+    pub(super) exit: async_channel::Receiver<()>,
+    pub(super) exiting: async_channel::Sender<()>,
+    started: time::Instant,
+    reducer: sync::Mutex<entry::Reducer>,
+    mailboxes: sync::Mutex<collections::HashMap<request::Id, mailbox::Sender>>,
+    journal: sync::Mutex<Journal>,
+    observations: sync::Mutex<placing::Observations>,
+    /// Whether the process is about to stop, which the load balancer sees as not ready.
+    draining: sync::atomic::AtomicBool,
+}
+
+/// The timeline of this process.
+#[derive(Debug)]
+struct Journal {
+    clock: clock::Hybrid,
+    ring: timeline::Ring,
+}
+
+impl Shared {
+    pub(super) fn new(
+        settings: settings::Entry,
+        executor: sync::Arc<net::Executor>,
+        peer_address: std::net::SocketAddr,
+    ) -> Self {
+        let incarnation = wall_ms();
+        let owner = rate::Owner {
+            host: settings.host.clone(),
+            address: peer_address,
+            incarnation,
+        };
+        let reducer =
+            entry::Reducer::new(owner, settings.availability_zone.clone(), rules(&settings));
+        let pool = net::Pool::default();
+        let timeout = time::Duration::from_millis(settings.store.timeout_ms);
+        let (exiting, exit) = async_channel::bounded(1);
+        Self {
+            executor,
+            store: store::Client::new(pool.clone(), &settings.store.endpoints, timeout),
+            pool,
+            metric: metric::Entry::new(),
+            member: wire::Member {
+                host: settings.host.clone(),
+                peer_address,
+                availability_zone: settings.availability_zone.clone(),
+                incarnation,
+            },
+            exit,
+            exiting,
+            started: time::Instant::now(),
+            reducer: sync::Mutex::new(reducer),
+            mailboxes: sync::Mutex::default(),
+            journal: sync::Mutex::new(Journal {
+                clock: clock::Hybrid::new(settings.host.clone()),
+                ring: timeline::Ring::new(settings.timeline.events),
+            }),
+            observations: sync::Mutex::default(),
+            draining: sync::atomic::AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    /// Returns the present time on the process's monotonic clock.
+    pub(super) fn now(&self) -> clock::Instant {
+        let micros = self.started.elapsed().as_micros();
+        // The origin lies before the start, so that a time just after it can be measured backwards.
+        clock::Instant::from_millis(60_000)
+            + time::Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Gives the reducer an event and performs its effects. Returns whether the caller of `request` gets what the event
+    /// brought.
+    pub(super) fn step_for(
+        self: &sync::Arc<Self>,
+        request: Option<request::Id>,
+        event: entry::Event,
+    ) -> bool {
+        let mut is_delivered = false;
+        // The lock is held while the effects are handed over, so that two events never cross on the way to one task.
+        let mut reducer = lock(&self.reducer);
+        for effect in reducer.step(self.now(), event) {
+            match effect {
+                entry::Effect::Deliver(id) if Some(id) == request => is_delivered = true,
+                effect => self.perform(effect),
+            }
+        }
+        is_delivered
+    }
+
+    /// Gives the reducer an event and performs its effects.
+    pub(super) fn step(self: &sync::Arc<Self>, event: entry::Event) {
+        self.step_for(None, event);
+    }
+
+    /// Reads from the reducer.
+    pub(super) fn with<T>(&self, read: impl FnOnce(&mut entry::Reducer, clock::Instant) -> T) -> T {
+        let mut reducer = lock(&self.reducer);
+        read(&mut reducer, self.now())
+    }
+
+    /// Reads from the reducer and from what the sidecars reported.
+    pub(super) fn with_observations<T>(
+        &self,
+        read: impl FnOnce(&entry::Reducer, &placing::Observations, clock::Instant) -> T,
+    ) -> T {
+        let observations = lock(&self.observations);
+        self.with(|reducer, now| read(reducer, &observations, now))
+    }
+
+    /// Takes a report for the placement.
+    pub(super) fn observe(&self, report: &wire::Report) {
+        let now = self.now();
+        lock(&self.observations).observe(now, report);
+    }
+
+    /// Counts the tokens that a request asks of a model, for the placement.
+    pub(super) fn ask(&self, subject: &placement::Subject, tokens: u64) {
+        let now = self.now();
+        lock(&self.observations).ask(now, subject, tokens);
+    }
+
+    /// Debits what a peer asks for and returns the tokens that it gets.
+    pub(super) fn lend(self: &sync::Arc<Self>, id: u128, event: entry::Event) -> u64 {
+        let mut lent = 0;
+        let mut reducer = lock(&self.reducer);
+        for effect in reducer.step(self.now(), event) {
+            match effect {
+                entry::Effect::Lend {
+                    transfer, tokens, ..
+                } if transfer == id => lent = tokens,
+                effect => self.perform(effect),
+            }
+        }
+        lent
+    }
+
+    /// Makes the mailbox of a request.
+    pub(super) fn open_mailbox(&self, id: request::Id) -> mailbox::Receiver {
+        let (sender, receiver) = async_channel::unbounded();
+        lock(&self.mailboxes).insert(id, sender);
+        receiver
+    }
+
+    pub(super) fn close_mailbox(&self, id: request::Id) {
+        lock(&self.mailboxes).remove(&id);
+    }
+
+    pub(super) fn send(&self, id: request::Id, order: mailbox::Order) {
+        if let Some(sender) = lock(&self.mailboxes).get(&id) {
+            // The task may just have ended; its end is an event of its own.
+            let _ = sender.try_send(order);
+        }
+    }
+
+    /// Notes an event in the timeline and returns its stamp.
+    pub(super) fn note(&self, record: entry::Record) -> clock::Stamp {
+        let mut journal = lock(&self.journal);
+        let stamp = journal.clock.tick(wall_ms());
+        let mut event = timeline::Event::new(stamp.clone(), record.kind);
+        event.request = record.request.map(|id| id.to_string());
+        event.workspace = record.workspace;
+        event.model = record.model;
+        event.upstream = record.upstream;
+        event.detail = record.detail;
+        journal.ring.push(event);
+        self.metric.set_timeline_dropped(journal.ring.dropped());
+        stamp
+    }
+
+    /// Returns a stamp for a message.
+    pub(super) fn stamp(&self) -> clock::Stamp {
+        lock(&self.journal).clock.tick(wall_ms())
+    }
+
+    /// Takes the stamp of a message, so that its cause comes before what follows here.
+    pub(super) fn receive(&self, stamp: &clock::Stamp) {
+        lock(&self.journal).clock.receive(wall_ms(), stamp);
+    }
+
+    /// Returns the events of the timeline that match.
+    pub(super) fn events(&self, filter: &timeline::Filter) -> Vec<timeline::Event> {
+        lock(&self.journal).ring.select(filter)
+    }
+
+    pub(super) fn start_draining(&self) {
+        self.draining.store(true, sync::atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether the load balancer should send requests here.
+    pub(super) fn is_ready(&self) -> bool {
+        let is_draining = self.draining.load(sync::atomic::Ordering::Relaxed);
+        !is_draining && self.with(|reducer, _| reducer.is_ready())
+    }
+
+    /// Returns whether the process is about to stop.
+    pub(super) fn is_draining(&self) -> bool {
+        self.draining.load(sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Runs a task beside the others until it ends.
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    pub(super) fn host(&self) -> &name::Name {
+        &self.settings.host
+    }
+}
+
+/// Returns the time since the Unix epoch in milliseconds.
+pub(super) fn wall_ms() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+fn rules(settings: &settings::Entry) -> entry::Rules {
+    let mut rules = entry::Rules::default();
+    rules.admission.requests = settings.limits.queue_requests;
+    rules.admission.bytes = settings.limits.queue_bytes;
+    rules.shards = settings.rates.shards;
+    rules.shard_validity = time::Duration::from_secs(settings.rates.validity_s);
+    rules
+}
--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -5,8 +5,11 @@
 
 mod document;
 
+pub mod api;
 pub mod cli;
+pub mod entry;
 pub mod log;
 pub mod manifest;
 pub mod metric;
 pub mod settings;
+pub mod upstream;
--- a/crates/carawaycleat/src/side/event.rs
+++ b/crates/carawaycleat/src/upstream/answer.rs
@@ -15,8 +15,14 @@
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
 /// Headers that hold for one connection only and are not passed on.
-const CONNECTION_HEADERS: [&str; 6] =
-    ["connection", "content-length", "keep-alive", "te", "transfer-encoding", "upgrade"];
+const CONNECTION_HEADERS: [&str; 6] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
 
 /// The answer of an engine or service, as parts for the entry host.
 #[derive(Debug)]
@@ -56,12 +62,17 @@
     pub(super) fn new(job: &wire::Job, reply: net::Reply) -> Self {
         let headers = reply.headers.iter();
         let kept = headers.filter(|(name, _)| !is_connection_header(name));
-        let headers = kept.map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
+        let headers = kept
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
         Self {
             id: job.id.to_string(),
             is_model: job.model.is_some(),
             status: reply.status,
-            head: Some(wire::Part::Head { status: reply.status, headers }),
+            head: Some(wire::Part::Head {
+                status: reply.status,
+                headers,
+            }),
             reader: reply.body,
             decoder: sse::Decoder::default(),
             waiting: collections::VecDeque::new(),
@@ -75,7 +86,11 @@
         if self.ended && self.waiting.is_empty() {
             return None;
         }
-        if self.is_model { self.next_token().await } else { self.next_body().await }
+        if self.is_model {
+            self.next_token().await
+        } else {
+            self.next_body().await
+        }
     }
 
     /// Returns a part that has already been received, if there is one.
@@ -136,7 +151,8 @@
     fn take(&mut self, event: &sse::Event) {
         if event.data == "[DONE]" {
             self.ended = true;
-            self.waiting.push_back(wire::Part::End { count: self.count });
+            self.waiting
+                .push_back(wire::Part::End { count: self.count });
             return;
         }
         match serde_json::from_str::<Event>(&event.data) {
@@ -177,7 +193,11 @@
                 break;
             }
         }
-        let message = format!("status {}: {}", self.status, String::from_utf8_lossy(&message));
+        let message = format!(
+            "status {}: {}",
+            self.status,
+            String::from_utf8_lossy(&message)
+        );
         let is_callers_fault = self.status == 400 || self.status == 422;
         let reason = if is_callers_fault {
             outcome::Reason::InvalidRequest
@@ -194,16 +214,23 @@
 
     fn incomplete(&mut self, message: String) -> wire::Part {
         self.ended = true;
-        engine::fail(outcome::Outcome::Unknown, outcome::Reason::UpstreamIncomplete, message)
+        engine::fail(
+            outcome::Outcome::Unknown,
+            outcome::Reason::UpstreamIncomplete,
+            message,
+        )
     }
 }
 
 impl Choice {
     fn into_text(self) -> Option<String> {
-        self.text.or_else(|| self.delta.and_then(|delta| delta.content))
+        self.text
+            .or_else(|| self.delta.and_then(|delta| delta.content))
     }
 }
 
 fn is_connection_header(name: &str) -> bool {
-    CONNECTION_HEADERS.iter().any(|header| header.eq_ignore_ascii_case(name))
+    CONNECTION_HEADERS
+        .iter()
+        .any(|header| header.eq_ignore_ascii_case(name))
 }
--- a/crates/carawaycleat/src/side/engine.rs
+++ b/crates/carawaycleat/src/upstream/engine.rs
@@ -5,7 +5,7 @@
 use carawaycleat_net as net;
 use carawaycleat_wire as wire;
 
-use super::event;
+use super::answer;
 
 /// The longest answer of the engine's management endpoints, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -21,8 +21,7 @@
 }
 
 /// The state that an engine reports about itself; it lags.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
 #[serde(default)]
 pub struct State {
     /// The incarnation; a restart changes it.
@@ -50,8 +49,7 @@
 }
 
 /// A model or adapter in a [`State`].
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
 #[serde(default)]
 pub struct Loaded {
     /// The name.
@@ -67,8 +65,7 @@
 }
 
 /// An order in a [`State`].
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
 #[serde(default)]
 pub struct Order {
     /// The identifier.
@@ -78,8 +75,7 @@
 }
 
 /// The body of an order to the engine.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct Command {
     /// The identifier; the engine applies each once.
     pub id: u64,
@@ -119,7 +115,11 @@
     /// Reads the engine's state; none when it does not answer.
     pub async fn state(&self) -> Option<State> {
         let request = net::Request::new("GET", "/engine/state");
-        let reply = self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await.ok()?;
+        let reply = self
+            .pool
+            .send(self.address, request, MANAGEMENT_TIMEOUT)
+            .await
+            .ok()?;
         if reply.status != 200 {
             return None;
         }
@@ -130,7 +130,10 @@
     /// Returns whether a service answers at all.
     pub async fn answers(&self) -> bool {
         let request = net::Request::new("GET", "/healthz");
-        self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await.is_ok()
+        self.pool
+            .send(self.address, request, MANAGEMENT_TIMEOUT)
+            .await
+            .is_ok()
     }
 
     /// Sends an order.
@@ -139,7 +142,11 @@
         let request = net::Request::new("POST", "/engine/orders")
             .header("content-type", "application/json")
             .body(body);
-        match self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await {
+        match self
+            .pool
+            .send(self.address, request, MANAGEMENT_TIMEOUT)
+            .await
+        {
             Ok(reply) => match reply.status {
                 200..300 => Acceptance::Accepted,
                 409 => Acceptance::Fenced,
@@ -152,9 +159,12 @@
 
     /// Tells the engine that the answer to request `id` is no longer wanted.
     pub async fn cancel(&self, id: wire::Id) {
-        let request = net::Request::new("DELETE", &format!("/v1/requests/{id}"));
+        let request = net::Request::new("DELETE", format!("/v1/requests/{id}"));
         // The engine also sees that the connection has gone, so a lost cancel only costs time.
-        let _ = self.pool.send(self.address, request, MANAGEMENT_TIMEOUT).await;
+        let _ = self
+            .pool
+            .send(self.address, request, MANAGEMENT_TIMEOUT)
+            .await;
     }
 
     /// Sends a job and returns the answer as it arrives.
@@ -162,7 +172,7 @@
     /// # Errors
     ///
     /// Returns the part that reports the failure, with what is known about the execution.
-    pub async fn start(&self, job: &wire::Job) -> Result<event::Answer, wire::Part> {
+    pub async fn start(&self, job: &wire::Job) -> Result<answer::Answer, wire::Part> {
         let request = match request(job) {
             Ok(request) => request,
             Err(error) => {
@@ -172,27 +182,47 @@
         };
         let timeout = time::Duration::from_millis(job.timeout_ms);
         match self.pool.send(self.address, request, timeout).await {
-            Ok(reply) => Ok(event::Answer::new(job, reply)),
+            Ok(reply) => Ok(answer::Answer::new(job, reply)),
             Err(failure) => {
-                let known = if failure.sent { outcome::Outcome::Unknown } else { outcome::Outcome::NotRun };
-                Err(fail(known, outcome::Reason::UpstreamFailed, failure.error.to_string()))
+                let known = if failure.sent {
+                    outcome::Outcome::Unknown
+                } else {
+                    outcome::Outcome::NotRun
+                };
+                Err(fail(
+                    known,
+                    outcome::Reason::UpstreamFailed,
+                    failure.error.to_string(),
+                ))
             }
         }
     }
 }
 
 /// Returns the part that reports a failure.
-pub(super) fn fail(known: outcome::Outcome, reason: outcome::Reason, message: String) -> wire::Part {
-    wire::Part::Fail { outcome: known, reason, message }
+pub(super) fn fail(
+    known: outcome::Outcome,
+    reason: outcome::Reason,
+    message: String,
+) -> wire::Part {
+    wire::Part::Fail {
+        outcome: known,
+        reason,
+        message,
+    }
 }
 
 fn request(job: &wire::Job) -> serde_json::Result<net::Request> {
-    let mut request = net::Request::new(&job.method, &job.path);
+    let mut request = net::Request::new(job.method.as_str(), &job.path);
     for (name, value) in &job.headers {
-        request = request.header(name, value);
+        request = request.header(name.as_str(), value.as_str());
     }
-    request = request.header("x-request-id", &job.id.to_string());
-    let body = if job.model.is_some() { model_body(job)? } else { job.body.clone() };
+    request = request.header("x-request-id", job.id.to_string());
+    let body = if job.model.is_some() {
+        model_body(job)?
+    } else {
+        job.body.clone()
+    };
     Ok(request.body(body))
 }
 
