test(core): check takeover, outage and recovery of shards

Cause: the fault cells check the sum but not that the shards stay in use. Change: tests of the takeover rules, of an outage of an hour, and of recovery after a stop, restart or join. Conclusion: a holder spends through an outage of an hour and stops at nine tenths of its validity.

--- a/crates/carawaycleat-core/tests/suite/rate.rs
+++ b/crates/carawaycleat-core/tests/suite/rate.rs
@@ -234,3 +234,90 @@
     assert_eq!(ledger.shortfall(at(1_000), &team, 5_000), 5_000 - 4_096);
     assert_eq!(ledger.shortfall(at(2_000), &team, 5_000), 5_000);
 }
+
+fn owner(host: &str, port: u16, incarnation: u64) -> rate::Owner {
+    rate::Owner {
+        host: name::Name::parse(host).expect("a valid name"),
+        address: ([127, 0, 0, 1], port).into(),
+        incarnation,
+    }
+}
+
+/// Returns the holder of all shards, which it claimed at 0 s with revision 1, and their records.
+fn sole_holder(owner: rate::Owner) -> (rate::Holder, Vec<rate::Observed>) {
+    let now = clock::Instant::default();
+    let mut holder = rate::Holder::new(owner.clone(), rate::SHARDS);
+    holder.roster(&[owner.host]);
+    holder.list(now, &[]);
+    let effects = holder.tick(now);
+    let [rate::Effect::Write(write)] = effects.as_slice() else {
+        panic!("a claim was expected: {effects:?}");
+    };
+    holder.answer(now, &write.id, rate::Answer::Written(1));
+    let observed = |put: &rate::Put| rate::Observed {
+        number: put.number,
+        shard: Some(put.shard.clone()),
+        revision: 1,
+    };
+    (holder, write.puts.iter().map(observed).collect())
+}
+
+/// Guards against a store outage of an hour stopping a holder, and against one that never stops.
+#[test]
+fn a_holder_spends_through_an_outage_of_an_hour() {
+    let (mut holder, _) = sole_holder(owner("a", 1, 1));
+    let mut last = 0;
+    for second in 1..8_000 {
+        let now = clock::Instant::from_millis(second * 1_000);
+        for effect in holder.tick(now) {
+            if let rate::Effect::Write(write) = effect {
+                holder.answer(now, &write.id, rate::Answer::Unknown);
+            }
+        }
+        if holder.spendable(now) == rate::SHARDS {
+            last = second;
+        }
+    }
+    assert_eq!(last, 2 * 3_600 * 9 / 10 - 1);
+}
+
+/// Guards against shards stranded longer than needed and against a takeover from a live holder.
+#[yare::parameterized(
+    same_address = { "a", 1, Some(0) },
+    same_host_on_another_address = { "a", 2, Some(7_200) },
+    another_host = { "b", 2, Some(7_200) },
+)]
+fn shards_are_taken_over_by_rule(host: &str, port: u16, expected: Option<u64>) {
+    let (_, records) = sole_holder(owner("a", 1, 1));
+    let successor = owner(host, port, 2);
+    let mut holder = rate::Holder::new(successor.clone(), rate::SHARDS);
+    holder.roster(&[successor.host]);
+    let claimed = (0..8_000).find(|second| {
+        let now = clock::Instant::from_millis(second * 1_000);
+        holder.list(now, &records);
+        !holder.tick(now).is_empty()
+    });
+    assert_eq!(claimed, expected);
+}
+
+/// Guards against shards that stay unused after a planned stop, a restart or a host that joins.
+#[yare::parameterized(
+    planned_stop = { Fault::PlannedStop },
+    restart = { Fault::CrashSameAddress },
+    join = { Fault::HostJoins },
+    lost_answers = { Fault::AnswersLost },
+    late_writes = { Fault::WritesLate },
+)]
+fn all_shards_are_held_again_soon(fault: Fault) {
+    let mut world = rate_world::World::new(rate::Rules::GUARDED, Demand::Steady, 7);
+    for step in 0..6 {
+        if step == 2 {
+            world.inject(fault);
+        }
+        assert_eq!(world.step(), Ok(()));
+        assert!(
+            step == 2 || step == 3 || world.spendable() == rate_world::SHARDS,
+            "step {step}"
+        );
+    }
+}
--- a/crates/carawaycleat-core/tests/suite/rate_world.rs
+++ b/crates/carawaycleat-core/tests/suite/rate_world.rs
@@ -291,6 +291,12 @@
         Ok(())
     }
 
+    /// Returns the shards that all hosts together may spend.
+    pub(crate) fn spendable(&self) -> u32 {
+        let now = |host: &Host| host.now(self.micro);
+        self.hosts.iter().map(|h| h.holder.spendable(now(h))).sum()
+    }
+
     fn check(&self) -> Result<(), String> {
         let allowed = RATE * self.micro * STEP_MS / 1_000 + BURST;
         if self.used > allowed || self.reference < 0 {
