test(net): cover a framing fault behind a joined piece

Cause: with the guard for it replaced, the suite still passed; an invalid chunk size followed by the bytes of a last chunk was then a clean end. Change: a test that delivers the fault in a read of its own. Conclusion: the guard stays in place.

--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -113,6 +113,27 @@
     });
 }
 
+/// Guards against a fault of the framing that is found while a piece is joined, and forgotten when the bytes behind it
+/// look like the end of the body.
+#[test]
+fn reports_invalid_chunk_behind_piece() {
+    // The client reads the head in pieces of this length, so that the fault comes with a read of its own.
+    const READ_BYTES: usize = 4096;
+    let start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\na: ";
+    let end = "\r\n\r\n3\r\nabc\r\n";
+    let padding = "b".repeat(READ_BYTES - start.len() - end.len());
+    let first = format!("{start}{padding}{end}xyz\r\n").leak().as_bytes();
+    peer::run(async |_| {
+        let address = peer::answering(vec![vec![first, b"0\r\n\r\n"]]);
+        let mut body = get(&http::Pool::default(), address)
+            .await
+            .expect("a head")
+            .body;
+        assert_eq!(body.next().await.expect("a piece"), Some(b"abc".to_vec()));
+        assert!(matches!(body.next().await, Err(http::Error::Malformed(_))));
+    });
+}
+
 /// Guards against a wait for a body that an answer to `HEAD` does not have.
 #[test]
 fn reads_answer_to_head() {
