--- a/crates/carawaycleat-core/src/retry/attempt.rs
+++ b/crates/carawaycleat-core/src/retry/attempt.rs
@@ -30,9 +30,10 @@
     /// A request that was never sent did not run, and one that delivered a part of its answer has at least started.
     pub const fn total_outcome(&self) -> outcome::Outcome {
         let this = match self.outcome {
-            outcome::Outcome::Unknown if !self.sent => outcome::Outcome::NotRun,
-            outcome::Outcome::NotRun if self.delivered > 0 => outcome::Outcome::Unknown,
-            other => other,
+            outcome::Outcome::Ran => outcome::Outcome::Ran,
+            _ if self.delivered > 0 => outcome::Outcome::Unknown,
+            outcome::Outcome::Unknown if self.sent => outcome::Outcome::Unknown,
+            _ => outcome::Outcome::NotRun,
         };
         match (self.earlier, this) {
             (outcome::Outcome::Ran, _) | (_, outcome::Outcome::Ran) => outcome::Outcome::Ran,
--- a/crates/carawaycleat-core/src/routing/history.rs
+++ b/crates/carawaycleat-core/src/routing/history.rs
@@ -2,7 +2,8 @@
 use std::time;
 
 const SAMPLES: usize = 64;
-const COLD_SAMPLES: usize = 8;
+/// Without a sample the limit is at most the floor times 2 to this power.
+const MAX_COLD_STALLS: u32 = 3;
 const FIRST_TOKEN_FACTOR: u32 = 8;
 const GAP_FACTOR: u32 = 20;
 const GAP_SMOOTHING: u32 = 16;
@@ -12,6 +13,8 @@
 pub(super) struct History {
     first_tokens: collections::VecDeque<time::Duration>,
     gap: Option<time::Duration>,
+    /// The checks that found a stall before the first sample.
+    cold_stalls: u32,
 }
 
 impl History {
@@ -22,14 +25,12 @@
         self.first_tokens.push_back(sample);
     }
 
-    /// Adds the time after which a request was given up.
+    /// Notes that a check found requests without a first token.
     ///
-    /// It is used only while there are few samples: a slow model could otherwise never show that it is slow, and later
-    /// one faulty upstream would raise the limit for all.
-    pub(super) fn add_stall(&mut self, elapsed: time::Duration) {
-        if self.first_tokens.len() < COLD_SAMPLES {
-            self.add_first_token(elapsed);
-        }
+    /// Until there is a sample each such check doubles the limit: a model whose every first token takes longer than the
+    /// floor could otherwise never show that it is slow. Later one faulty upstream must not raise the limit for all.
+    pub(super) fn add_stall(&mut self) {
+        self.cold_stalls = (self.cold_stalls + 1).min(MAX_COLD_STALLS);
     }
 
     pub(super) fn add_gap(&mut self, sample: time::Duration) {
@@ -47,8 +48,10 @@
     }
 
     pub(super) fn first_token_limit(&self, floor: time::Duration) -> time::Duration {
-        let usual = self.first_token_p95().unwrap_or_default();
-        floor.max(usual * FIRST_TOKEN_FACTOR)
+        match self.first_token_p95() {
+            Some(usual) => floor.max(usual * FIRST_TOKEN_FACTOR),
+            None => floor * (1 << self.cold_stalls),
+        }
     }
 
     pub(super) fn gap_limit(&self, floor: time::Duration) -> time::Duration {
--- a/crates/carawaycleat-core/src/routing/table.rs
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -231,6 +231,7 @@
             })
             .collect();
         let mut stalled = Vec::new();
+        let mut without_first = collections::BTreeSet::new();
         for (id, flight) in self
             .flights
             .iter_mut()
@@ -250,13 +251,15 @@
             flight.is_stalled = true;
             stalled.push((*id, flight.upstream.clone()));
             if flight.last_token.is_none() {
-                let history = self.histories.entry(flight.kind.clone()).or_default();
-                history.add_stall(now.since(since));
+                without_first.insert(flight.kind.clone());
             }
             if let Some(known) = self.upstreams.get_mut(&flight.upstream) {
                 known.strike(now, policy.first_ejection, policy.longest_ejection);
             }
         }
+        for kind in without_first {
+            self.histories.entry(kind).or_default().add_stall();
+        }
         stalled
     }
 
@@ -301,7 +304,9 @@
         serving.retain(|(name, _)| !need.exclude.contains(name));
         let is_ejected = |name: &name::Name| ejected.iter().any(|(_, ejected)| *ejected == name);
         // An ejected upstream is better than none for a request that has failed at all others.
-        if !serving.iter().all(|(name, _)| is_ejected(name)) {
+        let is_last_resort =
+            !need.exclude.is_empty() && serving.iter().all(|(name, _)| is_ejected(name));
+        if !is_last_resort {
             serving.retain(|(name, _)| !is_ejected(name));
         }
         serving
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/retry.rs
@@ -0,0 +1,209 @@
+use std::time;
+
+use carawaycleat_core::clock;
+use carawaycleat_core::outcome;
+use carawaycleat_core::retry;
+
+const OUTCOMES: [outcome::Outcome; 3] = [
+    outcome::Outcome::Ran,
+    outcome::Outcome::NotRun,
+    outcome::Outcome::Unknown,
+];
+
+const NOW: clock::Instant = clock::Instant::from_millis(5_000);
+
+fn attempt() -> retry::Attempt {
+    retry::Attempt {
+        outcome: outcome::Outcome::Unknown,
+        reason: outcome::Reason::UpstreamFailed,
+        sent: true,
+        idempotent: true,
+        attempts: 1,
+        earlier: outcome::Outcome::NotRun,
+        delivered: 0,
+        resumable: false,
+        deadline: clock::Instant::from_millis(9_000),
+    }
+}
+
+/// Returns all combinations of what an attempt can be.
+fn attempts() -> Vec<retry::Attempt> {
+    let mut all = Vec::new();
+    for reason in outcome::Reason::ALL {
+        for (outcome, earlier) in OUTCOMES
+            .into_iter()
+            .flat_map(|one| OUTCOMES.map(|two| (one, two)))
+        {
+            for bits in 0..64_u32 {
+                let bit = |index: u32| bits >> index & 1 == 1;
+                all.push(retry::Attempt {
+                    outcome,
+                    reason,
+                    sent: bit(0),
+                    idempotent: bit(1),
+                    attempts: if bit(2) { 3 } else { 1 },
+                    earlier,
+                    delivered: if bit(3) { 7 } else { 0 },
+                    resumable: bit(4),
+                    deadline: if bit(5) { NOW } else { attempt().deadline },
+                });
+            }
+        }
+    }
+    all
+}
+
+type Decide = fn(&retry::Attempt) -> retry::Retry;
+
+/// Returns the number of decisions that break a rule.
+fn violations(decide: Decide) -> usize {
+    let breaks = |attempt: &retry::Attempt| {
+        // What may have happened, from the record of the attempt alone.
+        let never_ran = attempt.earlier == outcome::Outcome::NotRun
+            && attempt.delivered == 0
+            && (attempt.outcome == outcome::Outcome::NotRun
+                || attempt.outcome == outcome::Outcome::Unknown && !attempt.sent);
+        let is_over = attempt.attempts >= 3 || attempt.deadline <= NOW;
+        match decide(attempt) {
+            retry::Retry::Elsewhere => {
+                is_over || attempt.delivered > 0 || !attempt.idempotent && !never_ran
+            }
+            retry::Retry::Resume { position } => {
+                is_over
+                    || position != attempt.delivered
+                    || !attempt.resumable
+                    || !attempt.idempotent
+            }
+            retry::Retry::Fail { outcome, .. } => outcome == outcome::Outcome::NotRun && !never_ran,
+        }
+    };
+    attempts().iter().filter(|attempt| breaks(attempt)).count()
+}
+
+fn guarded(attempt: &retry::Attempt) -> retry::Retry {
+    retry::decide(NOW, attempt, &mut retry::Budget::default())
+}
+
+fn always(_: &retry::Attempt) -> retry::Retry {
+    retry::Retry::Elsewhere
+}
+
+fn trust_last_outcome(attempt: &retry::Attempt) -> retry::Retry {
+    retry::Retry::Fail {
+        outcome: attempt.outcome,
+        reason: attempt.reason,
+    }
+}
+
+fn retry_after_first_byte(attempt: &retry::Attempt) -> retry::Retry {
+    match guarded(attempt) {
+        retry::Retry::Resume { .. } => retry::Retry::Elsewhere,
+        other => other,
+    }
+}
+
+/// Guards against running a non-idempotent request twice, repeating delivered tokens, and false `not run`.
+#[test]
+fn every_decision_keeps_the_rules() {
+    println!("retry: {} cells", attempts().len());
+    assert_eq!(violations(guarded), 0);
+    let naive: [(&str, Decide); 3] = [
+        ("always", always),
+        ("trust the last outcome", trust_last_outcome),
+        (
+            "from the start after the first byte",
+            retry_after_first_byte,
+        ),
+    ];
+    for (rule, decide) in naive {
+        let broken = violations(decide);
+        println!("retry: {broken} broken by the rule: {rule}");
+        assert!(broken > 0, "{rule}");
+    }
+}
+
+#[yare::parameterized(
+    idempotent = { attempt(), retry::Retry::Elsewhere },
+    refused_booking = { retry::Attempt { idempotent: false, outcome: outcome::Outcome::NotRun,
+        reason: outcome::Reason::UpstreamLeaving, ..attempt() }, retry::Retry::Elsewhere },
+    unsent_booking = { retry::Attempt { idempotent: false, sent: false, ..attempt() }, retry::Retry::Elsewhere },
+    sent_booking = { retry::Attempt { idempotent: false, ..attempt() },
+        retry::Retry::Fail { outcome: outcome::Outcome::Unknown, reason: outcome::Reason::UpstreamFailed } },
+    stream = { retry::Attempt { delivered: 4, resumable: true, ..attempt() }, retry::Retry::Resume { position: 4 } },
+    invalid = { retry::Attempt { reason: outcome::Reason::InvalidRequest, outcome: outcome::Outcome::NotRun, ..attempt() },
+        retry::Retry::Fail { outcome: outcome::Outcome::NotRun, reason: outcome::Reason::InvalidRequest } },
+)]
+fn a_failed_attempt_is_followed_by(attempt: retry::Attempt, expected: retry::Retry) {
+    assert_eq!(guarded(&attempt), expected);
+}
+
+/// Guards against retries that multiply an overload, and against old retries or requests counting for ever.
+#[test]
+fn retries_stay_within_the_budget() {
+    let run = |mut budget: retry::Budget| {
+        let mut retries: Vec<u64> = Vec::new();
+        for millis in (0..60_000).step_by(5) {
+            let now = clock::Instant::from_millis(millis);
+            budget.request(now);
+            let mut failed = retry::Attempt {
+                deadline: now + time::Duration::from_secs(1),
+                ..attempt()
+            };
+            while retry::decide(now, &failed, &mut budget) == retry::Retry::Elsewhere {
+                retries.push(millis);
+                failed.attempts += 1;
+            }
+        }
+        // The most retries in any ten seconds, against 2,000 requests in the same time.
+        let within = |start: u64| {
+            retries
+                .iter()
+                .filter(|at| (start..start + 10_000).contains(*at))
+                .count()
+        };
+        (0..50_000).step_by(500).map(within).max().unwrap_or(0)
+    };
+    let (guarded, naive) = (
+        run(retry::Budget::default()),
+        run(retry::Budget::new(100, 1 << 40)),
+    );
+    println!(
+        "retry budget: at most {guarded} retries for 2,000 requests, {naive} without a budget"
+    );
+    assert!((300..=410).contains(&guarded));
+    assert!(naive > 3_000);
+}
+
+#[yare::parameterized(
+    slow = { true, 1, false, 600, true },
+    not_idempotent = { false, 1, false, 600, false },
+    hedged_already = { true, 2, false, 600, false },
+    answered = { true, 1, true, 600, false },
+    not_yet_slow = { true, 1, false, 500, false },
+)]
+fn a_request_is_hedged(
+    idempotent: bool,
+    running: u32,
+    answered: bool,
+    elapsed_ms: u64,
+    expected: bool,
+) {
+    let sent = clock::Instant::from_millis(1_000);
+    let wait = retry::Wait {
+        idempotent,
+        running,
+        answered,
+        sent,
+        usual: time::Duration::from_millis(500),
+        deadline: clock::Instant::from_millis(10_000),
+    };
+    let now = sent + time::Duration::from_millis(elapsed_ms);
+    assert_eq!(
+        retry::hedge(now, &wait, &mut retry::Budget::default()),
+        expected
+    );
+    assert!(
+        !retry::hedge(now, &wait, &mut retry::Budget::new(0, 0)),
+        "beyond the budget"
+    );
+}
