perf(core): compare refused models by reference in the queue

Cause: a pop that finds no free model cloned the names of each waiting request. Change: the refused models are kept by reference. The property test also checks that a request within the bounds is accepted.

--- a/crates/carawaycleat-core/src/admission/line.rs
+++ b/crates/carawaycleat-core/src/admission/line.rs
@@ -69,11 +69,11 @@
     }
 
     /// Returns the place of the first ticket in class order for which `can_run` holds.
-    pub(super) fn find(
-        &self,
+    pub(super) fn find<'a>(
+        &'a self,
         now: clock::Instant,
         batch_wait: time::Duration,
-        can_run: &mut impl FnMut(&super::Ticket) -> bool,
+        can_run: &mut impl FnMut(&'a super::Ticket) -> bool,
     ) -> Option<Place> {
         let live = self.first(super::Class::Live, |_| true, can_run);
         live.or_else(|| {
@@ -133,11 +133,11 @@
         removed
     }
 
-    fn first(
-        &self,
+    fn first<'a>(
+        &'a self,
         class: super::Class,
         eligible: impl Fn(&Waiting) -> bool,
-        can_run: &mut impl FnMut(&super::Ticket) -> bool,
+        can_run: &mut impl FnMut(&'a super::Ticket) -> bool,
     ) -> Option<Place> {
         let queue = &self.classes[usize::from(class.priority())];
         let mut waiting = queue
--- a/crates/carawaycleat-core/src/admission/queue.rs
+++ b/crates/carawaycleat-core/src/admission/queue.rs
@@ -247,17 +247,37 @@
     fn next_fair(
         &mut self,
         now: clock::Instant,
-        mut can_run: impl FnMut(&super::Ticket) -> bool,
+        can_run: impl FnMut(&super::Ticket) -> bool,
     ) -> Option<(name::Name, line::Place)> {
-        let mut refused = collections::BTreeSet::new();
-        let mut can_run = |ticket: &super::Ticket| {
-            let target = (ticket.model.clone(), ticket.adapter.clone());
+        let found = self.runnable(now, can_run);
+        let rounds = found
+            .iter()
+            .map(|(name, _)| self.rounds_needed(name))
+            .min()?;
+        if rounds > 0 {
+            self.start_rounds(rounds);
+        }
+        found
+            .into_iter()
+            .filter(|(workspace, _)| self.rounds_needed(workspace) == 0)
+            .min_by_key(|(_, place)| place.class)
+    }
+
+    /// Returns the first request of each workspace that can run.
+    fn runnable<'a>(
+        &'a self,
+        now: clock::Instant,
+        mut can_run: impl FnMut(&super::Ticket) -> bool,
+    ) -> Vec<(name::Name, line::Place)> {
+        let mut refused = Vec::new();
+        let mut can_run = |ticket: &'a super::Ticket| {
+            let target = (ticket.model.as_ref(), ticket.adapter.as_ref());
             if ticket.deadline <= now || refused.contains(&target) {
                 return false;
             }
             let is_runnable = can_run(ticket);
             if !is_runnable && ticket.model.is_some() {
-                refused.insert(target);
+                refused.push(target);
             }
             is_runnable
         };
@@ -267,17 +287,7 @@
                 found.push((workspace.clone(), place));
             }
         }
-        let rounds = found
-            .iter()
-            .map(|(name, _)| self.rounds_needed(name))
-            .min()?;
-        if rounds > 0 {
-            self.start_rounds(rounds);
-        }
         found
-            .into_iter()
-            .filter(|(workspace, _)| self.rounds_needed(workspace) == 0)
-            .min_by_key(|(_, place)| place.class)
     }
 
     /// Returns the lines in the order of their names, beginning after the workspace that was served last.
--- a/crates/carawaycleat-core/tests/suite/admission.rs
+++ b/crates/carawaycleat-core/tests/suite/admission.rs
@@ -235,7 +235,11 @@
                     let mut ticket = ticket(id as u128, &workspace, admission::Class::ALL[class]);
                     (ticket.tokens, ticket.bytes) = (tokens, bytes);
                     ticket.deadline = now + time::Duration::from_millis(span);
-                    if queue.push(now, ticket.clone()).is_ok() {
+                    let own = waiting.values().filter(|other| *other.workspace == *workspace);
+                    let (count, held) = own.fold((0, 0), |(count, held), other| (count + 1, held + other.bytes));
+                    let has_room = count < 8 && held + bytes <= 100;
+                    prop_assert_eq!(queue.push(now, ticket.clone()).is_ok(), has_room);
+                    if has_room {
                         waiting.insert(id as u128, ticket);
                     }
                 }
