test(core): cover four rules that no test had seen to matter

Cause: of eight rules that were replaced by a naive one as a trial, four left all tests passing: the bound on saved credit, the correction of the reported load, parts after the end of an answer, and the service rate of idle time. Change: add a case for each.

--- a/crates/carawaycleat-core/tests/suite/admission.rs
+++ b/crates/carawaycleat-core/tests/suite/admission.rs
@@ -188,6 +188,21 @@
     assert!((115..=125).contains(&heavy), "{heavy} of 160 for 3/4");
 }
 
+/// Guards against a workspace that saves credit while its model has no capacity and then holds up the others.
+#[test]
+fn a_blocked_workspace_saves_no_credit() {
+    let mut queue = queue(admission::Policy::Fair);
+    for id in 0..200 {
+        push(&mut queue, 0, ticket(id, "blocked", admission::Class::Live));
+        push(&mut queue, 0, ticket(id, "free", admission::Class::Live));
+    }
+    let now = clock::Instant::default();
+    (0..150).for_each(|_| drop(queue.pop(now, |ticket| &*ticket.workspace == "free")));
+    let popped = std::iter::from_fn(|| queue.pop(now, |_| true)).take(40);
+    let free = popped.filter(|ticket| &*ticket.workspace == "free").count();
+    assert!(free >= 12, "{free} of 40 for a half less one round");
+}
+
 /// Guards against requests that wait only to miss their deadline; without a measured rate they are accepted.
 #[yare::parameterized(
     measured = { true, false },
@@ -196,6 +211,8 @@
 fn an_unreachable_deadline_is_refused_at_once(is_measured: bool, accepted: bool) {
     let mut queue = queue(admission::Policy::Fair);
     let at = |seconds: u64| clock::Instant::from_millis(seconds * 1_000);
+    // What is served while nothing waits shows no rate.
+    queue.served(at(0), 1_000_000);
     for id in 0..20 {
         push(&mut queue, 0, ticket(id, "w", admission::Class::Live));
     }
--- a/crates/carawaycleat-core/tests/suite/routing.rs
+++ b/crates/carawaycleat-core/tests/suite/routing.rs
@@ -195,6 +195,12 @@
     new_incarnation = { |it| it.hear(0, |load| (load.incarnation, load.leaving) = (2, true)), 0, "u1 u2" },
     at_capacity = { |it| it.hear(2, |load| (load.capacity, load.in_flight) = (3, 3)), 0, "u1 u2" },
     removed = { |it| it.configure(2, 2, |_, _| {}), 0, "u0 u1" },
+    busy_with_what_was_sent = { |it| {
+        it.configure(2, 2, |_, _| {});
+        it.hear(2, |load| load.in_flight = 10);
+        it.hear(2, |load| (load.upstream, load.in_flight) = (name("u1"), 12));
+        (0..5).for_each(|request| it.start(0, request, "u0"));
+    }, 0, "u1" },
     other_zone = { |it| it.configure(2, 3, |index, it| if index == 0 { it.availability_zone = name("b") }), 0, "u1 u2" },
     without_sidecar = { |it| it.configure(2, 4, |index, it| if index == 3 { it.side_address = None }), 5_000, "u3" },
 )]
--- a/crates/carawaycleat-core/tests/suite/stream.rs
+++ b/crates/carawaycleat-core/tests/suite/stream.rs
@@ -60,6 +60,10 @@
             is_accepted || !is_checked
         });
         let is_finished = is_whole && ends && cursor.finish(ID, LENGTH).is_ok();
+        if is_finished {
+            let late = cursor.accept(ID, cursor.position());
+            assert_eq!(late, Err(stream::Error::Ended), "a part after the end");
+        }
         if is_finished || !is_checked {
             return (got, true);
         }
