--- a/crates/carawaycleat-core/src/routing/table.rs
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -11,6 +11,40 @@
 use crate::request;
 
 /// What one entry host knows about the upstreams, and the requests that it has sent to them.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat_core::{clock, config, name, resource, routing};
+///
+/// let name = |text| name::Name::parse(text).expect("a valid name");
+/// let (group, zone) = (name("registry"), name("zone-a"));
+/// let upstream = resource::Upstream {
+///     group: group.clone(),
+///     address: ([127, 0, 0, 1], 7_000).into(),
+///     side_address: None,
+///     availability_zone: zone.clone(),
+///     memory_bytes: 0,
+///     fencing: resource::Fencing::Ignored,
+///     leaving: false,
+/// };
+/// let resource = resource::Resource::Upstream(upstream);
+/// let entry = config::Entry { revision: 1, resource };
+/// let mut table = routing::Table::new(routing::Policy::default());
+/// table.configure(&config::Snapshot::new(1).with(name("registry-1"), entry));
+///
+/// let need = routing::Need {
+///     model: None,
+///     adapter: None,
+///     group: &group,
+///     prefixes: &[],
+///     zone: &zone,
+///     exclude: &[],
+/// };
+/// let now = clock::Instant::from_millis(1);
+/// assert_eq!(table.pick(now, &need, &mut || 0)?, name("registry-1"));
+/// # Ok::<(), routing::Error>(())
+/// ```
 #[derive(Clone, Debug)]
 pub struct Table {
     policy: super::Policy,
@@ -231,6 +265,7 @@
             })
             .collect();
         let mut stalled = Vec::new();
+        let mut without_first = collections::BTreeSet::new();
         for (id, flight) in self
             .flights
             .iter_mut()
@@ -250,13 +285,15 @@
             flight.is_stalled = true;
             stalled.push((*id, flight.upstream.clone()));
             if flight.last_token.is_none() {
-                let history = self.histories.entry(flight.kind.clone()).or_default();
-                history.add_stall(now.since(since));
+                without_first.insert(flight.kind.clone());
             }
             if let Some(known) = self.upstreams.get_mut(&flight.upstream) {
                 known.strike(now, policy.first_ejection, policy.longest_ejection);
             }
         }
+        for kind in without_first {
+            self.histories.entry(kind).or_default().add_stall();
+        }
         stalled
     }
 
@@ -301,7 +338,9 @@
         serving.retain(|(name, _)| !need.exclude.contains(name));
         let is_ejected = |name: &name::Name| ejected.iter().any(|(_, ejected)| *ejected == name);
         // An ejected upstream is better than none for a request that has failed at all others.
-        if !serving.iter().all(|(name, _)| is_ejected(name)) {
+        let is_last_resort =
+            !need.exclude.is_empty() && serving.iter().all(|(name, _)| is_ejected(name));
+        if !is_last_resort {
             serving.retain(|(name, _)| !is_ejected(name));
         }
         serving
