feat: require a finish reason before the end of a stream

Cause: an engine that stops early with a clean end looks complete. Change: the adapter accepts [DONE] only after a finish reason whose token count agrees.

--- a/crates/carawaycleat/src/upstream/answer.rs
+++ b/crates/carawaycleat/src/upstream/answer.rs
@@ -35,6 +35,7 @@
     decoder: sse::Decoder,
     waiting: collections::VecDeque<wire::Part>,
     count: u64,
+    is_finished: bool,
     ended: bool,
 }
 
@@ -45,12 +46,19 @@
     position: Option<u64>,
     #[serde(default)]
     choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(serde::Deserialize)]
+struct Usage {
+    completion_tokens: u64,
 }
 
 #[derive(serde::Deserialize)]
 struct Choice {
     text: Option<String>,
     delta: Option<Delta>,
+    finish_reason: Option<String>,
 }
 
 #[derive(serde::Deserialize)]
@@ -77,6 +85,7 @@
             decoder: sse::Decoder::default(),
             waiting: collections::VecDeque::new(),
             count: job.resume_at,
+            is_finished: false,
             ended: false,
         }
     }
@@ -150,9 +159,8 @@
 
     fn take(&mut self, event: &sse::Event) {
         if event.data == "[DONE]" {
-            self.ended = true;
-            self.waiting
-                .push_back(wire::Part::End { count: self.count });
+            let part = self.done();
+            self.waiting.push_back(part);
             return;
         }
         match serde_json::from_str::<Event>(&event.data) {
@@ -164,13 +172,35 @@
         }
     }
 
+    /// Returns the part for the end of the stream. Without a finish reason the engine has stopped early, whatever it
+    /// says.
+    fn done(&mut self) -> wire::Part {
+        if !self.is_finished {
+            return self.incomplete("the stream ended without a finish reason".to_owned());
+        }
+        self.ended = true;
+        wire::Part::End { count: self.count }
+    }
+
     fn check(&mut self, event: Event) {
         if !event.id.is_empty() && event.id != self.id {
             let part = self.incomplete(format!("the event belongs to request {}", event.id));
             self.waiting.push_back(part);
             return;
         }
-        let Some(text) = event.choices.into_iter().next().and_then(Choice::into_text) else {
+        if let Some(usage) = event.usage
+            && usage.completion_tokens != self.count
+        {
+            let message = format!("{} tokens arrived of {}", self.count, usage.completion_tokens);
+            let part = self.incomplete(message);
+            self.waiting.push_back(part);
+            return;
+        }
+        let Some(choice) = event.choices.into_iter().next() else {
+            return;
+        };
+        self.is_finished |= choice.finish_reason.is_some();
+        let Some(text) = choice.into_text().filter(|text| !text.is_empty()) else {
             return;
         };
         let position = event.position.unwrap_or(self.count);
--- a/crates/carawaycleat/src/upstream/engine.rs
+++ b/crates/carawaycleat/src/upstream/engine.rs
@@ -60,7 +60,7 @@
     pub model: String,
     /// The memory that it takes, in bytes.
     pub bytes: u64,
-    /// Whether it is loading, resident or unloading.
+    /// Whether it is loading, loaded or unloading.
     pub state: String,
 }
 
@@ -69,8 +69,8 @@
 #[serde(default)]
 pub struct Order {
     /// The identifier.
-    pub id: u64,
-    /// Whether it is accepted, done or failed.
+    pub id: String,
+    /// Whether it is accepted, running, done or rejected.
     pub state: String,
 }
 
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct Command {
     /// The identifier; the engine applies each once.
-    pub id: u64,
+    pub id: String,
     /// The fencing number.
     pub fencing: u64,
     /// One of `load`, `unload`, `load_adapter`, `unload_adapter`.
