feat: add the programs of the two daemons

Cause: the daemons need settings, signals and exit codes in the same way. Change: carawaycleat-entry and carawaycleat-side read their settings, stop on SIGTERM and end on a second one. Conclusion: the programs only call the library.

--- /dev/null
+++ b/crates/carawaycleat/src/bin/carawaycleat-entry.rs
@@ -0,0 +1,7 @@
+//! Entry host of the carawaycleat serving system.
+
+use std::process;
+
+fn main() -> process::ExitCode {
+    carawaycleat::process::entry()
+}
--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -109,7 +109,7 @@
     /// were cut because the bound was reached.
     ///
     /// Readiness drops first, so that the load balancer stops sending requests, which are answered until then.
-    pub async fn stop(self) -> usize {
+    pub async fn stop(&self) -> usize {
         let settings = &self.shared.settings.shutdown;
         let limit = time::Duration::from_millis(settings.drain_limit_ms);
         let expired = async {
--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod log;
 pub mod manifest;
 pub mod metric;
+pub mod process;
 pub mod settings;
+pub mod side;
 pub mod upstream;
--- /dev/null
+++ b/crates/carawaycleat/src/process.rs
@@ -0,0 +1,26 @@
+//! What the programs of the two daemons share: options, settings, signals and exit codes.
+
+mod entry;
+mod options;
+mod signal;
+mod side;
+
+use std::process;
+
+/// Runs an entry host until it is told to stop.
+///
+/// The exit code is 0 after a graceful shutdown, 1 when the host could not start or requests were cut, and 2 when the
+/// settings are invalid.
+pub fn entry() -> process::ExitCode {
+    entry::run(&options::parse("carawaycleat-entry", "Runs an entry host")).into()
+}
+
+/// Runs a sidecar until it is told to stop.
+///
+/// The exit codes are those of [`entry`].
+pub fn side() -> process::ExitCode {
+    side::run(&options::parse("carawaycleat-side", "Runs the sidecar of an upstream")).into()
+}
+
+/// The exit code of a process that could not start, or that cut requests when it stopped.
+const EXIT_FAILED: u8 = 1;
