test(standin): bound the HTTP tests and document the calls for tests

Cause: a caller's place in the batch that was never freed let the suite hang instead of fail. Change: each HTTP test fails after a limit of 20 s; the crate documentation lists the calls for tests. Conclusion: a hang is reported by the test that meets it.

--- a/crates/carawaycleat-standin/src/engine/batch.rs
+++ b/crates/carawaycleat-standin/src/engine/batch.rs
@@ -147,7 +147,7 @@
             + options.step_per_request.saturating_mul(requests)
             + options.prefill_per_token.saturating_mul(prefill);
         let time = time.mul_f64(faults.slowdown.max(0.0));
-        // A step of no time would let one call of `advance` run for ever.
+        // A step of no time would keep one call of `advance` from returning.
         self.step_ends = Some(now + time.max(time::Duration::from_micros(1)));
     }
 
--- a/crates/carawaycleat-standin/src/engine/report.rs
+++ b/crates/carawaycleat-standin/src/engine/report.rs
@@ -7,7 +7,7 @@
     pub incarnation: u64,
     /// The highest fencing number seen.
     pub fencing: u64,
-    /// When the state was so, in milliseconds of the engine's clock.
+    /// When the state was so, in milliseconds of the engine's clock; over HTTP, since the Unix epoch.
     pub taken_at_ms: u64,
     /// The memory for models and adapters.
     pub memory_bytes: u64,
--- a/crates/carawaycleat-standin/src/engine/server.rs
+++ b/crates/carawaycleat-standin/src/engine/server.rs
@@ -16,7 +16,7 @@
 use crate::handle;
 use crate::weights;
 
-// The weight store has no limit on the loads in flight, so a load can take long, yet not for ever.
+// The weight store accepts any number of loads, so one may wait long; the limit ends a wait on a hung store.
 const FETCH_LIMIT: time::Duration = time::Duration::from_secs(3_600);
 const FETCH_PAUSE: time::Duration = time::Duration::from_millis(200);
 
--- a/crates/carawaycleat-standin/src/lib.rs
+++ b/crates/carawaycleat-standin/src/lib.rs
@@ -2,6 +2,19 @@
 //!
 //! Each stand-in is a state machine that takes the current time as an argument, and a thin HTTP layer over it.
 //!
+//! Besides the published protocol, the HTTP layers have calls for tests. Each answers at once, also during a hang:
+//!
+//! | call | stand-in | effect |
+//! |---|---|---|
+//! | `POST /standin/faults` | store, engine, service | replaces all faults; a field that is left out is switched off |
+//! | `GET /standin/counts` | store | returns [`store::Counts`] |
+//! | `GET /standin/records` | engine | returns [`engine::Records`] |
+//! | `POST /standin/restart` | engine | restarts with a new incarnation and empty memory |
+//! | `GET /standin/executions` | service | returns the list of [`service::Execution`] |
+//! | `POST /standin/hosts` | hosts | replaces the list with a [`hosts::List`] |
+//!
+//! A process that refuses connections is made with [`Handle::stop`]; [`Store::resume`] starts a store again with its keys.
+//!
 //! # Examples
 //!
 //! ```
--- a/crates/carawaycleat-standin/tests/suite/http.rs
+++ b/crates/carawaycleat-standin/tests/suite/http.rs
@@ -14,7 +14,12 @@
 
 fn run<F: Future<Output = ()>>(test: impl FnOnce(Executor) -> F) {
     let executor = Executor::default();
-    futures_lite::future::block_on(executor.run(test(executor.clone())));
+    let expired = async {
+        async_io::Timer::after(LIMIT).await;
+        panic!("no result within the limit");
+    };
+    let test = futures_lite::future::or(test(executor.clone()), expired);
+    futures_lite::future::block_on(executor.run(test));
 }
 
 fn post(path: &str, body: &str) -> net::Request {
