--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod engine_faults;
+mod engine_time;
 mod hosts;
 mod http;
 mod service;
