feat(core): account for one accelerator's memory

Cause: nothing decided when an order may be sent to an engine, so lost, late and repeated orders, restarts and late reports could overcommit an accelerator.

Change: memory::Account counts a load before its order is returned and keeps it counted until a report that was certainly taken after the last arrival of a copy. An applied load stays counted that long as well: a copy may land in a restarted engine whose reports have not arrived. Fencing numbers and order identifiers are derived from the sidecar's incarnation, and the claim of a number is confirmed by a report that lists the claiming order.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod clock;
 pub mod config;
+pub mod memory;
 pub mod name;
 pub mod outcome;
 pub mod resource;
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -1,3 +1,5 @@
 //! Integration tests of the core crate, a module per feature.
 
+mod fake;
+mod memory;
 mod resource;
