feat(core): place models and adapters on upstreams

Cause: nothing decided which upstream holds which model, so demand could not be followed and a lost or leaving upstream could leave a model without a replica.

Fixed placement and least recently used are the baselines.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod memory;
 pub mod name;
 pub mod outcome;
+pub mod placement;
 pub mod resource;
--- /dev/null
+++ b/crates/carawaycleat-core/src/placement/baseline.rs
@@ -0,0 +1,5 @@
+mod fixed;
+mod recent;
+
+pub use fixed::Fixed;
+pub use recent::LeastRecentlyUsed;
--- /dev/null
+++ b/crates/carawaycleat-core/src/placement/baseline/recent.rs
@@ -0,0 +1,68 @@
+use crate::clock;
+use crate::memory;
+use crate::placement;
+
+/// The time since its last request for which an item counts as asked for.
+const ASKED_SECONDS: u64 = 1;
+
+/// A plan that loads what is asked for and makes room by dropping what was asked for least recently: a baseline for
+/// comparison.
+///
+/// It does not wait for another replica before it drops an item.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastRecentlyUsed {}
+
+impl LeastRecentlyUsed {
+    /// Returns the plan for `inputs`, or none when the plan in force stays.
+    pub fn plan(
+        &mut self,
+        now: clock::Instant,
+        inputs: &placement::Inputs<'_>,
+    ) -> Option<placement::Plan> {
+        let live = |u: &&placement::Upstream| u.state == placement::State::Live;
+        let mut plan = placement::Plan::new(inputs.group.clone());
+        for upstream in inputs.upstreams.iter().filter(live) {
+            let previous = inputs.previous.and_then(|p| p.holdings(&upstream.name));
+            let holdings = previous.map(<[memory::Item]>::to_vec).unwrap_or_default();
+            plan.upstreams.insert(upstream.name.clone(), holdings);
+        }
+        let used = |item: &memory::Item| inputs.demand.last_observed(&(&item.id).into());
+        let is_asked = |item: &&memory::Item| {
+            used(item).is_some_and(|at| now.since(at).as_secs() < ASKED_SECONDS)
+        };
+        for item in inputs.items.iter().filter(is_asked) {
+            let is_held = plan.upstreams.values().any(|held| held.contains(item));
+            let base = item.id.base();
+            let has_base = |held: &[memory::Item]| {
+                item.id.adapter.is_none() || held.iter().any(|i| i.id == base)
+            };
+            // The upstream whose oldest item was asked for least recently.
+            let age = |held: &[memory::Item]| held.iter().map(used).min().flatten();
+            let target = inputs
+                .upstreams
+                .iter()
+                .filter(live)
+                .filter(|u| has_base(&plan.upstreams[&u.name]) && item.bytes <= u.memory_bytes)
+                .min_by_key(|u| age(&plan.upstreams[&u.name]));
+            let Some(target) = target.filter(|_| !is_held) else {
+                continue;
+            };
+            let Some(held) = plan.upstreams.get_mut(&target.name) else {
+                continue;
+            };
+            let sum = |held: &[memory::Item]| held.iter().map(|i| i.bytes).sum::<u64>();
+            while sum(held) + item.bytes > target.memory_bytes {
+                let victims = held.iter().filter(|i| i.id != base);
+                let Some(victim) = victims.min_by_key(|i| used(i)).map(|i| i.id.clone()) else {
+                    break;
+                };
+                held.retain(|i| i.id != victim && !i.id.is_adapter_of(&victim));
+            }
+            if sum(held) + item.bytes <= target.memory_bytes {
+                held.push(item.clone());
+            }
+        }
+        let is_same = |previous: &placement::Plan| previous.upstreams == plan.upstreams;
+        (!inputs.previous.is_some_and(is_same)).then_some(plan)
+    }
+}
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod fake;
 mod memory;
+mod placement;
 mod resource;
