feat(core): claim idempotency keys

Cause: nothing decided whether a request with an idempotency key may be sent when the store is down, slow, or loses an answer after the write.

Change: claim::Flow dispatches only after the store confirmed its own operation, refuses as claim_unavailable otherwise, and reads on until a late write can no longer take effect, so that an orphaned claim is deleted. A duplicate refusal does the same when an own create had no answer. claim::Table is the sidecar's bounded table of executed keys.

Conclusion: at most one execution and no blocked repeat, unless the host ends before it has removed an orphan; then the claim stays until its lease ends.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 extern crate quick_error;
 
+pub mod claim;
 pub mod clock;
 pub mod config;
 pub mod memory;
--- a/crates/carawaycleat-core/tests/suite/fake.rs
+++ b/crates/carawaycleat-core/tests/suite/fake.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod engine;
 pub(crate) mod fleet;
+pub(crate) mod store;
