feat(core): decide for a sidecar

Cause: nothing combined the memory account, the executed keys and the plan into the decisions of one sidecar.

Change: side::Reducer takes plans with rising revisions only, loads before it unloads where memory permits, unloads only what no request uses, refuses work as not run and remembers those requests, and exits when nothing runs. Orders that an engine refuses are repeated after a pause; they were repeated at once, without end.

A copy of a refused request that arrives at a replaced sidecar is accepted there; the table of refused requests ends with the process.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod outcome;
 pub mod placement;
 pub mod resource;
+pub mod side;
--- a/crates/carawaycleat-core/src/memory/account.rs
+++ b/crates/carawaycleat-core/src/memory/account.rs
@@ -55,6 +55,7 @@
     fencing: u64,
     next_order: u64,
     phase: Phase,
+    claimed_at: Option<clock::Instant>,
     latest: Option<super::Report>,
     orders: collections::BTreeMap<u64, Tracked>,
 }
@@ -131,6 +132,7 @@
             fencing: 0,
             next_order: (incarnation << ORDER_BITS) + 1,
             phase,
+            claimed_at: None,
             latest: None,
             orders: collections::BTreeMap::new(),
         }
@@ -273,13 +275,12 @@
             super::Answer::Lost => {}
             super::Answer::Accepted => tracked.state = TrackedState::Accepted,
             super::Answer::NoMemory | super::Answer::OldFencing => {
-                let order = tracked.order.clone();
-                if order.kind == super::Kind::Load {
+                // A refused unload is sent again after a pause, so that a refusal cannot cause an endless exchange.
+                if tracked.order.kind == super::Kind::Load {
                     tracked.state = TrackedState::Rejected;
-                } else {
-                    self.orders.remove(&id);
                 }
-                if answer == super::Answer::OldFencing && order.fencing >= self.fencing {
+                let is_current = tracked.order.fencing >= self.fencing;
+                if answer == super::Answer::OldFencing && is_current {
                     self.claim_again();
                 }
             }
@@ -395,6 +396,11 @@
             let is_due = now.since(sent_at) >= self.settings.resend_after;
             return is_due.then(|| self.send(now, id));
         }
+        let is_early = |at| now.since(at) < self.settings.resend_after;
+        if self.claimed_at.is_some_and(is_early) {
+            return None;
+        }
+        self.claimed_at = Some(now);
         self.fencing = self.incarnation.max(reported + 1).max(self.fencing + 1);
         Some(self.create(now, super::Kind::Fence, fence_item()))
     }
--- /dev/null
+++ b/crates/carawaycleat-core/src/side.rs
@@ -0,0 +1,16 @@
+//! Decisions of a sidecar.
+
+mod effect;
+mod event;
+mod jobs;
+mod reducer;
+mod report;
+
+pub use effect::Change;
+pub use effect::Effect;
+pub use event::Directive;
+pub use event::Event;
+pub use event::Job;
+pub use reducer::Reducer;
+pub use report::Report;
+pub use report::Residence;
--- /dev/null
+++ b/crates/carawaycleat-core/src/side/reducer.rs
@@ -0,0 +1,298 @@
+use std::collections;
+use std::time;
+
+use super::effect;
+use super::event;
+use super::jobs;
+use super::report;
+use crate::claim;
+use crate::clock;
+use crate::memory;
+use crate::outcome;
+use crate::resource;
+
+const REPORT_EVERY: time::Duration = time::Duration::from_millis(500);
+/// The model loads that an engine runs at once; more would share the same link to the weight store.
+const MAX_LOADS_OPEN: usize = 2;
+const MAX_CLAIMS: usize = 65_536;
+const CLAIM_RETENTION: time::Duration = time::Duration::from_secs(24 * 3_600);
+
+/// The decisions of one sidecar.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat_core::clock;
+/// use carawaycleat_core::resource;
+/// use carawaycleat_core::side;
+///
+/// let now = clock::Instant::from_millis(0);
+/// let mut reducer = side::Reducer::new(now, resource::Fencing::Ignored, 1);
+/// let effects = reducer.step(now, side::Event::Shutdown);
+/// assert!(effects.contains(&side::Effect::Exit));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Reducer {
+    incarnation: u64,
+    account: memory::Account,
+    claims: claim::Table,
+    jobs: jobs::Jobs,
+    answered: collections::BTreeSet<memory::Id>,
+    holdings: Vec<memory::Item>,
+    plan_revision: u64,
+    is_leaving: bool,
+    is_reachable: bool,
+    is_shutting_down: bool,
+    has_exited: bool,
+    waiting: u32,
+    tokens: u64,
+    sequence: u64,
+    reported_at: Option<clock::Instant>,
+}
+
+impl Reducer {
+    /// Returns the state of a sidecar that started at `now`; `incarnation` is as for [`memory::Account::recover`].
+    pub fn new(now: clock::Instant, mode: resource::Fencing, incarnation: u64) -> Self {
+        Self::with_settings(now, mode, incarnation, memory::Settings::default())
+    }
+
+    /// Returns the same as [`Reducer::new`], with other time limits of the account.
+    pub fn with_settings(
+        now: clock::Instant,
+        mode: resource::Fencing,
+        incarnation: u64,
+        settings: memory::Settings,
+    ) -> Self {
+        Self {
+            incarnation,
+            account: memory::Account::with_settings(now, mode, incarnation, settings),
+            claims: claim::Table::new(MAX_CLAIMS, CLAIM_RETENTION),
+            jobs: jobs::Jobs::default(),
+            answered: collections::BTreeSet::new(),
+            holdings: Vec::new(),
+            plan_revision: 0,
+            is_leaving: false,
+            is_reachable: false,
+            is_shutting_down: false,
+            has_exited: false,
+            waiting: 0,
+            tokens: 0,
+            sequence: 0,
+            reported_at: None,
+        }
+    }
+
+    /// Returns the memory account.
+    pub fn account(&self) -> &memory::Account {
+        &self.account
+    }
+
+    /// Takes up `event` and returns what is to be done, in this order.
+    pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<effect::Effect> {
+        let mut effects = Vec::new();
+        match event {
+            event::Event::Directive(directive) => self.direct(directive, &mut effects),
+            event::Event::EngineState(state, waiting) => {
+                self.observe(now, &state, &mut effects);
+                self.waiting = waiting;
+            }
+            event::Event::EngineUnreachable => self.set_reachable(false, &mut effects),
+            event::Event::OrderAnswer(id, answer) => self.account.answer(now, id, answer),
+            event::Event::JobArrived(job) => effects.push(self.admit(now, job)),
+            event::Event::JobStarted(_) => {}
+            event::Event::JobEnded(id, outcome, tokens) => self.end(now, id, outcome, tokens),
+            event::Event::Shutdown => self.shut_down(&mut effects),
+            event::Event::Tick => {}
+        }
+        if !self.is_shutting_down {
+            let orders = self.orders(now);
+            effects.extend(orders.into_iter().map(effect::Effect::SendOrder));
+        }
+        if self
+            .reported_at
+            .is_none_or(|at| now.since(at) >= REPORT_EVERY)
+        {
+            self.reported_at = Some(now);
+            self.sequence += 1;
+            effects.push(effect::Effect::Report(self.report()));
+        }
+        if self.is_shutting_down && self.jobs.in_flight() == 0 && !self.has_exited {
+            self.has_exited = true;
+            effects.push(effect::Effect::Exit);
+        }
+        effects
+    }
+
+    fn direct(&mut self, directive: event::Directive, effects: &mut Vec<effect::Effect>) {
+        if directive.leaving != self.is_leaving {
+            self.is_leaving = directive.leaving;
+            effects.push(effect::Effect::Record(effect::Change::Leaving(
+                self.is_leaving,
+            )));
+        }
+        // Entry hosts may lag behind each other: an older plan is never taken up again.
+        if directive.plan_revision > self.plan_revision {
+            self.plan_revision = directive.plan_revision;
+            self.holdings = directive.holdings;
+            self.holdings.sort_by_key(|item| item.id.adapter.is_some());
+            effects.push(effect::Effect::Record(effect::Change::Plan(
+                self.plan_revision,
+            )));
+        }
+    }
+
+    fn observe(
+        &mut self,
+        now: clock::Instant,
+        state: &memory::Report,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        self.set_reachable(true, effects);
+        let before = self.account.latest().map(|report| report.incarnation);
+        let was_ready = self.account.is_ready();
+        if !self.account.observe(now, state) {
+            return;
+        }
+        if before.is_some_and(|before| before != state.incarnation) {
+            self.answered.clear();
+            let change = effect::Change::EngineRestart(state.incarnation);
+            effects.push(effect::Effect::Record(change));
+        }
+        self.answered.retain(|id| state.entry(id).is_some());
+        if self.account.is_ready() && !was_ready {
+            effects.push(effect::Effect::Record(effect::Change::Ready));
+        }
+    }
+
+    fn set_reachable(&mut self, is_reachable: bool, effects: &mut Vec<effect::Effect>) {
+        if self.is_reachable != is_reachable {
+            self.is_reachable = is_reachable;
+            let change = effect::Change::Reachable(is_reachable);
+            effects.push(effect::Effect::Record(change));
+        }
+    }
+
+    fn admit(&mut self, now: clock::Instant, job: event::Job) -> effect::Effect {
+        if let Some((reason, outcome)) = self.jobs.earlier(&job) {
+            return effect::Effect::RefuseJob(job.id, reason, outcome);
+        }
+        if let Some(reason) = self.refusal(&job) {
+            self.jobs.refuse(now, &job, reason);
+            return effect::Effect::RefuseJob(job.id, reason, outcome::Outcome::NotRun);
+        }
+        if let Some(key) = job.claim.as_ref().filter(|_| !job.idempotent)
+            && let Err(outcome) = self.claims.begin(now, key, job.id)
+        {
+            let reason = outcome::Reason::DuplicateRequest;
+            return effect::Effect::RefuseJob(job.id, reason, outcome);
+        }
+        let id = job.id;
+        self.jobs.start(job);
+        effect::Effect::StartJob(id)
+    }
+
+    fn refusal(&self, job: &event::Job) -> Option<outcome::Reason> {
+        if self.is_shutting_down {
+            Some(outcome::Reason::ShuttingDown)
+        } else if self.is_leaving || job.item.as_ref().is_some_and(|id| self.is_draining(id)) {
+            Some(outcome::Reason::UpstreamLeaving)
+        } else {
+            None
+        }
+    }
+
+    fn end(&mut self, now: clock::Instant, id: u128, outcome: outcome::Outcome, tokens: u64) {
+        self.tokens += tokens;
+        let Some(job) = self.jobs.end(now, id, outcome) else {
+            return;
+        };
+        if let Some(key) = &job.claim {
+            match outcome {
+                outcome::Outcome::Ran => self.claims.complete(key, id),
+                outcome::Outcome::NotRun => self.claims.forget(key, id),
+                outcome::Outcome::Unknown => {}
+            }
+        }
+        if outcome == outcome::Outcome::Ran {
+            self.answered.extend(job.item);
+        }
+    }
+
+    fn shut_down(&mut self, effects: &mut Vec<effect::Effect>) {
+        if !self.is_shutting_down {
+            self.is_shutting_down = true;
+            self.reported_at = None;
+            effects.push(effect::Effect::Record(effect::Change::ShuttingDown));
+        }
+    }
+
+    /// Returns whether the plan no longer has `id`; such an item takes no new requests.
+    fn is_draining(&self, id: &memory::Id) -> bool {
+        self.plan_revision > 0 && !self.holdings.iter().any(|item| item.id == *id)
+    }
+
+    /// Returns the orders that are due: repeated ones, loads that fit, then unloads.
+    ///
+    /// An item that is no longer wanted is unloaded when nothing is left to load or when a load needs its room, and
+    /// only while no request uses it.
+    fn orders(&mut self, now: clock::Instant) -> Vec<memory::Order> {
+        let mut orders = self.account.resend(now);
+        if self.plan_revision == 0 {
+            return orders;
+        }
+        self.account.raise_fencing(self.plan_revision);
+        let mut is_full = false;
+        let mut is_missing = false;
+        for item in &self.holdings {
+            let is_model = item.id.adapter.is_none();
+            if is_model && self.account.loads_open() >= MAX_LOADS_OPEN {
+                is_missing = true;
+                continue;
+            }
+            match self.account.load(now, item) {
+                Ok(order) => {
+                    is_missing = true;
+                    orders.push(order);
+                }
+                Err(memory::Error::Resident) => {}
+                Err(memory::Error::NoRoom(..)) => is_full = true,
+                Err(_) => is_missing = true,
+            }
+        }
+        if is_full || !is_missing {
+            orders.extend(self.unloads(now));
+        }
+        orders
+    }
+
+    fn unloads(&mut self, now: clock::Instant) -> Vec<memory::Order> {
+        let usable = self.account.usable().map(|item| item.id.clone());
+        let mut unwanted: Vec<_> = usable
+            .filter(|id| self.is_draining(id) && !self.jobs.uses(id))
+            .collect();
+        unwanted.sort_by_key(|id| id.adapter.is_none());
+        let unload = |id: memory::Id| self.account.unload(now, &id).ok();
+        unwanted.into_iter().filter_map(unload).collect()
+    }
+
+    fn report(&self) -> report::Report {
+        let residence = |item: &memory::Item| report::Residence {
+            item: item.clone(),
+            answered: self.answered.contains(&item.id),
+            draining: self.is_draining(&item.id),
+        };
+        report::Report {
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            leaving: self.is_leaving || self.is_shutting_down,
+            reachable: self.is_reachable,
+            resident: self.account.usable().map(residence).collect(),
+            total_bytes: self.account.total(),
+            committed_bytes: self.account.committed(),
+            in_flight: self.jobs.in_flight(),
+            waiting: self.waiting,
+            tokens: self.tokens,
+            plan_revision: self.plan_revision,
+        }
+    }
+}
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -5,3 +5,4 @@
 mod memory;
 mod placement;
 mod resource;
+mod side;
