--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -21,3 +21,7 @@
 pub mod routing;
 pub mod stream;
 pub mod timeline;
+pub mod claim;
+pub mod memory;
+pub mod placement;
+pub mod side;
