--- a/crates/carawaycleat-core/src/entry.rs
+++ b/crates/carawaycleat-core/src/entry.rs
@@ -27,3 +27,6 @@
 pub use refusal::Refusal;
 pub use rules::Rules;
 pub use status::Status;
+
+/// The queue of requests on routes open to all, beside those of the workspaces.
+const OPEN_WORKSPACE: &str = ".open";
--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -150,7 +150,11 @@
             self.ledger.settle(now, reservation, used);
         }
         if request.is_claimed {
-            self.emit(super::Effect::Complete(id));
+            let outcome = outcome::Outcome::Ran;
+            self.emit(super::Effect::Settle {
+                request: id,
+                outcome,
+            });
         }
         self.emit(super::Effect::Finish { request: id, count });
         self.serve_pending(now);
--- a/crates/carawaycleat-core/src/entry/dispatch.rs
+++ b/crates/carawaycleat-core/src/entry/dispatch.rs
@@ -1,6 +1,5 @@
 use super::request as state;
 use crate::clock;
-use crate::outcome;
 use crate::request;
 use crate::routing;
 use crate::timeline;
@@ -110,15 +109,17 @@
             };
             self.emit(effect);
         }
-        let Some(request) = self.requests.remove(&id) else {
+        let Some(mut request) = self.requests.remove(&id) else {
             return;
         };
-        if let Some(reservation) = request.reservation {
+        if let Some(reservation) = request.reservation.take() {
             self.ledger.settle(now, reservation, used);
         }
-        // An unknown outcome keeps the claim, so that a repeat cannot run a second time.
-        if request.is_claimed && outcome == outcome::Outcome::NotRun {
-            self.emit(super::Effect::Unclaim(id));
+        if request.is_claimed {
+            self.emit(super::Effect::Settle {
+                request: id,
+                outcome,
+            });
         }
     }
 
--- a/crates/carawaycleat-core/src/entry/effect.rs
+++ b/crates/carawaycleat-core/src/entry/effect.rs
@@ -1,4 +1,5 @@
 use crate::name;
+use crate::outcome;
 use crate::rate;
 use crate::request;
 
@@ -12,10 +13,13 @@
         /// The idempotency key with the workspace in front.
         key: String,
     },
-    /// Delete the claim of a request that did not run.
-    Unclaim(request::Id),
-    /// Note in the claim that the request has run.
-    Complete(request::Id),
+    /// Settle the claim of a request that has ended: delete it if the request did not run, and complete it if it ran.
+    Settle {
+        /// The request.
+        request: request::Id,
+        /// What is known about its execution.
+        outcome: outcome::Outcome,
+    },
     /// Send a request to an upstream.
     Dispatch {
         /// The request.
--- a/crates/carawaycleat-core/src/entry/request.rs
+++ b/crates/carawaycleat-core/src/entry/request.rs
@@ -54,6 +54,15 @@
         self.target == resource::Target::Models
     }
 
+    /// Returns the idempotency key with the workspace in front, which keeps the keys of workspaces apart.
+    pub(super) fn claim_key(&self) -> String {
+        let workspace = self
+            .workspace()
+            .map_or(super::OPEN_WORKSPACE, name::Name::as_str);
+        let key = self.arrival.idempotency_key.as_deref().unwrap_or_default();
+        format!("{workspace}/{key}")
+    }
+
     /// Returns what is known about the execution when the request ends now without an answer.
     pub(super) fn outcome(&self) -> outcome::Outcome {
         let is_sent = self.attempt.as_ref().is_some_and(|attempt| attempt.sent);
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -7,21 +7,21 @@
 extern crate quick_error;
 
 pub mod admission;
+pub mod claim;
 pub mod clock;
 pub mod config;
 pub mod entry;
 pub mod freshness;
 pub mod key;
+pub mod memory;
 pub mod name;
 pub mod outcome;
+pub mod placement;
 pub mod rate;
 pub mod request;
 pub mod resource;
 pub mod retry;
 pub mod routing;
+pub mod side;
 pub mod stream;
 pub mod timeline;
-pub mod claim;
-pub mod memory;
-pub mod placement;
-pub mod side;
--- a/crates/carawaycleat-core/src/rate/holder.rs
+++ b/crates/carawaycleat-core/src/rate/holder.rs
@@ -265,7 +265,7 @@
     /// Returns the shards to claim: first those held on the same address, then from this host's position on, so that
     /// hosts that start together claim different ones.
     fn wanted(&self, now: clock::Instant) -> Vec<u32> {
-        let Some((position, part)) = self.part() else {
+        let Some((position, _)) = self.part() else {
             return Vec::new();
         };
         let held = self.numbers(|slot| slot.is_held(now)).len();
@@ -281,7 +281,7 @@
             let distance = (*n as usize + total - start) % total;
             (!self.slots[*n as usize].is_at(&self.owner), distance)
         });
-        open.truncate(part.saturating_sub(held).min(super::MAX_PUTS));
+        open.truncate(self.target().saturating_sub(held).min(super::MAX_PUTS));
         open
     }
 
--- a/crates/carawaycleat-core/src/side/event.rs
+++ b/crates/carawaycleat-core/src/side/event.rs
@@ -8,7 +8,9 @@
     Directive(Directive),
     /// The engine answered a poll, with the number of requests that wait in it.
     EngineState(memory::Report, u32),
-    /// The engine did not answer a poll.
+    /// The service, which has no state to report, accepted a connection.
+    ServiceReached,
+    /// The engine or service did not answer a poll.
     EngineUnreachable,
     /// The engine answered an order, or its answer was lost.
     OrderAnswer(u64, memory::Answer),
@@ -27,6 +29,8 @@
 /// What an entry host wants of the upstream.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Directive {
+    /// The revision of the configuration that it was made from.
+    pub revision: u64,
     /// The revision of the plan; 0 when there is none.
     pub plan_revision: u64,
     /// What the upstream is to hold.
--- a/crates/carawaycleat-core/src/side/reducer.rs
+++ b/crates/carawaycleat-core/src/side/reducer.rs
@@ -39,7 +39,10 @@
     jobs: jobs::Jobs,
     answered: collections::BTreeSet<memory::Id>,
     holdings: Vec<memory::Item>,
+    revision: u64,
     plan_revision: u64,
+    report_every: time::Duration,
+    max_jobs: usize,
     is_leaving: bool,
     is_reachable: bool,
     is_shutting_down: bool,
@@ -70,7 +73,10 @@
             jobs: jobs::Jobs::default(),
             answered: collections::BTreeSet::new(),
             holdings: Vec::new(),
+            revision: 0,
             plan_revision: 0,
+            report_every: REPORT_EVERY,
+            max_jobs: usize::MAX,
             is_leaving: false,
             is_reachable: false,
             is_shutting_down: false,
@@ -82,6 +88,20 @@
         }
     }
 
+    /// Sets the time between two reports and returns the reducer.
+    #[must_use]
+    pub fn report_every(mut self, span: time::Duration) -> Self {
+        self.report_every = span;
+        self
+    }
+
+    /// Sets the most requests in flight, beyond which further ones are refused, and returns the reducer.
+    #[must_use]
+    pub fn max_jobs(mut self, jobs: usize) -> Self {
+        self.max_jobs = jobs;
+        self
+    }
+
     /// Returns the memory account.
     pub fn account(&self) -> &memory::Account {
         &self.account
@@ -96,6 +116,7 @@
                 self.observe(now, &state, &mut effects);
                 self.waiting = waiting;
             }
+            event::Event::ServiceReached => self.set_reachable(true, &mut effects),
             event::Event::EngineUnreachable => self.set_reachable(false, &mut effects),
             event::Event::OrderAnswer(id, answer) => self.account.answer(now, id, answer),
             event::Event::JobArrived(job) => effects.push(self.admit(now, job)),
@@ -110,7 +131,7 @@
         }
         if self
             .reported_at
-            .is_none_or(|at| now.since(at) >= REPORT_EVERY)
+            .is_none_or(|at| now.since(at) >= self.report_every)
         {
             self.reported_at = Some(now);
             self.sequence += 1;
@@ -124,13 +145,16 @@
     }
 
     fn direct(&mut self, directive: event::Directive, effects: &mut Vec<effect::Effect>) {
-        if directive.leaving != self.is_leaving {
+        // Entry hosts may lag behind each other: an older configuration must not bring back work.
+        let is_older = directive.revision < self.revision;
+        self.revision = self.revision.max(directive.revision);
+        if directive.leaving != self.is_leaving && !is_older {
             self.is_leaving = directive.leaving;
             effects.push(effect::Effect::Record(effect::Change::Leaving(
                 self.is_leaving,
             )));
         }
-        // Entry hosts may lag behind each other: an older plan is never taken up again.
+        // An older plan is never taken up again.
         if directive.plan_revision > self.plan_revision {
             self.plan_revision = directive.plan_revision;
             self.holdings = directive.holdings;
@@ -196,6 +220,8 @@
             Some(outcome::Reason::ShuttingDown)
         } else if self.is_leaving || job.item.as_ref().is_some_and(|id| self.is_draining(id)) {
             Some(outcome::Reason::UpstreamLeaving)
+        } else if self.jobs.in_flight() >= self.max_jobs {
+            Some(outcome::Reason::QueueFull)
         } else {
             None
         }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -1,19 +1,20 @@
 //! Integration tests of the core crate, a module per feature.
 
+mod admission;
+mod claim;
 mod config;
+mod fake;
+mod fault;
 mod freshness;
 mod key;
+mod memory;
+mod placement;
 mod rate;
+mod rate_stop;
 mod rate_world;
 mod resource;
-mod timeline;
-mod admission;
-mod fault;
 mod retry;
 mod routing;
-mod stream;
-mod claim;
-mod fake;
-mod memory;
-mod placement;
 mod side;
+mod stream;
+mod timeline;
--- a/crates/carawaycleat-core/tests/suite/side.rs
+++ b/crates/carawaycleat-core/tests/suite/side.rs
@@ -127,6 +127,7 @@
                 _ => plan_revision,
             };
             events.push(side::Event::Directive(side::Directive {
+                revision: 0,
                 plan_revision,
                 holdings,
                 leaving: is_leaving,
@@ -300,6 +301,7 @@
         engine.step();
         let (plan_revision, holdings) = plan(if step < 20 { 0 } else { 30 });
         let directive = side::Directive {
+            revision: 0,
             plan_revision,
             holdings,
             leaving: false,
--- a/crates/carawaycleat-standin/src/command.rs
+++ b/crates/carawaycleat-standin/src/command.rs
@@ -7,19 +7,21 @@
 
 use bpaf::Parser as _;
 use carawaycleat_core::resource;
+use carawaycleat_standin::demo;
 use carawaycleat_standin::engine;
 use carawaycleat_standin::hosts;
 use carawaycleat_standin::service;
 use carawaycleat_standin::store;
 use carawaycleat_standin::weights;
 
-/// The sub-commands. The load generator (`load`) and the demonstration (`demo`) join them here.
+/// The sub-commands. The load generator (`load`) joins them here.
 pub(crate) enum Command {
     Store(store::Options),
     Engine(engine::Options),
     Service(service::Options),
     Weights(weights::Options),
     Hosts(hosts::Options),
+    Demo(demo::Options),
 }
 
 /// Returns the parser of the command line.
@@ -44,11 +46,22 @@
         .to_options()
         .descr("Runs the list of hosts")
         .command("hosts");
-    bpaf::construct!([store, engine, service, weights, hosts])
+    let demo = demo()
+        .to_options()
+        .descr("Runs the whole path in one process and sends requests through it")
+        .command("demo");
+    bpaf::construct!([store, engine, service, weights, hosts, demo])
         .to_options()
         .descr("Stand-ins for the systems around carawaycleat")
 }
 
+fn demo() -> impl bpaf::Parser<Command> {
+    bpaf::long("once")
+        .help("End after one round of requests; the exit code is 0 only if each answer was right")
+        .switch()
+        .map(|once| Command::Demo(demo::Options { once }))
+}
+
 fn listen() -> impl bpaf::Parser<net::SocketAddr> {
     bpaf::long("listen")
         .help("Address to listen on; port 0 lets the system choose")
--- a/crates/carawaycleat-standin/src/engine/batch.rs
+++ b/crates/carawaycleat-standin/src/engine/batch.rs
@@ -25,6 +25,8 @@
     },
     /// The answer is complete.
     End,
+    /// The engine stopped early, with a clean end of the stream but without a finish reason.
+    Short,
     /// The engine lost the request, by a restart or a cancellation.
     Aborted,
 }
@@ -173,8 +175,10 @@
                 sequence.position += 1;
             }
             if ends_early || sequence.position >= sequence.request.max_tokens {
+                let is_whole = sequence.position >= sequence.request.max_tokens;
+                let end = if is_whole { Output::End } else { Output::Short };
                 sequence.position = u32::MAX;
-                outputs.push((sequence.ticket, Output::End));
+                outputs.push((sequence.ticket, end));
             }
         }
         self.running.retain(|s| s.position != u32::MAX);
--- a/crates/carawaycleat-standin/src/engine/call.rs
+++ b/crates/carawaycleat-standin/src/engine/call.rs
@@ -131,6 +131,15 @@
         }
     }
 
+    /// Returns the event that ends a complete stream.
+    pub fn finish(chat: bool, id: String, completion_tokens: u32) -> Self {
+        let mut chunk = Self::token(chat, id, 0, String::new());
+        chunk.position = None;
+        chunk.choices[0].finish_reason = Some("length".to_owned());
+        chunk.usage = Some(Usage { completion_tokens });
+        chunk
+    }
+
     /// Returns a plain answer.
     pub fn whole(chat: bool, id: String, text: String, completion_tokens: u32) -> Self {
         let mut choice = Choice {
--- a/crates/carawaycleat-standin/src/engine/server.rs
+++ b/crates/carawaycleat-standin/src/engine/server.rs
@@ -280,7 +280,7 @@
                 count += 1;
                 source = id;
             }
-            Ok(batch::Output::End) => {
+            Ok(batch::Output::End | batch::Output::Short) => {
                 return http::Response::json(200, &call::Chunk::whole(chat, source, all, count));
             }
             Ok(batch::Output::Aborted) | Err(_) => return answer::cut(b""),
@@ -288,6 +288,11 @@
     }
 }
 
+fn encode(chunk: &call::Chunk, bytes: &mut Vec<u8>) {
+    let data = serde_json::to_string(chunk).unwrap_or_default();
+    http::sse::Event::new(data).encode(bytes);
+}
+
 /// Sends tokens as they come, and returns whether the answer was sent to its end.
 async fn send_events(outputs: Outputs, writer: &http::Writer, chat: bool) -> bool {
     let gone = async {
@@ -295,18 +300,29 @@
         Err(async_channel::RecvError)
     };
     let mut gone = std::pin::pin!(gone);
+    let (mut source, mut count) = (String::new(), 0);
     loop {
         let output = futures_lite::future::or(outputs.recv(), gone.as_mut()).await;
-        let (data, is_last) = match output {
+        let mut bytes = Vec::new();
+        let is_last = match output {
             Ok(batch::Output::Token { id, position, text }) => {
-                let chunk = call::Chunk::token(chat, id, position, text);
-                (serde_json::to_string(&chunk).unwrap_or_default(), false)
+                source.clone_from(&id);
+                count = position + 1;
+                encode(&call::Chunk::token(chat, id, position, text), &mut bytes);
+                false
+            }
+            Ok(batch::Output::End) => {
+                let source = std::mem::take(&mut source);
+                encode(&call::Chunk::finish(chat, source, count), &mut bytes);
+                http::sse::Event::new("[DONE]").encode(&mut bytes);
+                true
+            }
+            Ok(batch::Output::Short) => {
+                http::sse::Event::new("[DONE]").encode(&mut bytes);
+                true
             }
-            Ok(batch::Output::End) => ("[DONE]".to_owned(), true),
             Ok(batch::Output::Aborted) | Err(_) => return false,
         };
-        let mut bytes = Vec::new();
-        http::sse::Event::new(data).encode(&mut bytes);
         if writer.send(bytes).await.is_err() {
             return false;
         }
--- a/crates/carawaycleat-standin/src/lib.rs
+++ b/crates/carawaycleat-standin/src/lib.rs
@@ -33,11 +33,13 @@
 extern crate quick_error;
 
 mod answer;
+pub mod demo;
 pub mod engine;
 mod handle;
 pub mod hosts;
 mod rate;
 pub mod service;
+pub mod setup;
 pub mod store;
 mod transfer;
 pub mod weights;
--- a/crates/carawaycleat-standin/src/main.rs
+++ b/crates/carawaycleat-standin/src/main.rs
@@ -13,8 +13,11 @@
 
 fn main() -> process::ExitCode {
     let executor = sync::Arc::new(http::Executor::new());
-    let started = command::parser()
-        .run()
+    let command = command::parser().run();
+    if let command::Command::Demo(options) = command {
+        return demonstrate(executor, options);
+    }
+    let started = command
         .start(&executor)
         .and_then(|address| announce(address).map_err(http::Error::from));
     if let Err(error) = started {
@@ -24,6 +27,22 @@
     futures_lite::future::block_on(executor.run(future::pending()))
 }
 
+fn demonstrate(
+    executor: sync::Arc<http::Executor>,
+    options: standin::demo::Options,
+) -> process::ExitCode {
+    let mut out = std::io::stdout();
+    let interrupted = future::pending();
+    let run = standin::demo::run(executor.clone(), options, &mut out, interrupted);
+    match async_io::block_on(executor.run(run)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("carawaycleat-standin: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
 /// Prints the address, for which a starting script waits.
 fn announce(address: net::SocketAddr) -> std::io::Result<()> {
     let mut out = std::io::stdout();
@@ -39,6 +58,7 @@
             Self::Service(options) => standin::Service::start(executor, options)?.local_address(),
             Self::Weights(options) => standin::Weights::start(executor, options)?.local_address(),
             Self::Hosts(options) => standin::Hosts::start(executor, options)?.local_address(),
+            Self::Demo(_) => unreachable!("the demonstration listens on several addresses"),
         })
     }
 }
--- a/crates/carawaycleat-standin/tests/suite/http.rs
+++ b/crates/carawaycleat-standin/tests/suite/http.rs
@@ -200,6 +200,11 @@
                 "data: {{\"id\":\"r-1\",\"position\":{position},\"choices\":[{choice}]}}\n\n"
             );
         }
+        wanted += concat!(
+            r#"data: {"id":"r-1","choices":[{"index":0,"text":"","finish_reason":"length"}],"#,
+            r#""usage":{"completion_tokens":3}}"#,
+            "\n\n",
+        );
         assert_eq!(events, wanted + "data: [DONE]\n\n");
 
         let body =
--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -2,6 +2,7 @@
 use std::time;
 
 use carawaycleat_core::entry;
+use carawaycleat_core::placement;
 use carawaycleat_core::request;
 use carawaycleat_core::resource;
 use carawaycleat_net as net;
@@ -48,7 +49,7 @@
     intake: intake::Intake,
 ) -> net::Response {
     let id = intake.arrival.id;
-    let mut serving = Serving {
+    let serving = Serving {
         orders: shared.open_mailbox(id),
         sink: sink::Sink::new(intake.call.as_ref(), wire::Id::from_u128(id.as_u128())),
         attempt: None,
@@ -60,6 +61,13 @@
         intake,
     };
     let arrival = serving.intake.arrival.clone();
+    if let Some(model) = &arrival.model {
+        let subject = placement::Subject {
+            model: model.clone(),
+            adapter: arrival.adapter.clone(),
+        };
+        serving.shared.ask(&subject, arrival.cost());
+    }
     serving
         .shared
         .step(entry::Event::Arrived(Box::new(arrival)));
@@ -157,7 +165,7 @@
                 },
             };
             match order {
-                Some(mailbox::Order::Claim(key)) => self.claim(&key).await,
+                Some(mailbox::Order::Claim(key)) => self.claim(key).await,
                 Some(mailbox::Order::Dispatch(dispatch)) => self.dispatch(dispatch).await,
                 Some(mailbox::Order::Finish(count)) => {
                     self.ended = true;
@@ -228,10 +236,10 @@
         }
     }
 
-    async fn claim(&mut self, key: &str) {
-        let id = self.intake.arrival.id;
-        let result = claims::record(&self.shared, id, key).await;
-        self.shared.step(entry::Event::Claimed(id, result));
+    async fn claim(&mut self, key: String) {
+        let request = self.id();
+        let result = claims::record(&self.shared, request, &key).await;
+        self.shared.step(entry::Event::Claimed(request, result));
     }
 
     async fn dispatch(&mut self, dispatch: mailbox::Dispatch) {
--- a/crates/carawaycleat/src/entry/callers/sink.rs
+++ b/crates/carawaycleat/src/entry/callers/sink.rs
@@ -1,8 +1,8 @@
 use carawaycleat_net as net;
 use carawaycleat_wire as wire;
 
-use super::shared;
 use crate::api;
+use crate::journal;
 
 /// Where the answer to a request goes.
 #[derive(Debug)]
@@ -34,7 +34,7 @@
                 headers: Vec::new(),
             };
         };
-        let answer = api::Answer::new(call, id, shared::wall_ms() / 1_000);
+        let answer = api::Answer::new(call, id, journal::wall_ms() / 1_000);
         let prompt_tokens = call.prompt_tokens;
         if call.stream {
             Self::Events {
--- a/crates/carawaycleat/src/entry/exchange.rs
+++ b/crates/carawaycleat/src/entry/exchange.rs
@@ -29,9 +29,14 @@
 pub(super) async fn run(shared: sync::Arc<shared::Shared>) {
     loop {
         async_io::Timer::after(EVERY).await;
-        for address in peers(&shared) {
-            shared.spawn(exchange(shared.clone(), address));
-        }
+        with_all(&shared);
+    }
+}
+
+/// Starts an exchange with each peer.
+pub(super) fn with_all(shared: &sync::Arc<shared::Shared>) {
+    for address in peers(shared) {
+        shared.spawn(exchange(shared.clone(), address));
     }
 }
 
--- a/crates/carawaycleat/src/entry/operators.rs
+++ b/crates/carawaycleat/src/entry/operators.rs
@@ -9,8 +9,8 @@
 use carawaycleat_net as net;
 
 use super::callers;
+use super::exchange;
 use super::members;
-use super::peers;
 use super::shared;
 
 /// Answers an operator.
@@ -26,7 +26,7 @@
         ("GET", ["metrics"]) => net::Response::new(200)
             .header("content-type", "text/plain; version=0.0.4")
             .body(shared.metric.render()),
-        ("GET", ["timeline"]) => peers::timeline(&shared, &request),
+        ("GET", ["timeline"]) => shared.timeline(request.query.as_deref().unwrap_or_default()),
         ("GET", ["v1", "status"]) => status(&shared),
         ("GET", ["v1", "watch"]) => stream::watch(&shared, &request),
         ("GET", ["v1", "resources", kind]) => resources::list(&shared, kind),
--- a/crates/carawaycleat/src/entry/operators/resources.rs
+++ b/crates/carawaycleat/src/entry/operators/resources.rs
@@ -7,14 +7,15 @@
 use carawaycleat_net as net;
 use carawaycleat_store as store;
 
+use super::exchange;
 use super::shared;
 use crate::metric;
 
 /// The longest wait until a majority of the entry hosts has applied a write.
 const ACKNOWLEDGED_WITHIN: time::Duration = time::Duration::from_secs(3);
 
-/// The time between two looks at what has been applied.
-const LOOK: time::Duration = time::Duration::from_millis(20);
+/// The time between two questions to the peers whether they have applied a write.
+const LOOK: time::Duration = time::Duration::from_millis(25);
 
 /// The attempts to read back a write whose answer was lost.
 const READ_BACKS: u32 = 5;
@@ -309,7 +310,7 @@
 }
 
 /// Waits until a majority of the entry hosts has applied `revision`.
-async fn acknowledge(shared: &shared::Shared, revision: u64) -> (usize, usize, bool) {
+async fn acknowledge(shared: &sync::Arc<shared::Shared>, revision: u64) -> (usize, usize, bool) {
     let deadline = shared.now() + ACKNOWLEDGED_WITHIN;
     loop {
         let (applied, hosts, is_acknowledged, is_late) = shared.with(|reducer, now| {
@@ -326,6 +327,8 @@
         if is_acknowledged || is_late {
             return (applied, hosts, is_acknowledged);
         }
+        // The next exchange in turn would come up to half a second later.
+        exchange::with_all(shared);
         async_io::Timer::after(LOOK).await;
     }
 }
--- a/crates/carawaycleat/src/entry/peers.rs
+++ b/crates/carawaycleat/src/entry/peers.rs
@@ -6,7 +6,6 @@
 use carawaycleat_core::placement;
 use carawaycleat_core::resource;
 use carawaycleat_core::routing;
-use carawaycleat_core::timeline;
 use carawaycleat_net as net;
 use carawaycleat_wire as wire;
 
@@ -31,7 +30,7 @@
         ("POST", "/peer/report") => with_body(&request, |report| reported(&shared, report)),
         ("POST", "/peer/config") => with_body(&request, |fetch| bundle(&shared, &fetch)),
         ("POST", "/peer/tokens") => with_body(&request, |ask| lend(&shared, ask)),
-        ("GET", "/timeline") => timeline(&shared, &request),
+        ("GET", "/timeline") => shared.timeline(request.query.as_deref().unwrap_or_default()),
         _ => net::Response::new(404),
     }
 }
@@ -124,7 +123,9 @@
             .upstreams()
             .find(|(name, _)| *name == upstream);
         let found = found.map(|(_, resource)| resource);
+        // A plan that does not name the upstream says nothing about what it holds.
         let plan = found.and_then(|resource| plan(history, resource));
+        let plan = plan.filter(|plan| plan.holdings(upstream).is_some());
         let items = plan
             .as_ref()
             .and_then(|plan| plan.holdings(upstream))
@@ -158,11 +159,3 @@
         bytes: item.bytes,
     }
 }
-
-/// Answers with the events of the timeline that match the query.
-pub(super) fn timeline(shared: &shared::Shared, request: &net::Request) -> net::Response {
-    match timeline::Filter::parse(request.query.as_deref().unwrap_or_default()) {
-        Ok(filter) => net::Response::json(200, &shared.events(&filter)),
-        Err(error) => net::Response::new(400).body(error.to_string()),
-    }
-}
--- a/crates/carawaycleat/src/entry/perform.rs
+++ b/crates/carawaycleat/src/entry/perform.rs
@@ -17,11 +17,8 @@
     pub(super) fn perform(self: &sync::Arc<Self>, effect: entry::Effect) {
         match effect {
             entry::Effect::Claim { request, key } => self.send(request, mailbox::Order::Claim(key)),
-            entry::Effect::Unclaim(request) => {
-                self.spawn(claims::remove(self.clone(), request));
-            }
-            entry::Effect::Complete(request) => {
-                self.spawn(claims::complete(self.clone(), request));
+            entry::Effect::Settle { request, outcome } => {
+                self.spawn(claims::settle(self.clone(), request, outcome));
             }
             entry::Effect::Dispatch {
                 request,
--- a/crates/carawaycleat/src/entry/placing.rs
+++ b/crates/carawaycleat/src/entry/placing.rs
@@ -231,7 +231,7 @@
 fn limits(shared: &shared::Shared) -> placement::Limits {
     placement::Limits {
         loads_per_second: shared.settings.placement.loads_per_second,
-        loads_in_flight: shared.settings.placement.loads_in_flight,
+        loads_in_flight: shared.settings.placement.loads_in_flight as usize,
         adapter_loads_in_flight: ADAPTER_LOADS,
         adapter_load_seconds: ADAPTER_LOAD_SECONDS,
     }
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -8,13 +8,14 @@
 use carawaycleat_core::placement;
 use carawaycleat_core::rate;
 use carawaycleat_core::request;
-use carawaycleat_core::timeline;
 use carawaycleat_net as net;
 use carawaycleat_store as store;
 use carawaycleat_wire as wire;
 
+use super::claims;
 use super::mailbox;
 use super::placing;
+use crate::journal;
 use crate::metric;
 use crate::settings;
 
@@ -30,29 +31,23 @@
     /// Closed when the reducer says that the process can exit.
     pub(super) exit: async_channel::Receiver<()>,
     pub(super) exiting: async_channel::Sender<()>,
-    started: time::Instant,
+    clock: journal::Monotonic,
     reducer: sync::Mutex<entry::Reducer>,
     mailboxes: sync::Mutex<collections::HashMap<request::Id, mailbox::Sender>>,
-    journal: sync::Mutex<Journal>,
+    journal: journal::Journal,
     observations: sync::Mutex<placing::Observations>,
+    pub(super) claims: claims::Claims,
     /// Whether the process is about to stop, which the load balancer sees as not ready.
     draining: sync::atomic::AtomicBool,
 }
 
-/// The timeline of this process.
-#[derive(Debug)]
-struct Journal {
-    clock: clock::Hybrid,
-    ring: timeline::Ring,
-}
-
 impl Shared {
     pub(super) fn new(
         settings: settings::Entry,
         executor: sync::Arc<net::Executor>,
         peer_address: std::net::SocketAddr,
     ) -> Self {
-        let incarnation = wall_ms();
+        let incarnation = journal::wall_ms();
         let owner = rate::Owner {
             host: settings.host.clone(),
             address: peer_address,
@@ -76,14 +71,12 @@
             },
             exit,
             exiting,
-            started: time::Instant::now(),
+            clock: journal::Monotonic::start(),
             reducer: sync::Mutex::new(reducer),
             mailboxes: sync::Mutex::default(),
-            journal: sync::Mutex::new(Journal {
-                clock: clock::Hybrid::new(settings.host.clone()),
-                ring: timeline::Ring::new(settings.timeline.events),
-            }),
+            journal: journal::Journal::new(settings.host.clone(), settings.timeline.events),
             observations: sync::Mutex::default(),
+            claims: claims::Claims::default(),
             draining: sync::atomic::AtomicBool::new(false),
             settings,
         }
@@ -91,10 +84,7 @@
 
     /// Returns the present time on the process's monotonic clock.
     pub(super) fn now(&self) -> clock::Instant {
-        let micros = self.started.elapsed().as_micros();
-        // The origin lies before the start, so that a time just after it can be measured backwards.
-        clock::Instant::from_millis(60_000)
-            + time::Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+        self.clock.now()
     }
 
     /// Gives the reducer an event and performs its effects. Returns whether the caller of `request` gets what the event
@@ -106,7 +96,7 @@
     ) -> bool {
         let mut is_delivered = false;
         // The lock is held while the effects are handed over, so that two events never cross on the way to one task.
-        let mut reducer = lock(&self.reducer);
+        let mut reducer = journal::lock(&self.reducer);
         for effect in reducer.step(self.now(), event) {
             match effect {
                 entry::Effect::Deliver(id) if Some(id) == request => is_delivered = true,
@@ -123,7 +113,7 @@
 
     /// Reads from the reducer.
     pub(super) fn with<T>(&self, read: impl FnOnce(&mut entry::Reducer, clock::Instant) -> T) -> T {
-        let mut reducer = lock(&self.reducer);
+        let mut reducer = journal::lock(&self.reducer);
         read(&mut reducer, self.now())
     }
 
@@ -132,26 +122,26 @@
         &self,
         read: impl FnOnce(&entry::Reducer, &placing::Observations, clock::Instant) -> T,
     ) -> T {
-        let observations = lock(&self.observations);
+        let observations = journal::lock(&self.observations);
         self.with(|reducer, now| read(reducer, &observations, now))
     }
 
     /// Takes a report for the placement.
     pub(super) fn observe(&self, report: &wire::Report) {
         let now = self.now();
-        lock(&self.observations).observe(now, report);
+        journal::lock(&self.observations).observe(now, report);
     }
 
     /// Counts the tokens that a request asks of a model, for the placement.
     pub(super) fn ask(&self, subject: &placement::Subject, tokens: u64) {
         let now = self.now();
-        lock(&self.observations).ask(now, subject, tokens);
+        journal::lock(&self.observations).ask(now, subject, tokens);
     }
 
     /// Debits what a peer asks for and returns the tokens that it gets.
     pub(super) fn lend(self: &sync::Arc<Self>, id: u128, event: entry::Event) -> u64 {
         let mut lent = 0;
-        let mut reducer = lock(&self.reducer);
+        let mut reducer = journal::lock(&self.reducer);
         for effect in reducer.step(self.now(), event) {
             match effect {
                 entry::Effect::Lend {
@@ -166,49 +156,40 @@
     /// Makes the mailbox of a request.
     pub(super) fn open_mailbox(&self, id: request::Id) -> mailbox::Receiver {
         let (sender, receiver) = async_channel::unbounded();
-        lock(&self.mailboxes).insert(id, sender);
+        journal::lock(&self.mailboxes).insert(id, sender);
         receiver
     }
 
     pub(super) fn close_mailbox(&self, id: request::Id) {
-        lock(&self.mailboxes).remove(&id);
+        journal::lock(&self.mailboxes).remove(&id);
     }
 
     pub(super) fn send(&self, id: request::Id, order: mailbox::Order) {
-        if let Some(sender) = lock(&self.mailboxes).get(&id) {
+        if let Some(sender) = journal::lock(&self.mailboxes).get(&id) {
             // The task may just have ended; its end is an event of its own.
             let _ = sender.try_send(order);
         }
     }
 
-    /// Notes an event in the timeline and returns its stamp.
-    pub(super) fn note(&self, record: entry::Record) -> clock::Stamp {
-        let mut journal = lock(&self.journal);
-        let stamp = journal.clock.tick(wall_ms());
-        let mut event = timeline::Event::new(stamp.clone(), record.kind);
-        event.request = record.request.map(|id| id.to_string());
-        event.workspace = record.workspace;
-        event.model = record.model;
-        event.upstream = record.upstream;
-        event.detail = record.detail;
-        journal.ring.push(event);
-        self.metric.set_timeline_dropped(journal.ring.dropped());
-        stamp
+    /// Notes an event in the timeline.
+    pub(super) fn note(&self, record: entry::Record) {
+        self.journal.note(record);
+        self.metric.set_timeline_dropped(self.journal.dropped());
     }
 
     /// Returns a stamp for a message.
     pub(super) fn stamp(&self) -> clock::Stamp {
-        lock(&self.journal).clock.tick(wall_ms())
+        self.journal.stamp()
     }
 
     /// Takes the stamp of a message, so that its cause comes before what follows here.
     pub(super) fn receive(&self, stamp: &clock::Stamp) {
-        lock(&self.journal).clock.receive(wall_ms(), stamp);
+        self.journal.receive(stamp);
     }
 
-    /// Returns the events of the timeline that match.
-    pub(super) fn events(&self, filter: &timeline::Filter) -> Vec<timeline::Event> {
-        lock(&self.journal).ring.select(filter)
+    /// Answers with the events of the timeline that match the query.
+    pub(super) fn timeline(&self, query: &str) -> net::Response {
+        self.journal.answer(query)
     }
 
     pub(super) fn start_draining(&self) {
@@ -236,18 +217,6 @@
     }
 }
 
-/// Returns the time since the Unix epoch in milliseconds.
-pub(super) fn wall_ms() -> u64 {
-    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    since.map_or(0, |span| {
-        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
-
 fn rules(settings: &settings::Entry) -> entry::Rules {
     let mut rules = entry::Rules::default();
     rules.admission.requests = settings.limits.queue_requests;
--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -4,6 +4,7 @@
 extern crate quick_error;
 
 mod document;
+mod journal;
 
 pub mod api;
 pub mod cli;
--- a/crates/carawaycleat/src/process.rs
+++ b/crates/carawaycleat/src/process.rs
@@ -2,8 +2,8 @@
 
 mod entry;
 mod options;
-mod signal;
 mod side;
+mod signal;
 
 use std::process;
 
@@ -19,7 +19,11 @@
 ///
 /// The exit codes are those of [`entry`].
 pub fn side() -> process::ExitCode {
-    side::run(&options::parse("carawaycleat-side", "Runs the sidecar of an upstream")).into()
+    side::run(&options::parse(
+        "carawaycleat-side",
+        "Runs the sidecar of an upstream",
+    ))
+    .into()
 }
 
 /// The exit code of a process that could not start, or that cut requests when it stopped.
--- a/crates/carawaycleat/src/process/options.rs
+++ b/crates/carawaycleat/src/process/options.rs
@@ -14,7 +14,9 @@
     let settings = bpaf::long("settings")
         .help("Settings in TOML")
         .argument::<path::PathBuf>("FILE");
-    let check = bpaf::long("check").help("Check the settings and exit").switch();
+    let check = bpaf::long("check")
+        .help("Check the settings and exit")
+        .switch();
     let parser = bpaf::construct!(Options { settings, check })
         .to_options()
         .descr(description)
@@ -23,7 +25,11 @@
         Ok(options) => options,
         Err(failure) => {
             failure.print_message(100);
-            let code = if failure.exit_code() == 0 { 0 } else { crate::settings::EXIT_INVALID.into() };
+            let code = if failure.exit_code() == 0 {
+                0
+            } else {
+                crate::settings::EXIT_INVALID.into()
+            };
             std::process::exit(code);
         }
     }
--- a/crates/carawaycleat/src/process/signal.rs
+++ b/crates/carawaycleat/src/process/signal.rs
@@ -17,7 +17,9 @@
         let (receiver, sender) = net::UnixStream::pair()?;
         pipe::register(consts::SIGTERM, sender.try_clone()?)?;
         pipe::register(consts::SIGINT, sender)?;
-        Ok(Self { receiver: async_io::Async::new(receiver)? })
+        Ok(Self {
+            receiver: async_io::Async::new(receiver)?,
+        })
     }
 
     /// Waits for the next signal.
--- a/crates/carawaycleat/src/settings/engine.rs
+++ b/crates/carawaycleat/src/settings/engine.rs
@@ -16,6 +16,8 @@
     pub memory_bytes: u64,
     /// Whether the engine checks fencing numbers.
     pub fencing: resource::Fencing,
+    /// The most requests at the same time that entry hosts are to send; 0 for no limit.
+    pub max_requests: u64,
 }
 
 /// What stands beside a sidecar.
@@ -36,12 +38,15 @@
             kind: Kind::Engine,
             memory_bytes: 80_000_000_000,
             fencing: resource::Fencing::Ignored,
+            max_requests: 32,
         }
     }
 }
 
 const MAX_MEMORY_BYTES: u64 = 1 << 50;
 
+const MAX_REQUESTS: u64 = 100_000;
+
 impl Engine {
     pub(super) fn read(table: &document::Table<'_>) -> Self {
         let default = Self::default();
@@ -61,6 +66,7 @@
                 default.fencing,
                 fencing,
             ),
+            max_requests: table.integer("max_requests", 0..=MAX_REQUESTS, default.max_requests),
         };
         table.finish();
         engine.check(table);
--- /dev/null
+++ b/crates/carawaycleat/src/side/daemon.rs
@@ -0,0 +1,90 @@
+use std::net as std_net;
+use std::sync;
+use std::time;
+
+use carawaycleat_core::side;
+use carawaycleat_net as net;
+
+use super::orders;
+use super::shared;
+use super::work;
+use crate::log;
+use crate::settings;
+
+/// The longest message of an entry host, in bytes, beyond the body of the caller's request.
+const MESSAGE_BYTES: usize = 1 << 20;
+
+/// A sidecar that is running.
+#[derive(Debug)]
+pub struct Daemon {
+    shared: sync::Arc<shared::Shared>,
+    server: net::Handle,
+}
+
+impl Daemon {
+    /// Starts a sidecar on `executor`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when its address cannot be bound.
+    pub fn start(
+        executor: sync::Arc<net::Executor>,
+        settings: settings::Side,
+    ) -> super::Result<Self> {
+        let limits = net::Limits::default()
+            .header_bytes(settings.limits.header_bytes)
+            .body_bytes(settings.limits.body_bytes + MESSAGE_BYTES)
+            .connections(settings.limits.connections)
+            .requests(settings.limits.requests)
+            .idle(time::Duration::from_millis(settings.limits.idle_ms));
+        let server = net::Server::bind(settings.listen.work)?.limits(limits);
+        let shared = sync::Arc::new(shared::Shared::new(settings, executor.clone()));
+        let of_server = shared.clone();
+        let server = server.start(executor, move |request| {
+            work::answer(of_server.clone(), request)
+        });
+        shared.spawn(orders::poll(shared.clone()));
+        shared.spawn(orders::tick(shared.clone()));
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address that the sidecar listens on.
+    pub fn local_address(&self) -> std_net::SocketAddr {
+        self.server.local_address()
+    }
+
+    /// Stops the sidecar without cutting a job, within the bound of the settings. Returns the number of jobs that were
+    /// cut because the bound was reached.
+    ///
+    /// New jobs are refused for a while, so that entry hosts that have not heard yet get an answer.
+    pub async fn stop(&self) -> usize {
+        let settings = &self.shared.settings.shutdown;
+        let limit = time::Duration::from_millis(settings.drain_limit_ms);
+        let expired = async {
+            async_io::Timer::after(limit).await;
+        };
+        log::info("shutting down: no new work is taken");
+        self.shared.start_stopping();
+        self.shared.step(side::Event::Shutdown);
+        futures_lite::future::or(self.drain(), expired).await;
+        self.abort()
+    }
+
+    async fn drain(&self) {
+        let delay = time::Duration::from_millis(self.shared.settings.shutdown.drain_delay_ms);
+        async_io::Timer::after(delay).await;
+        // The channel is closed when all jobs have ended.
+        let _ = self.shared.exit.recv().await;
+        self.server.drain().await;
+    }
+
+    /// Ends the sidecar at once, and returns the number of jobs that were cut.
+    pub fn abort(&self) -> usize {
+        let cut = self.server.active();
+        if cut > 0 {
+            log::warn(&format!("shutting down: {cut} jobs were cut"));
+        }
+        self.server.abort();
+        cut
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat/src/side/orders.rs
@@ -0,0 +1,126 @@
+use std::sync;
+use std::time;
+
+use carawaycleat_core::memory;
+use carawaycleat_core::name;
+use carawaycleat_core::side;
+
+use super::shared;
+use crate::settings;
+use crate::upstream;
+
+/// The time between two looks at the engine's state.
+const POLL: time::Duration = time::Duration::from_millis(100);
+
+/// The time between two ticks of the reducer.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// Follows the state of the engine or service for as long as the process runs.
+pub(super) async fn poll(shared: sync::Arc<shared::Shared>) {
+    loop {
+        let event = match shared.settings.engine.kind {
+            settings::Kind::Engine => {
+                let state = shared.engine.state().await;
+                state.map(|state| side::Event::EngineState(report(&state), state.waiting))
+            }
+            settings::Kind::Service => shared
+                .engine
+                .accepts()
+                .await
+                .then_some(side::Event::ServiceReached),
+        };
+        shared.step(event.unwrap_or(side::Event::EngineUnreachable));
+        async_io::Timer::after(POLL).await;
+    }
+}
+
+/// Lets the reducer know that time passes, also while the engine does not answer.
+pub(super) async fn tick(shared: sync::Arc<shared::Shared>) {
+    loop {
+        async_io::Timer::after(TICK).await;
+        shared.step(side::Event::Tick);
+    }
+}
+
+/// Sends an order to the engine.
+pub(super) async fn send(shared: sync::Arc<shared::Shared>, order: memory::Order) {
+    let answer = match shared.engine.order(&command(&order)).await {
+        upstream::Acceptance::Accepted => memory::Answer::Accepted,
+        upstream::Acceptance::Fenced => memory::Answer::OldFencing,
+        upstream::Acceptance::Full => memory::Answer::NoMemory,
+        upstream::Acceptance::Unknown => memory::Answer::Lost,
+    };
+    shared.step(side::Event::OrderAnswer(order.id, answer));
+}
+
+fn command(order: &memory::Order) -> upstream::Command {
+    let id = &order.item.id;
+    let kind = match (order.kind, id.adapter.is_some()) {
+        (memory::Kind::Load, false) => "load",
+        (memory::Kind::Load, true) => "load_adapter",
+        (memory::Kind::Unload | memory::Kind::Fence, false) => "unload",
+        (memory::Kind::Unload | memory::Kind::Fence, true) => "unload_adapter",
+    };
+    upstream::Command {
+        id: order.id.to_string(),
+        fencing: order.fencing,
+        kind,
+        name: id.adapter.as_ref().unwrap_or(&id.model).to_string(),
+        version: id.version.to_string(),
+        model: id.model.to_string(),
+        bytes: order.item.bytes,
+    }
+}
+
+fn report(state: &upstream::State) -> memory::Report {
+    let models = state.models.iter().filter_map(|loaded| {
+        let id = memory::Id::model(parse(&loaded.name)?, parse(&loaded.version)?);
+        Some(entry(id, loaded))
+    });
+    let adapters = state.adapters.iter().filter_map(|loaded| {
+        // The engine names the model of an adapter; its version is that of the model.
+        let model = state
+            .models
+            .iter()
+            .find(|model| model.name == loaded.model)?;
+        let id = memory::Id::model(parse(&loaded.model)?, parse(&model.version)?);
+        Some(entry(id.with_adapter(parse(&loaded.name)?), loaded))
+    });
+    memory::Report {
+        incarnation: state.incarnation,
+        fencing: state.fencing,
+        taken_at_ms: state.taken_at_ms,
+        entries: models.chain(adapters).collect(),
+        orders: state.orders.iter().filter_map(status).collect(),
+        total_bytes: state.memory_bytes,
+        used_bytes: state.used_bytes,
+    }
+}
+
+fn entry(id: memory::Id, loaded: &upstream::Loaded) -> memory::Entry {
+    let state = match loaded.state.as_str() {
+        "loaded" => memory::State::Ready,
+        "unloading" => memory::State::Unloading,
+        _ => memory::State::Loading,
+    };
+    memory::Entry {
+        item: memory::Item::new(id, loaded.bytes),
+        state,
+    }
+}
+
+fn status(order: &upstream::Order) -> Option<memory::Status> {
+    let progress = match order.state.as_str() {
+        "done" => memory::Progress::Done,
+        "rejected" => memory::Progress::Failed,
+        _ => memory::Progress::Running,
+    };
+    Some(memory::Status {
+        id: order.id.parse().ok()?,
+        progress,
+    })
+}
+
+fn parse(text: &str) -> Option<name::Name> {
+    name::Name::parse(text).ok()
+}
--- /dev/null
+++ b/crates/carawaycleat/src/side/shared.rs
@@ -0,0 +1,296 @@
+use std::collections;
+use std::net as std_net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use carawaycleat_core::clock;
+use carawaycleat_core::entry;
+use carawaycleat_core::memory;
+use carawaycleat_core::outcome;
+use carawaycleat_core::request;
+use carawaycleat_core::side;
+use carawaycleat_core::timeline;
+use carawaycleat_net as net;
+use carawaycleat_wire as wire;
+
+use super::orders;
+use super::reports;
+use crate::journal;
+use crate::metric;
+use crate::settings;
+use crate::upstream;
+
+/// What all tasks of a sidecar share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) settings: settings::Side,
+    pub(super) pool: net::Pool,
+    pub(super) engine: upstream::Engine,
+    pub(super) metric: metric::Side,
+    /// Closed when the reducer says that the process can exit.
+    pub(super) exit: async_channel::Receiver<()>,
+    exiting: async_channel::Sender<()>,
+    executor: sync::Arc<net::Executor>,
+    clock: journal::Monotonic,
+    is_stopping: atomic::AtomicBool,
+    reducer: sync::Mutex<side::Reducer>,
+    journal: journal::Journal,
+    entries: sync::Mutex<Entries>,
+    /// The running jobs, each with the channel that cancels it.
+    jobs: sync::Mutex<collections::HashMap<request::Id, async_channel::Sender<()>>>,
+}
+
+/// The entry hosts to report to.
+#[derive(Debug)]
+struct Entries {
+    /// The revision that they were taken from; 0 for the settings.
+    revision: u64,
+    addresses: Vec<std_net::SocketAddr>,
+}
+
+impl Shared {
+    pub(super) fn new(settings: settings::Side, executor: sync::Arc<net::Executor>) -> Self {
+        let clock = journal::Monotonic::start();
+        let incarnation = journal::wall_ms();
+        let limits = memory::Settings {
+            order_settle: time::Duration::from_millis(settings.order_settle_ms),
+            ..memory::Settings::default()
+        };
+        let fencing = settings.engine.fencing;
+        let reducer = side::Reducer::with_settings(clock.now(), fencing, incarnation, limits)
+            .report_every(time::Duration::from_millis(settings.report_ms))
+            .max_jobs(settings.limits.requests);
+        let pool = net::Pool::default();
+        let (exiting, exit) = async_channel::bounded(1);
+        Self {
+            engine: upstream::Engine::new(pool.clone(), settings.engine.address),
+            pool,
+            metric: metric::Side::new(),
+            exit,
+            exiting,
+            executor,
+            clock,
+            is_stopping: atomic::AtomicBool::new(false),
+            reducer: sync::Mutex::new(reducer),
+            journal: journal::Journal::new(settings.host.clone(), settings.timeline.events),
+            entries: sync::Mutex::new(Entries {
+                revision: 0,
+                addresses: settings.entries.clone(),
+            }),
+            jobs: sync::Mutex::default(),
+            settings,
+        }
+    }
+
+    /// Gives the reducer an event and performs its effects.
+    pub(super) fn step(self: &sync::Arc<Self>, event: side::Event) {
+        let effects = journal::lock(&self.reducer).step(self.clock.now(), event);
+        for effect in effects {
+            self.perform(effect);
+        }
+    }
+
+    /// Gives the reducer a job that has arrived, and returns whether it may start.
+    pub(super) fn admit(
+        self: &sync::Arc<Self>,
+        job: &wire::Job,
+    ) -> Result<(), (outcome::Reason, outcome::Outcome)> {
+        let mut reducer = journal::lock(&self.reducer);
+        let item = job.model.as_ref().and_then(|model| {
+            let mut usable = reducer.account().usable().map(|item| &item.id);
+            usable
+                .find(|id| id.model == *model && id.adapter == job.adapter)
+                .cloned()
+        });
+        let event = side::Event::JobArrived(side::Job {
+            id: job.id.as_u128(),
+            item,
+            idempotent: job.idempotent,
+            claim: job.claim.clone(),
+        });
+        let effects = reducer.step(self.clock.now(), event);
+        drop(reducer);
+        let mut verdict = Ok(());
+        for effect in effects {
+            match effect {
+                side::Effect::RefuseJob(_, reason, outcome) => verdict = Err((reason, outcome)),
+                effect => self.perform(effect),
+            }
+        }
+        match verdict {
+            Ok(()) => self.metric.jobs_accepted.inc(),
+            Err((reason, _)) => self.metric.refuse(refusal(reason)),
+        }
+        verdict
+    }
+
+    fn perform(self: &sync::Arc<Self>, effect: side::Effect) {
+        match effect {
+            // A job is started and refused by the task that brought it.
+            side::Effect::StartJob(_) | side::Effect::RefuseJob(..) => {}
+            side::Effect::SendOrder(order) => self.spawn(orders::send(self.clone(), order)),
+            side::Effect::Report(report) => reports::send(self, &self.report(report)),
+            side::Effect::Record(change) => self.record(change),
+            side::Effect::Exit => {
+                self.exiting.close();
+            }
+        }
+    }
+
+    /// Notes a change of state in the timeline and the log.
+    fn record(&self, change: side::Change) {
+        let (kind, detail) = describe(change);
+        crate::log::info(&format!("{kind}: {detail}"));
+        let record = entry::Record::new(kind).upstream(self.settings.upstream.clone());
+        self.journal.note(record.detail(detail));
+        self.metric.set_timeline_dropped(self.journal.dropped());
+    }
+
+    /// Notes what happened to a job in the timeline.
+    pub(super) fn note(&self, kind: timeline::Kind, job: &wire::Job) {
+        let mut record = entry::Record::new(kind).upstream(self.settings.upstream.clone());
+        record.request = Some(request::Id::from_u128(job.id.as_u128()));
+        record.workspace.clone_from(&job.workspace);
+        record.model.clone_from(&job.model);
+        self.journal.note(record);
+    }
+
+    /// Returns a report as a message, and brings the gauges up to date.
+    fn report(&self, report: side::Report) -> wire::Report {
+        let gauge = |bytes: u64| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.metric.in_flight.set(gauge(report.in_flight as u64));
+        self.metric
+            .memory_committed
+            .set(gauge(report.committed_bytes));
+        self.metric.memory_total.set(gauge(report.total_bytes));
+        self.metric.engine_reachable.set(report.reachable.into());
+        // What the plan no longer has takes no new requests.
+        let resident = report
+            .resident
+            .into_iter()
+            .filter(|residence| !residence.draining);
+        let resident = resident.map(|residence| wire::Residence {
+            model: residence.item.id.model,
+            version: residence.item.id.version,
+            adapter: residence.item.id.adapter,
+            answered: residence.answered,
+        });
+        wire::Report {
+            stamp: self.journal.stamp(),
+            upstream: self.settings.upstream.clone(),
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            leaving: report.leaving,
+            reachable: report.reachable,
+            resident: resident.collect(),
+            account: wire::Account {
+                total: report.total_bytes,
+                committed: report.committed_bytes,
+            },
+            in_flight: u32::try_from(report.in_flight).unwrap_or(u32::MAX),
+            waiting: report.waiting,
+            capacity: u32::try_from(self.settings.engine.max_requests).unwrap_or(u32::MAX),
+            tokens: report.tokens,
+            plan_revision: report.plan_revision,
+        }
+    }
+
+    /// Returns the entry hosts to report to.
+    pub(super) fn entries(&self) -> Vec<std_net::SocketAddr> {
+        journal::lock(&self.entries).addresses.clone()
+    }
+
+    /// Takes the entry hosts of a directive, unless it was made from an older configuration.
+    pub(super) fn set_entries(&self, revision: u64, addresses: Vec<std_net::SocketAddr>) {
+        let mut entries = journal::lock(&self.entries);
+        if revision >= entries.revision {
+            *entries = Entries {
+                revision,
+                addresses,
+            };
+        }
+    }
+
+    /// Notes a running job, and returns the channel that is closed when it is cancelled.
+    pub(super) fn open(&self, id: request::Id) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        journal::lock(&self.jobs).insert(id, sender);
+        receiver
+    }
+
+    pub(super) fn close(&self, id: request::Id) {
+        journal::lock(&self.jobs).remove(&id);
+    }
+
+    pub(super) fn cancel(&self, id: request::Id) {
+        if let Some(sender) = journal::lock(&self.jobs).get(&id) {
+            sender.close();
+        }
+    }
+
+    pub(super) fn start_stopping(&self) {
+        self.is_stopping.store(true, atomic::Ordering::Relaxed);
+    }
+
+    pub(super) fn is_ready(&self) -> bool {
+        !self.is_stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(super) fn stamp(&self) -> clock::Stamp {
+        self.journal.stamp()
+    }
+
+    pub(super) fn receive(&self, stamp: &clock::Stamp) {
+        self.journal.receive(stamp);
+    }
+
+    /// Answers with the events of the timeline that match the query.
+    pub(super) fn timeline(&self, query: &str) -> net::Response {
+        self.journal.answer(query)
+    }
+
+    /// Runs a task beside the others until it ends.
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.executor.spawn(task).detach();
+    }
+}
+
+fn describe(change: side::Change) -> (timeline::Kind, String) {
+    let (kind, detail) = match change {
+        side::Change::Plan(revision) => (
+            timeline::Kind::PlanChanged,
+            format!("plan at revision {revision}"),
+        ),
+        side::Change::Leaving(true) => (timeline::Kind::Leaving, "no new work".to_owned()),
+        side::Change::Leaving(false) => (timeline::Kind::Leaving, "work again".to_owned()),
+        side::Change::Reachable(true) => (
+            timeline::Kind::StateChanged,
+            "the upstream answers".to_owned(),
+        ),
+        side::Change::Reachable(false) => (
+            timeline::Kind::StateChanged,
+            "the upstream does not answer".to_owned(),
+        ),
+        side::Change::EngineRestart(incarnation) => (
+            timeline::Kind::StateChanged,
+            format!("engine restarted as {incarnation}"),
+        ),
+        side::Change::Ready => (
+            timeline::Kind::StateChanged,
+            "orders may be sent".to_owned(),
+        ),
+        side::Change::ShuttingDown => (timeline::Kind::Leaving, "shutting down".to_owned()),
+    };
+    (kind, detail)
+}
+
+fn refusal(reason: outcome::Reason) -> metric::Refusal {
+    match reason {
+        outcome::Reason::UpstreamLeaving => metric::Refusal::UpstreamLeaving,
+        outcome::Reason::DuplicateRequest => metric::Refusal::DuplicateRequest,
+        outcome::Reason::QueueFull => metric::Refusal::Overloaded,
+        outcome::Reason::InvalidRequest => metric::Refusal::InvalidRequest,
+        _ => metric::Refusal::NoUpstream,
+    }
+}
--- a/crates/carawaycleat/src/upstream/answer.rs
+++ b/crates/carawaycleat/src/upstream/answer.rs
@@ -191,7 +191,10 @@
         if let Some(usage) = event.usage
             && usage.completion_tokens != self.count
         {
-            let message = format!("{} tokens arrived of {}", self.count, usage.completion_tokens);
+            let message = format!(
+                "{} tokens arrived of {}",
+                self.count, usage.completion_tokens
+            );
             let part = self.incomplete(message);
             self.waiting.push_back(part);
             return;
--- a/crates/carawaycleat/src/upstream/engine.rs
+++ b/crates/carawaycleat/src/upstream/engine.rs
@@ -127,16 +127,25 @@
         serde_json::from_slice(&bytes).ok()
     }
 
-    /// Returns whether a service answers at all.
-    pub async fn answers(&self) -> bool {
-        let request = net::Request::new("GET", "/healthz");
-        self.pool
-            .send(self.address, request, MANAGEMENT_TIMEOUT)
-            .await
-            .is_ok()
+    /// Returns whether a service accepts connections. No request is sent, because each call of a service may have an
+    /// effect.
+    pub async fn accepts(&self) -> bool {
+        let connect = async {
+            let stream = async_io::Async::<std_net::TcpStream>::connect(self.address).await;
+            stream.is_ok()
+        };
+        let expired = async {
+            async_io::Timer::after(MANAGEMENT_TIMEOUT).await;
+            false
+        };
+        futures_lite::future::or(connect, expired).await
     }
 
     /// Sends an order.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: an order can always be written to memory.
     pub async fn order(&self, command: &Command) -> Acceptance {
         let body = serde_json::to_vec(command).expect("an order can always be written to memory");
         let request = net::Request::new("POST", "/engine/orders")
