feat(standin): add the load tool

Cause: attainment, refusals within a workspace's rate and doubled executions can only be measured by callers that do not wait for answers and count from the intended start. Change: the module `load` reads a TOML file, sends its requests to entry hosts and reports per workspace; the sub-command `load` prints the report as a table or JSON and draws the run.

--- a/crates/carawaycleat-standin/src/command.rs
+++ b/crates/carawaycleat-standin/src/command.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net;
+use std::path;
 use std::str;
 use std::time;
 
@@ -13,8 +14,14 @@
 use carawaycleat_standin::store;
 use carawaycleat_standin::weights;
 
-/// The sub-commands. The load generator (`load`) and the demonstration (`demo`) join them here.
+/// What the command line asks for. The demonstration (`demo`) joins it here.
 pub(crate) enum Command {
+    Serve(Server),
+    Load(Load),
+}
+
+/// The stand-ins.
+pub(crate) enum Server {
     Store(store::Options),
     Engine(engine::Options),
     Service(service::Options),
@@ -22,6 +29,23 @@
     Hosts(hosts::Options),
 }
 
+/// A run of the load tool.
+pub(crate) struct Load {
+    pub(crate) file: path::PathBuf,
+    pub(crate) entries: Vec<net::SocketAddr>,
+    pub(crate) output: Output,
+    pub(crate) json: Option<path::PathBuf>,
+    pub(crate) plot: Option<path::PathBuf>,
+    pub(crate) threads: usize,
+}
+
+/// The form of the report on standard output.
+#[derive(Clone, Copy)]
+pub(crate) enum Output {
+    Table,
+    Json,
+}
+
 /// Returns the parser of the command line.
 pub(crate) fn parser() -> bpaf::OptionParser<Command> {
     let store = store()
@@ -44,7 +68,12 @@
         .to_options()
         .descr("Runs the list of hosts")
         .command("hosts");
-    bpaf::construct!([store, engine, service, weights, hosts])
+    let load = load()
+        .to_options()
+        .descr("Sends requests to entry hosts and reports how they were answered")
+        .command("load");
+    let serve = bpaf::construct!([store, engine, service, weights, hosts]).map(Command::Serve);
+    bpaf::construct!([serve, load])
         .to_options()
         .descr("Stand-ins for the systems around carawaycleat")
 }
@@ -97,7 +126,7 @@
         .fallback(weights::Site::SAVANNAH)
 }
 
-fn store() -> impl bpaf::Parser<Command> {
+fn store() -> impl bpaf::Parser<Server> {
     let listen = listen();
     let latency_ms = value("latency-ms", "Time before a call takes effect, in ms", 0);
     let answer_delay_ms = value(
@@ -124,10 +153,10 @@
         writes_per_second,
         reads_per_second,
     });
-    bpaf::construct!(store::Options { listen, faults }).map(Command::Store)
+    bpaf::construct!(store::Options { listen, faults }).map(Server::Store)
 }
 
-fn engine() -> impl bpaf::Parser<Command> {
+fn engine() -> impl bpaf::Parser<Server> {
     let base = engine::Options::default();
     let listen = listen();
     let weights = bpaf::long("weights")
@@ -192,31 +221,66 @@
         cache_event_delay,
         cache_event_gap,
     })
-    .map(Command::Engine)
+    .map(Server::Engine)
 }
 
-fn service() -> impl bpaf::Parser<Command> {
+fn service() -> impl bpaf::Parser<Server> {
     listen().map(|listen| {
-        Command::Service(service::Options {
+        Server::Service(service::Options {
             listen,
             ..Default::default()
         })
     })
 }
 
-fn weights() -> impl bpaf::Parser<Command> {
+fn weights() -> impl bpaf::Parser<Server> {
     let (listen, site) = (listen(), site());
-    bpaf::construct!(weights::Options { listen, site }).map(Command::Weights)
+    bpaf::construct!(weights::Options { listen, site }).map(Server::Weights)
 }
 
-fn hosts() -> impl bpaf::Parser<Command> {
+fn hosts() -> impl bpaf::Parser<Server> {
     let listen = listen();
     let lag = millis("lag-ms", "Time until a change is shown, in ms", 0);
     bpaf::construct!(listen, lag).map(|(listen, lag)| {
-        Command::Hosts(hosts::Options {
+        Server::Hosts(hosts::Options {
             listen,
             lag,
             ..Default::default()
         })
     })
 }
+
+fn load() -> impl bpaf::Parser<Command> {
+    let entries = bpaf::long("entry")
+        .help("Address of an entry host, in place of those of the file; may be repeated")
+        .argument("ADDRESS")
+        .many();
+    let output = bpaf::long("output")
+        .help("Form of the report: table or json")
+        .argument::<String>("FORM")
+        .parse(|form| match form.as_str() {
+            "table" => Ok(Output::Table),
+            "json" => Ok(Output::Json),
+            _ => Err("expected table or json"),
+        })
+        .fallback(Output::Table);
+    let json = bpaf::long("json")
+        .help("Also write the report as JSON to a file")
+        .argument("FILE")
+        .optional();
+    let plot = bpaf::long("plot")
+        .help("Draw the run as SVG to a file")
+        .argument("FILE")
+        .optional();
+    let threads = value("threads", "Threads that send and receive", 2);
+    let file = bpaf::positional("FILE").help("The load file");
+    bpaf::construct!(Load {
+        entries,
+        output,
+        json,
+        plot,
+        threads,
+        file,
+    })
+    .map(Command::Load)
+}
--- a/crates/carawaycleat-standin/src/lib.rs
+++ b/crates/carawaycleat-standin/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod engine;
 mod handle;
 pub mod hosts;
+pub mod load;
 mod rate;
 pub mod service;
 pub mod store;
--- a/crates/carawaycleat-standin/src/main.rs
+++ b/crates/carawaycleat-standin/src/main.rs
@@ -10,11 +10,15 @@
 use carawaycleat_standin as standin;
 
 mod command;
+mod load_command;
 
 fn main() -> process::ExitCode {
     let executor = sync::Arc::new(http::Executor::new());
-    let started = command::parser()
-        .run()
+    let server = match command::parser().run() {
+        command::Command::Serve(server) => server,
+        command::Command::Load(load) => return load_command::run(&executor, load),
+    };
+    let started = server
         .start(&executor)
         .and_then(|address| announce(address).map_err(http::Error::from));
     if let Err(error) = started {
@@ -31,7 +35,7 @@
     out.flush()
 }
 
-impl command::Command {
+impl command::Server {
     fn start(self, executor: &sync::Arc<http::Executor>) -> http::Result<net::SocketAddr> {
         Ok(match self {
             Self::Store(options) => standin::Store::start(executor, options)?.local_address(),
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod engine_faults;
 mod hosts;
 mod http;
+mod load;
 mod service;
 mod store;
 mod weights;
