fix(standin): record long latencies and tell look-ups from bookings

A look-up that was run twice would have counted as a doubled execution, although the system may retry it. Change: histograms have fixed bounds of ten minutes. A booking's method is GET or POST, and only POST requests have an id that is looked for in the records of the services. Time to first token covers streams only. Conclusion: the percentiles of the histogram agree with those of the samples.

--- a/crates/carawaycleat-standin/src/load.rs
+++ b/crates/carawaycleat-standin/src/load.rs
@@ -76,6 +76,7 @@
 pub use workspace::Class;
 pub use workspace::Length;
 pub use workspace::Load;
+pub use workspace::Method;
 pub use workspace::Prefixes;
 pub use workspace::Surge;
 pub use workspace::Workspace;
--- a/crates/carawaycleat-standin/src/load/arrival.rs
+++ b/crates/carawaycleat-standin/src/load/arrival.rs
@@ -155,7 +155,7 @@
                     booking: number,
                     keyed,
                     // Without a key, a repetition is a request of its own and may run.
-                    repeated: keyed && repeated,
+                    repeated: keyed && repeated && !booking.method.is_safe(),
                 }
             }
         }
--- a/crates/carawaycleat-standin/src/load/caller.rs
+++ b/crates/carawaycleat-standin/src/load/caller.rs
@@ -113,8 +113,9 @@
             ),
             arrival::Job::Booking { booking, .. } => {
                 let booking = &self.plan.workspaces[arrival.workspace].bookings[*booking];
-                let id = format!("{:016x}-{}", self.run, arrival.number);
-                (workspace::Class::Short, cost(booking), Some(id))
+                // What a safe method asks for may be run twice.
+                let id = (!booking.method.is_safe()).then(|| self.id(arrival));
+                (workspace::Class::Short, cost(booking), id)
             }
         };
         let sample = sample::Sample {
@@ -144,7 +145,7 @@
         arrival: &arrival::Arrival,
         seen: &mut Seen,
     ) -> sample::Ending {
-        let request = self.request(arrival, seen.id.as_deref());
+        let request = self.request(arrival);
         let expected = service::expected(&request.method, &request.target(), &request.body);
         // The caller of this function ends it in time.
         let limit = time::Duration::from_secs_f64(self.plan.timeout_s);
@@ -165,17 +166,17 @@
         match &arrival.job {
             arrival::Job::Chat { .. } => self.events(reply, arrival, seen).await,
             arrival::Job::Booking { .. } => match reply.bytes(MAX_BODY_BYTES).await {
-                Ok(bytes) => {
-                    seen.sample.first = Some(self.now());
-                    let is_wrong = self.plan.check_answers && bytes != expected;
-                    whole(!is_wrong)
-                }
+                Ok(bytes) => whole(!self.plan.check_answers || bytes == expected),
                 Err(_) => sample::Ending::Cut,
             },
         }
     }
 
-    fn request(&self, arrival: &arrival::Arrival, id: Option<&str>) -> http::Request {
+    fn id(&self, arrival: &arrival::Arrival) -> String {
+        format!("{:016x}-{}", self.run, arrival.number)
+    }
+
+    fn request(&self, arrival: &arrival::Arrival) -> http::Request {
         let workspace = &self.plan.workspaces[arrival.workspace];
         let request = match &arrival.job {
             arrival::Job::Chat {
@@ -205,9 +206,13 @@
             }
             arrival::Job::Booking { booking, keyed, .. } => {
                 let booking = &workspace.bookings[*booking];
-                let id = id.unwrap_or_default();
-                let request = http::Request::new(&booking.method, booking.path.get_ref())
-                    .body(format!(r#"{{"id":"{id}"}}"#));
+                let (id, method) = (self.id(arrival), booking.method.as_str());
+                let path = booking.path.get_ref();
+                let request = if booking.method.is_safe() {
+                    http::Request::new(method, format!("{path}?id={id}"))
+                } else {
+                    http::Request::new(method, path).body(format!(r#"{{"id":"{id}"}}"#))
+                };
                 match keyed {
                     true => request.header("idempotency-key", id),
                     false => request,
--- a/crates/carawaycleat-standin/src/load/collector.rs
+++ b/crates/carawaycleat-standin/src/load/collector.rs
@@ -29,9 +29,12 @@
     }
 }
 
+// Ten minutes; a request is given up earlier.
+const MAX_MICROS: u64 = 600_000_000;
+
 fn histogram() -> Histogram {
-    // Three digits are enough for percentiles of latencies.
-    Histogram::new(3).expect("3 digits are supported")
+    // A fixed range, because `saturating_record` does not enlarge a histogram. Three digits are enough for percentiles.
+    Histogram::new_with_bounds(1, MAX_MICROS, 3).expect("a supported range")
 }
 
 /// A request to a service.
@@ -84,8 +87,7 @@
         let lateness = seen.started.saturating_sub(arrival.at);
         self.lateness.saturating_record(micros(lateness));
         let times = &mut self.times[arrival.workspace];
-        if let (Some(first), arrival::Job::Chat { .. }) = (seen.sample.first_token(), &arrival.job)
-        {
+        if let Some(first) = seen.sample.first_token() {
             times.first.saturating_record(micros(first));
         }
         for gap in seen.gaps {
--- a/crates/carawaycleat-standin/src/load/report.rs
+++ b/crates/carawaycleat-standin/src/load/report.rs
@@ -144,7 +144,6 @@
         let accelerators = plan.accelerators();
         let seconds = plan.real(plan.duration_s).as_secs_f64();
         let per_second = bucket::as_float(total.attained) / seconds;
-        let is_duplicate = |ending: &&sample::Ending| matches!(ending, sample::Ending::Refused { code, .. } if code == "duplicate_request");
         Self {
             elapsed_s: elapsed.as_secs_f64(),
             worst_to_best: (best > 0.0).then_some(worst / best),
@@ -152,7 +151,7 @@
             attained_per_accelerator: accelerators.map(|count| per_second / f64::from(count)),
             lateness_ms: Quantiles::new(&collector.lateness),
             repeated: collector.repeated.len() as u64,
-            repeated_refused: collector.repeated.iter().filter(is_duplicate).count() as u64,
+            repeated_refused: duplicates(&collector.repeated),
             observed,
             seconds: course(plan, &samples),
             total,
@@ -259,6 +258,14 @@
     }
 }
 
+fn duplicates(endings: &[sample::Ending]) -> u64 {
+    let refused = endings.iter().filter(|ending| match ending {
+        sample::Ending::Refused { code, .. } => code == "duplicate_request",
+        _ => false,
+    });
+    refused.count() as u64
+}
+
 fn part(count: u64, of: u64) -> f64 {
     bucket::as_float(count) / bucket::as_float(of.max(1))
 }
--- a/crates/carawaycleat-standin/src/load/sample.rs
+++ b/crates/carawaycleat-standin/src/load/sample.rs
@@ -43,7 +43,7 @@
     pub used: u64,
     /// When the head of the answer came.
     pub head: Option<time::Duration>,
-    /// When the first token came, or the body of an answer that is no stream.
+    /// When the first token came.
     pub first: Option<time::Duration>,
     /// When the last token came.
     pub last: Option<time::Duration>,
@@ -62,7 +62,7 @@
 impl Sample {
     /// Returns the time from the intended start to the first token.
     pub fn first_token(&self) -> Option<time::Duration> {
-        self.first.map(|first| first.saturating_sub(self.at))
+        Some(self.first?.saturating_sub(self.at))
     }
 
     /// Returns the mean time between two tokens.
--- a/crates/carawaycleat-standin/src/load/workspace.rs
+++ b/crates/carawaycleat-standin/src/load/workspace.rs
@@ -157,8 +157,8 @@
     /// The path, under the prefix of a route.
     pub path: toml::Spanned<String>,
     /// The method.
-    #[serde(default = "post")]
-    pub method: String,
+    #[serde(default)]
+    pub method: Method,
     /// The mean rate.
     #[serde(deserialize_with = "number::rate")]
     pub requests_per_second: f64,
@@ -176,12 +176,34 @@
     pub repeat_after_ms: u32,
 }
 
-pub(super) fn one() -> f64 {
-    1.0
+/// The method of a [`Booking`].
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Method {
+    /// A look-up, which the system may send again.
+    Get,
+    /// A change that must run at most once.
+    #[default]
+    Post,
+}
+
+impl Method {
+    /// Returns the method in a request line.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Get => "GET",
+            Self::Post => "POST",
+        }
+    }
+
+    /// Returns whether requests change nothing.
+    pub const fn is_safe(self) -> bool {
+        matches!(self, Self::Get)
+    }
 }
 
-fn post() -> String {
-    "POST".to_owned()
+pub(super) fn one() -> f64 {
+    1.0
 }
 
 // Long enough that the repetition seldom overtakes the first request.
--- a/crates/carawaycleat-standin/tests/suite/load.rs
+++ b/crates/carawaycleat-standin/tests/suite/load.rs
@@ -160,6 +160,7 @@
     out_of_range = { "duration_s = 60", "duration_s = 0", 2, "allowed: a time from 0.001" },
     nested = { "keyed = 0.5", "keyed = 1.5", 10, "allowed: a number from 0 to 1" },
     unknown_model = { "loads = [{", "loads = [{ models = [\"big\"],", 9, "allowed: large, small, rare" },
+    bad_method = { "keyed = 0.5", "method = \"PUT\"", 10, "`GET` or `POST`" },
     bad_path = { "/bookings/seats", "bookings", 10, "allowed: a path" },
     bad_class = { "loads = [{", "loads = [{ class = \"slow\",", 9, "`live`, `short`, `batch`" },
     missing = { "key = \"press-key\"", "", 6, "missing field `key`" },
@@ -331,7 +332,10 @@
 name = "press"
 key = "press-key"
 loads = [{ requests_per_second = 200, input = { mean = 5 }, output = { mean = 3 } }]
-bookings = [{ path = "/bookings/seats", requests_per_second = 30, keyed = 1, repeated = 1 }]
+bookings = [
+    { path = "/bookings/seats", requests_per_second = 30, keyed = 1, repeated = 1 },
+    { path = "/catalogue", method = "GET", requests_per_second = 30 },
+]
 "#;
 
 /// Guards against endings that are counted as others, and against doubled executions that are missed.
@@ -343,7 +347,7 @@
     let entry = net::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
     let address = service.local_address();
     let entry = entry.start(executor.clone(), move |request: net::Request| async move {
-        if !request.path.starts_with("/bookings") {
+        if request.path.starts_with("/v1/") {
             return answer(&request);
         }
         // The naive host runs a repetition again, and passes the caller's key on.
@@ -370,7 +374,13 @@
     assert_eq!(total.refused_within_rate, sent("refused"), "{report}");
     assert_eq!(total.cut, sent("cut") + sent("short"), "{report}");
     assert_eq!(total.wrong, sent("wrong"), "{report}");
-    assert_eq!(total.attained, sent("good") + bookings, "{report}");
+    let lookups = total.sent - chats(&arrivals, |_, _| true) as u64 - bookings;
+    assert!(lookups > 10);
+    assert_eq!(
+        total.attained,
+        sent("good") + bookings + lookups,
+        "{report}"
+    );
     let observed = &report.observed;
     assert_eq!(observed.executions, Some(2 * bookings));
     assert_eq!(
@@ -380,6 +390,18 @@
     assert_eq!(observed.with_authorization, Some(2 * bookings));
     assert_eq!(observed.store_calls_per_second, Some(0.0));
     assert_eq!(report.accelerators, Some(2));
+    // All arrivals are in one second, whose percentile is taken from the samples and not from the histogram.
+    let (histogram, samples) = (
+        total.first_token_ms.p95,
+        report.seconds[0].first_token_p95_ms,
+    );
+    let samples = samples.expect("first tokens");
+    // The histogram has whole microseconds and three digits.
+    let tolerance = 0.002 + 0.002 * samples;
+    assert!(
+        (histogram - samples).abs() < tolerance,
+        "{histogram} and {samples} ms"
+    );
     serde_json::to_string(&report).expect("JSON");
     let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("load.svg");
     load::plot(&report, &file).expect("a plot");
