test(standin): check the sites' rates and the switching of faults

Cause: a site whose own load exceeds its rates would justify refusals, and nothing showed that faults are switched and model loads are counted. The run test has its own file.

--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod hosts;
 mod http;
 mod load;
+mod load_run;
 mod service;
 mod store;
 mod weights;
