--- a/crates/carawaycleat-standin/src/lib.rs
+++ b/crates/carawaycleat-standin/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod engine;
 mod handle;
 pub mod hosts;
+pub mod load;
 mod rate;
 pub mod service;
 pub mod setup;
--- a/crates/carawaycleat-standin/src/main.rs
+++ b/crates/carawaycleat-standin/src/main.rs
@@ -10,14 +10,16 @@
 use carawaycleat_standin as standin;
 
 mod command;
+mod load_command;
 
 fn main() -> process::ExitCode {
     let executor = sync::Arc::new(http::Executor::new());
-    let command = command::parser().run();
-    if let command::Command::Demo(options) = command {
-        return demonstrate(executor, options);
-    }
-    let started = command
+    let server = match command::parser().run() {
+        command::Command::Serve(server) => server,
+        command::Command::Load(load) => return load_command::run(&executor, load),
+        command::Command::Demo(options) => return demonstrate(executor, options),
+    };
+    let started = server
         .start(&executor)
         .and_then(|address| announce(address).map_err(http::Error::from));
     if let Err(error) = started {
@@ -50,7 +52,7 @@
     out.flush()
 }
 
-impl command::Command {
+impl command::Server {
     fn start(self, executor: &sync::Arc<http::Executor>) -> http::Result<net::SocketAddr> {
         Ok(match self {
             Self::Store(options) => standin::Store::start(executor, options)?.local_address(),
@@ -58,7 +60,6 @@
             Self::Service(options) => standin::Service::start(executor, options)?.local_address(),
             Self::Weights(options) => standin::Weights::start(executor, options)?.local_address(),
             Self::Hosts(options) => standin::Hosts::start(executor, options)?.local_address(),
-            Self::Demo(_) => unreachable!("the demonstration listens on several addresses"),
         })
     }
 }
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -5,6 +5,8 @@
 mod engine_time;
 mod hosts;
 mod http;
+mod load;
+mod load_run;
 mod service;
 mod store;
 mod weights;
