--- a/crates/carawaycleat-core/src/entry/reducer.rs
+++ b/crates/carawaycleat-core/src/entry/reducer.rs
@@ -25,8 +25,8 @@
 /// let owner = rate::Owner { host, address: ([127, 0, 0, 1], 8082).into(), incarnation: 1 };
 /// let zone = name::Name::parse("zone-1").expect("a valid name");
 /// let mut reducer = entry::Reducer::new(owner, zone, entry::Rules::default());
-/// let effects = reducer.step(clock::Instant::from_millis(1), entry::Event::Tick);
-/// assert!(effects.is_empty(), "a host without a copy of the configuration has nothing to do");
+/// reducer.step(clock::Instant::from_millis(1), entry::Event::Tick);
+/// assert!(!reducer.is_ready(), "a host without a copy of the configuration must not serve");
 /// ```
 #[derive(Debug)]
 pub struct Reducer {
