--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -19,6 +19,10 @@
 /// The longest body of a message from a peer or an operator, in bytes.
 const MAX_INTERNAL_BYTES: usize = 64 << 20;
 
+/// The longest wait for the release of the shards; without the store they stay with this address until their validity
+/// ends.
+const RELEASE_LIMIT: time::Duration = time::Duration::from_secs(5);
+
 /// An entry host that is running.
 #[derive(Debug)]
 pub struct Daemon {
@@ -126,9 +130,15 @@
         async_io::Timer::after(delay).await;
         self.callers.drain().await;
         self.shared.step(entry::Event::Stop);
+        let expired = async {
+            async_io::Timer::after(RELEASE_LIMIT).await;
+        };
         // The channel is closed when all requests have ended and all shards are released.
-        let _ = self.shared.exit.recv().await;
-        background::leave(&self.shared).await;
+        let released = async {
+            let _ = self.shared.exit.recv().await;
+            background::leave(&self.shared).await;
+        };
+        futures_lite::future::or(released, expired).await;
     }
 
     /// Ends the host at once, and returns the number of requests that were cut.
