fix: keep changes, heads and keys apart in the entry host

A watch message with a part of the changes advanced the copy to the store's revision, so that the rest would have been ignored. A request whose head had reached the caller could be sent to another upstream, which would join the head of one answer to the body of another. An attempt that waited for a paused sidecar did not hear that it had been given up. A key that stood also in the body or path was forwarded. Hosts that are gone for good stayed in the roster, and two processes of one name would have written it in turn. Change: one guard for each; a silent host leaves the roster after 60 s if a majority is heard.

--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -76,6 +76,7 @@
             stage: state::Stage::Tokens,
             reservation: None,
             is_claimed: false,
+            has_head: false,
             cursor: stream::Cursor::new(arrival.id),
             attempt: None,
             attempts: 0,
--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -37,6 +37,9 @@
                 self.advanced(now, attempt, id, accepted, 1);
             }
             event::Progress::Head(length) => {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.has_head = true;
+                }
                 let accepted = self.cursor(id).map(|cursor| match length {
                     Some(length) => cursor.expect_length(length),
                     None => Ok(()),
@@ -177,7 +180,8 @@
             idempotent: request.idempotent,
             attempts: request.attempts,
             earlier: request.earlier,
-            delivered: request.cursor.position(),
+            // A caller that has the head of one answer must not get the body of another.
+            delivered: request.cursor.position().max(request.has_head.into()),
             resumable: request.is_model(),
             deadline: request.arrival.deadline,
         };
--- a/crates/carawaycleat-core/src/entry/request.rs
+++ b/crates/carawaycleat-core/src/entry/request.rs
@@ -17,6 +17,8 @@
     pub(super) stage: Stage,
     pub(super) reservation: Option<rate::Reservation>,
     pub(super) is_claimed: bool,
+    /// Whether the caller has the head of a service's answer.
+    pub(super) has_head: bool,
     pub(super) cursor: stream::Cursor,
     pub(super) attempt: Option<Attempt>,
     pub(super) attempts: u32,
--- a/crates/carawaycleat/src/entry/attempt.rs
+++ b/crates/carawaycleat/src/entry/attempt.rs
@@ -1,5 +1,8 @@
 use std::collections;
+use std::fmt;
 use std::net as std_net;
+use std::pin;
+use std::sync;
 use std::time;
 
 use carawaycleat_core::entry;
@@ -25,8 +28,9 @@
     source: Source,
 }
 
-#[derive(Debug)]
 enum Source {
+    /// The head of the answer has not arrived.
+    Starting(Starting),
     Side {
         reader: net::Reader,
         decoder: wire::Decoder,
@@ -39,6 +43,19 @@
     Failed(collections::VecDeque<entry::Progress>),
 }
 
+type Starting = pin::Pin<Box<dyn Future<Output = Source> + Send>>;
+
+impl fmt::Debug for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Starting(_) => "Starting",
+            Self::Side { .. } => "Side",
+            Self::Direct { .. } => "Direct",
+            Self::Failed(_) => "Failed",
+        })
+    }
+}
+
 /// A step of an attempt: what the reducer hears of it, and what the caller gets if the reducer agrees.
 #[derive(Debug)]
 pub(super) struct Step {
@@ -56,23 +73,34 @@
 }
 
 impl Attempt {
-    /// Sends `job` to the upstream `name`.
-    pub(super) async fn start(
-        shared: &shared::Shared,
+    /// Returns an attempt to run `job` at the upstream `name`. It starts when its first step is waited for, so that an
+    /// order to give it up is heard meanwhile.
+    pub(super) fn new(
+        shared: &sync::Arc<shared::Shared>,
         name: &name::Name,
         id: request::Id,
-        job: &wire::Job,
+        job: wire::Job,
     ) -> Self {
-        let source = match addresses(shared, name) {
-            Some((_, Some(side))) => start_side(shared, side, job).await,
-            Some((address, None)) => start_direct(shared, address, job).await,
-            None => failed(false, "the upstream is no longer configured".to_owned()),
+        let addresses = addresses(shared, name);
+        let shared = shared.clone();
+        let starting = async move {
+            match addresses {
+                Some((_, Some(side))) => start_side(&shared, side, &job).await,
+                Some((address, None)) => start_direct(&shared, address, &job).await,
+                None => failed(false, "the upstream is no longer configured".to_owned()),
+            }
         };
-        Self { id, source }
+        Self {
+            id,
+            source: Source::Starting(Box::pin(starting)),
+        }
     }
 
     /// Waits for the next step; none when the attempt has ended.
     pub(super) async fn next(&mut self) -> Option<Step> {
+        if let Source::Starting(starting) = &mut self.source {
+            self.source = starting.await;
+        }
         match &mut self.source {
             Source::Side {
                 reader,
@@ -102,6 +130,7 @@
                 };
                 Some(step(part, self.id))
             }
+            Source::Starting(_) => None,
             Source::Failed(steps) => {
                 let progress = steps.pop_front()?;
                 Some(Step {
@@ -123,7 +152,7 @@
                 answer,
                 first: None,
             } => Some(step(answer.ready()?, self.id)),
-            Source::Direct { .. } | Source::Failed(_) => None,
+            Source::Starting(_) | Source::Direct { .. } | Source::Failed(_) => None,
         }
     }
 }
--- a/crates/carawaycleat/src/entry/background.rs
+++ b/crates/carawaycleat/src/entry/background.rs
@@ -8,6 +8,7 @@
 use carawaycleat_core::name;
 use carawaycleat_net as net;
 use carawaycleat_store as store;
+use carawaycleat_wire as wire;
 
 use super::members;
 use super::shared;
@@ -23,6 +24,9 @@
 /// The time between two checks that this host is in the roster.
 const ROSTER: time::Duration = time::Duration::from_secs(1);
 
+/// The silence after which a host is taken out of the roster.
+const SILENT_AFTER: time::Duration = time::Duration::from_secs(60);
+
 /// The time between two reads of the host list.
 const HOSTS: time::Duration = time::Duration::from_secs(1);
 
@@ -66,28 +70,73 @@
     }
 }
 
-/// Keeps this host in the roster.
+/// Keeps this host in the roster, and takes hosts out of it that have been silent for long.
 pub(super) async fn join(shared: sync::Arc<shared::Shared>) {
+    let mut was_superseded = false;
     loop {
+        async_io::Timer::after(ROSTER).await;
         let is_loaded = shared.with(|reducer, _| reducer.history().revision() > 0);
-        let is_member =
-            shared.with(|reducer, _| members::of(reducer.history()).contains(&shared.member));
-        if is_loaded && !is_member && !shared.is_draining() {
-            let value = serde_json::to_vec(&shared.member)
-                .expect("a member can always be written to memory");
-            let put = store::Write::put(members::key(shared.host()), value);
-            let answer = shared
-                .store
-                .commit(&store::Transaction::new().write(put))
-                .await;
-            shared
-                .metric
-                .count_store_call(metric::Call::Transaction, answer.is_ok());
-            if let Err(error) = answer {
-                log::debug(|| format!("cannot join the roster: {error}"));
+        if !is_loaded || shared.is_draining() {
+            continue;
+        }
+        let members = shared.with(|reducer, _| members::of(reducer.history()));
+        let known = members.iter().find(|member| member.host == *shared.host());
+        match known {
+            Some(known) if known.incarnation > shared.member.incarnation => {
+                // Another process has taken the name; writing the record again would have both fight over it.
+                if !std::mem::replace(&mut was_superseded, true) {
+                    log::error(&format!("{} runs as another process", known.host));
+                }
             }
+            Some(known) if *known == shared.member => prune(&shared, &members).await,
+            _ => enter(&shared).await,
         }
-        async_io::Timer::after(ROSTER).await;
+    }
+}
+
+async fn enter(shared: &shared::Shared) {
+    let value =
+        serde_json::to_vec(&shared.member).expect("a member can always be written to memory");
+    let put = store::Write::put(members::key(shared.host()), value);
+    let answer = shared
+        .store
+        .commit(&store::Transaction::new().write(put))
+        .await;
+    shared
+        .metric
+        .count_store_call(metric::Call::Transaction, answer.is_ok());
+    if let Err(error) = answer {
+        log::debug(|| format!("cannot enter the roster: {error}"));
+    }
+}
+
+/// Removes one host that has been silent for long, if this host hears a majority.
+///
+/// One at a time, so that the majorities before and after share a host.
+async fn prune(shared: &shared::Shared, members: &[wire::Member]) {
+    let hears_majority = shared.with(|reducer, now| reducer.monitor().can_acknowledge(now));
+    let silent = members.iter().find(|member| {
+        member.host != *shared.host() && shared.is_silent(&member.host, SILENT_AFTER)
+    });
+    let Some(silent) = silent.filter(|_| hears_majority) else {
+        return;
+    };
+    let key = members::key(&silent.host);
+    let revision =
+        shared.with(|reducer, _| reducer.history().raw(&key).map(|(_, revision)| revision));
+    let Some(revision) = revision else { return };
+    let transaction = store::Transaction::new()
+        .when(store::Condition::Modified(key.clone(), revision))
+        .write(store::Write::delete(key));
+    let answer = shared.store.commit(&transaction).await;
+    shared
+        .metric
+        .count_store_call(metric::Call::Transaction, answer.is_ok());
+    if answer.is_ok_and(|answer| answer.succeeded) {
+        log::warn(&format!(
+            "{} has been silent for long and left the roster",
+            silent.host
+        ));
     }
 }
 
--- a/crates/carawaycleat/src/entry/callers/intake.rs
+++ b/crates/carawaycleat/src/entry/callers/intake.rs
@@ -29,6 +29,9 @@
     "x-request-id",
 ];
 
+/// The shortest key that is looked for in the path and the body, in bytes.
+const MIN_EXPOSED_BYTES: usize = 8;
+
 /// The longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
 
@@ -62,11 +65,8 @@
         let key = bearer(&request.headers)
             .map_err(refused)?
             .map(str::to_owned);
-        if key
-            .as_deref()
-            .is_some_and(|key| request.target().contains(key))
-        {
-            let message = "the key must not stand in the path or query";
+        if key.as_deref().is_some_and(|key| is_exposed(key, &request)) {
+            let message = "the key must stand in the header `authorization` only";
             return Err(refused(super::refuse(
                 outcome::Reason::InvalidRequest,
                 message,
@@ -117,6 +117,19 @@
     }
 }
 
+/// Returns whether the key also stands where it would be forwarded to an upstream.
+fn is_exposed(key: &str, request: &net::Request) -> bool {
+    let is_in_body = || match std::str::from_utf8(&request.body) {
+        Ok(text) => text.contains(key),
+        Err(_) => request
+            .body
+            .windows(key.len())
+            .any(|part| part == key.as_bytes()),
+    };
+    // A key of a few letters would stand in most texts by chance.
+    key.len() >= MIN_EXPOSED_BYTES && (request.target().contains(key) || is_in_body())
+}
+
 fn bearer(headers: &net::Headers) -> Result<Option<&str>, api::Refusal> {
     let Some(value) = headers.get("authorization") else {
         return Ok(None);
--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -166,7 +166,7 @@
             };
             match order {
                 Some(mailbox::Order::Claim(key)) => self.claim(key).await,
-                Some(mailbox::Order::Dispatch(dispatch)) => self.dispatch(dispatch).await,
+                Some(mailbox::Order::Dispatch(dispatch)) => self.dispatch(&dispatch),
                 Some(mailbox::Order::Finish(count)) => {
                     self.ended = true;
                     self.sink.close(count, body);
@@ -242,10 +242,10 @@
         self.shared.step(entry::Event::Claimed(request, result));
     }
 
-    async fn dispatch(&mut self, dispatch: mailbox::Dispatch) {
-        let job = self.job(&dispatch);
+    fn dispatch(&mut self, dispatch: &mailbox::Dispatch) {
+        let job = self.job(dispatch);
         let attempt =
-            attempt::Attempt::start(&self.shared, &dispatch.upstream, dispatch.attempt, &job).await;
+            attempt::Attempt::new(&self.shared, &dispatch.upstream, dispatch.attempt, job);
         self.attempt = Some(attempt);
     }
 
--- a/crates/carawaycleat/src/entry/exchange.rs
+++ b/crates/carawaycleat/src/entry/exchange.rs
@@ -81,6 +81,7 @@
     let digest = digest(&shared);
     if let Some(answer) = call::<wire::Digest>(&shared, address, "/peer/exchange", &digest).await {
         shared.receive(&answer.stamp);
+        shared.note_heard(&answer.host);
         let offers = answer
             .offers
             .into_iter()
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -36,6 +36,8 @@
     mailboxes: sync::Mutex<collections::HashMap<request::Id, mailbox::Sender>>,
     journal: journal::Journal,
     observations: sync::Mutex<placing::Observations>,
+    /// When each peer last answered an exchange.
+    heard: sync::Mutex<collections::HashMap<name::Name, clock::Instant>>,
     pub(super) claims: claims::Claims,
     /// Whether the process is about to stop, which the load balancer sees as not ready.
     draining: sync::atomic::AtomicBool,
@@ -76,6 +78,7 @@
             mailboxes: sync::Mutex::default(),
             journal: journal::Journal::new(settings.host.clone(), settings.timeline.events),
             observations: sync::Mutex::default(),
+            heard: sync::Mutex::default(),
             claims: claims::Claims::default(),
             draining: sync::atomic::AtomicBool::new(false),
             settings,
@@ -126,6 +129,21 @@
         self.with(|reducer, now| read(reducer, &observations, now))
     }
 
+    /// Notes that a peer has answered an exchange.
+    pub(super) fn note_heard(&self, host: &name::Name) {
+        let now = self.now();
+        journal::lock(&self.heard).insert(host.clone(), now);
+    }
+
+    /// Returns whether a peer has not answered for `span`. The count begins with the first call for a peer that was
+    /// never heard.
+    pub(super) fn is_silent(&self, host: &name::Name, span: time::Duration) -> bool {
+        let now = self.now();
+        let mut heard = journal::lock(&self.heard);
+        let last = *heard.entry(host.clone()).or_insert(now);
+        now.since(last) >= span
+    }
+
     /// Takes a report for the placement.
     pub(super) fn observe(&self, report: &wire::Report) {
         let now = self.now();
--- a/crates/carawaycleat/src/entry/watcher.rs
+++ b/crates/carawaycleat/src/entry/watcher.rs
@@ -74,12 +74,13 @@
         Err(error) => return error,
     };
     loop {
-        let (through, changes) = match watch.next(PATIENCE).await {
+        let (reached, changes) = match watch.next(PATIENCE).await {
             Ok(message) => message,
             Err(error) => return error,
         };
-        let last = changes.last().map_or(0, |change| change.revision);
-        let through = through.max(last);
+        // A message with changes may be a part of what the store has at its revision; only a message without changes
+        // says that there is nothing more up to it.
+        let through = changes.last().map_or(reached, |change| change.revision);
         let change = |change: store::Change| config::Change {
             key: change.key,
             value: change.value,
