feat(core): learn prefix affinity from the requests themselves

Cause: engines name their cache entries by their own tokens, which an entry host cannot compute, so that the affinity map stayed empty in the whole path. Change: the first token of an answer notes its prompt's prefixes at the upstream that ran it; the map is bounded and emptied by a restart as before. Cache events of engines are not used for text prefixes yet.

--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -119,6 +119,10 @@
         };
         if is_first && tokens == request.cursor.position() {
             self.table.first_token(now, attempt);
+            if let Some(running) = &request.attempt {
+                self.table
+                    .processed(&running.upstream, &request.arrival.prefixes);
+            }
             self.note(timeline::Kind::FirstToken, id, "");
         } else {
             self.table.token(now, attempt);
--- a/crates/carawaycleat-core/src/routing/affinity.rs
+++ b/crates/carawaycleat-core/src/routing/affinity.rs
@@ -13,7 +13,9 @@
 /// The prefixes of one upstream, in the order in which they were stored.
 #[derive(Clone, Debug, Default)]
 struct Source {
-    last: u64,
+    /// The number of the last cache event.
+    last: Option<u64>,
+    next: u64,
     order: collections::BTreeMap<u64, u64>,
     positions: collections::HashMap<u64, u64>,
 }
@@ -32,7 +34,7 @@
     ///
     /// After a gap the upstream's prefixes are dropped: the missing event may have been an eviction.
     pub(super) fn apply(&mut self, upstream: &name::Name, sequence: u64, event: super::Cache) {
-        let last = self.sources.get(upstream).map(|source| source.last);
+        let last = self.sources.get(upstream).and_then(|source| source.last);
         if last.is_some_and(|last| sequence <= last) {
             return;
         }
@@ -40,25 +42,9 @@
             self.drop_upstream(upstream);
         }
         let source = self.sources.entry(upstream.clone()).or_default();
-        source.last = sequence;
+        source.last = Some(sequence);
         match event {
-            super::Cache::Stored(prefix) => {
-                if source.positions.contains_key(&prefix) {
-                    return;
-                }
-                source.positions.insert(prefix, sequence);
-                source.order.insert(sequence, prefix);
-                self.holders
-                    .entry(prefix)
-                    .or_default()
-                    .push(upstream.clone());
-                if source.order.len() > self.limit
-                    && let Some((_, oldest)) = source.order.pop_first()
-                {
-                    source.positions.remove(&oldest);
-                    self.release(upstream, oldest);
-                }
-            }
+            super::Cache::Stored(prefix) => self.store(upstream, prefix),
             super::Cache::Evicted(prefix) => {
                 if let Some(position) = source.positions.remove(&prefix) {
                     source.order.remove(&position);
@@ -68,6 +54,27 @@
         }
     }
 
+    /// Notes that `upstream` has `prefix`, as the one that was used last.
+    pub(super) fn store(&mut self, upstream: &name::Name, prefix: u64) {
+        let source = self.sources.entry(upstream.clone()).or_default();
+        source.next += 1;
+        source.order.insert(source.next, prefix);
+        if let Some(earlier) = source.positions.insert(prefix, source.next) {
+            source.order.remove(&earlier);
+            return;
+        }
+        self.holders
+            .entry(prefix)
+            .or_default()
+            .push(upstream.clone());
+        if source.order.len() > self.limit
+            && let Some((_, oldest)) = source.order.pop_first()
+        {
+            source.positions.remove(&oldest);
+            self.release(upstream, oldest);
+        }
+    }
+
     /// Forgets all about an upstream.
     pub(super) fn drop_upstream(&mut self, upstream: &name::Name) {
         let Some(source) = self.sources.remove(upstream) else {
--- a/crates/carawaycleat-core/src/routing/table.rs
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -125,6 +125,18 @@
         }
     }
 
+    /// Notes that an upstream has processed a prompt with these prefixes, which its cache then holds.
+    ///
+    /// Engines name the entries of their caches by their own tokens, so that their events alone do not tell which text
+    /// they belong to.
+    pub fn processed(&mut self, upstream: &name::Name, prefixes: &[u64]) {
+        if self.upstreams.contains_key(upstream) {
+            for prefix in prefixes {
+                self.affinity.store(upstream, *prefix);
+            }
+        }
+    }
+
     /// Returns the number of prefixes that are remembered over all upstreams.
     pub fn prefixes(&self) -> usize {
         self.affinity.len()
--- a/crates/carawaycleat-core/tests/suite/routing.rs
+++ b/crates/carawaycleat-core/tests/suite/routing.rs
@@ -271,6 +271,24 @@
     assert_eq!(fixture.picked_for(0, &need), expected);
 }
 
+/// Guards against a prompt that is processed again elsewhere, although an upstream has just processed its prefix.
+#[test]
+fn a_processed_prompt_attracts_the_next() {
+    let mut fixture = Fixture::new(2, unchanged);
+    let (names, prefixes) = (Names::new(), (1..=12).collect::<Vec<u64>>());
+    let mut need = names.need();
+    need.prefixes = &prefixes;
+    assert_eq!(fixture.picked_for(0, &need), "u0 u1");
+    fixture.table.processed(&name("u1"), &prefixes);
+    assert_eq!(fixture.picked_for(0, &need), "u1");
+    fixture.hear(1, |load| load.incarnation = 2);
+    assert_eq!(
+        fixture.picked_for(1, &need),
+        "u0 u1",
+        "a restart empties the cache"
+    );
+}
+
 /// Guards against the prefix map growing without bound.
 #[test]
 fn the_prefix_map_is_bounded() {
