feat: let three entry hosts watch the store for the others

Cause: each entry host held a watch and polled the store twice a second; the store counts each waiting watch, and 340 hosts would use 680 of its two thousand reads a second for polls alone. Exchanges went to the 16 lowest addresses. Change: the first three live hosts by rendezvous hash watch and poll; the others hear from them, and exchanges go to the watchers and to random others. Conclusion: the store's load from watches no longer grows with the hosts.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod freshness;
 pub mod key;
+pub mod membership;
 pub mod memory;
 pub mod name;
 pub mod outcome;
--- /dev/null
+++ b/crates/carawaycleat-core/src/membership.rs
@@ -0,0 +1,47 @@
+//! Which entry hosts follow the store for the others.
+
+use std::cmp;
+
+use sha2::Digest as _;
+
+use crate::name;
+
+/// The entry hosts that watch the store; the rest hear from them.
+///
+/// Three outlast the loss of one host and of one availability zone at the same time as a planned stop.
+pub const WATCHERS: usize = 3;
+
+/// Returns the hosts among `live` that watch the store.
+///
+/// The choice is by rendezvous hash, so that each host finds the same ones, and a host that comes or goes changes at
+/// most one of them.
+///
+/// # Examples
+///
+/// ```
+/// use carawaycleat_core::{membership, name};
+///
+/// let hosts = ["a", "b", "c", "d", "e"].map(|host| name::Name::parse(host).expect("a valid name"));
+/// let watchers = membership::watchers(&hosts);
+/// assert_eq!(watchers.len(), membership::WATCHERS);
+/// ```
+pub fn watchers(live: &[name::Name]) -> Vec<name::Name> {
+    let mut ranked: Vec<_> = live
+        .iter()
+        .map(|host| (cmp::Reverse(weight(host)), host))
+        .collect();
+    ranked.sort();
+    ranked.dedup();
+    ranked
+        .into_iter()
+        .take(WATCHERS)
+        .map(|(_, host)| host.clone())
+        .collect()
+}
+
+/// Returns the weight of a host, which is the same in every process and version.
+fn weight(host: &name::Name) -> u64 {
+    let digest = sha2::Sha256::digest(host.as_bytes());
+    let first = digest.first_chunk::<8>().expect("a digest has 32 bytes");
+    u64::from_be_bytes(*first)
+}
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod fault;
 mod freshness;
 mod key;
+mod membership;
 mod memory;
 mod placement;
 mod rate;
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/membership.rs
@@ -0,0 +1,41 @@
+use carawaycleat_core::membership;
+use carawaycleat_core::name;
+
+fn hosts(count: usize) -> Vec<name::Name> {
+    let host = |number| name::Name::parse(&format!("entry-{number}")).expect("a valid name");
+    (0..count).map(host).collect()
+}
+
+/// Guards against hosts that disagree about who watches the store, which would leave it without a watcher.
+#[test]
+fn the_order_in_which_hosts_are_known_does_not_matter() {
+    let mut known = hosts(340);
+    let watchers = membership::watchers(&known);
+    assert_eq!(watchers.len(), membership::WATCHERS);
+    known.reverse();
+    assert_eq!(membership::watchers(&known), watchers);
+    assert_eq!(
+        membership::watchers(&hosts(2)).len(),
+        2,
+        "few hosts all watch"
+    );
+}
+
+/// Guards against a replaced host that makes all watchers change, so that all watches are opened anew at once.
+#[test]
+fn a_host_that_leaves_changes_at_most_one_watcher() {
+    let known = hosts(340);
+    let watchers = membership::watchers(&known);
+    for gone in &known {
+        let rest: Vec<_> = known.iter().filter(|host| *host != gone).cloned().collect();
+        let after = membership::watchers(&rest);
+        let kept = after.iter().filter(|host| watchers.contains(host)).count();
+        let was_watcher = watchers.contains(gone);
+        assert_eq!(
+            kept,
+            membership::WATCHERS - usize::from(was_watcher),
+            "{gone} left"
+        );
+        assert!(!after.contains(gone));
+    }
+}
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -8,5 +8,6 @@
 mod load;
 mod load_run;
 mod service;
+mod setup;
 mod store;
 mod weights;
--- a/crates/carawaycleat/src/entry/exchange.rs
+++ b/crates/carawaycleat/src/entry/exchange.rs
@@ -1,4 +1,3 @@
-use std::collections;
 use std::net as std_net;
 use std::sync;
 use std::time;
@@ -6,6 +5,7 @@
 use carawaycleat_core::config;
 use carawaycleat_core::entry;
 use carawaycleat_core::freshness;
+use carawaycleat_core::membership;
 use carawaycleat_core::name;
 use carawaycleat_net as net;
 use carawaycleat_wire as wire;
@@ -40,16 +40,25 @@
     }
 }
 
-/// Returns the addresses of the peers in the roster and in the settings.
+/// Returns the addresses to exchange digests with: those of the watchers, and others at random up to the bound.
 fn peers(shared: &shared::Shared) -> Vec<std_net::SocketAddr> {
     let roster = shared.with(|reducer, _| members::of(reducer.history()));
-    let others = roster.iter().filter(|member| member.host != *shared.host());
-    let known: collections::BTreeSet<_> = others
-        .map(|member| member.peer_address)
-        .chain(shared.settings.peers.iter().copied())
-        .filter(|address| *address != shared.member.peer_address)
-        .collect();
-    known.into_iter().take(MAX_PEERS).collect()
+    let hosts: Vec<_> = roster.iter().map(|member| member.host.clone()).collect();
+    let watchers = membership::watchers(&hosts);
+    let (first, rest): (Vec<_>, Vec<_>) = roster
+        .into_iter()
+        .partition(|member| watchers.contains(&member.host));
+    let mut others: Vec<_> = rest.iter().map(|member| member.peer_address).collect();
+    others.extend(&shared.settings.peers);
+    fastrand::shuffle(&mut others);
+    let mut chosen = Vec::new();
+    for address in first.iter().map(|member| member.peer_address).chain(others) {
+        if address != shared.member.peer_address && !chosen.contains(&address) {
+            chosen.push(address);
+        }
+    }
+    chosen.truncate(MAX_PEERS);
+    chosen
 }
 
 /// Returns what this host tells its peers.
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -4,6 +4,7 @@
 
 use carawaycleat_core::clock;
 use carawaycleat_core::entry;
+use carawaycleat_core::membership;
 use carawaycleat_core::name;
 use carawaycleat_core::placement;
 use carawaycleat_core::rate;
@@ -14,11 +15,15 @@
 
 use super::claims;
 use super::mailbox;
+use super::members;
 use super::placing;
 use crate::journal;
 use crate::metric;
 use crate::settings;
 
+/// The silence up to which a peer counts as live; four exchanges.
+const LIVE_FOR: time::Duration = time::Duration::from_secs(2);
+
 /// What all tasks of an entry host share.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -144,6 +149,20 @@
         now.since(last) >= span
     }
 
+    /// Returns whether this host watches the store, and does not hear from other hosts what has changed.
+    pub(super) fn is_watcher(&self) -> bool {
+        let members = self.with(|reducer, _| members::of(reducer.history()));
+        let live = members.into_iter().map(|member| member.host);
+        let live = live.filter(|host| host == self.host() || !self.is_silent(host, LIVE_FOR));
+        let mut live: Vec<_> = live.collect();
+        // A host that is not in the roster yet needs the store to enter it.
+        if !live.contains(self.host()) {
+            return true;
+        }
+        live.sort();
+        membership::watchers(&live).contains(self.host())
+    }
+
     /// Takes a report for the placement.
     pub(super) fn observe(&self, report: &wire::Report) {
         let now = self.now();
--- a/crates/carawaycleat/src/entry/watcher.rs
+++ b/crates/carawaycleat/src/entry/watcher.rs
@@ -23,7 +23,11 @@
 pub(super) async fn follow(shared: sync::Arc<shared::Shared>) {
     let mut was_reached = true;
     loop {
-        let error = match load(&shared).await {
+        if !shared.is_watcher() {
+            async_io::Timer::after(CHECK).await;
+            continue;
+        }
+        let ended = match load(&shared).await {
             Ok(revision) => {
                 if !was_reached {
                     log::info("the store answers again");
@@ -31,8 +35,9 @@
                 was_reached = true;
                 watch(&shared, revision).await
             }
-            Err(error) => error,
+            Err(error) => Err(error),
         };
+        let Err(error) = ended else { continue };
         if was_reached {
             log::warn(&format!("the store cannot be followed: {error}"));
             was_reached = false;
@@ -63,21 +68,15 @@
     Ok(listing.revision)
 }
 
-/// Passes on changes until the watch ends.
-async fn watch(shared: &sync::Arc<shared::Shared>, mut revision: u64) -> store::Error {
+/// Passes on changes until the watch ends, or until another host watches in this one's place.
+async fn watch(shared: &sync::Arc<shared::Shared>, mut revision: u64) -> store::Result<()> {
     let opened = shared.store.watch(config::PREFIX, revision + 1).await;
     shared
         .metric
         .count_store_call(metric::Call::Watch, opened.is_ok());
-    let mut watch = match opened {
-        Ok(watch) => watch,
-        Err(error) => return error,
-    };
+    let mut watch = opened?;
     loop {
-        let (reached, changes) = match watch.next(PATIENCE).await {
-            Ok(message) => message,
-            Err(error) => return error,
-        };
+        let (reached, changes) = watch.next(PATIENCE).await?;
         // A message with changes may be a part of what the store has at its revision; only a message without changes
         // says that there is nothing more up to it.
         let through = changes.last().map_or(reached, |change| change.revision);
@@ -93,6 +92,9 @@
             changes,
         });
         revision = revision.max(through);
+        if !shared.is_watcher() {
+            return Ok(());
+        }
     }
 }
 
@@ -103,6 +105,10 @@
     let mut open: Option<(clock::Instant, u64)> = None;
     loop {
         async_io::Timer::after(CHECK).await;
+        if !shared.is_watcher() {
+            open = None;
+            continue;
+        }
         if let Some((sent, revision)) = open
             && confirm(&shared, sent, revision)
         {
