fix(core): call a dispatched request's outcome unknown before its first frame

Cause: a request that ended between its dispatch and the sidecar's first frame (key withdrawn, deadline, isolation, caller gone) was reported as not run, and its claim was deleted, while the job was on its way and ran. The reducer took the sidecar's Started frame as the first sign that a byte may have left. Ruled out: the sidecar and the order of its answers; no frame was lost in the failing cells, the key was withdrawn in the step of the dispatch. Change: a running attempt makes the outcome unknown. The special case for a lost first frame at the end of an answer is no longer needed.

--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -141,10 +141,6 @@
         let Some(mut request) = self.requests.remove(&id) else {
             return;
         };
-        // The attempt ran, so its tokens count even when the sidecar's first frame was lost.
-        if let Some(running) = &mut request.attempt {
-            running.sent = true;
-        }
         let used = request.used();
         if let Some(reservation) = request.reservation.take() {
             self.ledger.settle(now, reservation, used);
--- a/crates/carawaycleat-core/src/entry/request.rs
+++ b/crates/carawaycleat-core/src/entry/request.rs
@@ -64,9 +64,10 @@
     }
 
     /// Returns what is known about the execution when the request ends now without an answer.
+    ///
+    /// A running attempt counts before the sidecar says that it has started, because the job may be on its way.
     pub(super) fn outcome(&self) -> outcome::Outcome {
-        let is_sent = self.attempt.as_ref().is_some_and(|attempt| attempt.sent);
-        if is_sent || self.cursor.position() > 0 {
+        if self.attempt.is_some() || self.cursor.position() > 0 {
             return outcome::Outcome::Unknown;
         }
         self.earlier
