fix(core): do not start an answer over after its head was delivered

Cause: when an attempt at an idempotent request to a service failed after its head and before its first body byte, the reducer sent the request elsewhere from the start. The daemon had already passed on the first head, so the caller got the status and headers of one execution with the body of another. Ruled out: the sidecar; it passes on each head once per attempt. Change: a delivered head counts as a delivered part, so that such a request ends with an explicit error. Holding the head back until the first byte would keep the retry, at the cost of delaying each head.

--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -77,6 +77,7 @@
             reservation: None,
             is_claimed: false,
             cursor: stream::Cursor::new(arrival.id),
+            has_head: false,
             attempt: None,
             attempts: 0,
             earlier: outcome::Outcome::NotRun,
--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -41,6 +41,9 @@
                     Some(length) => cursor.expect_length(length),
                     None => Ok(()),
                 });
+                if let (Some(Ok(())), Some(request)) = (&accepted, self.requests.get_mut(&id)) {
+                    request.has_head = true;
+                }
                 self.advanced(now, attempt, id, accepted, 0);
             }
             event::Progress::Bytes(bytes) => {
@@ -173,7 +176,8 @@
             idempotent: request.idempotent,
             attempts: request.attempts,
             earlier: request.earlier,
-            delivered: request.cursor.position(),
+            // The head of another execution need not fit the one that the caller has.
+            delivered: request.delivered(),
             resumable: request.is_model(),
             deadline: request.arrival.deadline,
         };
--- a/crates/carawaycleat-core/src/entry/request.rs
+++ b/crates/carawaycleat-core/src/entry/request.rs
@@ -18,6 +18,8 @@
     pub(super) reservation: Option<rate::Reservation>,
     pub(super) is_claimed: bool,
     pub(super) cursor: stream::Cursor,
+    /// Whether the caller has the head of a service's answer.
+    pub(super) has_head: bool,
     pub(super) attempt: Option<Attempt>,
     pub(super) attempts: u32,
     pub(super) earlier: outcome::Outcome,
@@ -73,6 +75,11 @@
         self.earlier
     }
 
+    /// Returns how much of the answer the caller has: tokens or body bytes, and at least 1 after a head.
+    pub(super) fn delivered(&self) -> u64 {
+        self.cursor.position().max(u64::from(self.has_head))
+    }
+
     /// Returns the tokens that the request has used so far.
     pub(super) fn used(&self) -> u64 {
         if self.attempts == 0 || self.outcome() == outcome::Outcome::NotRun {
