fix(core): check the age of the configuration before each event

Cause: an entry host that was paused and woken took up the events that had queued before its first tick, and only a tick, an exchange or a store contact checked whether its copy of the configuration was too old. Tokens of a key withdrawn during the pause went on to the caller more than 5 s later. Ruled out: the change of the configuration; it arrived behind the tokens. Change: each event that does not itself tell the age of the copy is preceded by the check. While the contact is recent, the check compares two instants.

--- a/crates/carawaycleat-core/src/entry/control.rs
+++ b/crates/carawaycleat-core/src/entry/control.rs
@@ -234,7 +234,7 @@
     }
 
     /// Notes a change of freshness, and ends keyed requests when the host has become isolated.
-    fn note_freshness(&mut self, now: clock::Instant) {
+    pub(super) fn note_freshness(&mut self, now: clock::Instant) {
         let state = self.monitor.state(now);
         if self.freshness.replace(state) == Some(state) {
             return;
--- a/crates/carawaycleat-core/src/entry/event.rs
+++ b/crates/carawaycleat-core/src/entry/event.rs
@@ -79,6 +79,13 @@
     Stop,
 }
 
+impl Event {
+    /// Returns whether the event tells how old the copy of the configuration is, and is checked after it is taken up.
+    pub(super) const fn brings_contact(&self) -> bool {
+        matches!(self, Self::StoreContact(_) | Self::Heard { .. })
+    }
+}
+
 /// The progress of one attempt at a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Progress {
--- a/crates/carawaycleat-core/src/entry/reducer.rs
+++ b/crates/carawaycleat-core/src/entry/reducer.rs
@@ -89,6 +89,10 @@
     /// Takes one event at the time `now` and returns what to do, in order.
     pub fn step(&mut self, now: clock::Instant, event: super::Event) -> Vec<super::Effect> {
         self.refresh_shards(now);
+        // After a pause other events may precede the next tick; they must not serve a key that may be withdrawn.
+        if !event.brings_contact() {
+            self.note_freshness(now);
+        }
         match event {
             super::Event::Arrived(arrival) => self.arrive(now, *arrival),
             super::Event::CallerGone(id) => self.abandon(now, id),
