fix(core): follow no received stamp whose counter is close to overflow

Cause: a peer's stamp with a counter just below the greatest 64-bit number was followed, and the second local stamp after it overflowed the counter. With overflow checks the process ended; without them later stamps sorted first. Ruled out: the wall clock part, which is bounded by MAX_AHEAD_MS. Change: counters above 2^32 are not followed. Before: a_stamp_never_goes_back panicked after 6 cases (remote 7 ms, counter). After: 100000 cases pass. Conclusion: one broken peer can no longer end the others through a stamp.

--- a/crates/carawaycleat-core/src/clock/hybrid.rs
+++ b/crates/carawaycleat-core/src/clock/hybrid.rs
@@ -30,6 +30,12 @@
     /// future, so it is not followed, and the events of its host sort after those of the others.
     pub const MAX_AHEAD_MS: u64 = 60_000;
 
+    /// The highest counter of a received stamp that is followed.
+    ///
+    /// A counter restarts with each millisecond, so no correct host comes near it. The local counter continues from a
+    /// received one and must not overflow.
+    pub const MAX_COUNTER: u64 = 1 << 32;
+
     /// Returns a clock for `host`.
     pub const fn new(host: name::Name) -> Self {
         Self {
@@ -54,8 +60,7 @@
     pub fn receive(&mut self, wall_ms: u64, remote: &super::Stamp) -> super::Stamp {
         let is_near = remote.wall_ms <= wall_ms.saturating_add(Self::MAX_AHEAD_MS);
         let position = (remote.wall_ms, remote.counter);
-        // A counter at its maximum cannot be followed by a later one; no correct host comes near it.
-        if is_near && remote.counter < u64::MAX && position > (self.wall_ms, self.counter) {
+        if is_near && remote.counter <= Self::MAX_COUNTER && position > (self.wall_ms, self.counter) {
             (self.wall_ms, self.counter) = position;
         }
         self.tick(wall_ms)
