--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod fake;
 mod fault;
 mod freshness;
+mod hostile;
 mod key;
 mod memory;
 mod path;
--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod fake;
+mod hostile;
 mod log;
 mod manifest;
 mod metric;
