--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -37,13 +37,13 @@
                 self.advanced(now, attempt, id, accepted, 1);
             }
             event::Progress::Head(length) => {
-                if let Some(request) = self.requests.get_mut(&id) {
-                    request.has_head = true;
-                }
                 let accepted = self.cursor(id).map(|cursor| match length {
                     Some(length) => cursor.expect_length(length),
                     None => Ok(()),
                 });
+                if let (Some(Ok(())), Some(request)) = (&accepted, self.requests.get_mut(&id)) {
+                    request.has_head = true;
+                }
                 self.advanced(now, attempt, id, accepted, 0);
             }
             event::Progress::Bytes(bytes) => {
@@ -148,10 +148,6 @@
         let Some(mut request) = self.requests.remove(&id) else {
             return;
         };
-        // The attempt ran, so its tokens count even when the sidecar's first frame was lost.
-        if let Some(running) = &mut request.attempt {
-            running.sent = true;
-        }
         let used = request.used();
         if let Some(reservation) = request.reservation.take() {
             self.ledger.settle(now, reservation, used);
@@ -184,8 +180,8 @@
             idempotent: request.idempotent,
             attempts: request.attempts,
             earlier: request.earlier,
-            // A caller that has the head of one answer must not get the body of another.
-            delivered: request.cursor.position().max(request.has_head.into()),
+            // The head of another execution need not fit the one that the caller has.
+            delivered: request.delivered(),
             resumable: request.is_model(),
             deadline: request.arrival.deadline,
         };
--- a/crates/carawaycleat-core/src/entry/request.rs
+++ b/crates/carawaycleat-core/src/entry/request.rs
@@ -17,9 +17,9 @@
     pub(super) stage: Stage,
     pub(super) reservation: Option<rate::Reservation>,
     pub(super) is_claimed: bool,
+    pub(super) cursor: stream::Cursor,
     /// Whether the caller has the head of a service's answer.
     pub(super) has_head: bool,
-    pub(super) cursor: stream::Cursor,
     pub(super) attempt: Option<Attempt>,
     pub(super) attempts: u32,
     pub(super) earlier: outcome::Outcome,
@@ -66,14 +66,20 @@
     }
 
     /// Returns what is known about the execution when the request ends now without an answer.
+    ///
+    /// A running attempt counts before the sidecar says that it has started, because the job may be on its way.
     pub(super) fn outcome(&self) -> outcome::Outcome {
-        let is_sent = self.attempt.as_ref().is_some_and(|attempt| attempt.sent);
-        if is_sent || self.cursor.position() > 0 {
+        if self.attempt.is_some() || self.cursor.position() > 0 {
             return outcome::Outcome::Unknown;
         }
         self.earlier
     }
 
+    /// Returns how much of the answer the caller has: tokens or body bytes, and at least 1 after a head.
+    pub(super) fn delivered(&self) -> u64 {
+        self.cursor.position().max(u64::from(self.has_head))
+    }
+
     /// Returns the tokens that the request has used so far.
     pub(super) fn used(&self) -> u64 {
         if self.attempts == 0 || self.outcome() == outcome::Outcome::NotRun {
