feat: set every metric of the two daemons

Cause: tokens by flow, waiting requests by class, added latency, connections, malformed requests and orders of the sidecar were declared and never set. Of the five retry decisions one was counted, an ejection for a wrong answer was not, and a gauge counted requests that waited for tokens as running. `asking` was shown as `fresh`, and the sidecar's refusals had labels that it never gives.

Change: the entry reducer emits `Effect::Tokens` and `Effect::Retry`, the routing table lists new ejections, and the memory account lists what became of its orders, which the sidecar counts and notes in the timeline. Gauges are read when the metrics are asked for. Workspaces are known to the metrics from the step that applies them. Refusals of the sidecar have the reason that is sent; `overloaded` and `no_upstream` are removed. Added latency is the time from the arrival until a sidecar has accepted, for requests that did not wait. New are the connections and requests refused by the limits of the callers' server.

A job carries the identifier of its request beside that of the attempt, and the last frame of an answer the sidecar's logical time, so that the end at the entry host is noted after that at the sidecar.

Conclusion: three tests run the whole path and check that each series is there and that those which must have moved have moved. Tokens lent and borrowed are not moved by a test of the whole path.

--- a/crates/carawaycleat-core/src/admission.rs
+++ b/crates/carawaycleat-core/src/admission.rs
@@ -1,6 +1,7 @@
 //! Which waiting request runs next, and which is refused because it could not run in time.
 
 mod class;
+mod lengths;
 mod limits;
 mod line;
 mod meter;
@@ -9,6 +10,7 @@
 mod ticket;
 
 pub use class::Class;
+pub use lengths::Lengths;
 pub use limits::Limits;
 pub use policy::Policy;
 pub use queue::Queue;
--- a/crates/carawaycleat-core/src/admission/line.rs
+++ b/crates/carawaycleat-core/src/admission/line.rs
@@ -47,6 +47,11 @@
         self.classes.iter().map(collections::VecDeque::len).sum()
     }
 
+    /// Returns the number of waiting requests of `class`.
+    pub(super) fn len_of(&self, class: super::Class) -> usize {
+        self.classes[usize::from(class.priority())].len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.len() == 0
     }
--- a/crates/carawaycleat-core/src/admission/queue.rs
+++ b/crates/carawaycleat-core/src/admission/queue.rs
@@ -76,6 +76,16 @@
         self.lines.values().map(line::Line::len).sum()
     }
 
+    /// Returns the number of waiting requests of each class.
+    pub fn lengths(&self) -> super::Lengths {
+        let of = |class| self.lines.values().map(|line| line.len_of(class)).sum();
+        super::Lengths {
+            live: of(super::Class::Live),
+            short: of(super::Class::Short),
+            batch: of(super::Class::Batch),
+        }
+    }
+
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.lines.values().all(line::Line::is_empty)
--- a/crates/carawaycleat-core/src/entry.rs
+++ b/crates/carawaycleat-core/src/entry.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod arrival;
 mod control;
+mod count;
 mod dispatch;
 mod effect;
 mod event;
@@ -19,6 +20,8 @@
 mod status;
 
 pub use arrival::Arrival;
+pub use count::Decision;
+pub use count::Flow;
 pub use effect::Effect;
 pub use event::Event;
 pub use event::Progress;
--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -182,6 +182,7 @@
         tokens: u64,
     ) -> Result<(), rate::Refusal> {
         let reservation = self.ledger.reserve(now, workspace, tokens)?;
+        self.count_tokens(workspace, super::Flow::Admitted, tokens);
         if let Some(request) = self.requests.get_mut(&id) {
             request.reservation = Some(reservation);
         }
--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -147,7 +147,7 @@
         }
         let used = request.used();
         if let Some(reservation) = request.reservation.take() {
-            self.ledger.settle(now, reservation, used);
+            self.settle(now, reservation, used);
         }
         if request.is_claimed {
             let outcome = outcome::Outcome::Ran;
@@ -193,7 +193,9 @@
             };
             self.emit(effect);
         }
-        match retry::decide(now, &tried, &mut self.budget) {
+        let retry = retry::decide(now, &tried, &mut self.budget);
+        self.emit(super::Effect::Retry(decision(&tried, retry)));
+        match retry {
             retry::Retry::Elsewhere | retry::Retry::Resume { .. } => {
                 self.note(timeline::Kind::Retried, id, failed.reason.as_str());
                 self.enqueue(now, id);
@@ -208,9 +210,9 @@
 
     /// Gives up the attempts that make no progress, and refuses the requests whose deadline has passed.
     pub(super) fn expire(&mut self, now: clock::Instant) {
-        for (attempt, upstream) in self.table.stalled(now) {
-            let record = super::Record::new(timeline::Kind::Ejected).upstream(upstream);
-            self.record(record.detail("no progress"));
+        let stalled = self.table.stalled(now);
+        self.note_ejected("no progress");
+        for (attempt, _) in stalled {
             if let Some(&id) = self.attempts.get(&attempt) {
                 self.attempt_failed(now, id, timed_out("the upstream made no progress"));
             }
@@ -220,6 +222,9 @@
                 continue;
             };
             let refusal = expired(request);
+            if request.attempts > 0 {
+                self.emit(super::Effect::Retry(super::Decision::NoCandidate));
+            }
             self.end_refused(now, ticket.id, refusal);
         }
         let is_late = |request: &state::Request| {
@@ -242,6 +247,20 @@
     }
 }
 
+/// Returns the decision as it is counted.
+fn decision(tried: &retry::Attempt, retry: retry::Retry) -> super::Decision {
+    match retry {
+        retry::Retry::Elsewhere => super::Decision::Retried,
+        retry::Retry::Resume { .. } => super::Decision::Resumed,
+        retry::Retry::Fail { outcome, .. }
+            if !tried.idempotent && outcome != outcome::Outcome::NotRun =>
+        {
+            super::Decision::NotIdempotent
+        }
+        retry::Retry::Fail { .. } => super::Decision::Exhausted,
+    }
+}
+
 fn expired(request: &state::Request) -> super::Refusal {
     let (reason, message) = if request.attempts > 0 {
         (
--- a/crates/carawaycleat-core/src/entry/control.rs
+++ b/crates/carawaycleat-core/src/entry/control.rs
@@ -180,6 +180,7 @@
                 super::Record::new(timeline::Kind::TokensLent).detail(tokens.to_string());
             record.workspace = Some(workspace.clone());
             self.record(record);
+            self.count_tokens(&workspace, super::Flow::Lent, tokens);
         }
         self.emit(super::Effect::Lend {
             transfer,
@@ -205,6 +206,7 @@
                 super::Record::new(timeline::Kind::TokensBorrowed).detail(tokens.to_string());
             record.workspace = Some(workspace.clone());
             self.record(record);
+            self.count_tokens(workspace, super::Flow::Borrowed, tokens);
         }
         self.pending.answered(now, workspace);
         self.serve_pending(now);
--- a/crates/carawaycleat-core/src/entry/dispatch.rs
+++ b/crates/carawaycleat-core/src/entry/dispatch.rs
@@ -1,5 +1,7 @@
 use super::request as state;
 use crate::clock;
+use crate::name;
+use crate::rate;
 use crate::request;
 use crate::routing;
 use crate::timeline;
@@ -64,6 +66,7 @@
         let attempt = self.requests.get_mut(&id)?.attempt.take()?;
         self.attempts.remove(&attempt.id);
         self.table.failed(now, attempt.id, failure);
+        self.note_ejected("wrong or incomplete answer");
         Some(attempt)
     }
 
@@ -113,7 +116,7 @@
             return;
         };
         if let Some(reservation) = request.reservation.take() {
-            self.ledger.settle(now, reservation, used);
+            self.settle(now, reservation, used);
         }
         if request.is_claimed {
             self.emit(super::Effect::Settle {
@@ -123,6 +126,37 @@
         }
     }
 
+    /// Notes the upstreams that were ejected.
+    pub(super) fn note_ejected(&mut self, detail: &str) {
+        for upstream in self.table.take_ejected() {
+            let record = super::Record::new(timeline::Kind::Ejected);
+            self.record(record.upstream(upstream).detail(detail));
+        }
+    }
+
+    /// Returns the unused tokens of a reservation to the bucket.
+    pub(super) fn settle(
+        &mut self,
+        now: clock::Instant,
+        reservation: rate::Reservation,
+        used: u64,
+    ) {
+        let unused = reservation.tokens().saturating_sub(used);
+        self.count_tokens(reservation.workspace(), super::Flow::Refunded, unused);
+        self.ledger.settle(now, reservation, used);
+    }
+
+    /// Counts tokens of a workspace's rate.
+    pub(super) fn count_tokens(&mut self, workspace: &name::Name, flow: super::Flow, tokens: u64) {
+        if tokens > 0 {
+            self.emit(super::Effect::Tokens {
+                workspace: workspace.clone(),
+                flow,
+                tokens,
+            });
+        }
+    }
+
     /// Notes something about a request in the timeline.
     pub(super) fn note(&mut self, kind: timeline::Kind, id: request::Id, detail: &str) {
         let Some(request) = self.requests.get(&id) else {
@@ -144,10 +178,7 @@
 }
 
 /// Returns what a request needs of an upstream.
-pub(super) fn need<'a>(
-    request: &'a state::Request,
-    zone: &'a crate::name::Name,
-) -> routing::Need<'a> {
+pub(super) fn need<'a>(request: &'a state::Request, zone: &'a name::Name) -> routing::Need<'a> {
     routing::Need {
         model: request.arrival.model.as_ref(),
         adapter: request.arrival.adapter.as_ref(),
--- a/crates/carawaycleat-core/src/entry/effect.rs
+++ b/crates/carawaycleat-core/src/entry/effect.rs
@@ -80,6 +80,17 @@
     },
     /// Write or read shards in the store.
     Shards(rate::Effect),
+    /// Count tokens of a workspace's rate.
+    Tokens {
+        /// The workspace.
+        workspace: name::Name,
+        /// Where they went.
+        flow: super::Flow,
+        /// The tokens.
+        tokens: u64,
+    },
+    /// Count a decision about another attempt after a failure.
+    Retry(super::Decision),
     /// Note something in the timeline.
     Record(super::Record),
     /// All requests have ended and all shards are released: the process can exit.
--- a/crates/carawaycleat-core/src/entry/reducer.rs
+++ b/crates/carawaycleat-core/src/entry/reducer.rs
@@ -182,6 +182,8 @@
             shards_total: self.holder.total(),
             requests: self.requests.len(),
             waiting: self.queue.len(),
+            queued: self.queue.lengths(),
+            running: self.attempts.len(),
             problems: problems.collect(),
         }
     }
--- a/crates/carawaycleat-core/src/entry/status.rs
+++ b/crates/carawaycleat-core/src/entry/status.rs
@@ -1,3 +1,4 @@
+use crate::admission;
 use crate::freshness;
 use crate::name;
 
@@ -20,6 +21,10 @@
     pub requests: usize,
     /// The requests that wait for an upstream.
     pub waiting: usize,
+    /// The requests of each class that wait for an upstream.
+    pub queued: admission::Lengths,
+    /// The requests that an upstream runs.
+    pub running: usize,
     /// Keys of the store whose value could not be read, each with the reason.
     pub problems: Vec<String>,
 }
--- a/crates/carawaycleat-core/src/memory.rs
+++ b/crates/carawaycleat-core/src/memory.rs
@@ -5,12 +5,15 @@
 
 mod account;
 mod barrier;
+mod change;
 mod item;
 mod order;
 mod report;
 
 pub use account::Account;
 pub use account::Settings;
+pub use change::Change;
+pub use change::Settlement;
 pub use item::Id;
 pub use item::Item;
 pub use order::Answer;
--- a/crates/carawaycleat-core/src/memory/account.rs
+++ b/crates/carawaycleat-core/src/memory/account.rs
@@ -58,6 +58,7 @@
     claimed_at: Option<clock::Instant>,
     latest: Option<super::Report>,
     orders: collections::BTreeMap<u64, Tracked>,
+    changes: Vec<super::Change>,
 }
 
 #[derive(Clone, Debug)]
@@ -135,6 +136,7 @@
             claimed_at: None,
             latest: None,
             orders: collections::BTreeMap::new(),
+            changes: Vec::new(),
         }
     }
 
@@ -276,6 +278,8 @@
             super::Answer::Accepted => tracked.state = TrackedState::Accepted,
             super::Answer::NoMemory | super::Answer::OldFencing => {
                 // A refused unload is sent again after a pause, so that a refusal cannot cause an endless exchange.
+                let change = super::Change::of(&tracked.order, super::Settlement::Rejected);
+                self.changes.push(change);
                 if tracked.order.kind == super::Kind::Load {
                     tracked.state = TrackedState::Rejected;
                 }
@@ -325,6 +329,11 @@
         ids.into_iter().map(|id| self.send(now, id)).collect()
     }
 
+    /// Returns what became of orders since the last call.
+    pub fn take_changes(&mut self) -> Vec<super::Change> {
+        std::mem::take(&mut self.changes)
+    }
+
     fn check_ready(&self) -> super::Result<()> {
         if self.is_ready() {
             Ok(())
@@ -372,6 +381,8 @@
             state: TrackedState::Sent,
         };
         self.orders.insert(order.id, tracked);
+        let change = super::Change::of(&order, super::Settlement::Sent);
+        self.changes.push(change);
         order
     }
 
@@ -381,6 +392,8 @@
         tracked.barrier = barrier::Barrier::new(now + self.settings.order_settle);
         tracked.state = TrackedState::Sent;
         tracked.order.fencing = self.fencing;
+        let change = super::Change::of(&tracked.order, super::Settlement::Resent);
+        self.changes.push(change);
         tracked.order.clone()
     }
 
@@ -452,9 +465,12 @@
             .orders
             .values()
             .find(|t| t.order.kind == super::Kind::Fence && report.progress(t.order.id).is_some());
-        let Some(fencing) = fence.map(|t| t.order.fencing) else {
+        let Some(tracked) = fence else {
             return;
         };
+        let fencing = tracked.order.fencing;
+        let change = super::Change::of(&tracked.order, super::Settlement::Landed);
+        self.changes.push(change);
         self.orders
             .retain(|_, t| t.order.kind != super::Kind::Fence);
         if report.fencing > fencing {
@@ -470,17 +486,33 @@
 
     fn settle(&mut self, now: clock::Instant, report: &super::Report) {
         let lag = self.settings.report_lag;
+        let changes = &mut self.changes;
+        let mut note = |t: &Tracked, state| changes.push(super::Change::of(&t.order, state));
         self.orders.retain(|_, t| {
             let is_resident = report.entry(&t.order.item.id).is_some();
             match t.order.kind {
                 super::Kind::Fence => return true,
-                super::Kind::Unload => return is_resident,
+                super::Kind::Unload if is_resident => return true,
+                super::Kind::Unload => {
+                    note(t, super::Settlement::Landed);
+                    return false;
+                }
                 super::Kind::Load => {}
             }
-            if t.state != TrackedState::Rejected && t.state != TrackedState::Settled {
+            let is_noted = matches!(t.state, TrackedState::Rejected | TrackedState::Settled);
+            if !is_noted {
                 t.state = load_state(t, report);
+                match report.progress(t.order.id) {
+                    Some(super::Progress::Done) => note(t, super::Settlement::Landed),
+                    Some(super::Progress::Failed) => note(t, super::Settlement::Rejected),
+                    _ => {}
+                }
+            }
+            let is_kept = t.is_open() || !t.barrier.passes(now, report, lag);
+            if !is_kept && t.state == TrackedState::Held {
+                note(t, super::Settlement::Expired);
             }
-            t.is_open() || !t.barrier.passes(now, report, lag)
+            is_kept
         });
     }
 }
--- a/crates/carawaycleat-core/src/routing/table.rs
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -54,6 +54,7 @@
     histories: collections::BTreeMap<name::Name, history::History>,
     affinity: affinity::Affinity,
     turn: usize,
+    ejected: Vec<name::Name>,
 }
 
 impl Table {
@@ -67,6 +68,7 @@
             histories: collections::BTreeMap::new(),
             affinity: affinity::Affinity::new(policy.prefixes),
             turn: 0,
+            ejected: Vec::new(),
         }
     }
 
@@ -243,11 +245,10 @@
         if failure == super::Failure::Leaving {
             known.refuse_leaving(now);
         } else if failure.is_fault() && !flight.is_stalled {
-            known.strike(
-                now,
-                self.policy.first_ejection,
-                self.policy.longest_ejection,
-            );
+            let policy = self.policy;
+            if known.strike(now, policy.first_ejection, policy.longest_ejection) {
+                self.ejected.push(flight.upstream);
+            }
         }
     }
 
@@ -287,8 +288,10 @@
             if flight.last_token.is_none() {
                 without_first.insert(flight.kind.clone());
             }
-            if let Some(known) = self.upstreams.get_mut(&flight.upstream) {
-                known.strike(now, policy.first_ejection, policy.longest_ejection);
+            if let Some(known) = self.upstreams.get_mut(&flight.upstream)
+                && known.strike(now, policy.first_ejection, policy.longest_ejection)
+            {
+                self.ejected.push(flight.upstream.clone());
             }
         }
         for kind in without_first {
@@ -297,6 +300,11 @@
         stalled
     }
 
+    /// Returns the upstreams that were ejected since the last call.
+    pub fn take_ejected(&mut self) -> Vec<name::Name> {
+        std::mem::take(&mut self.ejected)
+    }
+
     /// Returns the time within which 95 in 100 first tokens of a model arrive, or none without a sample.
     pub fn first_token_p95(&self, model: &name::Name) -> Option<time::Duration> {
         self.histories.get(model)?.first_token_p95()
--- a/crates/carawaycleat-core/src/side/effect.rs
+++ b/crates/carawaycleat-core/src/side/effect.rs
@@ -14,6 +14,8 @@
     Report(super::Report),
     /// End the process; no request is running.
     Exit,
+    /// Count a change of an order and write it to the timeline.
+    Order(memory::Change),
     /// Write a change of state to the timeline.
     Record(Change),
 }
--- a/crates/carawaycleat-core/src/side/reducer.rs
+++ b/crates/carawaycleat-core/src/side/reducer.rs
@@ -129,6 +129,8 @@
             let orders = self.orders(now);
             effects.extend(orders.into_iter().map(effect::Effect::SendOrder));
         }
+        let changes = self.account.take_changes();
+        effects.extend(changes.into_iter().map(effect::Effect::Order));
         if self
             .reported_at
             .is_none_or(|at| now.since(at) >= self.report_every)
--- a/crates/carawaycleat-core/tests/suite/side.rs
+++ b/crates/carawaycleat-core/tests/suite/side.rs
@@ -205,7 +205,7 @@
                 }
                 self.has_exited = true;
             }
-            side::Effect::Report(_) | side::Effect::Record(_) => {}
+            side::Effect::Report(_) | side::Effect::Record(_) | side::Effect::Order(_) => {}
         }
     }
 
--- a/crates/carawaycleat-net/src/server/counts.rs
+++ b/crates/carawaycleat-net/src/server/counts.rs
@@ -3,6 +3,8 @@
 pub struct Counts {
     /// Connections accepted.
     pub accepted: u64,
+    /// Connections that are open now.
+    pub open: usize,
     /// Connections refused because too many were open.
     pub refused: u64,
     /// Requests refused because they were malformed, too long or too slow.
--- a/crates/carawaycleat-net/src/server/shared.rs
+++ b/crates/carawaycleat-net/src/server/shared.rs
@@ -108,6 +108,7 @@
     pub(super) fn counts(&self) -> counts::Counts {
         counts::Counts {
             accepted: self.accepted.load(atomic::Ordering::Relaxed),
+            open: self.open.load(atomic::Ordering::Relaxed),
             refused: self.refused.load(atomic::Ordering::Relaxed),
             malformed: self.malformed.load(atomic::Ordering::Relaxed),
             queue_full: self.queue_full.load(atomic::Ordering::Relaxed),
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod load;
 mod load_run;
+mod metrics;
 mod service;
 mod store;
 mod weights;
--- a/crates/carawaycleat-wire/src/message/frame.rs
+++ b/crates/carawaycleat-wire/src/message/frame.rs
@@ -8,12 +8,25 @@
     pub job: super::Id,
     /// The part.
     pub part: Part,
+    /// The sidecar's logical time, with the last part of an answer.
+    pub stamp: Option<clock::Stamp>,
 }
 
 impl Frame {
     /// Returns the frame with `part` of the answer to `job`.
     pub const fn new(job: super::Id, part: Part) -> Self {
-        Self { job, part }
+        Self {
+            job,
+            part,
+            stamp: None,
+        }
+    }
+
+    /// Sets the sidecar's logical time and returns the frame.
+    #[must_use]
+    pub fn with_stamp(mut self, stamp: clock::Stamp) -> Self {
+        self.stamp = Some(stamp);
+        self
     }
 }
 
--- a/crates/carawaycleat-wire/src/message/job.rs
+++ b/crates/carawaycleat-wire/src/message/job.rs
@@ -4,8 +4,10 @@
 /// A request that an entry host sends to a sidecar.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Job {
-    /// The identifier of the request.
+    /// The identifier of this attempt, unique over all attempts.
     pub id: super::Id,
+    /// The identifier of the request, which all of its attempts have in common.
+    pub request: super::Id,
     /// The sender's logical time.
     pub stamp: clock::Stamp,
     /// The entry host that sends it.
@@ -42,6 +44,6 @@
 /// A request that an entry host no longer wants.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Cancel {
-    /// The identifier of the request.
+    /// The identifier of the attempt.
     pub id: super::Id,
 }
--- a/crates/carawaycleat/src/entry/attempt.rs
+++ b/crates/carawaycleat/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 use std::net as std_net;
 use std::time;
 
+use carawaycleat_core::clock;
 use carawaycleat_core::entry;
 use carawaycleat_core::name;
 use carawaycleat_core::outcome;
@@ -44,6 +45,8 @@
 pub(super) struct Step {
     pub(super) progress: entry::Progress,
     pub(super) content: Content,
+    /// The sidecar's logical time, where it is known.
+    pub(super) stamp: Option<clock::Stamp>,
 }
 
 /// What a step brings for the caller.
@@ -71,6 +74,11 @@
         Self { id, source }
     }
 
+    /// Returns whether a sidecar has accepted the job.
+    pub(super) const fn is_accepted(&self) -> bool {
+        matches!(self.source, Source::Side { .. })
+    }
+
     /// Waits for the next step; none when the attempt has ended.
     pub(super) async fn next(&mut self) -> Option<Step> {
         match &mut self.source {
@@ -80,7 +88,7 @@
                 is_cut,
             } => {
                 let progress = match next_frame(reader, decoder).await {
-                    Ok(Some(frame)) => return Some(step(frame.part, id_of(frame.job))),
+                    Ok(Some(frame)) => return Some(received(frame)),
                     Ok(None) if *is_cut => return None,
                     Ok(None) => broken("the sidecar ended the answer early".to_owned()),
                     Err(message) if *is_cut => {
@@ -93,6 +101,7 @@
                 Some(Step {
                     progress,
                     content: Content::Nothing,
+                    stamp: None,
                 })
             }
             Source::Direct { answer, first } => {
@@ -107,6 +116,7 @@
                 Some(Step {
                     progress,
                     content: Content::Nothing,
+                    stamp: None,
                 })
             }
         }
@@ -117,7 +127,7 @@
         match &mut self.source {
             Source::Side { decoder, .. } => {
                 let frame = decoder.next_frame().ok()??;
-                Some(step(frame.part, id_of(frame.job)))
+                Some(received(frame))
             }
             Source::Direct {
                 answer,
@@ -228,6 +238,18 @@
     request::Id::from_u128(id.as_u128())
 }
 
+/// Returns the step that a frame of a sidecar brings.
+fn received(frame: wire::Frame) -> Step {
+    let stamp = match &frame.part {
+        wire::Part::Started { stamp } => Some(stamp.clone()),
+        _ => frame.stamp,
+    };
+    Step {
+        stamp,
+        ..step(frame.part, id_of(frame.job))
+    }
+}
+
 fn step(part: wire::Part, claimed: request::Id) -> Step {
     let (progress, content) = match part {
         wire::Part::Started { .. } => (entry::Progress::Started, Content::Nothing),
@@ -261,7 +283,11 @@
             )
         }
     };
-    Step { progress, content }
+    Step {
+        progress,
+        content,
+        stamp: None,
+    }
 }
 
 fn declared_length(headers: &[(String, String)]) -> Option<u64> {
--- a/crates/carawaycleat/src/entry/background.rs
+++ b/crates/carawaycleat/src/entry/background.rs
@@ -4,7 +4,6 @@
 use std::time;
 
 use carawaycleat_core::entry;
-use carawaycleat_core::freshness;
 use carawaycleat_core::name;
 use carawaycleat_net as net;
 use carawaycleat_store as store;
@@ -17,9 +16,6 @@
 /// The time between two ticks of the reducer; the bound on revoked keys needs at most 250 ms.
 const TICK: time::Duration = time::Duration::from_millis(50);
 
-/// The time between two updates of the gauges.
-const GAUGES: time::Duration = time::Duration::from_secs(1);
-
 /// The time between two checks that this host is in the roster.
 const ROSTER: time::Duration = time::Duration::from_secs(1);
 
@@ -37,35 +33,6 @@
     }
 }
 
-/// Keeps the gauges up to date.
-pub(super) async fn gauges(shared: sync::Arc<shared::Shared>) {
-    loop {
-        async_io::Timer::after(GAUGES).await;
-        let (status, workspaces) = shared.with(|reducer, now| {
-            let rates = reducer.history().snapshot().rates();
-            let workspaces: Vec<_> = rates.map(|(_, rate)| rate.workspace.clone()).collect();
-            (reducer.status(now), workspaces)
-        });
-        let metric = &shared.metric;
-        metric.set_workspaces(&workspaces);
-        metric
-            .configuration_revision
-            .set(i64::try_from(status.revision).unwrap_or(i64::MAX));
-        metric.shards_held.set(status.shards_held.into());
-        metric
-            .in_flight
-            .set(i64::try_from(status.requests - status.waiting).unwrap_or(i64::MAX));
-        if let Some(age) = status.store_age_ms {
-            metric.store_contact_age.set(age as f64 / 1_000.0);
-        }
-        metric.set_freshness(match status.freshness {
-            freshness::State::Fresh | freshness::State::Asking => "fresh",
-            freshness::State::Outage => "outage",
-            freshness::State::Isolated => "isolated",
-        });
-    }
-}
-
 /// Keeps this host in the roster.
 pub(super) async fn join(shared: sync::Arc<shared::Shared>) {
     loop {
--- a/crates/carawaycleat/src/entry/callers.rs
+++ b/crates/carawaycleat/src/entry/callers.rs
@@ -5,14 +5,21 @@
 mod sink;
 
 use std::sync;
+use std::time;
 
+use carawaycleat_core::entry;
 use carawaycleat_core::outcome;
+use carawaycleat_core::request;
 use carawaycleat_core::resource;
+use carawaycleat_core::timeline;
 use carawaycleat_net as net;
 
 use super::shared;
 use crate::api;
 
+/// The header of every answer that gives the identifier of the request, as in the timeline.
+const REQUEST_HEADER: &str = "Carawaycleat-Request";
+
 /// Answers a caller.
 pub(super) async fn answer(
     shared: sync::Arc<shared::Shared>,
@@ -22,9 +29,10 @@
         ("GET", "/healthz") => net::Response::new(200).body("ok"),
         ("GET", "/readyz") => ready(&shared),
         _ => {
-            let (target, response) = serve(shared.clone(), request).await;
+            let id = request::Id::from_u128(fastrand::u128(..));
+            let (target, response) = serve(shared.clone(), id, request).await;
             shared.metric.answer(target, response.status);
-            response
+            response.header(REQUEST_HEADER, id.to_string())
         }
     }
 }
@@ -40,12 +48,17 @@
 
 async fn serve(
     shared: sync::Arc<shared::Shared>,
+    id: request::Id,
     request: net::Request,
 ) -> (Option<resource::Target>, net::Response) {
+    let arrived = time::Instant::now();
     let is_listing = request.method == "GET" && request.path == "/v1/models";
-    let intake = match intake::Intake::read(&shared, request) {
+    let intake = match intake::Intake::read(&shared, id, request) {
         Ok(intake) => intake,
         Err((target, refusal)) => {
+            let mut record = entry::Record::new(timeline::Kind::Refused);
+            record.request = Some(id);
+            shared.note(record.detail(refusal.reason.as_str()));
             shared.metric.refuse(refusal.reason);
             return (target, refusal.response());
         }
@@ -54,7 +67,7 @@
         return (Some(resource::Target::Models), models(&shared, &intake));
     }
     let target = intake.target;
-    (Some(target), serving::serve(shared, intake).await)
+    (Some(target), serving::serve(shared, intake, arrived).await)
 }
 
 /// Lists the models and their adapters, for callers with a valid key.
--- a/crates/carawaycleat/src/entry/callers/intake.rs
+++ b/crates/carawaycleat/src/entry/callers/intake.rs
@@ -48,7 +48,11 @@
 
 impl Intake {
     /// Reads a request. The caller's key is dropped here; only its digest goes on.
-    pub(super) fn read(shared: &shared::Shared, request: net::Request) -> Result<Self, Failure> {
+    pub(super) fn read(
+        shared: &shared::Shared,
+        id: request::Id,
+        request: net::Request,
+    ) -> Result<Self, Failure> {
         let route = shared.with(|reducer, _| {
             reducer
                 .route(&request.path)
@@ -84,7 +88,7 @@
                 .min(route.timeout_ms),
         );
         let arrival = entry::Arrival {
-            id: request::Id::from_u128(random_id()),
+            id,
             digest: key.as_deref().map(key::Digest::of),
             route: name,
             method: request.method.clone(),
@@ -173,7 +177,3 @@
     kept.map(|(name, value)| (name.to_owned(), value.to_owned()))
         .collect()
 }
-
-fn random_id() -> u128 {
-    fastrand::u128(..)
-}
--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -29,6 +29,8 @@
     /// The text that the caller already has, to resume from.
     text: String,
     arrived: time::Instant,
+    /// Whether the request was sent to an upstream without waiting, and its added latency is still to be measured.
+    is_immediate: bool,
     last_token: Option<time::Instant>,
     ended: bool,
 }
@@ -47,14 +49,16 @@
 pub(super) async fn serve(
     shared: sync::Arc<shared::Shared>,
     intake: intake::Intake,
+    arrived: time::Instant,
 ) -> net::Response {
     let id = intake.arrival.id;
-    let serving = Serving {
+    let mut serving = Serving {
         orders: shared.open_mailbox(id),
         sink: sink::Sink::new(intake.call.as_ref(), wire::Id::from_u128(id.as_u128())),
         attempt: None,
         text: String::new(),
-        arrived: time::Instant::now(),
+        arrived,
+        is_immediate: false,
         last_token: None,
         ended: false,
         shared,
@@ -71,6 +75,8 @@
     serving
         .shared
         .step(entry::Event::Arrived(Box::new(arrival)));
+    // What the reducer decided at once is already in the mailbox.
+    serving.is_immediate = !serving.orders.is_empty();
     serving.answer().await
 }
 
@@ -196,6 +202,9 @@
         let Some(attempt) = &self.attempt else {
             return false;
         };
+        if let Some(stamp) = &step.stamp {
+            self.shared.receive(stamp);
+        }
         let event = entry::Event::Attempt(attempt.id, step.progress);
         let is_delivered = self.shared.step_for(Some(self.intake.arrival.id), event);
         if !is_delivered {
@@ -237,6 +246,7 @@
     }
 
     async fn claim(&mut self, key: String) {
+        self.is_immediate = false;
         let request = self.id();
         let result = claims::record(&self.shared, request, &key).await;
         self.shared.step(entry::Event::Claimed(request, result));
@@ -246,6 +256,10 @@
         let job = self.job(&dispatch);
         let attempt =
             attempt::Attempt::start(&self.shared, &dispatch.upstream, dispatch.attempt, &job).await;
+        if std::mem::take(&mut self.is_immediate) && attempt.is_accepted() {
+            let span = self.arrived.elapsed();
+            self.shared.metric.added_latency.observe(span.as_secs_f64());
+        }
         self.attempt = Some(attempt);
     }
 
@@ -259,6 +273,7 @@
         let workspace = dispatch.workspace.as_deref().unwrap_or_default();
         wire::Job {
             id: wire::Id::from_u128(dispatch.attempt.as_u128()),
+            request: wire::Id::from_u128(self.id().as_u128()),
             stamp: self.shared.stamp(),
             host: self.shared.host().clone(),
             workspace: dispatch.workspace.clone(),
--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -79,6 +79,7 @@
             }),
             shared,
         };
+        let _ = daemon.shared.callers.set(daemon.callers.clone());
         daemon.start_tasks();
         Ok(daemon)
     }
@@ -89,7 +90,6 @@
         shared.spawn(watcher::check(shared.clone()));
         shared.spawn(exchange::run(shared.clone()));
         shared.spawn(background::tick(shared.clone()));
-        shared.spawn(background::gauges(shared.clone()));
         shared.spawn(background::join(shared.clone()));
         shared.spawn(background::hosts(shared.clone()));
         shared.spawn(placing::run(shared.clone()));
--- a/crates/carawaycleat/src/entry/operators.rs
+++ b/crates/carawaycleat/src/entry/operators.rs
@@ -23,9 +23,7 @@
     match (request.method.as_str(), parts.as_slice()) {
         ("GET", ["healthz"]) => net::Response::new(200).body("ok"),
         ("GET", ["readyz"]) => callers::ready(&shared),
-        ("GET", ["metrics"]) => net::Response::new(200)
-            .header("content-type", "text/plain; version=0.0.4")
-            .body(shared.metric.render()),
+        ("GET", ["metrics"]) => metrics(&shared),
         ("GET", ["timeline"]) => shared.timeline(request.query.as_deref().unwrap_or_default()),
         ("GET", ["v1", "status"]) => status(&shared),
         ("GET", ["v1", "watch"]) => stream::watch(&shared, &request),
@@ -37,6 +35,14 @@
     }
 }
 
+/// Answers with the metrics; gauges are read at this moment.
+fn metrics(shared: &shared::Shared) -> net::Response {
+    shared.update_gauges();
+    net::Response::new(200)
+        .header("content-type", "text/plain; version=0.0.4")
+        .body(shared.metric.render())
+}
+
 fn status(shared: &shared::Shared) -> net::Response {
     let (status, peers) =
         shared.with(|reducer, now| (reducer.status(now), members::of(reducer.history())));
--- a/crates/carawaycleat/src/entry/perform.rs
+++ b/crates/carawaycleat/src/entry/perform.rs
@@ -10,7 +10,6 @@
 use super::shards;
 use super::shared;
 use crate::log;
-use crate::metric;
 
 impl shared::Shared {
     /// Performs an effect of the reducer without waiting.
@@ -63,6 +62,12 @@
                 self.spawn(exchange::fetch(self.clone(), host, since));
             }
             entry::Effect::Shards(effect) => self.spawn(shards::perform(self.clone(), effect)),
+            entry::Effect::Tokens {
+                workspace,
+                flow,
+                tokens,
+            } => self.metric.count_tokens(&workspace, flow, tokens),
+            entry::Effect::Retry(decision) => self.metric.count_retry(decision),
             entry::Effect::Record(record) => self.record(record),
             entry::Effect::Exit => {
                 self.exiting.close();
@@ -74,8 +79,6 @@
     fn record(&self, record: entry::Record) {
         match record.kind {
             timeline::Kind::Ejected => self.metric.ejections.inc(),
-            timeline::Kind::Retried => self.metric.count_retry(metric::Decision::Retried),
-            timeline::Kind::Dispatched => self.metric.in_flight.inc(),
             timeline::Kind::StateChanged | timeline::Kind::Leaving => {
                 log::info(&format!("{}: {}", record.kind, record.detail));
             }
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -4,10 +4,12 @@
 
 use carawaycleat_core::clock;
 use carawaycleat_core::entry;
+use carawaycleat_core::freshness;
 use carawaycleat_core::name;
 use carawaycleat_core::placement;
 use carawaycleat_core::rate;
 use carawaycleat_core::request;
+use carawaycleat_core::timeline;
 use carawaycleat_net as net;
 use carawaycleat_store as store;
 use carawaycleat_wire as wire;
@@ -28,6 +30,8 @@
     pub(super) store: store::Client,
     pub(super) metric: metric::Entry,
     pub(super) member: wire::Member,
+    /// The callers' server, once it runs.
+    pub(super) callers: sync::OnceLock<net::Handle>,
     /// Closed when the reducer says that the process can exit.
     pub(super) exit: async_channel::Receiver<()>,
     pub(super) exiting: async_channel::Sender<()>,
@@ -69,6 +73,7 @@
                 availability_zone: settings.availability_zone.clone(),
                 incarnation,
             },
+            callers: sync::OnceLock::new(),
             exit,
             exiting,
             clock: journal::Monotonic::start(),
@@ -97,7 +102,9 @@
         let mut is_delivered = false;
         // The lock is held while the effects are handed over, so that two events never cross on the way to one task.
         let mut reducer = journal::lock(&self.reducer);
-        for effect in reducer.step(self.now(), event) {
+        let effects = reducer.step(self.now(), event);
+        self.configure(&reducer, &effects);
+        for effect in effects {
             match effect {
                 entry::Effect::Deliver(id) if Some(id) == request => is_delivered = true,
                 effect => self.perform(effect),
@@ -106,6 +113,45 @@
         is_delivered
     }
 
+    /// Tells the metrics the configured workspaces when the configuration has changed.
+    fn configure(&self, reducer: &entry::Reducer, effects: &[entry::Effect]) {
+        let is_applied = |effect: &entry::Effect| match effect {
+            entry::Effect::Record(record) => record.kind == timeline::Kind::ConfigurationApplied,
+            _ => false,
+        };
+        if effects.iter().any(is_applied) {
+            let rates = reducer.history().snapshot().rates();
+            self.metric
+                .set_workspaces(rates.map(|(_, rate)| &rate.workspace));
+        }
+    }
+
+    /// Brings the gauges up to date.
+    pub(super) fn update_gauges(&self) {
+        let status = self.with(|reducer, now| reducer.status(now));
+        let metric = &self.metric;
+        let gauge = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        metric
+            .configuration_revision
+            .set(i64::try_from(status.revision).unwrap_or(i64::MAX));
+        metric.shards_held.set(status.shards_held.into());
+        metric.in_flight.set(gauge(status.running));
+        let queued = status.queued;
+        metric.set_queue(queued.live, queued.short, queued.batch);
+        if let Some(age) = status.store_age_ms {
+            metric.store_contact_age.set(age as f64 / 1_000.0);
+        }
+        metric.set_freshness(match status.freshness {
+            freshness::State::Fresh => "fresh",
+            freshness::State::Asking => "asking",
+            freshness::State::Outage => "outage",
+            freshness::State::Isolated => "isolated",
+        });
+        if let Some(callers) = self.callers.get() {
+            metric.set_counts(&callers.counts());
+        }
+    }
+
     /// Gives the reducer an event and performs its effects.
     pub(super) fn step(self: &sync::Arc<Self>, event: entry::Event) {
         self.step_for(None, event);
--- a/crates/carawaycleat/src/metric.rs
+++ b/crates/carawaycleat/src/metric.rs
@@ -8,10 +8,14 @@
 mod registry;
 mod side;
 
+pub use carawaycleat_core::entry::Decision;
+pub use carawaycleat_core::entry::Flow;
+pub use carawaycleat_core::memory::Settlement;
 pub use entry::Entry;
 pub use label::Call;
-pub use label::Decision;
-pub use label::Flow;
-pub use label::Refusal;
-pub use label::Settlement;
 pub use side::Side;
+
+/// Raises a counter to `total`, which is counted elsewhere; an older total changes nothing.
+fn raise(counter: &prometheus::IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- a/crates/carawaycleat/src/metric/entry.rs
+++ b/crates/carawaycleat/src/metric/entry.rs
@@ -4,6 +4,7 @@
 use carawaycleat_core::name;
 use carawaycleat_core::outcome;
 use carawaycleat_core::resource;
+use carawaycleat_net as net;
 
 use super::registry;
 
@@ -35,8 +36,8 @@
     pub first_token: prometheus::Histogram,
     /// The time between two tokens of a stream.
     pub token_gap: prometheus::Histogram,
-    /// The time that the entry host and the sidecar add to a request, apart from waiting for tokens of the rate or a
-    /// place at an upstream.
+    /// The time from the arrival of a request until a sidecar has accepted it; only requests that found tokens of the
+    /// rate and a place at an upstream at once are measured.
     pub added_latency: prometheus::Histogram,
     /// The requests sent to an upstream and not yet answered.
     pub in_flight: prometheus::IntGauge,
@@ -52,15 +53,16 @@
     pub shards_held: prometheus::IntGauge,
     /// The open connections of callers.
     pub connections: prometheus::IntGauge,
-    /// The requests that could not be parsed.
-    pub malformed_requests: prometheus::IntCounter,
+    connections_refused: prometheus::IntCounter,
+    malformed_requests: prometheus::IntCounter,
+    requests_over_limit: prometheus::IntCounter,
 }
 
 /// The label of a workspace that is not, or no longer, configured.
 const OTHER: &str = "other";
 
 /// The freshness states of an entry host.
-const STATES: [&str; 3] = ["fresh", "outage", "isolated"];
+const STATES: [&str; 4] = ["fresh", "asking", "outage", "isolated"];
 
 /// Finer around the targets of 0.5 s to the first token and 48 ms between tokens.
 const TOKEN_SECONDS: [f64; 14] = [
@@ -131,7 +133,7 @@
             ),
             added_latency: r.histogram(
                 "added_latency_seconds",
-                "Latency added by the system",
+                "Time from arrival until a sidecar has accepted, of requests that did not wait",
                 &LATENCY_SECONDS,
             ),
             in_flight: r.gauge(
@@ -151,9 +153,17 @@
                 .gauge("configuration_revision", "Applied configuration revision"),
             shards_held: r.gauge("shards_held", "Shards of rates that the host holds"),
             connections: r.gauge("connections", "Open connections of callers"),
+            connections_refused: r.counter(
+                "connections_refused_total",
+                "Connections refused because too many were open",
+            ),
             malformed_requests: r.counter(
                 "malformed_requests_total",
-                "Requests that could not be parsed",
+                "Requests that were malformed, too long or too slow",
+            ),
+            requests_over_limit: r.counter(
+                "requests_over_limit_total",
+                "Requests refused because too many were in progress",
             ),
             registry: r,
         };
@@ -169,6 +179,11 @@
         for decision in super::Decision::ALL {
             self.retries.with_label_values(&[decision.as_str()]);
         }
+        for call in super::Call::ALL {
+            for result in ["ok", "failed"] {
+                self.store_calls.with_label_values(&[call.as_str(), result]);
+            }
+        }
         self.set_queue(0, 0, 0);
         for state in STATES {
             self.freshness.with_label_values(&[state]);
@@ -252,7 +267,7 @@
             .inc();
     }
 
-    /// Sets the freshness state: `fresh`, `outage` or `isolated`.
+    /// Sets the freshness state: `fresh`, `asking`, `outage` or `isolated`.
     pub fn set_freshness(&self, state: &str) {
         for each in STATES {
             self.freshness
@@ -263,8 +278,16 @@
 
     /// Raises the number of dropped timeline events to `total`.
     pub fn set_timeline_dropped(&self, total: u64) {
-        let counted = self.timeline_dropped.get();
-        self.timeline_dropped.inc_by(total.saturating_sub(counted));
+        super::raise(&self.timeline_dropped, total);
+    }
+
+    /// Takes over what the callers' server has counted since its start.
+    pub fn set_counts(&self, counts: &net::Counts) {
+        self.connections
+            .set(i64::try_from(counts.open).unwrap_or(i64::MAX));
+        super::raise(&self.connections_refused, counts.refused);
+        super::raise(&self.malformed_requests, counts.malformed);
+        super::raise(&self.requests_over_limit, counts.queue_full);
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/carawaycleat/src/metric/side.rs
+++ b/crates/carawaycleat/src/metric/side.rs
@@ -1,3 +1,6 @@
+use carawaycleat_core::memory;
+use carawaycleat_core::outcome;
+
 use super::registry;
 
 /// The metrics of a sidecar, named `carawaycleat_side_...`.
@@ -30,6 +33,16 @@
     pub engine_reachable: prometheus::IntGauge,
 }
 
+/// The reasons for which a sidecar refuses a job.
+const REASONS: [outcome::Reason; 6] = [
+    outcome::Reason::ShuttingDown,
+    outcome::Reason::UpstreamLeaving,
+    outcome::Reason::QueueFull,
+    outcome::Reason::DuplicateRequest,
+    outcome::Reason::UpstreamFailed,
+    outcome::Reason::InvalidRequest,
+];
+
 impl Default for Side {
     fn default() -> Self {
         Self::new()
@@ -69,20 +82,28 @@
             ),
             registry: r,
         };
-        for refusal in super::Refusal::ALL {
-            side.jobs_refused.with_label_values(&[refusal.as_str()]);
+        for reason in REASONS {
+            side.jobs_refused.with_label_values(&[reason.as_str()]);
+        }
+        for kind in memory::Change::KINDS {
+            for state in memory::Settlement::ALL {
+                side.orders.with_label_values(&[kind, state.as_str()]);
+            }
+        }
+        for result in ["ok", "failed"] {
+            side.reports.with_label_values(&[result]);
         }
         side
     }
 
     /// Counts a refused job.
-    pub fn refuse(&self, reason: super::Refusal) {
+    pub fn refuse(&self, reason: outcome::Reason) {
         self.jobs_refused
             .with_label_values(&[reason.as_str()])
             .inc();
     }
 
-    /// Counts a placement order; `kind` is `load`, `unload`, `load_adapter`, `unload_adapter` or `role`.
+    /// Counts a placement order; `kind` is `load`, `unload`, `load_adapter`, `unload_adapter` or `fence`.
     pub fn count_order(&self, kind: &'static str, state: super::Settlement) {
         self.orders.with_label_values(&[kind, state.as_str()]).inc();
     }
@@ -95,8 +116,7 @@
 
     /// Raises the number of dropped timeline events to `total`.
     pub fn set_timeline_dropped(&self, total: u64) {
-        let counted = self.timeline_dropped.get();
-        self.timeline_dropped.inc_by(total.saturating_sub(counted));
+        super::raise(&self.timeline_dropped, total);
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/crates/carawaycleat/src/side/shared.rs
+++ b/crates/carawaycleat/src/side/shared.rs
@@ -120,7 +120,7 @@
         }
         match verdict {
             Ok(()) => self.metric.jobs_accepted.inc(),
-            Err((reason, _)) => self.metric.refuse(refusal(reason)),
+            Err((reason, _)) => self.metric.refuse(reason),
         }
         verdict
     }
@@ -132,6 +132,7 @@
             side::Effect::SendOrder(order) => self.spawn(orders::send(self.clone(), order)),
             side::Effect::Report(report) => reports::send(self, &self.report(report)),
             side::Effect::Record(change) => self.record(change),
+            side::Effect::Order(change) => self.count_order(&change),
             side::Effect::Exit => {
                 self.exiting.close();
             }
@@ -147,13 +148,29 @@
         self.metric.set_timeline_dropped(self.journal.dropped());
     }
 
+    /// Counts a change of an order and notes it in the timeline.
+    fn count_order(&self, change: &memory::Change) {
+        self.metric.count_order(change.kind(), change.state);
+        let kind = match change.state {
+            memory::Settlement::Sent | memory::Settlement::Resent => timeline::Kind::OrderSent,
+            _ => timeline::Kind::OrderSettled,
+        };
+        let mut record = entry::Record::new(kind).upstream(self.settings.upstream.clone());
+        record.model = Some(change.id.model.clone());
+        let adapter = change.id.adapter.as_deref().unwrap_or_default();
+        let detail = format!("{} {adapter} {}", change.kind(), change.state.as_str());
+        self.journal.note(record.detail(detail.replace("  ", " ")));
+        self.metric.set_timeline_dropped(self.journal.dropped());
+    }
+
     /// Notes what happened to a job in the timeline.
-    pub(super) fn note(&self, kind: timeline::Kind, job: &wire::Job) {
+    pub(super) fn note(&self, kind: timeline::Kind, job: &wire::Job, detail: &str) {
         let mut record = entry::Record::new(kind).upstream(self.settings.upstream.clone());
-        record.request = Some(request::Id::from_u128(job.id.as_u128()));
+        record.request = Some(request::Id::from_u128(job.request.as_u128()));
         record.workspace.clone_from(&job.workspace);
         record.model.clone_from(&job.model);
-        self.journal.note(record);
+        self.journal.note(record.detail(detail));
+        self.metric.set_timeline_dropped(self.journal.dropped());
     }
 
     /// Returns a report as a message, and brings the gauges up to date.
@@ -284,13 +301,3 @@
     };
     (kind, detail)
 }
-
-fn refusal(reason: outcome::Reason) -> metric::Refusal {
-    match reason {
-        outcome::Reason::UpstreamLeaving => metric::Refusal::UpstreamLeaving,
-        outcome::Reason::DuplicateRequest => metric::Refusal::DuplicateRequest,
-        outcome::Reason::QueueFull => metric::Refusal::Overloaded,
-        outcome::Reason::InvalidRequest => metric::Refusal::InvalidRequest,
-        _ => metric::Refusal::NoUpstream,
-    }
-}
--- a/crates/carawaycleat/src/side/work.rs
+++ b/crates/carawaycleat/src/side/work.rs
@@ -35,13 +35,19 @@
 fn work(shared: &sync::Arc<shared::Shared>, body: &[u8]) -> net::Response {
     let job: wire::Job = match wire::decode(body) {
         Ok(job) => job,
-        Err(error) => return net::Response::new(400).body(error.to_string()),
+        Err(error) => {
+            shared.metric.refuse(outcome::Reason::InvalidRequest);
+            return net::Response::new(400).body(error.to_string());
+        }
     };
     shared.receive(&job.stamp);
     let (writer, stream) = net::stream();
     match shared.admit(&job) {
         Ok(()) => shared.spawn(run(shared.clone(), job, writer)),
-        Err((reason, outcome)) => shared.spawn(refuse(job.id, reason, outcome, writer)),
+        Err((reason, outcome)) => {
+            shared.note(timeline::Kind::Refused, &job, reason.as_str());
+            shared.spawn(refuse(shared.clone(), job.id, reason, outcome, writer));
+        }
     }
     net::Response::new(200)
         .header("content-type", "application/octet-stream")
@@ -49,6 +55,7 @@
 }
 
 async fn refuse(
+    shared: sync::Arc<shared::Shared>,
     id: wire::Id,
     reason: outcome::Reason,
     outcome: outcome::Outcome,
@@ -61,7 +68,7 @@
         message,
     };
     let mut bytes = Vec::new();
-    encode(id, part, &mut bytes);
+    encode(&shared, id, part, &mut bytes);
     if writer.send(bytes).await.is_ok() {
         writer.finish();
     }
@@ -97,7 +104,7 @@
     if is_whole {
         writer.finish();
     } else {
-        shared.note(timeline::Kind::Cancelled, &job);
+        shared.note(timeline::Kind::Cancelled, &job, "");
         shared.engine.cancel(job.id).await;
     }
     let event = side::Event::JobEnded(id.as_u128(), progress.outcome, progress.tokens);
@@ -138,7 +145,9 @@
     progress: &mut Progress,
 ) -> Option<()> {
     let mut bytes = Vec::new();
+    shared.note(timeline::Kind::Started, job, "");
     encode(
+        shared,
         job.id,
         wire::Part::Started {
             stamp: shared.stamp(),
@@ -147,42 +156,59 @@
     );
     // The entry host must know that the request may run before it can run.
     writer.send(std::mem::take(&mut bytes)).await.ok()?;
-    shared.note(timeline::Kind::Started, job);
     shared.step(side::Event::JobStarted(job.id.as_u128()));
     let mut answer = match shared.engine.start(job).await {
         Ok(answer) => answer,
         Err(part) => {
             progress.take(&part);
-            encode(job.id, part, &mut bytes);
+            note_end(shared, job, &part);
+            encode(shared, job.id, part, &mut bytes);
             return writer.send(bytes).await.ok();
         }
     };
     while let Some(part) = answer.next().await {
         progress.take(&part);
-        encode(job.id, part, &mut bytes);
+        note_end(shared, job, &part);
+        encode(shared, job.id, part, &mut bytes);
         // Parts that have already arrived leave in the same write.
         while bytes.len() < JOINED_BYTES
             && let Some(part) = answer.ready()
         {
             progress.take(&part);
-            encode(job.id, part, &mut bytes);
+            note_end(shared, job, &part);
+            encode(shared, job.id, part, &mut bytes);
         }
         writer.send(std::mem::take(&mut bytes)).await.ok()?;
     }
-    shared.note(timeline::Kind::Finished, job);
     Some(())
 }
 
-fn encode(id: wire::Id, part: wire::Part, bytes: &mut Vec<u8>) {
-    if let Err(error) = wire::encode_frame(&wire::Frame::new(id, part), bytes) {
+/// Notes the end of an answer in the timeline.
+fn note_end(shared: &shared::Shared, job: &wire::Job, part: &wire::Part) {
+    match part {
+        wire::Part::End { .. } => shared.note(timeline::Kind::Finished, job, ""),
+        wire::Part::Fail { reason, .. } => {
+            shared.note(timeline::Kind::Failed, job, reason.as_str());
+        }
+        _ => {}
+    }
+}
+
+fn encode(shared: &shared::Shared, id: wire::Id, part: wire::Part, bytes: &mut Vec<u8>) {
+    let is_last = matches!(part, wire::Part::End { .. } | wire::Part::Fail { .. });
+    let mut frame = wire::Frame::new(id, part);
+    if is_last {
+        // What the entry host notes about the end comes after what is noted here, whatever the clocks show.
+        frame = frame.with_stamp(shared.stamp());
+    }
+    if let Err(error) = wire::encode_frame(&frame, bytes) {
         // A part of a body is far below the limit of a frame; a token that is not would be a fault of the engine.
-        let reason = outcome::Reason::UpstreamIncomplete;
-        let message = error.to_string();
         let part = wire::Part::Fail {
             outcome: outcome::Outcome::Unknown,
-            reason,
-            message,
+            reason: outcome::Reason::UpstreamIncomplete,
+            message: error.to_string(),
         };
-        let _ = wire::encode_frame(&wire::Frame::new(id, part), bytes);
+        let frame = wire::Frame::new(id, part).with_stamp(shared.stamp());
+        let _ = wire::encode_frame(&frame, bytes);
     }
 }
