feat: collect the timeline from all processes

Cause: the timeline showed only the servers given on the command line.

Change: `carawaycleat timeline` learns the other entry hosts and the sidecars from the given servers, asks up to 64 at a time and names those that do not answer on standard error, with exit code 4. `--local` asks only the given servers.

The test of merged hosts passes `--local`, because its servers answer nothing but the timeline; what it checks is unchanged.

--- a/crates/carawaycleat-core/tests/suite/timeline.rs
+++ b/crates/carawaycleat-core/tests/suite/timeline.rs
@@ -163,3 +163,64 @@
         event
     );
 }
+
+/// Guards against an effect that is shown before its cause where the clocks of two hosts differ.
+#[yare::parameterized(
+    equal = { 0 },
+    sidecar_ahead = { 5_000 },
+    sidecar_behind = { -5_000 },
+)]
+fn causes_come_before_effects(sidecar_ahead_ms: i64) {
+    const START_MS: u64 = 1_000_000;
+    let side_wall = |wall_ms: u64| wall_ms.saturating_add_signed(sidecar_ahead_ms);
+    let mut entry = clock::Hybrid::new(name("entry-1"));
+    let mut side = clock::Hybrid::new(name("engine-1"));
+    let mut at_entry = Vec::new();
+    let mut at_side = Vec::new();
+    // A request goes to the sidecar, which says that it starts and, 200 ms later, that it has ended.
+    at_entry.push(timeline::Event::new(
+        entry.tick(START_MS),
+        timeline::Kind::Dispatched,
+    ));
+    let job = entry.tick(START_MS);
+    side.receive(side_wall(START_MS + 1), &job);
+    at_side.push(timeline::Event::new(
+        side.tick(side_wall(START_MS + 1)),
+        timeline::Kind::Started,
+    ));
+    let started = side.tick(side_wall(START_MS + 1));
+    entry.receive(START_MS + 2, &started);
+    at_entry.push(timeline::Event::new(
+        entry.tick(START_MS + 2),
+        timeline::Kind::FirstToken,
+    ));
+    at_side.push(timeline::Event::new(
+        side.tick(side_wall(START_MS + 200)),
+        timeline::Kind::Finished,
+    ));
+    let ended = side.tick(side_wall(START_MS + 200));
+    entry.receive(START_MS + 201, &ended);
+    at_entry.push(timeline::Event::new(
+        entry.tick(START_MS + 201),
+        timeline::Kind::Finished,
+    ));
+    let merged = timeline::merge(vec![at_side, at_entry]);
+    let shown = merged
+        .iter()
+        .map(|event| (event.host.as_str(), event.kind))
+        .collect::<Vec<_>>();
+    let position = |host, kind| shown.iter().position(|found| *found == (host, kind));
+    let order = [
+        position("entry-1", timeline::Kind::Dispatched),
+        position("engine-1", timeline::Kind::Started),
+        position("entry-1", timeline::Kind::FirstToken),
+        position("entry-1", timeline::Kind::Finished),
+    ];
+    assert!(order.is_sorted(), "{shown:?}");
+    let ends = [
+        position("engine-1", timeline::Kind::Started),
+        position("engine-1", timeline::Kind::Finished),
+        position("entry-1", timeline::Kind::Finished),
+    ];
+    assert!(ends.is_sorted(), "{shown:?}");
+}
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -10,4 +10,5 @@
 mod metrics;
 mod service;
 mod store;
+mod timeline;
 mod weights;
--- a/crates/carawaycleat/src/cli.rs
+++ b/crates/carawaycleat/src/cli.rs
@@ -74,7 +74,9 @@
             } => delete::run(&client, *kind, name, *if_match, output, out).await,
             Command::Watch { kind } => watch::run(&client, *kind, output, out).await,
             Command::Status => status::run(&client, output, out).await,
-            Command::Timeline { filter } => timeline::run(&client, filter, output, out).await,
+            Command::Timeline { local, filter } => {
+                timeline::run(&client, filter, *local, output, out).await
+            }
         }
     })
 }
--- a/crates/carawaycleat/src/cli/answer.rs
+++ b/crates/carawaycleat/src/cli/answer.rs
@@ -1,5 +1,7 @@
 //! Answers of the operators' interface.
 
+use std::net;
+
 use carawaycleat_core::name;
 use carawaycleat_core::resource;
 
@@ -23,6 +25,25 @@
     pub(super) resource: resource::Resource,
 }
 
+/// What the state of an entry host says about others.
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Status {
+    /// The host.
+    pub(super) host: String,
+    /// The entry hosts that it knows, itself among them.
+    #[serde(default)]
+    pub(super) peers: Vec<Peer>,
+}
+
+/// An entry host that another one knows.
+#[derive(Clone, Debug, serde::Deserialize)]
+pub(super) struct Peer {
+    /// The host.
+    pub(super) host: String,
+    /// Its address for other processes.
+    pub(super) peer_address: net::SocketAddr,
+}
+
 /// The result of a write.
 #[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
 pub(super) struct Written {
--- a/crates/carawaycleat/src/cli/client.rs
+++ b/crates/carawaycleat/src/cli/client.rs
@@ -6,6 +6,7 @@
 use super::answer;
 
 /// A client of the operators' interface.
+#[derive(Clone)]
 pub(super) struct Client {
     pool: http::Pool,
     servers: Vec<net::SocketAddr>,
@@ -21,6 +22,17 @@
     pub(super) body: Vec<u8>,
 }
 
+/// A process that answers under `GET /timeline`.
+pub(super) struct Process {
+    /// What it is called in messages.
+    pub(super) name: String,
+    /// Its address.
+    pub(super) address: net::SocketAddr,
+}
+
+/// The processes that are asked at the same time.
+const CONCURRENT: usize = 64;
+
 /// The server waits up to 3 s for a majority before it answers a write.
 const TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
@@ -62,6 +74,45 @@
         Ok((answers, failed))
     }
 
+    /// Sends `request` to each process, and returns the answers and the errors of the processes without one.
+    pub(super) async fn call_each(
+        &self,
+        processes: &[Process],
+        request: &http::Request,
+    ) -> (Vec<Answer>, Vec<String>) {
+        let executor = http::Executor::new();
+        let mut answers = Vec::new();
+        let mut failed = Vec::new();
+        let calls = async {
+            for some in processes.chunks(CONCURRENT) {
+                let call = |process: &Process| {
+                    let (client, address) = (self.clone(), process.address);
+                    let request = request.clone();
+                    executor.spawn(async move { client.call_one(address, request).await })
+                };
+                let tasks: Vec<_> = some.iter().map(call).collect();
+                for (process, task) in some.iter().zip(tasks) {
+                    match task.await {
+                        Ok(answer) => answers.push(answer),
+                        Err(error) => failed.push(format!("{}: {error}", process.name)),
+                    }
+                }
+            }
+        };
+        executor.run(calls).await;
+        (answers, failed)
+    }
+
+    /// Sends `request` to `server` and returns the value of the answer.
+    pub(super) async fn read<T: serde::de::DeserializeOwned>(
+        &self,
+        server: net::SocketAddr,
+        request: &http::Request,
+    ) -> super::Result<T> {
+        let answer = self.call_one(server, request.clone()).await?;
+        Ok(serde_json::from_slice(&answer.body)?)
+    }
+
     async fn call_one(
         &self,
         server: net::SocketAddr,
--- a/crates/carawaycleat/src/cli/options.rs
+++ b/crates/carawaycleat/src/cli/options.rs
@@ -96,6 +96,8 @@
     Status,
     /// Shows the timeline.
     Timeline {
+        /// Whether to ask only the given servers.
+        local: bool,
         /// The choice of events.
         filter: timeline::Filter,
     },
@@ -254,6 +256,11 @@
         .help("Only the latest N events")
         .argument::<usize>("N")
         .optional();
+    let local = bpaf::long("local")
+        .help(
+            "Ask only the servers given with --server, not the other entry hosts and the sidecars",
+        )
+        .switch();
     let filter = bpaf::construct!(timeline::Filter {
         request,
         workspace,
@@ -262,10 +269,10 @@
         since,
         limit
     });
-    let command = bpaf::construct!(Command::Timeline { filter });
+    let command = bpaf::construct!(Command::Timeline { local, filter });
     bpaf::construct!(given, command)
         .to_options()
-        .descr("Shows the events of all hosts given with --server in one order.")
+        .descr("Shows the events of all entry hosts and sidecars in one order.")
         .command("timeline")
         .help("Show what happened to requests, upstreams and hosts")
 }
--- a/crates/carawaycleat/src/cli/timeline.rs
+++ b/crates/carawaycleat/src/cli/timeline.rs
@@ -1,15 +1,19 @@
+use std::collections;
 use std::io;
 
+use carawaycleat_core::resource;
 use carawaycleat_core::timeline;
 use carawaycleat_net as http;
 
+use super::answer;
 use super::client;
 use super::text;
 
-/// Shows the events of all servers in one order.
+/// Shows the events of all processes in one order, or with `local` only those of the given servers.
 pub(super) async fn run(
     client: &client::Client,
     filter: &timeline::Filter,
+    local: bool,
     output: super::Output,
     out: &mut dyn io::Write,
 ) -> super::Result<()> {
@@ -21,7 +25,14 @@
         return Err(super::Error::Usage(text.to_owned()));
     }
     let request = http::Request::new("GET", format!("/timeline?{query}"));
-    let (answers, failed) = client.call_all(&request).await?;
+    let (mut answers, mut failed) = client.call_all(&request).await?;
+    if !local {
+        let (found, missing) = processes(client, &answers).await;
+        failed.extend(missing);
+        let (further, missing) = client.call_each(&found, &request).await;
+        answers.extend(further);
+        failed.extend(missing);
+    }
     let parts = answers
         .iter()
         .map(|answer| serde_json::from_slice(&answer.body))
@@ -42,6 +53,42 @@
     }
 }
 
+/// Returns the other entry hosts and the sidecars that the servers know, and the errors of those that do not tell.
+async fn processes(
+    client: &client::Client,
+    servers: &[client::Answer],
+) -> (Vec<client::Process>, Vec<String>) {
+    let status = http::Request::new("GET", "/v1/status");
+    let upstreams = http::Request::new("GET", "/v1/resources/upstream");
+    let mut asked = collections::BTreeSet::new();
+    let mut found = collections::BTreeMap::new();
+    let mut failed = Vec::new();
+    for server in servers.iter().map(|answer| answer.server) {
+        match client.read::<answer::Status>(server, &status).await {
+            Ok(status) => {
+                asked.insert(status.host);
+                let peers = status.peers.into_iter();
+                found.extend(peers.map(|peer| (peer.host, peer.peer_address)));
+            }
+            Err(error) => failed.push(format!("{server}: {error}")),
+        }
+        match client.read::<answer::Listing>(server, &upstreams).await {
+            Ok(list) => found.extend(list.items.into_iter().filter_map(|item| {
+                let resource::Resource::Upstream(upstream) = item.resource else {
+                    return None;
+                };
+                let address = upstream.side_address?;
+                Some((format!("sidecar of {}", item.name), address))
+            })),
+            Err(error) => failed.push(format!("{server}: {error}")),
+        }
+    }
+    found.retain(|name, _| !asked.contains(name));
+    let processes = found.into_iter();
+    let processes = processes.map(|(name, address)| client::Process { name, address });
+    (processes.collect(), failed)
+}
+
 fn show(out: &mut dyn io::Write, event: &timeline::Event) -> super::Result<()> {
     write!(
         out,
--- a/crates/carawaycleat/tests/suite/cli.rs
+++ b/crates/carawaycleat/tests/suite/cli.rs
@@ -401,6 +401,7 @@
         "--server",
         &address,
         "timeline",
+        "--local",
         "--request",
         "r1",
         "--limit",
@@ -424,6 +425,52 @@
     assert_eq!(first.run(&["timeline", "--request", "a&limit=9"]).code, 2);
 }
 
+/// Guards against a timeline that lacks the sidecars or the other entry hosts, and against a silent gap.
+#[test]
+fn timeline_asks_all_processes() {
+    let [first, peer, side] = [(); 3].map(|()| fake::Server::start());
+    let gone = fake::unreachable().to_string();
+    let answer = |server: &fake::Server, path: &str, value| {
+        server.lock().answers.insert(path.to_owned(), value);
+    };
+    let member = |host, address| serde_json::json!({ "host": host, "peer_address": address });
+    let peers = [
+        member("entry-1", first.address.to_string()),
+        member("entry-2", peer.address.to_string()),
+        member("entry-3", gone.clone()),
+    ];
+    let status = serde_json::json!({ "host": "entry-1", "peers": peers });
+    answer(&first, "/v1/status", status);
+    let upstream = serde_json::json!({
+        "kind": "upstream", "group": "g", "address": "127.0.0.1:1", "side_address": side.address,
+        "availability_zone": "z", "memory_bytes": 1, "fencing": "checked", "leaving": false,
+    });
+    let resources = [("upstream/engine-1".to_owned(), (1, upstream))];
+    first.lock().resources.extend(resources);
+    for (server, host, wall_ms, kind) in [
+        (&first, "entry-1", 1_000, "dispatched"),
+        (&side, "engine-1", 1_001, "started"),
+        (&peer, "entry-2", 1_002, "state_changed"),
+    ] {
+        let events = serde_json::json!([event(host, wall_ms, kind)]);
+        answer(server, "/timeline", events);
+    }
+    let output = first.run(&["timeline"]);
+    let lines = output.out.lines();
+    let hosts: Vec<_> = lines.map(|line| line.split_whitespace().nth(1)).collect();
+    assert_eq!(
+        hosts,
+        [Some("entry-1"), Some("engine-1"), Some("entry-2")],
+        "{output:?}"
+    );
+    assert_eq!(output.code, 4, "{output:?}");
+    assert!(
+        output.err.contains("entry-3") && output.err.contains(&gone),
+        "{output:?}"
+    );
+    assert!(!output.err.contains("entry-2"), "{output:?}");
+}
+
 /// Guards against a write that is sent a second time after it may have taken effect.
 #[test]
 fn a_write_without_an_answer_is_not_repeated() {
