docs: add the operators' guide

Cause: README.md names docs/operators.md, which did not exist.

Change: the guide covers start, settings, resources, command line, both HTTP interfaces, refusals, metrics, the timeline and eight matters of operation. Metrics list their names, also those without a series yet. Tests read the guide and fail when a metric, a label, a refusal reason with its status, a setting or a resource field of the code is missing, when it names a metric that does not exist, or when one of its resource examples is refused.

Conclusion: the settings `region` and `store.prefix` are read and checked but have no effect; the guide says so.

--- a/crates/carawaycleat/src/metric/entry.rs
+++ b/crates/carawaycleat/src/metric/entry.rs
@@ -290,6 +290,11 @@
         super::raise(&self.requests_over_limit, counts.queue_full);
     }
 
+    /// Returns the names of all metrics, also of those that have no series yet.
+    pub fn names(&self) -> Vec<String> {
+        self.registry.names()
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.registry.render()
--- a/crates/carawaycleat/src/metric/registry.rs
+++ b/crates/carawaycleat/src/metric/registry.rs
@@ -1,5 +1,9 @@
+use std::sync;
+
 use prometheus::core;
 
+use crate::journal;
+
 /// Creates metrics with a common prefix and registers them.
 ///
 /// All names, labels and buckets are constants of this crate. A wrong one is a fault of the code and panics at the
@@ -8,6 +12,7 @@
 pub(super) struct Registry {
     prefix: &'static str,
     inner: prometheus::Registry,
+    names: sync::Mutex<Vec<String>>,
 }
 
 const VALID: &str = "names, labels and buckets of metrics are valid and distinct";
@@ -17,6 +22,7 @@
         Self {
             prefix,
             inner: prometheus::Registry::new(),
+            names: sync::Mutex::default(),
         }
     }
 
@@ -68,6 +74,11 @@
         ))
     }
 
+    /// Returns the names of all metrics, also of those that have no series yet.
+    pub(super) fn names(&self) -> Vec<String> {
+        journal::lock(&self.names).clone()
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn render(&self) -> String {
         let encoder = prometheus::TextEncoder::new();
@@ -82,6 +93,8 @@
 
     fn register<T: core::Collector + Clone + 'static>(&self, metric: prometheus::Result<T>) -> T {
         let metric = metric.expect(VALID);
+        let names = metric.desc().into_iter().map(|desc| desc.fq_name.clone());
+        journal::lock(&self.names).extend(names);
         self.inner.register(Box::new(metric.clone())).expect(VALID);
         metric
     }
--- a/crates/carawaycleat/src/metric/side.rs
+++ b/crates/carawaycleat/src/metric/side.rs
@@ -119,6 +119,11 @@
         super::raise(&self.timeline_dropped, total);
     }
 
+    /// Returns the names of all metrics, also of those that have no series yet.
+    pub fn names(&self) -> Vec<String> {
+        self.registry.names()
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.registry.render()
--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -5,4 +5,5 @@
 mod log;
 mod manifest;
 mod metric;
+mod operators;
 mod settings;
