refactor: run both daemons with one piece of code

Cause: the programs of the entry host and the sidecar repeated the reading of settings, the log, the signals and the graceful shutdown.

Change: a private trait names what differs, and one function runs either daemon. Messages and exit codes are the same.

--- a/crates/carawaycleat/src/process.rs
+++ b/crates/carawaycleat/src/process.rs
@@ -2,28 +2,30 @@
 
 mod entry;
 mod options;
+mod run;
 mod side;
 mod signal;
 
 use std::process;
 
+use run::Daemon as _;
+
 /// Runs an entry host until it is told to stop.
 ///
 /// The exit code is 0 after a graceful shutdown, 1 when the host could not start or requests were cut, and 2 when the
 /// settings are invalid.
 pub fn entry() -> process::ExitCode {
-    entry::run(&options::parse("carawaycleat-entry", "Runs an entry host")).into()
+    type Daemon = crate::entry::Daemon;
+    run::run::<Daemon>(&options::parse(Daemon::PROGRAM, "Runs an entry host")).into()
 }
 
 /// Runs a sidecar until it is told to stop.
 ///
 /// The exit codes are those of [`entry`].
 pub fn side() -> process::ExitCode {
-    side::run(&options::parse(
-        "carawaycleat-side",
-        "Runs the sidecar of an upstream",
-    ))
-    .into()
+    type Daemon = crate::side::Daemon;
+    let options = options::parse(Daemon::PROGRAM, "Runs the sidecar of an upstream");
+    run::run::<Daemon>(&options).into()
 }
 
 /// The exit code of a process that could not start, or that cut requests when it stopped.
--- a/crates/carawaycleat/src/process/entry.rs
+++ b/crates/carawaycleat/src/process/entry.rs
@@ -1,59 +1,42 @@
+use std::path;
 use std::sync;
 
 use carawaycleat_net as net;
 
-use super::options;
-use super::signal;
+use super::run;
 use crate::entry;
-use crate::log;
 use crate::settings;
 
-pub(super) fn run(options: &options::Options) -> u8 {
-    let settings = match settings::Entry::load(&options.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return settings::EXIT_INVALID;
-        }
-    };
-    if options.check {
-        return 0;
+impl run::Daemon for entry::Daemon {
+    const PROGRAM: &'static str = "carawaycleat-entry";
+
+    type Settings = settings::Entry;
+
+    fn load(path: &path::Path) -> settings::Result<Self::Settings> {
+        settings::Entry::load(path)
+    }
+
+    fn log(settings: &Self::Settings) -> &settings::Log {
+        &settings.log
     }
-    if let Err(error) = log::install(&settings.log, "carawaycleat-entry") {
-        eprintln!("{error}");
-        return super::EXIT_FAILED;
+
+    fn start(executor: sync::Arc<net::Executor>, settings: Self::Settings) -> Result<Self, String> {
+        Self::start(executor, settings).map_err(|error| error.to_string())
     }
-    let executor = sync::Arc::new(net::Executor::new());
-    async_io::block_on(executor.clone().run(serve(executor, settings)))
-}
 
-async fn serve(executor: sync::Arc<net::Executor>, settings: settings::Entry) -> u8 {
-    let mut stop = match signal::Stop::register() {
-        Ok(stop) => stop,
-        Err(error) => {
-            log::error(&format!("cannot handle signals: {error}"));
-            return super::EXIT_FAILED;
-        }
-    };
-    let daemon = match entry::Daemon::start(executor, settings) {
-        Ok(daemon) => daemon,
-        Err(error) => {
-            log::error(&error.to_string());
-            return super::EXIT_FAILED;
-        }
-    };
-    let addresses = daemon.addresses();
-    log::info(&format!(
-        "listening for callers on {}, operators on {}, peers on {}",
-        addresses.callers, addresses.operators, addresses.peers
-    ));
-    stop.wait().await;
-    let graceful = async { daemon.stop().await };
-    let second = async {
-        stop.wait().await;
-        daemon.abort()
-    };
-    let cut = futures_lite::future::or(graceful, second).await;
-    log::info("stopped");
-    if cut == 0 { 0 } else { super::EXIT_FAILED }
+    fn listening(&self) -> String {
+        let addresses = self.addresses();
+        format!(
+            "callers on {}, operators on {}, peers on {}",
+            addresses.callers, addresses.operators, addresses.peers
+        )
+    }
+
+    async fn stop(&self) -> usize {
+        self.stop().await
+    }
+
+    fn abort(&self) -> usize {
+        self.abort()
+    }
 }
