--- a/crates/carawaycleat-core/tests/suite/path_world.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world.rs
@@ -891,6 +891,8 @@
                     caller.is_finished = true;
                 }
             }
+            // Counted by the daemon only; the world keeps its own record of tokens and attempts.
+            entry::Effect::Tokens { .. } | entry::Effect::Retry(_) => {}
             entry::Effect::Refuse(id, refusal) => self.refused(id, &refusal),
             entry::Effect::Cancel { attempt, upstream } => {
                 let is_kept = self.kept.contains(&request_of(attempt));
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the stand-ins, a module per feature.
 
+mod callers;
 mod engine;
 mod engine_faults;
 mod engine_time;
@@ -7,7 +8,9 @@
 mod http;
 mod load;
 mod load_run;
+mod metrics;
 mod service;
 mod setup;
 mod store;
+mod timeline;
 mod weights;
--- a/crates/carawaycleat-wire/tests/suite/hostile.rs
+++ b/crates/carawaycleat-wire/tests/suite/hostile.rs
@@ -111,6 +111,7 @@
 fn job() -> wire::Job {
     wire::Job {
         id: wire::Id::from_u128(u128::MAX),
+        request: wire::Id::from_u128(u128::MAX - 1),
         stamp: stamp(),
         host: name("e1"),
         workspace: Some(name("city")),
--- a/crates/carawaycleat/src/entry/attempt.rs
+++ b/crates/carawaycleat/src/entry/attempt.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::time;
 
+use carawaycleat_core::clock;
 use carawaycleat_core::entry;
 use carawaycleat_core::name;
 use carawaycleat_core::outcome;
@@ -61,6 +62,8 @@
 pub(super) struct Step {
     pub(super) progress: entry::Progress,
     pub(super) content: Content,
+    /// The sidecar's logical time, where it is known.
+    pub(super) stamp: Option<clock::Stamp>,
 }
 
 /// What a step brings for the caller.
@@ -108,7 +111,7 @@
                 is_cut,
             } => {
                 let progress = match next_frame(reader, decoder).await {
-                    Ok(Some(frame)) => return Some(step(frame.part, id_of(frame.job))),
+                    Ok(Some(frame)) => return Some(received(frame)),
                     Ok(None) if *is_cut => return None,
                     Ok(None) => broken("the sidecar ended the answer early".to_owned()),
                     Err(message) if *is_cut => {
@@ -121,6 +124,7 @@
                 Some(Step {
                     progress,
                     content: Content::Nothing,
+                    stamp: None,
                 })
             }
             Source::Direct { answer, first } => {
@@ -136,6 +140,7 @@
                 Some(Step {
                     progress,
                     content: Content::Nothing,
+                    stamp: None,
                 })
             }
         }
@@ -146,7 +151,7 @@
         match &mut self.source {
             Source::Side { decoder, .. } => {
                 let frame = decoder.next_frame().ok()??;
-                Some(step(frame.part, id_of(frame.job)))
+                Some(received(frame))
             }
             Source::Direct {
                 answer,
@@ -257,6 +262,18 @@
     request::Id::from_u128(id.as_u128())
 }
 
+/// Returns the step that a frame of a sidecar brings.
+fn received(frame: wire::Frame) -> Step {
+    let stamp = match &frame.part {
+        wire::Part::Started { stamp } => Some(stamp.clone()),
+        _ => frame.stamp,
+    };
+    Step {
+        stamp,
+        ..step(frame.part, id_of(frame.job))
+    }
+}
+
 fn step(part: wire::Part, claimed: request::Id) -> Step {
     let (progress, content) = match part {
         wire::Part::Started { .. } => (entry::Progress::Started, Content::Nothing),
@@ -290,7 +307,11 @@
             )
         }
     };
-    Step { progress, content }
+    Step {
+        progress,
+        content,
+        stamp: None,
+    }
 }
 
 fn declared_length(headers: &[(String, String)]) -> Option<u64> {
--- a/crates/carawaycleat/src/entry/callers/intake.rs
+++ b/crates/carawaycleat/src/entry/callers/intake.rs
@@ -51,7 +51,11 @@
 
 impl Intake {
     /// Reads a request. The caller's key is dropped here; only its digest goes on.
-    pub(super) fn read(shared: &shared::Shared, request: net::Request) -> Result<Self, Failure> {
+    pub(super) fn read(
+        shared: &shared::Shared,
+        id: request::Id,
+        request: net::Request,
+    ) -> Result<Self, Failure> {
         let route = shared.with(|reducer, _| {
             reducer
                 .route(&request.path)
@@ -84,7 +88,7 @@
                 .min(route.timeout_ms),
         );
         let arrival = entry::Arrival {
-            id: request::Id::from_u128(random_id()),
+            id,
             digest: key.as_deref().map(key::Digest::of),
             route: name,
             method: request.method.clone(),
@@ -152,7 +156,12 @@
         ("POST", "/v1/completions") => api::Form::Completion,
         (method, path) => {
             let message = format!("no operation {method} {path}");
-            return Err(super::refuse(outcome::Reason::UnknownRoute, message));
+            let refusal = super::refuse(outcome::Reason::UnknownRoute, message);
+            return Err(match path {
+                "/v1/models" => refusal.allowed("GET"),
+                "/v1/chat/completions" | "/v1/completions" => refusal.allowed("POST"),
+                _ => refusal,
+            });
         }
     };
     let call = api::Call::parse(form, &request.headers, &request.body);
@@ -186,7 +195,3 @@
     kept.map(|(name, value)| (name.to_owned(), value.to_owned()))
         .collect()
 }
-
-fn random_id() -> u128 {
-    fastrand::u128(..)
-}
--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -6,4 +6,5 @@
 mod log;
 mod manifest;
 mod metric;
+mod operators;
 mod settings;
