fix(store): refuse answers without a revision and leases without an identifier

Cause: the gateway leaves out fields with default values, so that a body without any field was read as the answer that no condition held, as an empty listing, or as lease 0. A write that took effect behind a proxy that answers with '{}' was called not applied, and a key bound to lease 0 never ends. Ruled out: damaged JSON and missing bodies; they were refused already. Change: an answer to a read or a transaction has a revision, and a lease an identifier and a lifetime, or the call fails as malformed, which says that a write may have run. Conclusion: the client gives no verdict that the store has not given.

--- a/crates/carawaycleat-store/src/client.rs
+++ b/crates/carawaycleat-store/src/client.rs
@@ -71,6 +71,7 @@
     pub async fn commit(&self, transaction: &crate::Transaction) -> crate::Result<crate::Answer> {
         let request = body::transaction(transaction);
         let answer: body::Transaction = self.call("/v3/kv/txn", &request, Retry::IfNotSent).await?;
+        let revision = answer.header.checked_revision()?;
         let mut found = Vec::new();
         if !answer.succeeded {
             for response in answer.responses {
@@ -79,7 +80,7 @@
         }
         Ok(crate::Answer {
             succeeded: answer.succeeded,
-            revision: answer.header.revision,
+            revision,
             found,
         })
     }
@@ -94,6 +95,12 @@
         let lease: body::Lease = self
             .call("/v3/lease/grant", &request, Retry::IfNotSent)
             .await?;
+        if lease.id == 0 || lease.ttl == 0 {
+            // Keys bound to lease 0 would never end.
+            return Err(crate::Error::Malformed(
+                "a lease without an identifier or lifetime".to_owned(),
+            ));
+        }
         Ok(crate::Lease {
             id: lease.id.cast_signed(),
             lifetime: time::Duration::from_secs(lease.ttl),
@@ -152,7 +159,7 @@
     async fn range(&self, request: &serde_json::Value) -> crate::Result<crate::Listing> {
         let answer: body::Range = self.call("/v3/kv/range", request, Retry::Always).await?;
         Ok(crate::Listing {
-            revision: answer.header.revision,
+            revision: answer.header.checked_revision()?,
             pairs: body::pairs(answer.kvs)?,
         })
     }
--- a/crates/carawaycleat-store/src/json.rs
+++ b/crates/carawaycleat-store/src/json.rs
@@ -84,6 +84,21 @@
     kv: KeyValue,
 }
 
+impl Header {
+    /// Returns the revision of the store, which each answer has.
+    ///
+    /// Fields with default values are left out, so that a body without any field would otherwise pass as the answer
+    /// that no condition held.
+    pub(crate) fn checked_revision(&self) -> crate::Result<u64> {
+        match self.revision {
+            0 => Err(crate::Error::Malformed(
+                "an answer without a revision".to_owned(),
+            )),
+            revision => Ok(revision),
+        }
+    }
+}
+
 impl KeyValue {
     pub(crate) fn into_pair(self) -> crate::Result<crate::Pair> {
         Ok(crate::Pair {
