test(core): divide the world of the fault matrix into modules

Cause: one file of 1548 lines held the network, the hosts, the sidecars, the callers, the faults and the invariants. Change: a module for each; no test changes.

--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/path_world/host.rs
@@ -0,0 +1,287 @@
+//! Entry hosts: what their reducers take and what their effects do.
+
+use carawaycleat_core::claim;
+use carawaycleat_core::entry;
+use carawaycleat_core::name;
+use carawaycleat_core::rate;
+use carawaycleat_core::request;
+
+use super::CLAIM_WITHIN_MS;
+use super::Message;
+use super::Rule;
+use super::STEP_MS;
+use super::World;
+use super::index_of;
+use super::request_of;
+use crate::path_fake as fake;
+
+impl World {
+    pub(super) fn step_host(
+        &mut self,
+        host: usize,
+        event: entry::Event,
+        content: Option<fake::Content>,
+    ) {
+        let event = match self.rule {
+            Rule::TrustAnswers => self.trust(event),
+            _ => event,
+        };
+        if let (entry::Event::Attempt(attempt, _), Some(content)) = (&event, content) {
+            let request = request_of(*attempt);
+            if self.kept.contains(&request) {
+                self.give(request, content);
+                return;
+            }
+        }
+        if let entry::Event::Changes { through, .. } = &event {
+            self.hosts[host].last_arrival = *through;
+        }
+        let now = self.clock(host);
+        let Some(reducer) = &mut self.hosts[host].reducer else {
+            return;
+        };
+        let is_head = matches!(event, entry::Event::Attempt(_, entry::Progress::Head(_)));
+        let mut effects = reducer.step(now, event);
+        if self.rule == Rule::CheckOnArrival {
+            // A refusal that is ignored precedes the end of the attempt.
+            effects.sort_by_key(|effect| !matches!(effect, entry::Effect::Refuse(..)));
+        }
+        for effect in effects {
+            self.perform(host, effect, content, is_head);
+        }
+    }
+
+    /// The naive rule that takes any part of an answer as the next one, and any end as the end.
+    pub(super) fn trust(&mut self, event: entry::Event) -> entry::Event {
+        let entry::Event::Attempt(attempt, progress) = event else {
+            return event;
+        };
+        let count = self.naive_counts.entry(request_of(attempt)).or_default();
+        let progress = match progress {
+            entry::Progress::Token { .. } => {
+                *count += 1;
+                entry::Progress::Token {
+                    claimed: attempt,
+                    position: *count - 1,
+                }
+            }
+            entry::Progress::Bytes(bytes) => {
+                *count += bytes;
+                entry::Progress::Bytes(bytes)
+            }
+            entry::Progress::Ended { .. } => entry::Progress::Ended {
+                claimed: attempt,
+                count: *count,
+            },
+            other => other,
+        };
+        entry::Event::Attempt(attempt, progress)
+    }
+
+    pub(super) fn perform(
+        &mut self,
+        host: usize,
+        effect: entry::Effect,
+        content: Option<fake::Content>,
+        is_head: bool,
+    ) {
+        match effect {
+            entry::Effect::Claim { request, key } => {
+                let operation = request.as_u128();
+                let (flow, action) =
+                    claim::Flow::new(self.clock(host), operation, fake::host(host));
+                let deadline = self.now + CLAIM_WITHIN_MS;
+                self.hosts[host]
+                    .flows
+                    .insert(request, (key, flow, deadline));
+                self.act(host, request, action);
+            }
+            entry::Effect::Settle { request, outcome } => {
+                self.step_claim(host, request, claim::Event::Ended(outcome, 200));
+            }
+            entry::Effect::Dispatch {
+                request,
+                attempt,
+                upstream,
+                workspace,
+                idempotent,
+                position,
+            } => {
+                let caller = &self.callers[&request];
+                let seen = match self.rule {
+                    Rule::ForwardHeaders => fake::secret(caller.workspace),
+                    _ => String::new(),
+                };
+                let job = fake::Job {
+                    host,
+                    request,
+                    attempt,
+                    workspace,
+                    idempotent,
+                    claim: caller.claim.clone().filter(|_| !idempotent),
+                    position,
+                    seen,
+                };
+                self.dispatched += 1;
+                self.send_job(index_of(&upstream), job);
+            }
+            entry::Effect::Deliver(id) => {
+                if is_head && let Some(caller) = self.callers.get_mut(&id) {
+                    caller.heads += 1;
+                }
+                if let Some(content) = content {
+                    self.give(id, content);
+                }
+            }
+            entry::Effect::Finish { request, .. } => {
+                self.finished += 1;
+                if let Some(caller) = self.callers.get_mut(&request) {
+                    caller.is_finished = true;
+                }
+            }
+            entry::Effect::Refuse(id, refusal) => self.refused(id, &refusal),
+            entry::Effect::Cancel { attempt, upstream } => {
+                let is_kept = self.kept.contains(&request_of(attempt));
+                if !is_kept && !self.is_cut_from(host, index_of(&upstream)) {
+                    self.drop_runs(index_of(&upstream), |run| run.job.attempt == attempt, None);
+                }
+            }
+            entry::Effect::Borrow {
+                host: peer,
+                workspace,
+                tokens,
+            } => self.borrow(host, index_of(&peer), workspace, tokens),
+            entry::Effect::Lend { .. } | entry::Effect::Record(_) => {}
+            entry::Effect::Fetch { host: peer, since } => self.fetch(host, index_of(&peer), since),
+            entry::Effect::Shards(effect) => self.shards(host, effect),
+            entry::Effect::Exit => {
+                self.hosts[host].has_exited = true;
+                self.hosts[host].reducer = None;
+            }
+        }
+    }
+
+    pub(super) fn fetch(&mut self, host: usize, peer: usize, since: u64) {
+        if self.is_cut(host == 0, peer == 0) || self.rule == Rule::NoRepair {
+            return;
+        }
+        let Some(reducer) = &self.hosts[peer].reducer else {
+            return;
+        };
+        let through = reducer.history().revision();
+        let event = match reducer.history().changes_since(since) {
+            Some(changes) => entry::Event::Changes {
+                since,
+                through,
+                changes,
+            },
+            None => entry::Event::Listing {
+                revision: through,
+                pairs: reducer.history().listing(),
+            },
+        };
+        let incarnation = self.hosts[host].incarnation;
+        self.send(0, Message::Host(host, incarnation, Box::new(event), None));
+    }
+
+    pub(super) fn borrow(&mut self, host: usize, peer: usize, workspace: name::Name, tokens: u64) {
+        let asked = self.clock(host);
+        let transfer = u128::from(self.sent) + 1;
+        let now = self.clock(peer);
+        let is_heard =
+            !self.is_cut(host == 0, peer == 0) && self.now >= self.hosts[peer].paused_until;
+        let mut lent = None;
+        if let Some(reducer) = self.hosts[peer].reducer.as_mut().filter(|_| is_heard) {
+            let event = entry::Event::Asked {
+                transfer,
+                workspace: workspace.clone(),
+                tokens,
+            };
+            for effect in reducer.step(now, event) {
+                if let entry::Effect::Lend { tokens, .. } = effect {
+                    lent = Some(tokens);
+                }
+            }
+        }
+        let event = entry::Event::Lent {
+            asked,
+            transfer: lent.map(|_| transfer),
+            workspace,
+            tokens: lent.unwrap_or(0),
+        };
+        let incarnation = self.hosts[host].incarnation;
+        self.send(0, Message::Host(host, incarnation, Box::new(event), None));
+    }
+
+    pub(super) fn shards(&mut self, host: usize, effect: rate::Effect) {
+        let has_store = self.has_store(host);
+        let event = match effect {
+            rate::Effect::Write(write) => {
+                let answer = if has_store {
+                    let lost = self.store.answers_to_lose;
+                    let answer = self.store.shards(&write);
+                    self.met += u64::from(self.store.answers_to_lose < lost);
+                    answer
+                } else {
+                    rate::Answer::Unknown
+                };
+                entry::Event::ShardsWritten(write.id, answer)
+            }
+            rate::Effect::Read(numbers) if has_store => {
+                entry::Event::ShardsRead(self.store.read_shards(&numbers))
+            }
+            rate::Effect::Read(_) => return,
+        };
+        let (incarnation, delay) = (self.hosts[host].incarnation, self.store_delay());
+        self.send(
+            delay,
+            Message::Host(host, incarnation, Box::new(event), None),
+        );
+    }
+
+    pub(super) fn step_claim(&mut self, host: usize, id: request::Id, event: claim::Event) {
+        let now = self.clock(host);
+        if self.rule == Rule::AssumeClaim && event == claim::Event::Lost {
+            return self.step_host(host, entry::Event::Claimed(id, Ok(())), None);
+        }
+        let Some((_, flow, _)) = self.hosts[host].flows.get_mut(&id) else {
+            return;
+        };
+        let action = flow.step(now, event);
+        self.act(host, id, action);
+    }
+
+    pub(super) fn act(&mut self, host: usize, id: request::Id, action: claim::Action) {
+        let Some((key, flow, _)) = self.hosts[host].flows.get(&id) else {
+            return;
+        };
+        let key = key.clone();
+        match &action {
+            claim::Action::Dispatch => {
+                self.step_host(host, entry::Event::Claimed(id, Ok(())), None);
+            }
+            claim::Action::Refuse(reason, outcome) => {
+                let next = flow.clean();
+                let refusal = entry::Refusal::new(*reason, *outcome, "");
+                self.step_host(host, entry::Event::Claimed(id, Err(refusal)), None);
+                self.act(host, id, next);
+            }
+            claim::Action::Done => {}
+            _ => {
+                let is_retry = matches!(action, claim::Action::ReadAt(_));
+                let mut delay = self.store_delay() + if is_retry { 1_000 } else { 0 };
+                let event = if self.has_store(host) {
+                    let lost = self.store.answers_to_lose;
+                    let event = self.store.claim(&key, &action);
+                    self.met += u64::from(self.store.answers_to_lose < lost);
+                    event
+                } else {
+                    delay += STEP_MS;
+                    claim::Event::Lost
+                };
+                let incarnation = self.hosts[host].incarnation;
+                self.send(delay, Message::Claim(host, incarnation, id, event));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/path_world/network.rs
@@ -0,0 +1,183 @@
+//! The network: who reaches whom, and messages on their way.
+
+use carawaycleat_core::entry;
+use carawaycleat_core::freshness;
+use carawaycleat_core::side;
+
+use super::Fault;
+use super::Host;
+use super::LATE_MS;
+use super::Message;
+use super::Rule;
+use super::STEP_MS;
+use super::World;
+use crate::path_fake as fake;
+
+impl World {
+    pub(super) fn is_cut(&self, first_in_a: bool, second_in_a: bool) -> bool {
+        self.now < self.cut_until && first_in_a != second_in_a
+    }
+
+    /// Region A has the first host, the first engine and the first service; region B has the rest and the store.
+    pub(super) fn is_cut_from(&self, host: usize, upstream: usize) -> bool {
+        self.is_cut(host == 0, upstream.is_multiple_of(2))
+    }
+
+    pub(super) fn has_store(&self, host: usize) -> bool {
+        self.now >= self.store.down_until && !self.is_cut(host == 0, false)
+    }
+
+    pub(super) fn store_delay(&self) -> u64 {
+        if self.now < self.store.slow_until {
+            LATE_MS
+        } else {
+            0
+        }
+    }
+
+    pub(super) fn send(&mut self, delay: u64, message: Message) {
+        self.sent += 1;
+        self.messages.push((self.now + delay, self.sent, message));
+    }
+
+    /// Lets hosts hear from the store, from each other and from the sidecars.
+    pub(super) fn talk(&mut self) {
+        for host in 0..self.hosts.len() {
+            let is_up = self.hosts[host].reducer.is_some();
+            if !(is_up && self.has_store(host) && self.now >= self.hosts[host].paused_until) {
+                self.hosts[host].connected_since = self.now + STEP_MS;
+                continue;
+            }
+            let (incarnation, since) = (self.hosts[host].incarnation, self.hosts[host].watched);
+            let through = self.store.revision;
+            let mut delay = self.store_delay();
+            if through > since {
+                self.hosts[host].watched = through;
+                let event = entry::Event::Changes {
+                    since,
+                    through,
+                    changes: self.store.since(since),
+                };
+                let message = || Message::Host(host, incarnation, Box::new(event.clone()), None);
+                if self.strikes(Fault::ChangesTwice) {
+                    self.send(LATE_MS, message());
+                }
+                if self.strikes(Fault::ChangesLate) {
+                    delay += LATE_MS;
+                }
+                if !self.strikes(Fault::ChangesLost) {
+                    self.send(delay, message());
+                }
+            }
+            let contact = Message::Contact(host, incarnation, self.clock(host), through);
+            self.send(delay, contact);
+        }
+        if self.step.is_multiple_of(2) {
+            for host in 0..self.hosts.len() {
+                for peer in (0..self.hosts.len()).filter(|peer| *peer != host) {
+                    self.exchange(host, peer);
+                }
+            }
+        }
+    }
+
+    pub(super) fn exchange(&mut self, host: usize, peer: usize) {
+        let is_awake = |h: &Host| h.reducer.is_some() && self.now >= h.paused_until;
+        if !is_awake(&self.hosts[host])
+            || !is_awake(&self.hosts[peer])
+            || self.is_cut(host == 0, peer == 0)
+        {
+            return;
+        }
+        let now = self.clock(peer);
+        let incarnation = self.hosts[peer].incarnation;
+        let Some(reducer) = &mut self.hosts[peer].reducer else {
+            return;
+        };
+        let report = freshness::Report {
+            host: fake::host(peer),
+            incarnation,
+            revision: reducer.monitor().revision(),
+            store_age: reducer.monitor().store_age(now),
+            sent: self.clock(host),
+        };
+        let offers = self.hosts[peer]
+            .reducer
+            .as_mut()
+            .map(|r| r.offers(now))
+            .unwrap_or_default();
+        let event = entry::Event::Heard { report, offers };
+        let delay = if self.strikes(Fault::ExchangesLate) {
+            LATE_MS
+        } else {
+            0
+        };
+        let incarnation = self.hosts[host].incarnation;
+        self.send(
+            delay,
+            Message::Host(host, incarnation, Box::new(event), None),
+        );
+    }
+
+    pub(super) fn deliver(&mut self) {
+        loop {
+            let now = self.now;
+            let is_due = |m: &(u64, u64, Message)| m.0 <= now;
+            let mut due: Vec<_> = self.messages.extract_if(.., |m| is_due(m)).collect();
+            due.sort_by_key(|(at, sequence, _)| (*at, *sequence));
+            if due.is_empty() {
+                return;
+            }
+            for (_, _, message) in due {
+                self.receive(message);
+            }
+        }
+    }
+
+    pub(super) fn receive(&mut self, message: Message) {
+        match message {
+            Message::Host(host, incarnation, event, content) => {
+                if self.postpone_host(host, incarnation) {
+                    let until = self.hosts[host].paused_until - self.now;
+                    return self.send(until, Message::Host(host, incarnation, event, content));
+                }
+                if self.hosts[host].incarnation == incarnation {
+                    self.step_host(host, *event, content);
+                }
+            }
+            Message::Contact(host, incarnation, sent, revision) => {
+                if self.postpone_host(host, incarnation) {
+                    let until = self.hosts[host].paused_until - self.now;
+                    return self.send(until, Message::Contact(host, incarnation, sent, revision));
+                }
+                let applied = self.revision(host);
+                if self.hosts[host].incarnation == incarnation && applied >= revision {
+                    self.step_host(host, entry::Event::StoreContact(sent), None);
+                } else if self.rule != Rule::NoRepair && self.hosts[host].watched > applied {
+                    // The watch begins again after what is applied.
+                    self.hosts[host].watched = applied;
+                }
+            }
+            Message::Claim(host, incarnation, id, event) => {
+                if self.hosts[host].incarnation == incarnation {
+                    self.step_claim(host, id, event);
+                }
+            }
+            Message::Job(upstream, job) => {
+                let until = self.upstreams[upstream].paused_until;
+                if self.now < until {
+                    return self.send(until - self.now, Message::Job(upstream, job));
+                }
+                self.job(upstream, job);
+            }
+            Message::Directive(upstream, directive) => {
+                self.step_side(upstream, side::Event::Directive(directive));
+            }
+        }
+    }
+
+    pub(super) fn postpone_host(&self, host: usize, incarnation: u64) -> bool {
+        let host = &self.hosts[host];
+        host.incarnation == incarnation && self.now < host.paused_until
+    }
+}
