test(core): require that each cell meets each of its faults

Cause: a cell with two faults passed when only one of them had an effect. Change: the world counts effects by fault, and a cell without an effect of one of its faults fails.

--- a/crates/carawaycleat-core/src/clock/hybrid.rs
+++ b/crates/carawaycleat-core/src/clock/hybrid.rs
@@ -60,7 +60,8 @@
     pub fn receive(&mut self, wall_ms: u64, remote: &super::Stamp) -> super::Stamp {
         let is_near = remote.wall_ms <= wall_ms.saturating_add(Self::MAX_AHEAD_MS);
         let position = (remote.wall_ms, remote.counter);
-        if is_near && remote.counter <= Self::MAX_COUNTER && position > (self.wall_ms, self.counter) {
+        if is_near && remote.counter <= Self::MAX_COUNTER && position > (self.wall_ms, self.counter)
+        {
             (self.wall_ms, self.counter) = position;
         }
         self.tick(wall_ms)
--- a/crates/carawaycleat-core/tests/suite/path.rs
+++ b/crates/carawaycleat-core/tests/suite/path.rs
@@ -53,8 +53,9 @@
                     total.steps += world.steps;
                     total.dispatched += world.dispatched;
                     total.finished += world.finished;
-                    total.met += world.met;
-                    if world.dispatched == 0 || world.met < 1 {
+                    total.met += world.met.values().sum::<u64>();
+                    let is_met = |(fault, _): &(Fault, u64)| world.met.contains_key(fault);
+                    if world.dispatched == 0 || !cell.iter().all(is_met) {
                         total.idle.push(cell.clone());
                     }
                     for (broken, detail) in world.broken {
--- a/crates/carawaycleat-core/tests/suite/path_world.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world.rs
@@ -222,7 +222,8 @@
     pub(crate) steps: u64,
     pub(crate) dispatched: u64,
     pub(crate) finished: u64,
-    pub(crate) met: u64,
+    /// How often each fault had an effect on a message, connection or process.
+    pub(crate) met: collections::BTreeMap<Fault, u64>,
 }
 
 impl World {
@@ -255,7 +256,7 @@
             steps: 0,
             dispatched: 0,
             finished: 0,
-            met: 0,
+            met: collections::BTreeMap::new(),
         };
         for index in 0..fake::HOSTS {
             let host = Host {
@@ -331,6 +332,13 @@
             .or_insert_with(|| format!("step {step}: {detail}"));
     }
 
+    /// Notes that a fault has had an effect `count` times.
+    fn meet(&mut self, fault: Fault, count: u64) {
+        if count > 0 {
+            *self.met.entry(fault).or_default() += count;
+        }
+    }
+
     fn check_that(&mut self, holds: bool, broken: Broken, detail: impl Into<String>) {
         if !holds {
             self.break_with(broken, detail);
--- a/crates/carawaycleat-core/tests/suite/path_world/fault.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/fault.rs
@@ -42,7 +42,7 @@
             Fault::ListLate => {
                 let event = entry::Event::Listed(fake::upstream(1), true);
                 self.send(10_000, Message::Host(0, 1, Box::new(event), None));
-                self.met += 1;
+                self.meet(fault, 1);
             }
             Fault::HostKilled => self.kill_host(0),
             Fault::HostPaused => self.hosts[0].paused_until = now + PAUSE_MS,
@@ -94,7 +94,7 @@
                 | Fault::AnswerLost
                 | Fault::ListLate
         );
-        self.met += u64::from(meets_at_once);
+        self.meet(fault, u64::from(meets_at_once));
     }
 
     /// Takes one occurrence of a fault of a message or connection.
@@ -103,7 +103,7 @@
             return false;
         };
         *left -= 1;
-        self.met += 1;
+        self.meet(fault, 1);
         true
     }
 
--- a/crates/carawaycleat-core/tests/suite/path_world/host.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/host.rs
@@ -7,6 +7,7 @@
 use carawaycleat_core::request;
 
 use super::CLAIM_WITHIN_MS;
+use super::Fault;
 use super::Message;
 use super::Rule;
 use super::STEP_MS;
@@ -220,7 +221,10 @@
                 let answer = if has_store {
                     let lost = self.store.answers_to_lose;
                     let answer = self.store.shards(&write);
-                    self.met += u64::from(self.store.answers_to_lose < lost);
+                    self.meet(
+                        Fault::AnswerLost,
+                        u64::from(self.store.answers_to_lose < lost),
+                    );
                     answer
                 } else {
                     rate::Answer::Unknown
@@ -273,7 +277,10 @@
                 let event = if self.has_store(host) {
                     let lost = self.store.answers_to_lose;
                     let event = self.store.claim(&key, &action);
-                    self.met += u64::from(self.store.answers_to_lose < lost);
+                    self.meet(
+                        Fault::AnswerLost,
+                        u64::from(self.store.answers_to_lose < lost),
+                    );
                     event
                 } else {
                     delay += STEP_MS;
--- a/crates/carawaycleat-core/tests/suite/path_world/sidecar.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/sidecar.rs
@@ -141,7 +141,7 @@
         let is_short = run.next + 1 == length && upstream.shorts > 0;
         if run.next == length || is_short {
             upstream.shorts -= u32::from(is_short);
-            self.met += u64::from(is_short);
+            self.meet(Fault::Short, u64::from(is_short));
             self.upstreams[index]
                 .runs
                 .retain(|other| other.job.attempt != attempt);
@@ -155,16 +155,18 @@
             found.next += u64::from(found.job.attempt == attempt);
         }
         let mut shown = run.clone();
+        let mut is_crossed = false;
         if upstream.crossings > 0 && is_model {
             let other = upstream.runs.iter();
             let mut other = other
                 .filter(|other| other.job.request != run.job.request && other.job.claim.is_none());
             if let Some(other) = other.next_back().cloned() {
                 upstream.crossings -= 1;
-                self.met += 1;
+                is_crossed = true;
                 shown = other;
             }
         }
+        self.meet(Fault::Crossed, u64::from(is_crossed));
         let content = Some((shown.job.request, shown.next));
         let progress = if is_model {
             entry::Progress::Token {
