fix: answer wrong requests of callers clearly

Cause: a body that is no JSON was called `not valid`, one that is a list was read as the fields in their order, another method on a path of models was answered with 404, `HEAD /readyz` was answered with 404, a 401 had no `WWW-Authenticate`, and a refusal for too many connections or requests had the type of an invalid request.

Change: the message names JSON or a wrong field, a list is refused, another method is answered with 405 and `Allow`, `HEAD` works on `/readyz` and `/healthz`, a 401 names the scheme, and 503 has the type `server_error`.

Conclusion: 24 wrong requests are sent through the whole path and checked for status, code, outcome, message and headers. A field with a value of another type is named by its column only.

--- a/crates/carawaycleat-net/src/server/refusal.rs
+++ b/crates/carawaycleat-net/src/server/refusal.rs
@@ -40,7 +40,7 @@
     pub(super) fn response(&self) -> response::Response {
         let body = serde_json::json!({"error": {
             "message": self.message,
-            "type": "invalid_request_error",
+            "type": if self.is_malformed() { "invalid_request_error" } else { "server_error" },
             "code": self.code,
             "outcome": "not_run",
         }});
--- a/crates/carawaycleat-standin/tests/suite/main.rs
+++ b/crates/carawaycleat-standin/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the stand-ins, a module per feature.
 
+mod callers;
 mod engine;
 mod engine_faults;
 mod engine_time;
--- a/crates/carawaycleat/src/api.rs
+++ b/crates/carawaycleat/src/api.rs
@@ -24,10 +24,14 @@
     pub enum Error {
         /// The body is not JSON of the expected shape.
         Json(source: serde_json::Error) {
-            display("the body is not valid: {source}")
+            display("{}: {source}", if source.is_data() { "the body has a wrong field" } else { "the body is not valid JSON" })
             source(source)
             from()
         }
+        /// The body is JSON, but no object.
+        Object {
+            display("the body must be a JSON object")
+        }
         /// A field has a value that is not allowed.
         Field(field: &'static str, allowed: &'static str) {
             display("field `{field}` must be {allowed}")
--- a/crates/carawaycleat/src/api/call.rs
+++ b/crates/carawaycleat/src/api/call.rs
@@ -112,6 +112,10 @@
     ///
     /// Returns an error when the body is not valid JSON, or when a field or header has a value that is not allowed.
     pub fn parse(form: Form, headers: &net::Headers, body: &[u8]) -> super::Result<Self> {
+        // A list would be read as the fields in their order.
+        if body.trim_ascii_start().first() == Some(&b'[') {
+            return Err(super::Error::Object);
+        }
         let body: Body = serde_json::from_slice(body)?;
         let text = body.text(form)?;
         let (model, adapter) = body.target()?;
--- a/crates/carawaycleat/src/api/refusal.rs
+++ b/crates/carawaycleat/src/api/refusal.rs
@@ -18,6 +18,8 @@
     pub message: String,
     /// The time after which it is worth trying again.
     pub retry_after: Option<time::Duration>,
+    /// The methods that the path has, when the request had another one.
+    pub allowed: Option<&'static str>,
 }
 
 impl Refusal {
@@ -31,6 +33,7 @@
             outcome: outcome::Outcome::NotRun,
             message: message.into(),
             retry_after,
+            allowed: None,
         }
     }
 
@@ -47,6 +50,7 @@
             outcome,
             message: message.into(),
             retry_after,
+            allowed: None,
         }
     }
 
@@ -57,6 +61,21 @@
         self
     }
 
+    /// Sets the methods that the path has, and returns the refusal.
+    #[must_use]
+    pub fn allowed(mut self, methods: &'static str) -> Self {
+        self.allowed = Some(methods);
+        self
+    }
+
+    /// Returns the HTTP status.
+    pub const fn status(&self) -> u16 {
+        match self.allowed {
+            Some(_) => 405,
+            None => self.reason.status(),
+        }
+    }
+
     /// Returns the error body.
     pub fn json(&self) -> serde_json::Value {
         serde_json::json!({"error": {
@@ -69,8 +88,14 @@
 
     /// Returns the refusal as a response.
     pub fn response(&self) -> net::Response {
-        let response = net::Response::json(self.reason.status(), &self.json())
+        let mut response = net::Response::json(self.status(), &self.json())
             .header(OUTCOME_HEADER, self.outcome.as_str());
+        if let Some(methods) = self.allowed {
+            response = response.header("Allow", methods);
+        }
+        if self.status() == 401 {
+            response = response.header("WWW-Authenticate", "Bearer");
+        }
         match self.retry_after {
             Some(span) => response.header(
                 "Retry-After",
@@ -105,6 +130,7 @@
             outcome: refusal.outcome,
             message: refusal.message,
             retry_after: refusal.retry_after,
+            allowed: None,
         }
     }
 }
--- a/crates/carawaycleat/src/entry/callers.rs
+++ b/crates/carawaycleat/src/entry/callers.rs
@@ -26,8 +26,8 @@
     request: net::Request,
 ) -> net::Response {
     match (request.method.as_str(), request.path.as_str()) {
-        ("GET", "/healthz") => net::Response::new(200).body("ok"),
-        ("GET", "/readyz") => ready(&shared),
+        ("GET" | "HEAD", "/healthz") => net::Response::new(200).body("ok"),
+        ("GET" | "HEAD", "/readyz") => ready(&shared),
         _ => {
             let id = request::Id::from_u128(fastrand::u128(..));
             let (target, response) = serve(shared.clone(), id, request).await;
--- a/crates/carawaycleat/src/entry/callers/intake.rs
+++ b/crates/carawaycleat/src/entry/callers/intake.rs
@@ -143,7 +143,12 @@
         ("POST", "/v1/completions") => api::Form::Completion,
         (method, path) => {
             let message = format!("no operation {method} {path}");
-            return Err(super::refuse(outcome::Reason::UnknownRoute, message));
+            let refusal = super::refuse(outcome::Reason::UnknownRoute, message);
+            return Err(match path {
+                "/v1/models" => refusal.allowed("GET"),
+                "/v1/chat/completions" | "/v1/completions" => refusal.allowed("POST"),
+                _ => refusal,
+            });
         }
     };
     let call = api::Call::parse(form, &request.headers, &request.body);
