--- a/crates/carawaycleat-core/src/admission/lengths.rs
+++ b/crates/carawaycleat-core/src/admission/lengths.rs
@@ -1,5 +1,6 @@
 /// The numbers of waiting requests of each class.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Lengths {
     /// Of class `live`.
     pub live: usize,
--- a/crates/carawaycleat-core/src/claim/record.rs
+++ b/crates/carawaycleat-core/src/claim/record.rs
@@ -2,7 +2,8 @@
 use crate::outcome;
 
 /// The claim of an idempotency key, as JSON in the store.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Record {
     /// The operation that created it; a lost answer is resolved by comparing it.
     pub operation: u128,
@@ -13,7 +14,8 @@
 }
 
 /// How far a claimed request is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// The request may have run.
--- a/crates/carawaycleat-core/src/clock/instant.rs
+++ b/crates/carawaycleat-core/src/clock/instant.rs
@@ -17,19 +17,8 @@
 /// assert_eq!(later.since(start), time::Duration::from_millis(2));
 /// assert_eq!(start.since(later), time::Duration::ZERO);
 /// ```
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Instant(u64);
 
 impl Instant {
--- a/crates/carawaycleat-core/src/clock/stamp.rs
+++ b/crates/carawaycleat-core/src/clock/stamp.rs
@@ -5,9 +5,8 @@
 /// A hybrid logical clock stamp.
 ///
 /// Stamps are totally ordered by wall clock, then counter, then host name.
-#[derive(
-    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Stamp {
     /// The wall clock, in milliseconds since the Unix epoch.
     pub wall_ms: u64,
--- a/crates/carawaycleat-core/src/config/change.rs
+++ b/crates/carawaycleat-core/src/config/change.rs
@@ -1,5 +1,6 @@
 /// A change of one key of the store.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Change {
     /// The key.
     pub key: String,
--- a/crates/carawaycleat-core/src/config/entry.rs
+++ b/crates/carawaycleat-core/src/config/entry.rs
@@ -1,7 +1,8 @@
 use crate::resource;
 
 /// A resource and the store revision of its last write.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Entry {
     /// The store revision of the last write.
     pub revision: u64,
--- a/crates/carawaycleat-core/src/config/record.rs
+++ b/crates/carawaycleat-core/src/config/record.rs
@@ -8,7 +8,8 @@
 pub const RESOURCE_PREFIX: &str = "/carawaycleat/v1/resource/";
 
 /// A resource as the store holds it.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Record {
     /// The operation identifier of the last write, by which a lost answer is resolved.
     pub operation: String,
--- a/crates/carawaycleat-core/src/entry/status.rs
+++ b/crates/carawaycleat-core/src/entry/status.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// What operators see of an entry host.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Status {
     /// The host.
     pub host: name::Name,
--- a/crates/carawaycleat-core/src/freshness/state.rs
+++ b/crates/carawaycleat-core/src/freshness/state.rs
@@ -1,5 +1,6 @@
 /// How far a host's copy of the configuration can be relied on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// The store contact is recent.
--- a/crates/carawaycleat-core/src/memory/item.rs
+++ b/crates/carawaycleat-core/src/memory/item.rs
@@ -1,9 +1,8 @@
 use crate::name;
 
 /// The identity of a model version or of an adapter on top of one.
-#[derive(
-    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Id {
     /// The model.
     pub model: name::Name,
@@ -48,9 +47,8 @@
 }
 
 /// A model version or adapter with the memory that it takes.
-#[derive(
-    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Item {
     /// The identity.
     #[serde(flatten)]
--- a/crates/carawaycleat-core/src/memory/order.rs
+++ b/crates/carawaycleat-core/src/memory/order.rs
@@ -1,5 +1,6 @@
 /// What an [`Order`] asks the engine to do.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Load the item.
@@ -16,7 +17,8 @@
 /// An order to an engine.
 ///
 /// The engine applies each order once per incarnation, however often it is sent.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Order {
     /// The identifier, unique over all incarnations of the sidecar.
     pub id: u64,
@@ -42,7 +44,8 @@
 }
 
 /// How far an engine is with an order.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Progress {
     /// The order is being applied.
--- a/crates/carawaycleat-core/src/name.rs
+++ b/crates/carawaycleat-core/src/name.rs
@@ -38,7 +38,8 @@
 /// assert_eq!(name.as_str(), "summary-small");
 /// assert!(name::Name::parse("a/b").is_err());
 /// ```
-#[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(try_from = "String")]
 pub struct Name(sync::Arc<str>);
 
--- a/crates/carawaycleat-core/src/outcome.rs
+++ b/crates/carawaycleat-core/src/outcome.rs
@@ -5,7 +5,8 @@
 pub use reason::Reason;
 
 /// What is known about the execution of a request.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// The request ran.
--- a/crates/carawaycleat-core/src/outcome/reason.rs
+++ b/crates/carawaycleat-core/src/outcome/reason.rs
@@ -1,9 +1,8 @@
 /// A machine-readable reason for a refusal or a failure.
 ///
 /// The table in `docs/design.md`, section 3, gives the status and outcome of each.
-#[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
     /// The request is malformed or has a value out of range.
--- a/crates/carawaycleat-core/src/placement/plan.rs
+++ b/crates/carawaycleat-core/src/placement/plan.rs
@@ -4,7 +4,8 @@
 use crate::name;
 
 /// What each upstream of a group is to hold.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Plan {
     /// The group.
     pub group: name::Name,
--- a/crates/carawaycleat-core/src/rate/owner.rs
+++ b/crates/carawaycleat-core/src/rate/owner.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// The process that holds a shard.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Owner {
     /// The host.
     pub host: name::Name,
--- a/crates/carawaycleat-core/src/rate/shard.rs
+++ b/crates/carawaycleat-core/src/rate/shard.rs
@@ -1,7 +1,8 @@
 use std::time;
 
 /// The record of a shard in the store, at [`shard_key`].
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Shard {
     /// The holder; none when the shard is free.
     pub owner: Option<super::Owner>,
--- a/crates/carawaycleat-core/src/resource.rs
+++ b/crates/carawaycleat-core/src/resource.rs
@@ -45,7 +45,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// A resource of any kind.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Resource {
     /// A model that callers may name.
--- a/crates/carawaycleat-core/src/resource/adapter.rs
+++ b/crates/carawaycleat-core/src/resource/adapter.rs
@@ -1,7 +1,8 @@
 use crate::name;
 
 /// An adapter on top of a model.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// The model that the adapter belongs to.
--- a/crates/carawaycleat-core/src/resource/id.rs
+++ b/crates/carawaycleat-core/src/resource/id.rs
@@ -3,9 +3,8 @@
 use crate::name;
 
 /// The kind and name that identify a resource.
-#[derive(
-    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Id {
     /// The kind.
     pub kind: super::Kind,
--- a/crates/carawaycleat-core/src/resource/key.rs
+++ b/crates/carawaycleat-core/src/resource/key.rs
@@ -1,7 +1,8 @@
 use crate::name;
 
 /// A caller's key, of which only the digest is stored.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// The workspace that requests with this key run for.
--- a/crates/carawaycleat-core/src/resource/kind.rs
+++ b/crates/carawaycleat-core/src/resource/kind.rs
@@ -2,9 +2,8 @@
 use std::str;
 
 /// The kind of a resource.
-#[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A model that callers may name.
--- a/crates/carawaycleat-core/src/resource/model.rs
+++ b/crates/carawaycleat-core/src/resource/model.rs
@@ -1,7 +1,8 @@
 use crate::name;
 
 /// A model that callers may name.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// The version to serve; a resource of kind `version`.
--- a/crates/carawaycleat-core/src/resource/rate.rs
+++ b/crates/carawaycleat-core/src/resource/rate.rs
@@ -1,7 +1,8 @@
 use crate::name;
 
 /// The tokens that a workspace may use over all hosts together.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Rate {
     /// The workspace that the rate limits.
--- a/crates/carawaycleat-core/src/resource/route.rs
+++ b/crates/carawaycleat-core/src/resource/route.rs
@@ -1,7 +1,8 @@
 use crate::name;
 
 /// A route from a path prefix to a group of upstreams.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The path prefix; the longest that matches wins.
@@ -29,7 +30,8 @@
 }
 
 /// What stands behind a route.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Target {
     /// Model engines; the request names the model.
--- a/crates/carawaycleat-core/src/resource/upstream.rs
+++ b/crates/carawaycleat-core/src/resource/upstream.rs
@@ -3,7 +3,8 @@
 use crate::name;
 
 /// An upstream: a model engine with its accelerator, or a plain service.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Upstream {
     /// The group that models and routes name.
@@ -27,7 +28,8 @@
 }
 
 /// Whether an engine checks the fencing number of an order.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fencing {
     /// An order with an old fencing number is refused.
--- a/crates/carawaycleat-core/src/resource/version.rs
+++ b/crates/carawaycleat-core/src/resource/version.rs
@@ -1,7 +1,8 @@
 use crate::name;
 
 /// A version of a model's weights.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Version {
     /// The model that the weights belong to.
--- a/crates/carawaycleat-core/src/resource/workspace.rs
+++ b/crates/carawaycleat-core/src/resource/workspace.rs
@@ -1,5 +1,6 @@
 /// A workspace that keys belong to.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// The part of the service that the workspace gets under contention, relative to other workspaces.
--- a/crates/carawaycleat-core/src/timeline/event.rs
+++ b/crates/carawaycleat-core/src/timeline/event.rs
@@ -16,7 +16,8 @@
 ///     .with_detail("rate_limited");
 /// assert_eq!(event.host.as_str(), "entry-1");
 /// ```
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Event {
     /// When the event happened.
     pub stamp: clock::Stamp,
--- a/crates/carawaycleat-core/src/timeline/kind.rs
+++ b/crates/carawaycleat-core/src/timeline/kind.rs
@@ -1,9 +1,8 @@
 use std::fmt;
 
 /// What an event records.
-#[derive(
-    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A request arrived at an entry host.
--- a/crates/carawaycleat-standin/src/engine/cache.rs
+++ b/crates/carawaycleat-standin/src/engine/cache.rs
@@ -9,7 +9,8 @@
 pub const BLOCK_TOKENS: usize = 16;
 
 /// A change of the prefix cache.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct CacheEvent {
     /// The number of the event; a missing number is an event that was lost.
     pub seq: u64,
@@ -22,7 +23,8 @@
 }
 
 /// The kind of a [`CacheEvent`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheChange {
     /// A block was stored.
@@ -31,7 +33,8 @@
     Evicted,
 }
 
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
 struct Export {
     model: String,
     blocks: Vec<u64>,
--- a/crates/carawaycleat-standin/src/engine/call.rs
+++ b/crates/carawaycleat-standin/src/engine/call.rs
@@ -7,7 +7,8 @@
 const DEFAULT_MAX_TOKENS: u32 = 16;
 
 /// The body of `/v1/completions` and `/v1/chat/completions`.
-#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Call {
     /// The model.
@@ -31,7 +32,8 @@
 }
 
 /// A message of a chat.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Message {
     /// The role of the author.
@@ -42,7 +44,8 @@
 }
 
 /// One server-sent event, or the whole plain answer.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Chunk {
     /// The id of the request.
@@ -58,7 +61,8 @@
 }
 
 /// The text in a [`Chunk`], in the field of the interface that was called.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Choice {
     /// The number of the choice, always 0.
@@ -78,7 +82,8 @@
 }
 
 /// The tokens of a plain answer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Usage {
     /// The tokens produced for this call.
--- a/crates/carawaycleat-standin/src/engine/order.rs
+++ b/crates/carawaycleat-standin/src/engine/order.rs
@@ -1,5 +1,6 @@
 /// An order to the engine.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Order {
     /// The id; an order whose id was applied before has no effect.
     pub id: String,
@@ -26,7 +27,8 @@
 }
 
 /// The kind of an [`Order`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderKind {
     /// Loads a model.
@@ -42,7 +44,8 @@
 }
 
 /// The part of the work that the engine does.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Only prefill.
@@ -55,7 +58,8 @@
 }
 
 /// The progress of an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderState {
     /// The order has not landed yet.
--- a/crates/carawaycleat-standin/src/engine/report.rs
+++ b/crates/carawaycleat-standin/src/engine/report.rs
@@ -1,7 +1,8 @@
 use super::order;
 
 /// The state that the engine reports.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Report {
     /// The number of the engine's start.
     pub incarnation: u64,
@@ -30,7 +31,8 @@
 }
 
 /// A model or adapter in memory.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Resident {
     /// The name.
     pub name: String,
@@ -47,7 +49,8 @@
 }
 
 /// The state of a [`Resident`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ResidentState {
     /// The load runs.
@@ -59,7 +62,8 @@
 }
 
 /// The state of an order in a [`Report`].
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct OrderReport {
     /// The order's id.
     pub id: String,
--- a/crates/carawaycleat-standin/src/engine/request.rs
+++ b/crates/carawaycleat-standin/src/engine/request.rs
@@ -50,7 +50,8 @@
 }
 
 /// The record of one accepted request.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Execution {
     /// The id that the caller gave.
     pub id: String,
--- a/crates/carawaycleat-standin/src/engine/state.rs
+++ b/crates/carawaycleat-standin/src/engine/state.rs
@@ -13,7 +13,8 @@
 use super::request;
 
 /// What a test reads from the engine after a run.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Records {
     /// The most bytes that were ever committed.
     pub peak_committed: u64,
--- a/crates/carawaycleat-standin/src/hosts/state.rs
+++ b/crates/carawaycleat-standin/src/hosts/state.rs
@@ -5,7 +5,8 @@
 use carawaycleat_core::clock;
 
 /// A host in the list.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Host {
     /// The name.
     pub name: String,
@@ -18,7 +19,8 @@
 }
 
 /// The state of a [`Host`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// The host is in use.
@@ -28,7 +30,8 @@
 }
 
 /// The list of hosts.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct List {
     /// The hosts.
     pub hosts: Vec<Host>,
--- a/crates/carawaycleat-standin/src/load/observe.rs
+++ b/crates/carawaycleat-standin/src/load/observe.rs
@@ -18,7 +18,8 @@
 const ENGINE_PERIOD: time::Duration = time::Duration::from_millis(500);
 
 /// What the stand-ins have counted during a run; none where no stand-in was given or one did not answer.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Observed {
     /// The executions of this run's requests at the services.
     pub executions: Option<u64>,
--- a/crates/carawaycleat-standin/src/load/plan.rs
+++ b/crates/carawaycleat-standin/src/load/plan.rs
@@ -9,7 +9,8 @@
 
 /// What a load file says. The times of the load's course are divided by `time_scale`; bounds on answers and the time to
 /// warm up are real times.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// The addresses of the entry hosts.
@@ -69,7 +70,8 @@
 }
 
 /// How a request's entry host is chosen.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Choice {
     /// Each request goes to the next entry host.
@@ -80,7 +82,8 @@
 }
 
 /// The popularity of models and adapters.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Popularity {
     /// The exponent `s`: the model at place `n` has the weight `1 / n^s`. Adapters of a model likewise.
@@ -101,7 +104,8 @@
 }
 
 /// A model.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// The name.
@@ -115,7 +119,8 @@
 }
 
 /// A lasting change of popularity.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Demand {
     /// When it starts, in seconds.
@@ -132,7 +137,8 @@
 }
 
 /// A fault of a stand-in, switched by an HTTP call.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When, in seconds.
@@ -149,7 +155,8 @@
 }
 
 /// The stand-ins whose counts are read before and after the run.
-#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Observe {
     /// The plain services.
--- a/crates/carawaycleat-standin/src/load/report.rs
+++ b/crates/carawaycleat-standin/src/load/report.rs
@@ -10,7 +10,8 @@
 use super::workspace;
 
 /// The result of a run.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 pub struct Report {
     /// The time until the last request had ended, in seconds.
     pub elapsed_s: f64,
@@ -37,7 +38,8 @@
 }
 
 /// The requests of a workspace.
-#[derive(Clone, Debug, Default, serde::Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Serialize)]
 pub struct Summary {
     /// The name.
     pub name: String,
@@ -74,7 +76,8 @@
 }
 
 /// The requests of a class.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Attained {
     /// The requests sent.
     pub sent: u64,
@@ -83,7 +86,8 @@
 }
 
 /// Percentiles in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Quantiles {
     /// The median.
     pub p50: f64,
@@ -94,7 +98,8 @@
 }
 
 /// The requests whose intended start was in one second of the run.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Second {
     /// The attained requests by workspace.
     pub attained: Vec<u64>,
--- a/crates/carawaycleat-standin/src/load/site.rs
+++ b/crates/carawaycleat-standin/src/load/site.rs
@@ -4,7 +4,8 @@
 use super::number;
 
 /// The machines and weights of a site, for a set-up that starts them.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Site {
     /// The name.
@@ -27,7 +28,8 @@
 }
 
 /// An availability zone.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Zone {
     /// The name.
@@ -40,7 +42,8 @@
 }
 
 /// One-way latencies in milliseconds.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Latency {
     /// Between two availability zones.
@@ -52,7 +55,8 @@
 }
 
 /// A group of equal upstreams, spread over the zones in turn.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Upstreams {
     /// The name of the group.
@@ -71,7 +75,8 @@
 }
 
 /// The limits of the weight store.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Store {
     /// The model loads a second when the store is busy.
@@ -88,7 +93,8 @@
 }
 
 /// A model of a site.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SiteModel {
     /// The name.
--- a/crates/carawaycleat-standin/src/load/workspace.rs
+++ b/crates/carawaycleat-standin/src/load/workspace.rs
@@ -1,18 +1,8 @@
 use super::number;
 
 /// How urgent a request is, and what it must attain.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Eq,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    serde::Deserialize,
-    serde::Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
     /// First token within 0.5 s and a mean gap of at most 48 ms.
@@ -36,7 +26,8 @@
 }
 
 /// A workspace: its key, its rate limit and what it sends.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// The name.
@@ -60,7 +51,8 @@
 }
 
 /// A workspace that sends several times its rate from a given time.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Surge {
     /// When it starts, in seconds.
@@ -74,7 +66,8 @@
 }
 
 /// Requests of one kind to models.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
     /// The mean rate outside of bursts.
@@ -97,7 +90,8 @@
 }
 
 /// Alternating periods, the burst first.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Burst {
     /// The length of a burst, in seconds.
@@ -118,7 +112,8 @@
 }
 
 /// A length that is spread evenly from `mean * (1 - spread)` to `mean * (1 + spread)`.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Length {
     /// The mean in tokens.
@@ -137,7 +132,8 @@
 }
 
 /// Shared beginnings of prompts.
-#[derive(Clone, Copy, Debug, serde::Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Prefixes {
     /// The number of different prefixes.
@@ -151,7 +147,8 @@
 }
 
 /// Requests of one kind to a plain service.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Booking {
     /// The path, under the prefix of a route.
@@ -177,7 +174,8 @@
 }
 
 /// The method of a [`Booking`].
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Method {
     /// A look-up, which the system may send again.
--- a/crates/carawaycleat-standin/src/service/state.rs
+++ b/crates/carawaycleat-standin/src/service/state.rs
@@ -1,7 +1,8 @@
 use carawaycleat_core::clock;
 
 /// One executed request.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Execution {
     /// When it was executed, in microseconds of the service's clock.
     pub at_us: u64,
@@ -18,7 +19,8 @@
 }
 
 /// The faults of the service that are switched on.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Whether requests are executed and never answered.
--- a/crates/carawaycleat-standin/src/store/counts.rs
+++ b/crates/carawaycleat-standin/src/store/counts.rs
@@ -1,7 +1,8 @@
 use std::collections;
 
 /// The calls that the store has seen, refused ones included.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Counts {
     /// The calls by path.
     pub calls: collections::BTreeMap<String, u64>,
--- a/crates/carawaycleat-standin/src/store/fault.rs
+++ b/crates/carawaycleat-standin/src/store/fault.rs
@@ -1,5 +1,6 @@
 /// The faults of the store that are switched on.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// The time before a call takes effect, in milliseconds.
--- a/crates/carawaycleat-standin/src/store/message.rs
+++ b/crates/carawaycleat-standin/src/store/message.rs
@@ -4,7 +4,8 @@
 use super::encoding::int64;
 
 /// The header of each answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Header {
     /// The revision of the store when the answer was made.
     #[serde(with = "int64")]
@@ -12,7 +13,8 @@
 }
 
 /// A key with its value.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Pair {
     /// The key.
@@ -36,7 +38,8 @@
 }
 
 /// A set of keys: one key, or all from `key` up to `range_end`. A `range_end` of one zero byte has no upper bound.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Range {
     /// The key, or the first key.
@@ -67,7 +70,8 @@
 }
 
 /// A write of one key.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Put {
     /// The key.
@@ -84,7 +88,8 @@
 }
 
 /// A condition of a transaction.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Compare {
     /// The relation that must hold.
@@ -112,7 +117,8 @@
 }
 
 /// A relation of a [`Compare`].
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 #[expect(missing_docs, reason = "the names of the protocol say it")]
 pub enum Relation {
@@ -124,7 +130,8 @@
 }
 
 /// A property that a [`Compare`] looks at.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 #[expect(missing_docs, reason = "the names of the protocol say it")]
 pub enum Target {
@@ -137,7 +144,8 @@
 }
 
 /// One operation of a transaction.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub enum Operation {
     /// A read.
     #[serde(rename = "request_range", alias = "requestRange")]
@@ -151,7 +159,8 @@
 }
 
 /// A transaction: `success` when all of `compare` hold, else `failure`.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Transaction {
     /// The conditions.
@@ -163,7 +172,8 @@
 }
 
 /// A request about a lease.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Lease {
     /// The lease; 0 in a grant lets the store choose.
@@ -175,7 +185,8 @@
 }
 
 /// A request for a compaction.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Compaction {
     /// The revision up to which the history is dropped.
@@ -184,14 +195,16 @@
 }
 
 /// A request for a watch.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Watch {
     /// The watch to create.
     pub create_request: Create,
 }
 
 /// The parameters of a watch.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Create {
     /// The keys.
@@ -203,7 +216,8 @@
 }
 
 /// The answer to a range, put, delete, lease or compaction request; only the fields of that request are set.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 #[serde(default)]
 pub struct Answer {
     /// The header; absent inside of a transaction.
@@ -242,7 +256,8 @@
 }
 
 /// The answer to one [`Operation`].
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub enum Response {
     /// The answer to a read.
     #[serde(rename = "response_range")]
@@ -256,7 +271,8 @@
 }
 
 /// A change that a watch reports.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Event {
     /// `DELETE` for a deletion, left out for a write.
     #[serde(rename = "type", default, skip_serializing_if = "Option::is_none")]
@@ -266,7 +282,8 @@
 }
 
 /// The kind of an [`Event`] that is no write.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub enum Deletion {
     /// The key was deleted or its lease ended.
     #[serde(rename = "DELETE")]
@@ -274,7 +291,8 @@
 }
 
 /// One message of a watch.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Notice {
     /// The header.
     pub header: Header,
--- a/crates/carawaycleat-standin/src/weights/server.rs
+++ b/crates/carawaycleat-standin/src/weights/server.rs
@@ -28,7 +28,8 @@
 }
 
 /// The body of `POST /weights/fetch`.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Fetch {
     /// The name of the weights.
     pub name: String,
--- a/crates/carawaycleat-store/src/json.rs
+++ b/crates/carawaycleat-store/src/json.rs
@@ -3,14 +3,16 @@
 use base64::prelude::*;
 use serde_json::json;
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Header {
     #[serde(deserialize_with = "number")]
     pub(crate) revision: u64,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct KeyValue {
     key: String,
@@ -23,14 +25,16 @@
     lease: u64,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Range {
     pub(crate) header: Header,
     pub(crate) kvs: Vec<KeyValue>,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Transaction {
     pub(crate) header: Header,
@@ -38,13 +42,15 @@
     pub(crate) responses: Vec<Response>,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Response {
     pub(crate) response_range: Range,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Lease {
     #[serde(rename = "ID", deserialize_with = "number")]
@@ -53,20 +59,23 @@
     pub(crate) ttl: u64,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Streamed<T> {
     pub(crate) result: Option<T>,
     pub(crate) error: Option<Failure>,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Failure {
     pub(crate) message: String,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Watch {
     pub(crate) header: Header,
@@ -77,7 +86,8 @@
     pub(crate) events: Vec<Event>,
 }
 
-#[derive(Debug, Default, serde::Deserialize)]
+#[derive(Debug, Default)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub(crate) struct Event {
     r#type: String,
--- a/crates/carawaycleat-wire/src/message/account.rs
+++ b/crates/carawaycleat-wire/src/message/account.rs
@@ -1,7 +1,8 @@
 use carawaycleat_core::name;
 
 /// The memory account of an accelerator, in bytes.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Account {
     /// The memory of the accelerator.
     pub total: u64,
@@ -10,7 +11,8 @@
 }
 
 /// A model version or adapter that an upstream is to hold.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Holding {
     /// The model.
     pub model: name::Name,
--- a/crates/carawaycleat-wire/src/message/config.rs
+++ b/crates/carawaycleat-wire/src/message/config.rs
@@ -1,12 +1,14 @@
 /// A request for what changed in the store.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Fetch {
     /// The revision that the asking host has; 0 for none.
     pub since: u64,
 }
 
 /// The answer to a [`Fetch`].
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Bundle {
     /// The revision that the pairs lead to.
     pub revision: u64,
@@ -17,7 +19,8 @@
 }
 
 /// A key of the store with its value.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Pair {
     /// The key.
     pub key: String,
--- a/crates/carawaycleat-wire/src/message/digest.rs
+++ b/crates/carawaycleat-wire/src/message/digest.rs
@@ -4,7 +4,8 @@
 use carawaycleat_core::name;
 
 /// What entry hosts tell each other at each exchange.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Digest {
     /// The sender's logical time.
     pub stamp: clock::Stamp,
@@ -23,7 +24,8 @@
 }
 
 /// The tokens of a workspace that a host can lend.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Offer {
     /// The workspace.
     pub workspace: name::Name,
@@ -32,7 +34,8 @@
 }
 
 /// An entry host in the roster.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Member {
     /// The name of the host.
     pub host: name::Name,
--- a/crates/carawaycleat-wire/src/message/frame.rs
+++ b/crates/carawaycleat-wire/src/message/frame.rs
@@ -2,7 +2,8 @@
 use carawaycleat_core::outcome;
 
 /// A part of the answer to a [`Job`](super::Job).
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Frame {
     /// The identifier of the request that the part belongs to.
     pub job: super::Id,
@@ -31,7 +32,8 @@
 }
 
 /// What a [`Frame`] carries.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub enum Part {
     /// The first byte is about to leave for the upstream; from here on the request may have run.
     Started {
--- a/crates/carawaycleat-wire/src/message/id.rs
+++ b/crates/carawaycleat-wire/src/message/id.rs
@@ -1,9 +1,8 @@
 use std::fmt;
 
 /// The 128-bit identifier of a request, unique over all hosts.
-#[derive(
-    Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
-)]
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Id(u64, u64);
 
 impl Id {
--- a/crates/carawaycleat-wire/src/message/job.rs
+++ b/crates/carawaycleat-wire/src/message/job.rs
@@ -2,7 +2,8 @@
 use carawaycleat_core::name;
 
 /// A request that an entry host sends to a sidecar.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Job {
     /// The identifier of this attempt, unique over all attempts.
     pub id: super::Id,
@@ -42,7 +43,8 @@
 }
 
 /// A request that an entry host no longer wants.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Cancel {
     /// The identifier of the attempt.
     pub id: super::Id,
--- a/crates/carawaycleat-wire/src/message/report.rs
+++ b/crates/carawaycleat-wire/src/message/report.rs
@@ -2,7 +2,8 @@
 use carawaycleat_core::name;
 
 /// What a sidecar tells an entry host about its upstream.
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Report {
     /// The sender's logical time.
     pub stamp: clock::Stamp,
@@ -33,7 +34,8 @@
 }
 
 /// A model or adapter that is resident in an engine.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Residence {
     /// The model.
     pub model: name::Name,
@@ -46,7 +48,8 @@
 }
 
 /// An entry host's answer to a [`Report`].
-#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Directive {
     /// The sender's logical time.
     pub stamp: clock::Stamp,
--- a/crates/carawaycleat-wire/src/message/transfer.rs
+++ b/crates/carawaycleat-wire/src/message/transfer.rs
@@ -1,7 +1,8 @@
 use carawaycleat_core::name;
 
 /// A request for tokens of a workspace.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Ask {
     /// The host that asks.
     pub host: name::Name,
@@ -12,7 +13,8 @@
 }
 
 /// Tokens that were debited from the sender's bucket.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub struct Transfer {
     /// The identifier; a transfer is credited once.
     pub id: super::Id,
--- a/crates/carawaycleat/src/cli/answer.rs
+++ b/crates/carawaycleat/src/cli/answer.rs
@@ -6,7 +6,8 @@
 use carawaycleat_core::resource;
 
 /// The resources of a kind.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct Listing {
     /// The configuration revision of the listing.
     pub(super) revision: u64,
@@ -15,7 +16,8 @@
 }
 
 /// A resource with its revision.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct Item {
     /// The name.
     pub(super) name: name::Name,
@@ -26,7 +28,8 @@
 }
 
 /// What the state of an entry host says about others.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 pub(super) struct Status {
     /// The host.
     pub(super) host: String,
@@ -36,7 +39,8 @@
 }
 
 /// An entry host that another one knows.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 pub(super) struct Peer {
     /// The host.
     pub(super) host: String,
@@ -45,7 +49,8 @@
 }
 
 /// The result of a write.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct Written {
     /// The name.
     pub(super) name: name::Name,
@@ -60,7 +65,8 @@
 }
 
 /// A change of a resource.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
 pub(super) struct Change {
     /// The revision of the change.
     pub(super) revision: u64,
@@ -73,7 +79,8 @@
 }
 
 /// The body of a refusal.
-#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize)]
 pub(super) struct Refusal {
     /// The error.
     #[serde(default)]
@@ -84,7 +91,8 @@
 }
 
 /// The error of a refusal.
-#[derive(Clone, Debug, Default, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize)]
 pub(super) struct Detail {
     /// The text for people.
     #[serde(default)]
--- a/crates/carawaycleat/src/document/problem.rs
+++ b/crates/carawaycleat/src/document/problem.rs
@@ -1,7 +1,8 @@
 use std::fmt;
 
 /// A problem in a TOML document.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, serde::Serialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(serde::Serialize)]
 pub struct Problem {
     /// The line, starting at 1.
     pub line: usize,
--- a/crates/carawaycleat/src/manifest/problem.rs
+++ b/crates/carawaycleat/src/manifest/problem.rs
@@ -5,7 +5,8 @@
 use crate::document;
 
 /// A problem in a manifest.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Problem {
     /// The file.
     pub file: path::PathBuf,
--- a/crates/carawaycleat/src/settings/engine.rs
+++ b/crates/carawaycleat/src/settings/engine.rs
@@ -6,7 +6,8 @@
 use crate::document;
 
 /// The engine or service beside a sidecar.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Engine {
     /// The address of the engine or service.
     pub address: net::SocketAddr,
@@ -21,7 +22,8 @@
 }
 
 /// What stands beside a sidecar.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A model engine with an accelerator.
--- a/crates/carawaycleat/src/settings/entry.rs
+++ b/crates/carawaycleat/src/settings/entry.rs
@@ -16,7 +16,8 @@
 /// let entry = settings::Entry::parse(settings::Entry::example()).expect("a valid example");
 /// assert_eq!(entry, settings::Entry::default());
 /// ```
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Entry {
     /// The name of the host.
     pub host: name::Name,
--- a/crates/carawaycleat/src/settings/hosts.rs
+++ b/crates/carawaycleat/src/settings/hosts.rs
@@ -4,7 +4,8 @@
 use crate::document;
 
 /// The platform's list of live and leaving hosts.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Hosts {
     /// The address of the list, if there is one.
     pub endpoint: Option<net::SocketAddr>,
--- a/crates/carawaycleat/src/settings/limits.rs
+++ b/crates/carawaycleat/src/settings/limits.rs
@@ -1,7 +1,8 @@
 use crate::document;
 
 /// Limits that protect a process from its callers.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Limits {
     /// The longest header section, in bytes.
     pub header_bytes: usize,
--- a/crates/carawaycleat/src/settings/listen.rs
+++ b/crates/carawaycleat/src/settings/listen.rs
@@ -4,7 +4,8 @@
 use crate::document;
 
 /// The addresses on which an entry host listens. A port of 0 lets the system choose.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Listen {
     /// The address for callers.
     pub callers: net::SocketAddr,
@@ -55,7 +56,8 @@
 }
 
 /// The addresses that an entry host gives to others.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Advertise {
     /// The address for other entry hosts and sidecars; `listen.peers` when it is not set.
     pub peers: Option<net::SocketAddr>,
@@ -85,7 +87,8 @@
 }
 
 /// The address on which a sidecar listens. A port of 0 lets the system choose.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Work {
     /// The address for entry hosts.
     pub work: net::SocketAddr,
--- a/crates/carawaycleat/src/settings/log.rs
+++ b/crates/carawaycleat/src/settings/log.rs
@@ -1,7 +1,8 @@
 use crate::document;
 
 /// What is written to the log.
-#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Log {
     /// The format of a line.
     pub format: Format,
@@ -10,7 +11,8 @@
 }
 
 /// The format of a log line.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Format {
     /// Text for people.
@@ -21,7 +23,8 @@
 }
 
 /// The severity of a log line.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Level {
     /// A fault that needs attention.
--- a/crates/carawaycleat/src/settings/placement.rs
+++ b/crates/carawaycleat/src/settings/placement.rs
@@ -1,7 +1,8 @@
 use crate::document;
 
 /// How models are placed on upstreams.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Placement {
     /// Whether the host takes part in the election of the placement decider.
     pub enabled: bool,
--- a/crates/carawaycleat/src/settings/rates.rs
+++ b/crates/carawaycleat/src/settings/rates.rs
@@ -1,7 +1,8 @@
 use crate::document;
 
 /// How the rate of a workspace is divided between entry hosts. All hosts must have the same values.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Rates {
     /// The number of shards of each rate.
     pub shards: u32,
--- a/crates/carawaycleat/src/settings/shutdown.rs
+++ b/crates/carawaycleat/src/settings/shutdown.rs
@@ -1,7 +1,8 @@
 use crate::document;
 
 /// How a process stops after SIGTERM.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Shutdown {
     /// How long new requests are still accepted, in milliseconds; covers the lag of the load balancer.
     pub drain_delay_ms: u64,
--- a/crates/carawaycleat/src/settings/side.rs
+++ b/crates/carawaycleat/src/settings/side.rs
@@ -16,7 +16,8 @@
 /// let side = settings::Side::parse(settings::Side::example()).expect("a valid example");
 /// assert_eq!(side, settings::Side::default());
 /// ```
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Side {
     /// The name of the host.
     pub host: name::Name,
--- a/crates/carawaycleat/src/settings/store.rs
+++ b/crates/carawaycleat/src/settings/store.rs
@@ -4,7 +4,8 @@
 use crate::document;
 
 /// The key-value service that holds the configuration.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Store {
     /// The addresses of the service; the next one is tried when one fails.
     pub endpoints: Vec<net::SocketAddr>,
--- a/crates/carawaycleat/src/settings/timeline.rs
+++ b/crates/carawaycleat/src/settings/timeline.rs
@@ -1,7 +1,8 @@
 use crate::document;
 
 /// How much of the timeline is kept.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Timeline {
     /// The most events in memory.
     pub events: usize,
--- a/crates/carawaycleat/src/upstream/engine.rs
+++ b/crates/carawaycleat/src/upstream/engine.rs
@@ -21,7 +21,8 @@
 }
 
 /// The state that an engine reports about itself; it lags.
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub struct State {
     /// The incarnation; a restart changes it.
@@ -49,7 +50,8 @@
 }
 
 /// A model or adapter in a [`State`].
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub struct Loaded {
     /// The name.
@@ -65,7 +67,8 @@
 }
 
 /// An order in a [`State`].
-#[derive(Clone, Debug, Default, PartialEq, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub struct Order {
     /// The identifier.
@@ -75,7 +78,8 @@
 }
 
 /// The body of an order to the engine.
-#[derive(Clone, Debug, PartialEq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize)]
 pub struct Command {
     /// The identifier; the engine applies each once.
     pub id: String,
