fix: log which requests a forced stop cuts

Cause: a daemon that was ended by a second SIGTERM or by drain_limit logged only how many requests it cut.

Change: the line ends with the ids of the open requests, those of the callers' answers on an entry host and those of the jobs on a sidecar, at most 100 of them.

Conclusion: an operator can tell which callers to expect again.

--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -145,7 +145,10 @@
     pub fn abort(&self) -> usize {
         let cut = self.callers.active();
         if cut > 0 {
-            log::warn(&format!("shutting down: {cut} requests were cut"));
+            log::warn(&format!(
+                "shutting down: {cut} requests were cut: {}",
+                log::ids(self.shared.open_requests())
+            ));
         }
         self.callers.abort();
         self.operators.abort();
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -164,6 +164,11 @@
         journal::lock(&self.mailboxes).remove(&id);
     }
 
+    /// Returns the requests that have not ended.
+    pub(super) fn open_requests(&self) -> Vec<request::Id> {
+        journal::lock(&self.mailboxes).keys().copied().collect()
+    }
+
     pub(super) fn send(&self, id: request::Id, order: mailbox::Order) {
         if let Some(sender) = journal::lock(&self.mailboxes).get(&id) {
             // The task may just have ended; its end is an event of its own.
--- a/crates/carawaycleat/src/log.rs
+++ b/crates/carawaycleat/src/log.rs
@@ -8,8 +8,13 @@
 use spdlog::formatter;
 use spdlog::sink;
 
+use carawaycleat_core::request;
+
 use crate::settings;
 
+/// The most requests listed in one line; with 32 digits each, the line stays under 4 KiB.
+const MAX_LISTED: usize = 100;
+
 quick_error! {
     /// An error of the log's set-up.
     #[derive(Debug)]
@@ -86,6 +91,20 @@
     }
 }
 
+/// Returns a list of requests for a log line, which ends after [`MAX_LISTED`] of them.
+pub(crate) fn ids(mut ids: Vec<request::Id>) -> String {
+    ids.sort_unstable();
+    let rest = ids.len().saturating_sub(MAX_LISTED);
+    ids.truncate(MAX_LISTED);
+    let listed: Vec<_> = ids.iter().map(request::Id::to_string).collect();
+    let listed = listed.join(", ");
+    if rest > 0 {
+        format!("{listed} and {rest} more")
+    } else {
+        listed
+    }
+}
+
 fn formatter(format: settings::Format) -> Box<dyn formatter::Formatter> {
     match format {
         settings::Format::Text => Box::new(formatter::FullFormatter::new()),
--- a/crates/carawaycleat/src/side/daemon.rs
+++ b/crates/carawaycleat/src/side/daemon.rs
@@ -82,7 +82,10 @@
     pub fn abort(&self) -> usize {
         let cut = self.server.active();
         if cut > 0 {
-            log::warn(&format!("shutting down: {cut} jobs were cut"));
+            log::warn(&format!(
+                "shutting down: {cut} jobs were cut: {}",
+                log::ids(self.shared.open_jobs())
+            ));
         }
         self.server.abort();
         cut
--- a/crates/carawaycleat/src/side/shared.rs
+++ b/crates/carawaycleat/src/side/shared.rs
@@ -223,6 +223,11 @@
         journal::lock(&self.jobs).remove(&id);
     }
 
+    /// Returns the jobs that have not ended.
+    pub(super) fn open_jobs(&self) -> Vec<request::Id> {
+        journal::lock(&self.jobs).keys().copied().collect()
+    }
+
     pub(super) fn cancel(&self, id: request::Id) {
         if let Some(sender) = journal::lock(&self.jobs).get(&id) {
             sender.close();
