refactor: remove settings and timeline kinds without effect

Cause: the settings region and store.prefix were read and had no effect, and four kinds of timeline events were never emitted.

--- a/crates/carawaycleat-core/src/timeline/kind.rs
+++ b/crates/carawaycleat-core/src/timeline/kind.rs
@@ -7,8 +7,6 @@
 pub enum Kind {
     /// A request arrived at an entry host.
     Arrived,
-    /// A request passed admission and was queued.
-    Admitted,
     /// A request was refused.
     Refused,
     /// A request was sent to an upstream.
@@ -37,16 +35,10 @@
     Leaving,
     /// An upstream was ejected.
     Ejected,
-    /// An ejected upstream was admitted again.
-    Readmitted,
     /// A configuration revision was applied.
     ConfigurationApplied,
     /// A key was withdrawn.
     KeyWithdrawn,
-    /// A shard of a rate was claimed.
-    ShardClaimed,
-    /// A shard of a rate was released.
-    ShardReleased,
     /// Tokens were lent to another host.
     TokensLent,
     /// Tokens were borrowed from another host.
@@ -60,7 +52,6 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Arrived => "arrived",
-            Self::Admitted => "admitted",
             Self::Refused => "refused",
             Self::Dispatched => "dispatched",
             Self::Started => "started",
@@ -75,11 +66,8 @@
             Self::OrderSettled => "order_settled",
             Self::Leaving => "leaving",
             Self::Ejected => "ejected",
-            Self::Readmitted => "readmitted",
             Self::ConfigurationApplied => "configuration_applied",
             Self::KeyWithdrawn => "key_withdrawn",
-            Self::ShardClaimed => "shard_claimed",
-            Self::ShardReleased => "shard_released",
             Self::TokensLent => "tokens_lent",
             Self::TokensBorrowed => "tokens_borrowed",
             Self::StateChanged => "state_changed",
--- a/crates/carawaycleat/src/settings/entry.rs
+++ b/crates/carawaycleat/src/settings/entry.rs
@@ -23,8 +23,6 @@
     pub host: name::Name,
     /// The availability zone of the host.
     pub availability_zone: name::Name,
-    /// The region of the host.
-    pub region: name::Name,
     /// The peer addresses of entry hosts that are contacted first.
     pub peers: Vec<net::SocketAddr>,
     /// The addresses to listen on.
@@ -54,7 +52,6 @@
         Self {
             host: read::example("entry-1"),
             availability_zone: read::example("zone-1"),
-            region: read::example("region-1"),
             peers: Vec::new(),
             listen: super::Listen::default(),
             advertise: super::Advertise::default(),
@@ -100,7 +97,6 @@
         let entry = Self {
             host: read::name(table, "host", default.host),
             availability_zone: read::name(table, "availability_zone", default.availability_zone),
-            region: read::name(table, "region", default.region),
             peers: read::addresses(table, "peers", &[]),
             advertise: super::Advertise::read(&table.table("advertise"), &listen),
             listen,
--- a/crates/carawaycleat/src/settings/store.rs
+++ b/crates/carawaycleat/src/settings/store.rs
@@ -9,8 +9,6 @@
 pub struct Store {
     /// The addresses of the service; the next one is tried when one fails.
     pub endpoints: Vec<net::SocketAddr>,
-    /// The prefix of all keys.
-    pub prefix: String,
     /// The longest wait for an answer, in milliseconds.
     pub timeout_ms: u64,
 }
@@ -19,7 +17,6 @@
     fn default() -> Self {
         Self {
             endpoints: vec![read::loopback(2379)],
-            prefix: "/carawaycleat/v1".to_owned(),
             timeout_ms: 1_000,
         }
     }
@@ -33,12 +30,6 @@
         let default = Self::default();
         let store = Self {
             endpoints: read::addresses(table, "endpoints", &default.endpoints),
-            prefix: table.text(
-                "prefix",
-                "a path that starts with '/' and does not end with '/'",
-                default.prefix,
-                |text| is_prefix(text).then(|| text.to_owned()),
-            ),
             timeout_ms: table.integer("timeout_ms", 10..=MAX_TIMEOUT_MS, default.timeout_ms),
         };
         if store.endpoints.is_empty() && table.line_of("endpoints").is_some() {
@@ -48,7 +39,3 @@
         store
     }
 }
-
-fn is_prefix(text: &str) -> bool {
-    text.len() > 1 && text.starts_with('/') && !text.ends_with('/')
-}
