fix: refuse jobs that are too old to be of a valid key

Change: a job names the time on its entry host's monotonic clock, and directives bring that clock to the sidecar, which refuses a job older than 700 ms as not run. Together with the 4.25 s of a host that is cut off this stays within 5 s. Weighed: remembering cancelled attempts, which a lost cancel defeats, and wall clocks, which step.

--- a/crates/carawaycleat-core/src/side.rs
+++ b/crates/carawaycleat-core/src/side.rs
@@ -3,6 +3,7 @@
 mod effect;
 mod event;
 mod jobs;
+mod origin;
 mod reducer;
 mod report;
 
@@ -11,6 +12,8 @@
 pub use event::Directive;
 pub use event::Event;
 pub use event::Job;
+pub use origin::MAX_JOB_AGE;
+pub use origin::Origin;
 pub use reducer::Reducer;
 pub use report::Report;
 pub use report::Residence;
--- a/crates/carawaycleat-core/src/side/event.rs
+++ b/crates/carawaycleat-core/src/side/event.rs
@@ -29,6 +29,8 @@
 /// What an entry host wants of the upstream.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Directive {
+    /// The time at which the entry host sent it.
+    pub sent: Option<super::Origin>,
     /// The revision of the configuration that it was made from.
     pub revision: u64,
     /// The revision of the plan; 0 when there is none.
@@ -42,6 +44,8 @@
 /// A request as far as it matters for the decision.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Job {
+    /// The time at which the entry host sent it.
+    pub sent: super::Origin,
     /// The identifier of the request.
     pub id: u128,
     /// The model or adapter, for a request to an engine.
--- a/crates/carawaycleat-core/src/side/reducer.rs
+++ b/crates/carawaycleat-core/src/side/reducer.rs
@@ -4,6 +4,7 @@
 use super::effect;
 use super::event;
 use super::jobs;
+use super::origin;
 use super::report;
 use crate::claim;
 use crate::clock;
@@ -37,6 +38,7 @@
     account: memory::Account,
     claims: claim::Table,
     jobs: jobs::Jobs,
+    clocks: origin::Clocks,
     answered: collections::BTreeSet<memory::Id>,
     holdings: Vec<memory::Item>,
     revision: u64,
@@ -71,6 +73,7 @@
             account: memory::Account::with_settings(now, mode, incarnation, settings),
             claims: claim::Table::new(MAX_CLAIMS, CLAIM_RETENTION),
             jobs: jobs::Jobs::default(),
+            clocks: origin::Clocks::default(),
             answered: collections::BTreeSet::new(),
             holdings: Vec::new(),
             revision: 0,
@@ -111,7 +114,7 @@
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<effect::Effect> {
         let mut effects = Vec::new();
         match event {
-            event::Event::Directive(directive) => self.direct(directive, &mut effects),
+            event::Event::Directive(directive) => self.direct(now, directive, &mut effects),
             event::Event::EngineState(state, waiting) => {
                 self.observe(now, &state, &mut effects);
                 self.waiting = waiting;
@@ -146,7 +149,15 @@
         effects
     }
 
-    fn direct(&mut self, directive: event::Directive, effects: &mut Vec<effect::Effect>) {
+    fn direct(
+        &mut self,
+        now: clock::Instant,
+        directive: event::Directive,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if let Some(sent) = &directive.sent {
+            self.clocks.hear(now, sent);
+        }
         // Entry hosts may lag behind each other: an older configuration must not bring back work.
         let is_older = directive.revision < self.revision;
         self.revision = self.revision.max(directive.revision);
@@ -202,7 +213,7 @@
         if let Some((reason, outcome)) = self.jobs.earlier(&job) {
             return effect::Effect::RefuseJob(job.id, reason, outcome);
         }
-        if let Some(reason) = self.refusal(&job) {
+        if let Some(reason) = self.refusal(now, &job) {
             self.jobs.refuse(now, &job, reason);
             return effect::Effect::RefuseJob(job.id, reason, outcome::Outcome::NotRun);
         }
@@ -217,11 +228,13 @@
         effect::Effect::StartJob(id)
     }
 
-    fn refusal(&self, job: &event::Job) -> Option<outcome::Reason> {
+    fn refusal(&self, now: clock::Instant, job: &event::Job) -> Option<outcome::Reason> {
         if self.is_shutting_down {
             Some(outcome::Reason::ShuttingDown)
         } else if self.is_leaving || job.item.as_ref().is_some_and(|id| self.is_draining(id)) {
             Some(outcome::Reason::UpstreamLeaving)
+        } else if self.clocks.age(now, &job.sent) > origin::MAX_JOB_AGE {
+            Some(outcome::Reason::UpstreamTimeout)
         } else if self.jobs.in_flight() >= self.max_jobs {
             Some(outcome::Reason::QueueFull)
         } else {
--- a/crates/carawaycleat-core/tests/suite/path_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/path_fake.rs
@@ -258,6 +258,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) host: usize,
+    pub(crate) sent: side::Origin,
     pub(crate) request: request::Id,
     pub(crate) attempt: request::Id,
     pub(crate) workspace: Option<name::Name>,
--- a/crates/carawaycleat-core/tests/suite/path_world.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world.rs
@@ -352,6 +352,14 @@
         clock::Instant::from_millis(self.now + 1_000_000 * (host as u64 + 1))
     }
 
+    fn origin(&self, host: usize) -> side::Origin {
+        side::Origin {
+            host: fake::host(host),
+            incarnation: self.hosts[host].incarnation,
+            at: self.clock(host),
+        }
+    }
+
     fn revision(&self, host: usize) -> u64 {
         let reducer = self.hosts[host].reducer.as_ref();
         reducer.map_or(0, |reducer| reducer.history().revision())
--- a/crates/carawaycleat-core/tests/suite/path_world/host.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/host.rs
@@ -115,6 +115,7 @@
                 };
                 let job = fake::Job {
                     host,
+                    sent: self.origin(host),
                     request,
                     attempt,
                     workspace,
--- a/crates/carawaycleat-core/tests/suite/path_world/sidecar.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/sidecar.rs
@@ -75,6 +75,7 @@
     pub(super) fn job(&mut self, upstream: usize, job: fake::Job) {
         let id = job.attempt.as_u128();
         let event = side::Event::JobArrived(side::Job {
+            sent: job.sent.clone(),
             id,
             item: None,
             idempotent: job.idempotent,
@@ -249,6 +250,7 @@
         let name = fake::upstream(index);
         let found = snapshot.upstreams().find(|(known, _)| **known == name);
         let directive = side::Directive {
+            sent: Some(self.origin(host)),
             revision: snapshot.revision(),
             leaving: found.is_some_and(|(_, upstream)| upstream.leaving),
             ..side::Directive::default()
--- a/crates/carawaycleat-core/tests/suite/side.rs
+++ b/crates/carawaycleat-core/tests/suite/side.rs
@@ -127,6 +127,7 @@
                 _ => plan_revision,
             };
             events.push(side::Event::Directive(side::Directive {
+                sent: None,
                 revision: 0,
                 plan_revision,
                 holdings,
@@ -149,6 +150,7 @@
         ] {
             let is_renamed = is_copy && self.rule == Rule::ForgetRefused;
             events.push(side::Event::JobArrived(side::Job {
+                sent: origin(),
                 id: if is_renamed { id + 1_000 } else { id },
                 item: None,
                 idempotent: false,
@@ -282,6 +284,15 @@
     assert!(found > 0);
 }
 
+/// Returns a point on the clock of an entry host that the sidecar has not heard, so that no job is too old.
+fn origin() -> side::Origin {
+    side::Origin {
+        host: "e0".to_owned().try_into().expect("a valid name"),
+        incarnation: 1,
+        at: clock::Instant::from_millis(0),
+    }
+}
+
 /// Guards against an item being unloaded under a running request, and against new requests for it.
 #[test]
 fn an_item_in_use_is_not_unloaded() {
@@ -290,6 +301,7 @@
     let mut sent = Vec::new();
     let job = |id| {
         side::Event::JobArrived(side::Job {
+            sent: origin(),
             id,
             item: Some(model("a").id),
             idempotent: true,
@@ -301,6 +313,7 @@
         engine.step();
         let (plan_revision, holdings) = plan(if step < 20 { 0 } else { 30 });
         let directive = side::Directive {
+            sent: None,
             revision: 0,
             plan_revision,
             holdings,
--- a/crates/carawaycleat-wire/src/message/job.rs
+++ b/crates/carawaycleat-wire/src/message/job.rs
@@ -13,6 +13,10 @@
     pub stamp: clock::Stamp,
     /// The entry host that sends it.
     pub host: name::Name,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+    /// The time on its monotonic clock when it sent the job, in microseconds.
+    pub sent_us: u64,
     /// The workspace that it runs for; none on a route open to all.
     pub workspace: Option<name::Name>,
     /// The model, for a request to an engine.
--- a/crates/carawaycleat-wire/src/message/report.rs
+++ b/crates/carawaycleat-wire/src/message/report.rs
@@ -53,6 +53,12 @@
 pub struct Directive {
     /// The sender's logical time.
     pub stamp: clock::Stamp,
+    /// The entry host that sends it.
+    pub host: name::Name,
+    /// The incarnation of its process.
+    pub incarnation: u64,
+    /// The time on its monotonic clock, in microseconds.
+    pub sent_us: u64,
     /// The revision of the configuration that the directive was made from.
     pub revision: u64,
     /// Whether the upstream is configured at all.
--- a/crates/carawaycleat-wire/tests/suite/hostile.rs
+++ b/crates/carawaycleat-wire/tests/suite/hostile.rs
@@ -114,6 +114,8 @@
         request: wire::Id::from_u128(u128::MAX - 1),
         stamp: stamp(),
         host: name("e1"),
+        incarnation: u64::MAX,
+        sent_us: 1,
         workspace: Some(name("city")),
         model: Some(name("small")),
         adapter: None,
@@ -165,6 +167,9 @@
 fn directive() -> wire::Directive {
     wire::Directive {
         stamp: stamp(),
+        host: name("e1"),
+        incarnation: 1,
+        sent_us: u64::MAX,
         revision: 9,
         known: true,
         leaving: false,
--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -277,6 +277,8 @@
             request: wire::Id::from_u128(self.id().as_u128()),
             stamp: self.shared.stamp(),
             host: self.shared.host().clone(),
+            incarnation: self.shared.member.incarnation,
+            sent_us: self.shared.now().as_micros(),
             workspace: dispatch.workspace.clone(),
             model: arrival.model.clone(),
             adapter: arrival.adapter.clone(),
--- a/crates/carawaycleat/src/entry/peers.rs
+++ b/crates/carawaycleat/src/entry/peers.rs
@@ -116,7 +116,7 @@
 
 fn directive(shared: &shared::Shared, upstream: &name::Name) -> wire::Directive {
     let stamp = shared.stamp();
-    shared.with(|reducer, _| {
+    shared.with(|reducer, now| {
         let history = reducer.history();
         let found = history
             .snapshot()
@@ -132,6 +132,9 @@
             .unwrap_or_default();
         wire::Directive {
             stamp,
+            host: shared.host().clone(),
+            incarnation: shared.member.incarnation,
+            sent_us: now.as_micros(),
             revision: history.revision(),
             known: found.is_some(),
             leaving: found.is_some_and(|resource| resource.leaving),
--- a/crates/carawaycleat/src/side/reports.rs
+++ b/crates/carawaycleat/src/side/reports.rs
@@ -2,6 +2,7 @@
 use std::sync;
 use std::time;
 
+use carawaycleat_core::clock;
 use carawaycleat_core::memory;
 use carawaycleat_core::side;
 use carawaycleat_net as net;
@@ -60,6 +61,11 @@
         return;
     }
     shared.step(side::Event::Directive(side::Directive {
+        sent: Some(side::Origin {
+            host: directive.host,
+            incarnation: directive.incarnation,
+            at: clock::Instant::from_micros(directive.sent_us),
+        }),
         revision: directive.revision,
         plan_revision: directive.plan_revision,
         holdings: directive.holdings.into_iter().map(item).collect(),
--- a/crates/carawaycleat/src/side/shared.rs
+++ b/crates/carawaycleat/src/side/shared.rs
@@ -104,6 +104,11 @@
                 .cloned()
         });
         let event = side::Event::JobArrived(side::Job {
+            sent: side::Origin {
+                host: job.host.clone(),
+                incarnation: job.incarnation,
+                at: clock::Instant::from_micros(job.sent_us),
+            },
             id: job.id.as_u128(),
             item,
             idempotent: job.idempotent,
