feat: start an entry host with chosen policies

`Rules::borrows` switches transfers between hosts off. Conclusion: baselines run through the same daemon.

--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -240,6 +240,9 @@
 
     /// Asks peers for the tokens that waiting requests lack.
     fn borrow(&mut self, now: clock::Instant, workspace: &name::Name) {
+        if !self.rules.borrows {
+            return;
+        }
         let needed = self.pending.tokens(workspace);
         let missing = self.ledger.shortfall(now, workspace, needed);
         if missing == 0
--- a/crates/carawaycleat-core/src/entry/rules.rs
+++ b/crates/carawaycleat-core/src/entry/rules.rs
@@ -19,6 +19,8 @@
     pub shard_validity: time::Duration,
     /// The longest time that a request waits for tokens before it is refused.
     pub token_wait: time::Duration,
+    /// Whether tokens are asked of peers. A host that asks none only has its own part of each rate; a baseline.
+    pub borrows: bool,
     /// The most requests of one workspace that wait for tokens.
     pub token_waiters: usize,
 }
@@ -33,6 +35,7 @@
             shard_validity: rate::VALIDITY,
             // Longer than one round trip to a peer, shorter than the bound on the first token.
             token_wait: time::Duration::from_millis(250),
+            borrows: true,
             token_waiters: 64,
         }
     }
--- a/crates/carawaycleat-core/src/placement.rs
+++ b/crates/carawaycleat-core/src/placement.rs
@@ -10,6 +10,7 @@
 mod inputs;
 mod plan;
 mod planner;
+mod policy;
 mod strain;
 
 pub use baseline::Fixed;
@@ -25,3 +26,5 @@
 pub use plan::Plan;
 pub use planner::Planner;
 pub use planner::Settings;
+pub use policy::Decider;
+pub use policy::Policy;
--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -52,6 +52,19 @@
     pub fn start(
         executor: sync::Arc<net::Executor>,
         settings: settings::Entry,
+    ) -> super::Result<Self> {
+        Self::start_with(executor, settings, super::Policy::default())
+    }
+
+    /// Starts an entry host with other policies than the usual ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when one of the addresses cannot be bound.
+    pub fn start_with(
+        executor: sync::Arc<net::Executor>,
+        settings: settings::Entry,
+        policy: super::Policy,
     ) -> super::Result<Self> {
         let bind = |what, address: std_net::SocketAddr| {
             net::Server::bind(address).map_err(|error| super::Error::Bind(what, error))
@@ -62,7 +75,12 @@
         let operators = bind("operators", settings.listen.operators)?.limits(internal.clone());
         let peers = bind("peers", settings.listen.peers)?.limits(internal);
         let advertised = settings.advertise.peers.unwrap_or(peers.local_address());
-        let shared = sync::Arc::new(shared::Shared::new(settings, executor.clone(), advertised));
+        let shared = sync::Arc::new(shared::Shared::new(
+            settings,
+            policy,
+            executor.clone(),
+            advertised,
+        ));
 
         let of_callers = shared.clone();
         let of_operators = shared.clone();
--- a/crates/carawaycleat/src/entry/placing.rs
+++ b/crates/carawaycleat/src/entry/placing.rs
@@ -67,11 +67,21 @@
 }
 
 /// The part that this host has in the placement of one group.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Group {
     election: placement::Election,
     lease: Option<i64>,
-    planner: placement::Planner,
+    decider: placement::Decider,
+}
+
+impl Group {
+    fn new(policy: placement::Policy) -> Self {
+        Self {
+            election: placement::Election::default(),
+            lease: None,
+            decider: policy.decider(),
+        }
+    }
 }
 
 /// Takes part in the placement for as long as the process runs.
@@ -90,7 +100,9 @@
         });
         groups.retain(|group, _| models.contains(group));
         for name in models {
-            let group = groups.entry(name.clone()).or_default();
+            let group = groups
+                .entry(name.clone())
+                .or_insert_with(|| Group::new(shared.policy.placement));
             elect(&shared, &name, group).await;
             if let Some(create_revision) = group.election.may_write(shared.now()) {
                 decide(&shared, &name, group, create_revision).await;
@@ -173,7 +185,7 @@
     group: &mut Group,
     create_revision: u64,
 ) {
-    let Some((plan, previous)) = plan(shared, name, &mut group.planner) else {
+    let Some((plan, previous)) = plan(shared, name, &mut group.decider) else {
         return;
     };
     let key = plan_key(name);
@@ -205,7 +217,7 @@
 fn plan(
     shared: &shared::Shared,
     name: &name::Name,
-    planner: &mut placement::Planner,
+    decider: &mut placement::Decider,
 ) -> Option<(placement::Plan, u64)> {
     shared.with_observations(|reducer, observations, now| {
         let history = reducer.history();
@@ -223,7 +235,7 @@
             loads_in_flight: 0,
             previous: previous.as_ref(),
         };
-        let plan = planner.plan(now, &inputs)?;
+        let plan = decider.plan(now, &inputs)?;
         Some((plan, raw.map_or(0, |(_, revision)| revision)))
     })
 }
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) settings: settings::Entry,
+    pub(super) policy: super::Policy,
     pub(super) executor: sync::Arc<net::Executor>,
     pub(super) pool: net::Pool,
     pub(super) store: store::Client,
@@ -44,6 +45,7 @@
 impl Shared {
     pub(super) fn new(
         settings: settings::Entry,
+        policy: super::Policy,
         executor: sync::Arc<net::Executor>,
         peer_address: std::net::SocketAddr,
     ) -> Self {
@@ -54,12 +56,13 @@
             incarnation,
         };
         let reducer =
-            entry::Reducer::new(owner, settings.availability_zone.clone(), rules(&settings));
+            entry::Reducer::new(owner, settings.availability_zone.clone(), rules(&settings, policy.rules));
         let pool = net::Pool::default();
         let timeout = time::Duration::from_millis(settings.store.timeout_ms);
         let (exiting, exit) = async_channel::bounded(1);
         Self {
             executor,
+            policy,
             store: store::Client::new(pool.clone(), &settings.store.endpoints, timeout),
             pool,
             metric: metric::Entry::new(),
@@ -217,8 +220,7 @@
     }
 }
 
-fn rules(settings: &settings::Entry) -> entry::Rules {
-    let mut rules = entry::Rules::default();
+fn rules(settings: &settings::Entry, mut rules: entry::Rules) -> entry::Rules {
     rules.admission.requests = settings.limits.queue_requests;
     rules.admission.bytes = settings.limits.queue_bytes;
     rules.shards = settings.rates.shards;
