--- a/crates/carawaycleat-core/src/placement/policy.rs
+++ b/crates/carawaycleat-core/src/placement/policy.rs
@@ -47,11 +47,7 @@
 
 impl Decider {
     /// Returns the plan for `inputs`, or none when the plan in force stays.
-    pub fn plan(
-        &mut self,
-        now: clock::Instant,
-        inputs: &inputs::Inputs<'_>,
-    ) -> Option<plan::Plan> {
+    pub fn plan(&mut self, now: clock::Instant, inputs: &inputs::Inputs<'_>) -> Option<plan::Plan> {
         match self {
             Self::Planner(planner) => planner.plan(now, inputs),
             Self::Fixed(fixed) => fixed.plan(now, inputs),
--- a/crates/carawaycleat-standin/src/load/caller.rs
+++ b/crates/carawaycleat-standin/src/load/caller.rs
@@ -149,7 +149,7 @@
         let expected = service::expected(&request.method, &request.target(), &request.body);
         // The caller of this function ends it in time.
         let limit = time::Duration::from_secs_f64(self.plan.timeout_s);
-        let reply = match self.pool.send(address, request, limit).await {
+        let reply = match self.connect(address, request, limit).await {
             Ok(reply) => reply,
             Err(failure) if failure.sent => return sample::Ending::Cut,
             Err(_) => {
@@ -172,6 +172,26 @@
         }
     }
 
+    /// Sends the request to `address`, or to the next entry host that takes the connection, as a load balancer does.
+    async fn connect(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request,
+        limit: time::Duration,
+    ) -> Result<http::Reply, http::Failure> {
+        let entries = &self.plan.entries;
+        let first = entries.iter().position(|entry| *entry == address);
+        let mut result = self.pool.send(address, request.clone(), limit).await;
+        for step in 1..entries.len() {
+            if !result.as_ref().is_err_and(|failure| !failure.sent) {
+                break;
+            }
+            let next = entries[(first.unwrap_or(0) + step) % entries.len()];
+            result = self.pool.send(next, request.clone(), limit).await;
+        }
+        result
+    }
+
     fn id(&self, arrival: &arrival::Arrival) -> String {
         format!("{:016x}-{}", self.run, arrival.number)
     }
--- a/crates/carawaycleat-standin/src/setup.rs
+++ b/crates/carawaycleat-standin/src/setup.rs
@@ -5,10 +5,15 @@
 mod error;
 mod plan;
 mod resources;
+mod site;
 
 pub use error::Error;
 pub use error::Result;
 pub use plan::Plan;
+pub use site::Host;
+pub use site::Scale;
+pub use site::Site;
+pub use site::Upstream;
 
 use std::net;
 use std::sync;
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -55,8 +55,11 @@
             address: peer_address,
             incarnation,
         };
-        let reducer =
-            entry::Reducer::new(owner, settings.availability_zone.clone(), rules(&settings, policy.rules));
+        let reducer = entry::Reducer::new(
+            owner,
+            settings.availability_zone.clone(),
+            rules(&settings, policy.rules),
+        );
         let pool = net::Pool::default();
         let timeout = time::Duration::from_millis(settings.store.timeout_ms);
         let (exiting, exit) = async_channel::bounded(1);
