feat: place models by the demand on all entry hosts

Cause: the deciding entry host saw the demand of its own requests only; with three hosts it missed two thirds. Change: each digest carries the next 16 models and adapters that the host was asked for, with rate and age; the decider adds them up. A digest grows by at most 16 entries; a host with 55 has told of each within 2 s.

--- a/crates/carawaycleat-core/src/placement/demand.rs
+++ b/crates/carawaycleat-core/src/placement/demand.rs
@@ -61,6 +61,41 @@
         }
     }
 
+    /// Replaces the demand for `subject` by what another host measured when it was last asked for it, at `at`.
+    pub fn set(&mut self, at: clock::Instant, subject: &Subject, tokens_per_second: f64) {
+        let rate = Rate {
+            tokens_per_second,
+            at,
+        };
+        self.rates.insert(subject.clone(), rate);
+    }
+
+    /// Adds the demand that another host has seen.
+    pub fn add(&mut self, other: &Self) {
+        for (subject, rate) in &other.rates {
+            let own = self.rates.entry(subject.clone()).or_insert(Rate {
+                tokens_per_second: 0.0,
+                at: rate.at,
+            });
+            let at = own.at.max(rate.at);
+            own.tokens_per_second = own.at(at) + rate.at(at);
+            own.at = at;
+        }
+    }
+
+    /// Returns up to `count` subjects in the order of their names, beginning with the one at place `from` modulo their
+    /// number, with the demand when each was last asked for and that time.
+    pub fn part(
+        &self,
+        from: usize,
+        count: usize,
+    ) -> impl Iterator<Item = (&Subject, f64, clock::Instant)> {
+        let from = from.checked_rem(self.rates.len()).unwrap_or(0);
+        let rates = self.rates.iter().cycle().skip(from);
+        let rates = rates.take(count.min(self.rates.len()));
+        rates.map(|(subject, rate)| (subject, rate.tokens_per_second, rate.at))
+    }
+
     /// Returns the demand for `subject`, in tokens a second.
     pub fn rate(&self, now: clock::Instant, subject: &Subject) -> f64 {
         self.rates.get(subject).map_or(0.0, |rate| rate.at(now))
--- a/crates/carawaycleat-core/tests/suite/placement.rs
+++ b/crates/carawaycleat-core/tests/suite/placement.rs
@@ -1,7 +1,9 @@
+use std::collections;
 use std::time;
 
 use carawaycleat_core::clock;
 use carawaycleat_core::memory;
+use carawaycleat_core::name;
 use carawaycleat_core::placement;
 
 use crate::fake::fleet;
@@ -481,3 +483,66 @@
     println!("overwrites {found}");
     assert_eq!(found.min(1), overwrites);
 }
+
+fn subject(model: &str) -> placement::Subject {
+    placement::Subject {
+        model: name::Name::parse(model).expect("a valid name"),
+        adapter: None,
+    }
+}
+
+/// Guards against a decider that places by its own requests alone: what two hosts measured counts as if one had.
+#[test]
+fn the_demand_of_two_hosts_adds_up() {
+    let at = clock::Instant::from_millis;
+    let (mut own, mut peer, mut whole) =
+        <(placement::Demand, placement::Demand, placement::Demand)>::default();
+    for (second, model) in [
+        (0, "a"),
+        (1, "b"),
+        (7, "a"),
+        (20, "c"),
+        (31, "a"),
+        (40, "b"),
+    ] {
+        let now = at(second * 1_000);
+        let host = if second % 2 == 0 { &mut own } else { &mut peer };
+        host.observe(now, &subject(model), 100 + second);
+        whole.observe(now, &subject(model), 100 + second);
+    }
+    // What a peer tells is set anew at each exchange and must not count twice.
+    let mut heard = placement::Demand::default();
+    for _ in 0..3 {
+        for (subject, rate, at) in peer.part(0, 10) {
+            heard.set(at, subject, rate);
+        }
+    }
+    own.add(&heard);
+    for model in ["a", "b", "c", "never"] {
+        let subject = subject(model);
+        let (sum, one) = (
+            own.rate(at(50_000), &subject),
+            whole.rate(at(50_000), &subject),
+        );
+        assert!((sum - one).abs() < 1e-9, "{model}: {sum} for {one}");
+        assert_eq!(own.last_observed(&subject), whole.last_observed(&subject));
+    }
+}
+
+/// Guards against a model that no digest ever carries, because each carries only a part.
+#[test]
+fn parts_reach_all_subjects() {
+    let mut demand = placement::Demand::default();
+    for number in 0..55 {
+        let subject = subject(&format!("model-{number:02}"));
+        demand.observe(clock::Instant::from_millis(0), &subject, 1);
+    }
+    let mut seen = collections::BTreeSet::new();
+    for number in 7..11 {
+        let part: Vec<_> = demand.part(number * 16, 16).collect();
+        assert_eq!(part.len(), 16);
+        seen.extend(part.into_iter().map(|(subject, ..)| subject.clone()));
+    }
+    assert_eq!(seen.len(), 55);
+    assert_eq!(placement::Demand::default().part(3, 16).count(), 0);
+}
--- a/crates/carawaycleat-wire/src/lib.rs
+++ b/crates/carawaycleat-wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub use decoder::Decoder;
 pub use message::Account;
 pub use message::Ask;
+pub use message::Asked;
 pub use message::Bundle;
 pub use message::Cancel;
 pub use message::Digest;
--- a/crates/carawaycleat-wire/src/message.rs
+++ b/crates/carawaycleat-wire/src/message.rs
@@ -12,6 +12,7 @@
 pub use config::Bundle;
 pub use config::Fetch;
 pub use config::Pair;
+pub use digest::Asked;
 pub use digest::Digest;
 pub use digest::Member;
 pub use digest::Offer;
--- a/crates/carawaycleat-wire/src/message/digest.rs
+++ b/crates/carawaycleat-wire/src/message/digest.rs
@@ -20,6 +20,22 @@
     pub leaving: bool,
     /// The tokens that the host can lend.
     pub offers: Vec<Offer>,
+    /// A part of the models and adapters that callers asked this host for; each digest carries the next part.
+    #[serde(default)]
+    pub demand: Vec<Asked>,
+}
+
+/// What callers asked a host for.
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Asked {
+    /// The model.
+    pub model: name::Name,
+    /// The adapter, or none for requests to the model itself.
+    pub adapter: Option<name::Name>,
+    /// The average demand when it was last asked for, in tokens a second.
+    pub tokens_per_second: f32,
+    /// The time since it was last asked for, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// The tokens of a workspace that a host can lend.
--- a/crates/carawaycleat/src/entry/exchange.rs
+++ b/crates/carawaycleat/src/entry/exchange.rs
@@ -25,6 +25,10 @@
 /// The most peers that one host exchanges digests with.
 const MAX_PEERS: usize = 16;
 
+/// The most models and adapters of a digest. With 16 peers, they take about 18 KB a second; a host that is asked for 55
+/// has told of each within 2 s.
+const MAX_ASKED: usize = 16;
+
 /// Exchanges digests with peers for as long as the process runs.
 pub(super) async fn run(shared: sync::Arc<shared::Shared>) {
     loop {
@@ -73,14 +77,23 @@
         store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         leaving: shared.is_draining(),
         offers: offers.collect(),
+        demand: shared.asked(part(shared), MAX_ASKED),
     }
 }
 
+/// Returns the place at which the part of the demand that is told now begins.
+fn part(shared: &shared::Shared) -> usize {
+    let period = EVERY.as_micros().max(1);
+    let number = u128::from(shared.now().as_micros()) / period;
+    usize::try_from(number).unwrap_or(0).wrapping_mul(MAX_ASKED)
+}
+
 async fn exchange(shared: sync::Arc<shared::Shared>, address: std_net::SocketAddr) {
     let sent = shared.now();
     let digest = digest(&shared);
     if let Some(answer) = call::<wire::Digest>(&shared, address, "/peer/exchange", &digest).await {
         shared.receive(&answer.stamp);
+        shared.hear(&answer);
         let offers = answer
             .offers
             .into_iter()
--- a/crates/carawaycleat/src/entry/placing.rs
+++ b/crates/carawaycleat/src/entry/placing.rs
@@ -29,6 +29,10 @@
 /// The time after the start during which no plan is made, so that each upstream has reported.
 const LEARNING: time::Duration = time::Duration::from_secs(2);
 
+/// The time since a peer was last heard after which what it was asked for is forgotten: the demand has then decayed to
+/// less than 1%.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(300);
+
 /// The tokens a second that an engine is taken to generate.
 const ENGINE_TOKENS_PER_SECOND: f64 = 1_000.0;
 
@@ -51,6 +55,8 @@
 pub(super) struct Observations {
     reports: collections::BTreeMap<name::Name, (clock::Instant, wire::Report)>,
     demand: placement::Demand,
+    /// When each peer was last heard, and what callers asked it for.
+    heard: collections::BTreeMap<name::Name, (clock::Instant, placement::Demand)>,
 }
 
 impl Observations {
@@ -64,6 +70,51 @@
     pub(super) fn ask(&mut self, now: clock::Instant, subject: &placement::Subject, tokens: u64) {
         self.demand.observe(now, subject, tokens);
     }
+
+    /// Returns a part of what callers asked this host for.
+    pub(super) fn asked(&self, now: clock::Instant, from: usize, count: usize) -> Vec<wire::Asked> {
+        let asked = |(subject, rate, at): (&placement::Subject, f64, clock::Instant)| wire::Asked {
+            model: subject.model.clone(),
+            adapter: subject.adapter.clone(),
+            #[expect(clippy::cast_possible_truncation, reason = "a rate need not be exact")]
+            tokens_per_second: rate as f32,
+            age_ms: u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX),
+        };
+        self.demand.part(from, count).map(asked).collect()
+    }
+
+    /// Takes what callers asked a peer for.
+    pub(super) fn hear(&mut self, now: clock::Instant, digest: &wire::Digest) {
+        self.heard
+            .retain(|_, (at, _)| now.since(*at) < FORGET_AFTER);
+        let heard = self.heard.entry(digest.host.clone());
+        let (at, demand) = heard.or_insert_with(|| (now, placement::Demand::default()));
+        *at = now;
+        for asked in digest
+            .demand
+            .iter()
+            .filter(|a| a.tokens_per_second.is_finite())
+        {
+            let micros = now
+                .as_micros()
+                .saturating_sub(asked.age_ms.saturating_mul(1_000));
+            let subject = placement::Subject {
+                model: asked.model.clone(),
+                adapter: asked.adapter.clone(),
+            };
+            let at = clock::Instant::from_micros(micros);
+            demand.set(at, &subject, asked.tokens_per_second.into());
+        }
+    }
+
+    /// Returns what callers asked this host and its peers for.
+    fn demand(&self) -> placement::Demand {
+        let mut all = self.demand.clone();
+        for (_, demand) in self.heard.values() {
+            all.add(demand);
+        }
+        all
+    }
 }
 
 /// The part that this host has in the placement of one group.
@@ -226,11 +277,12 @@
             let plan: placement::Plan = serde_json::from_slice(value).ok()?;
             Some(plan.at_revision(revision))
         });
+        let demand = observations.demand();
         let inputs = placement::Inputs {
             group: name.clone(),
             items: items(history.snapshot(), name),
             upstreams: upstreams(history.snapshot(), name, observations, now),
-            demand: &observations.demand,
+            demand: &demand,
             limits: limits(shared),
             loads_in_flight: 0,
             previous: previous.as_ref(),
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -144,6 +144,18 @@
         journal::lock(&self.observations).ask(now, subject, tokens);
     }
 
+    /// Returns a part of what callers asked this host for.
+    pub(super) fn asked(&self, from: usize, count: usize) -> Vec<wire::Asked> {
+        let now = self.now();
+        journal::lock(&self.observations).asked(now, from, count)
+    }
+
+    /// Takes what callers asked a peer for, for the placement.
+    pub(super) fn hear(&self, digest: &wire::Digest) {
+        let now = self.now();
+        journal::lock(&self.observations).hear(now, digest);
+    }
+
     /// Debits what a peer asks for and returns the tokens that it gets.
     pub(super) fn lend(self: &sync::Arc<Self>, id: u128, event: entry::Event) -> u64 {
         let mut lent = 0;
