fix(core): estimate the wait for each model on its own

Cause: the service rate was measured over all models while any request waited, and all waiting tokens counted as ahead. Requests for a model or adapter that no upstream held lowered the rate and filled the queue, and those for other models were refused with `deadline_unreachable` beside idle engines. Change: each model and adapter has its own meter and backlog, and a request that an upstream can take at once is not refused for the backlog. In one common line (the baseline) each request still waits for all. `Queue::served` takes the model and adapter; its three calls in the tests pass none, the checks are unchanged. `Queue::service_rate`, which nothing used, is gone.

--- a/crates/carawaycleat-core/src/admission.rs
+++ b/crates/carawaycleat-core/src/admission.rs
@@ -6,6 +6,7 @@
 mod meter;
 mod policy;
 mod queue;
+mod target;
 mod ticket;
 
 pub use class::Class;
--- a/crates/carawaycleat-core/src/admission/line.rs
+++ b/crates/carawaycleat-core/src/admission/line.rs
@@ -26,8 +26,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct Line {
     classes: [collections::VecDeque<Waiting>; 3],
-    /// The waiting tokens of each class.
-    tokens: [u64; 3],
     pub(super) bytes: usize,
     /// The tokens that the workspace may still use in this round; negative when it has used more.
     pub(super) credit: i64,
@@ -37,7 +35,6 @@
     pub(super) fn new(credit: i64) -> Self {
         Self {
             classes: Default::default(),
-            tokens: [0; 3],
             bytes: 0,
             credit,
         }
@@ -55,16 +52,9 @@
         self.classes.iter().flatten()
     }
 
-    /// Returns the tokens that wait in `class` and the more urgent ones.
-    pub(super) fn tokens_up_to(&self, class: super::Class) -> u64 {
-        let classes = &self.tokens[..=usize::from(class.priority())];
-        classes.iter().copied().fold(0, u64::saturating_add)
-    }
-
     pub(super) fn push(&mut self, waiting: Waiting) {
         let class = usize::from(waiting.ticket.class.priority());
         self.bytes += waiting.ticket.bytes;
-        self.tokens[class] = self.tokens[class].saturating_add(waiting.ticket.tokens);
         self.classes[class].push_back(waiting);
     }
 
@@ -109,7 +99,6 @@
         let class = usize::from(place.held_in.priority());
         let waiting = self.classes[class].remove(place.index)?;
         self.bytes -= waiting.ticket.bytes;
-        self.tokens[class] = self.tokens[class].saturating_sub(waiting.ticket.tokens);
         Some(waiting.ticket)
     }
 
@@ -119,12 +108,11 @@
         matches: &mut impl FnMut(&super::Ticket) -> bool,
     ) -> Vec<super::Ticket> {
         let mut removed = Vec::new();
-        for (class, tokens) in self.classes.iter_mut().zip(&mut self.tokens) {
+        for class in &mut self.classes {
             class.retain(|waiting| {
                 let is_match = matches(&waiting.ticket);
                 if is_match {
                     self.bytes -= waiting.ticket.bytes;
-                    *tokens = tokens.saturating_sub(waiting.ticket.tokens);
                     removed.push(waiting.ticket.clone());
                 }
                 !is_match
--- a/crates/carawaycleat-core/src/admission/meter.rs
+++ b/crates/carawaycleat-core/src/admission/meter.rs
@@ -43,9 +43,13 @@
             .busy_since
             .map_or(0.0, |since| now.since(since).as_secs_f64());
         let busy = self.busy_seconds + current;
-        let is_recent = self.busy_since.is_some() || now.since(self.last_busy) < MAX_AGE;
         let is_measured = busy >= MIN_BUSY.as_secs_f64() && self.tokens > 0.0;
-        (is_measured && is_recent).then(|| self.tokens / busy)
+        (is_measured && self.is_recent(now)).then(|| self.tokens / busy)
+    }
+
+    /// Returns whether requests wait or waited a short time ago.
+    pub(super) fn is_recent(&self, now: clock::Instant) -> bool {
+        self.busy_since.is_some() || now.since(self.last_busy) < MAX_AGE
     }
 
     fn advance(&mut self, now: clock::Instant) {
--- a/crates/carawaycleat-core/src/admission/queue.rs
+++ b/crates/carawaycleat-core/src/admission/queue.rs
@@ -4,6 +4,7 @@
 
 use super::line;
 use super::meter;
+use super::target;
 use crate::clock;
 use crate::name;
 use crate::request;
@@ -42,7 +43,8 @@
     weights: collections::BTreeMap<name::Name, u32>,
     lines: collections::BTreeMap<name::Name, line::Line>,
     last: Option<name::Name>,
-    meter: meter::Meter,
+    /// A model that no upstream holds must not slow the estimates for others, so each target has a meter of its own.
+    meters: collections::BTreeMap<target::Target, meter::Meter>,
     next_order: u64,
     /// No deadline is earlier, which spares [`Queue::expire`] most searches.
     earliest_deadline: clock::Instant,
@@ -56,7 +58,7 @@
             weights: collections::BTreeMap::new(),
             lines: collections::BTreeMap::new(),
             last: None,
-            meter: meter::Meter::default(),
+            meters: collections::BTreeMap::new(),
             next_order: 0,
             earliest_deadline: LATEST,
         }
@@ -93,21 +95,24 @@
     /// Returns an error when the workspace's queue is full or the deadline would pass before the request starts.
     /// The request has then not run.
     pub fn push(&mut self, now: clock::Instant, ticket: super::Ticket) -> super::Result<()> {
-        let (requests, bytes) = self
-            .lines
-            .get(&ticket.workspace)
-            .map_or((0, 0), |line| (line.len(), line.bytes));
-        let is_full = requests >= self.limits.requests
-            || bytes.saturating_add(ticket.bytes) > self.limits.bytes;
-        if is_full {
-            return Err(super::Error::Full(ticket.workspace));
-        }
         let wait = self.wait(now, &ticket);
         if now + wait >= ticket.deadline {
+            self.check_room(&ticket)?;
             let millis = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
             return Err(super::Error::Deadline(millis));
         }
+        self.push_ready(now, ticket)
+    }
+
+    /// Adds a request that an upstream can take at once, whatever others wait for.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the workspace's queue is full. The request has then not run.
+    pub fn push_ready(&mut self, now: clock::Instant, ticket: super::Ticket) -> super::Result<()> {
+        self.check_room(&ticket)?;
         self.earliest_deadline = self.earliest_deadline.min(ticket.deadline);
+        let target = self.target(&ticket);
         let credit = self.grant(&ticket.workspace);
         self.lines
             .entry(ticket.workspace.clone())
@@ -118,7 +123,23 @@
                 order: self.next_order,
             });
         self.next_order += 1;
-        self.meter.set_busy(now, true);
+        if !self.meters.contains_key(&target) {
+            self.meters.retain(|_, meter| meter.is_recent(now));
+        }
+        self.meters.entry(target).or_default().set_busy(now, true);
+        Ok(())
+    }
+
+    fn check_room(&self, ticket: &super::Ticket) -> super::Result<()> {
+        let (requests, bytes) = self
+            .lines
+            .get(&ticket.workspace)
+            .map_or((0, 0), |line| (line.len(), line.bytes));
+        let is_full = requests >= self.limits.requests
+            || bytes.saturating_add(ticket.bytes) > self.limits.bytes;
+        if is_full {
+            return Err(super::Error::Full(ticket.workspace.clone()));
+        }
         Ok(())
     }
 
@@ -139,7 +160,8 @@
         let ticket = line.take(place)?;
         line.credit = line.credit.saturating_sub(signed(ticket.tokens));
         self.last = Some(workspace);
-        self.meter.set_busy(now, !self.is_empty());
+        let target = self.target(&ticket);
+        self.update_meter(now, &target);
         Some(ticket)
     }
 
@@ -167,50 +189,94 @@
         mut matches: impl FnMut(&super::Ticket) -> bool,
     ) -> Vec<super::Ticket> {
         let lines = self.lines.values_mut();
-        let removed = lines.flat_map(|line| line.remove(&mut matches)).collect();
-        self.meter.set_busy(now, !self.is_empty());
+        let removed: Vec<_> = lines.flat_map(|line| line.remove(&mut matches)).collect();
+        let targets = removed.iter().map(|ticket| self.target(ticket));
+        let targets: collections::BTreeSet<_> = targets.collect();
+        for target in targets {
+            self.update_meter(now, &target);
+        }
         removed
     }
 
-    /// Counts tokens that upstreams have generated, to measure the service rate.
-    pub fn served(&mut self, now: clock::Instant, tokens: u64) {
-        self.meter.served(now, tokens);
+    /// Counts tokens that upstreams have generated with `model` and `adapter`, to measure the service rate.
+    pub fn served(
+        &mut self,
+        now: clock::Instant,
+        model: Option<&name::Name>,
+        adapter: Option<&name::Name>,
+        tokens: u64,
+    ) {
+        let target = self.limits.policy.target(model, adapter);
+        if let Some(meter) = self.meters.get_mut(&target) {
+            meter.served(now, tokens);
+        }
+    }
+
+    fn target(&self, ticket: &super::Ticket) -> target::Target {
+        let (model, adapter) = (ticket.model.as_ref(), ticket.adapter.as_ref());
+        self.limits.policy.target(model, adapter)
+    }
+
+    /// Returns whether `ticket` waits for `target`.
+    fn is_for(&self, ticket: &super::Ticket, target: &target::Target) -> bool {
+        match self.limits.policy {
+            super::Policy::Fifo => true,
+            super::Policy::Fair => target.is_of(ticket),
+        }
+    }
+
+    /// Tells the meter of `target` whether requests still wait for it.
+    fn update_meter(&mut self, now: clock::Instant, target: &target::Target) {
+        let mut waiting = self.lines.values().flat_map(line::Line::iter);
+        let is_busy = waiting.any(|waiting| self.is_for(&waiting.ticket, target));
+        if let Some(meter) = self.meters.get_mut(target) {
+            meter.set_busy(now, is_busy);
+        }
     }
 
-    /// Returns the measured service rate in tokens a second, or none when there is no recent measurement.
-    pub fn service_rate(&self, now: clock::Instant) -> Option<f64> {
-        self.meter.rate(now)
+    /// Returns the tokens that wait in `line` for `target`, in `class` and the more urgent ones.
+    fn tokens(&self, line: &line::Line, target: &target::Target, class: super::Class) -> u64 {
+        let waiting = line.iter().map(|waiting| &waiting.ticket);
+        waiting
+            .filter(|ticket| ticket.class <= class && self.is_for(ticket, target))
+            .map(|ticket| ticket.tokens)
+            .fold(0, u64::saturating_add)
     }
 
-    /// Returns the time that `ticket` would wait: what is ahead of it, at the rate that its workspace gets.
+    /// Returns the time that `ticket` would wait: what is ahead of it for its target, at the rate that its workspace
+    /// gets.
     fn wait(&self, now: clock::Instant, ticket: &super::Ticket) -> time::Duration {
-        let Some(rate) = self.meter.rate(now) else {
+        let target = self.target(ticket);
+        let Some(rate) = self.meters.get(&target).and_then(|meter| meter.rate(now)) else {
             return time::Duration::ZERO;
         };
         let all = self
             .lines
             .values()
-            .map(|line| line.tokens_up_to(super::Class::Batch))
+            .map(|line| self.tokens(line, &target, super::Class::Batch))
             .fold(0, u64::saturating_add);
         let ahead = match self.limits.policy {
             super::Policy::Fifo => all as f64,
             super::Policy::Fair => {
                 let own = self.lines.get(&ticket.workspace);
-                let own = own.map_or(0, |line| line.tokens_up_to(ticket.class));
+                let own = own.map_or(0, |line| self.tokens(line, &target, ticket.class));
                 // Work of others that waits cannot exceed all that waits, so a small backlog bounds the wait.
-                (own as f64 / self.share(&ticket.workspace)).min(all as f64)
+                (own as f64 / self.share(&ticket.workspace, &target)).min(all as f64)
             }
         };
         time::Duration::try_from_secs_f64(ahead / rate).unwrap_or(time::Duration::MAX)
     }
 
-    /// Returns the part of the service that `workspace` gets beside those that have requests waiting.
-    fn share(&self, workspace: &name::Name) -> f64 {
+    /// Returns the part of the service that `workspace` gets beside those that have requests waiting for `target`.
+    fn share(&self, workspace: &name::Name, target: &target::Target) -> f64 {
         let own = f64::from(self.weight(workspace));
         let others = self
             .lines
             .iter()
-            .filter(|(other, line)| *other != workspace && !line.is_empty())
+            .filter(|(other, line)| {
+                let mut waiting = line.iter();
+                *other != workspace && waiting.any(|w| self.is_for(&w.ticket, target))
+            })
             .map(|(other, _)| f64::from(self.weight(other)))
             .sum::<f64>();
         own / (own + others)
--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -1,3 +1,4 @@
+use super::dispatch;
 use super::pending;
 use super::request as state;
 use crate::admission;
@@ -320,6 +321,9 @@
             return;
         };
         request.stage = state::Stage::Queue;
+        let can_run = self
+            .table
+            .can_run(now, &dispatch::need(request, &self.zone));
         let open =
             || name::Name::parse(super::OPEN_WORKSPACE).expect("the constant is a valid name");
         let ticket = admission::Ticket {
@@ -332,7 +336,11 @@
             bytes: request.arrival.bytes,
             deadline: request.arrival.deadline,
         };
-        if let Err(error) = self.queue.push(now, ticket) {
+        let pushed = match can_run {
+            true => self.queue.push_ready(now, ticket),
+            false => self.queue.push(now, ticket),
+        };
+        if let Err(error) = pushed {
             let outcome = self.requests[&id].outcome();
             let refusal = super::Refusal::new(error.reason(), outcome, error.to_string());
             self.end_refused(now, id, refusal);
--- a/crates/carawaycleat-core/src/entry/answer.rs
+++ b/crates/carawaycleat-core/src/entry/answer.rs
@@ -120,7 +120,11 @@
         } else {
             self.table.token(now, attempt);
         }
-        self.queue.served(now, tokens);
+        if let Some(request) = self.requests.get(&id) {
+            let (model, adapter) = (&request.arrival.model, &request.arrival.adapter);
+            self.queue
+                .served(now, model.as_ref(), adapter.as_ref(), tokens);
+        }
         self.emit(super::Effect::Deliver(id));
     }
 
--- a/crates/carawaycleat-core/tests/suite/admission.rs
+++ b/crates/carawaycleat-core/tests/suite/admission.rs
@@ -73,7 +73,7 @@
         if let Some((end, tokens)) = running
             && end <= millis
         {
-            queue.served(now, tokens);
+            queue.served(now, None, None, tokens);
             running = None;
         }
         if running.is_none()
@@ -212,12 +212,12 @@
     let mut queue = queue(admission::Policy::Fair);
     let at = |seconds: u64| clock::Instant::from_millis(seconds * 1_000);
     // What is served while nothing waits shows no rate.
-    queue.served(at(0), 1_000_000);
+    queue.served(at(0), None, None, 1_000_000);
     for id in 0..20 {
         push(&mut queue, 0, ticket(id, "w", admission::Class::Live));
     }
     if is_measured {
-        (1..=4).for_each(|second| queue.served(at(second), 100));
+        (1..=4).for_each(|second| queue.served(at(second), None, None, 100));
     }
     // 2,000 tokens at about 100 a second are ahead of it.
     let mut late = ticket(99, "w", admission::Class::Live);
@@ -233,6 +233,43 @@
     }
 }
 
+/// Guards against requests for a model that no upstream holds: while they wait, requests for others were refused with
+/// `deadline_unreachable` beside idle engines.
+#[test]
+fn a_model_that_no_upstream_holds_does_not_refuse_others() {
+    let mut queue = queue(admission::Policy::Fair);
+    let of = |id, model: &str, seconds: u64| admission::Ticket {
+        model: Some(support::name(model)),
+        deadline: clock::Instant::from_millis(seconds * 1_000),
+        ..ticket(id, "w", admission::Class::Live)
+    };
+    for id in 0..100 {
+        push(&mut queue, 0, of(id, "missing", 1_000));
+    }
+    let is_held = |ticket: &admission::Ticket| ticket.model.as_deref() == Some("held");
+    let held = support::name("held");
+    for second in 1..20_u64 {
+        push(
+            &mut queue,
+            second * 1_000,
+            of(1_000 + u128::from(second), "held", second + 1),
+        );
+        let now = clock::Instant::from_millis(second * 1_000);
+        assert!(queue.pop(now, is_held).is_some());
+        queue.served(now, Some(&held), None, 10);
+    }
+    // What an upstream takes at once is not refused for what waits for the same model, either.
+    queue.served(
+        clock::Instant::from_millis(20_000),
+        Some(&support::name("missing")),
+        None,
+        1,
+    );
+    let now = clock::Instant::from_millis(20_000);
+    assert!(queue.push(now, of(2_000, "missing", 25)).is_err());
+    assert!(queue.push_ready(now, of(2_001, "missing", 25)).is_ok());
+}
+
 proptest! {
     #![proptest_config(support::seeded(256))]
 
