fix(core): place a model where its adapters fit

Cause: without demand, models were placed in the order of their names on the first upstream with room. They filled upstreams so that adapters found no room, and a model that has not answered elsewhere is never dropped to make any. Change: a model that no upstream holds goes where its missing adapters fit as well, and of equal demand the largest comes first. The new test fails with the former order.

--- a/crates/carawaycleat-core/src/placement/planner.rs
+++ b/crates/carawaycleat-core/src/placement/planner.rs
@@ -144,6 +144,8 @@
             .collect();
         found.sort_by(|&a, &b| {
             let order = items[b].demand.total_cmp(&items[a].demand);
+            // Of equal demand, what needs the most room comes first, or else the rest leaves no place for it.
+            let order = order.then(items[b].item.bytes.cmp(&items[a].item.bytes));
             order.then_with(|| items[a].item.id.cmp(&items[b].item.id))
         });
         found
@@ -164,7 +166,11 @@
         let (adapters, models): (Vec<_>, Vec<_>) =
             missing.into_iter().partition(|&i| self.is_adapter(i));
         for item in models.into_iter().chain(adapters) {
-            if let Some(place) = self.free_place(item) {
+            // A model without room for its adapters cannot serve them, and it is rarely moved later.
+            let own = self.grid.items[item].item.bytes;
+            let with_adapters = own.saturating_add(self.missing_adapters(item));
+            let place = self.free_place(item, with_adapters);
+            if let Some(place) = place.or_else(|| self.free_place(item, own)) {
                 self.take(item, &place);
             } else if !self.has_load_left(item) {
                 continue;
@@ -176,6 +182,14 @@
         }
     }
 
+    /// Returns the bytes of the adapters of the model `item` that no live upstream is to hold.
+    fn missing_adapters(&self, item: usize) -> u64 {
+        let items = self.grid.items.iter();
+        let missing =
+            items.filter(|i| i.is_configured && i.base == Some(item) && i.holders.is_empty());
+        missing.map(|i| i.item.bytes).sum()
+    }
+
     /// Drops from leaving upstreams what is usable elsewhere, and everywhere what is no longer configured.
     fn drop_leaving(&mut self) {
         for upstream in 0..self.grid.upstreams.len() {
@@ -226,7 +240,7 @@
             };
             let needed = benefit(item) - self.cost(item);
             let place = self
-                .free_place(item)
+                .free_place(item, self.grid.items[item].item.bytes)
                 .or_else(|| self.place_by_drops(item, MAX_SCANNED, &prices))
                 .filter(|place| place.strain < needed);
             if !place.is_some_and(|place| self.take(item, &place)) {
@@ -287,8 +301,8 @@
         })
     }
 
-    /// Returns the best upstream that has, or will have, room for `item`.
-    fn free_place(&self, item: usize) -> Option<Place> {
+    /// Returns the best upstream that has, or will have, `room` bytes for `item`.
+    fn free_place(&self, item: usize, room: u64) -> Option<Place> {
         let found = &self.grid.items[item];
         let share = found.share(found.holders.len() + 1);
         let zones = self.grid.zones(item);
@@ -296,7 +310,7 @@
             let zone = &self.grid.upstreams[u].known.availability_zone;
             zones.get(zone).copied().unwrap_or(0)
         };
-        let has_room = |&u: &usize| self.grid.upstreams[u].free_later() >= found.item.bytes;
+        let has_room = |&u: &usize| self.grid.upstreams[u].free_later() >= room;
         // A second replica in the same zone is lost with the first; it counts as strain of part of its share.
         let penalty =
             |u: usize| 0.25 * share * in_zone(u) as f64 / found.holders.len().max(1) as f64;
