--- a/crates/carawaycleat-wire/tests/suite/hostile.rs
+++ b/crates/carawaycleat-wire/tests/suite/hostile.rs
@@ -196,6 +196,12 @@
             workspace: name("city"),
             tokens: 6,
         }],
+        demand: vec![wire::Asked {
+            model: name("small"),
+            adapter: Some(name("a1")),
+            tokens_per_second: 2.5,
+            age_ms: 7,
+        }],
     }
 }
 
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) settings: settings::Entry,
+    pub(super) policy: super::Policy,
     pub(super) executor: sync::Arc<net::Executor>,
     pub(super) pool: net::Pool,
     pub(super) store: store::Client,
@@ -55,6 +56,7 @@
 impl Shared {
     pub(super) fn new(
         settings: settings::Entry,
+        policy: super::Policy,
         executor: sync::Arc<net::Executor>,
         peer_address: std::net::SocketAddr,
     ) -> Self {
@@ -64,13 +66,17 @@
             address: peer_address,
             incarnation,
         };
-        let reducer =
-            entry::Reducer::new(owner, settings.availability_zone.clone(), rules(&settings));
+        let reducer = entry::Reducer::new(
+            owner,
+            settings.availability_zone.clone(),
+            rules(&settings, policy.rules),
+        );
         let pool = net::Pool::default();
         let timeout = time::Duration::from_millis(settings.store.timeout_ms);
         let (exiting, exit) = async_channel::bounded(1);
         Self {
             executor,
+            policy,
             store: store::Client::new(pool.clone(), &settings.store.endpoints, timeout),
             pool,
             metric: metric::Entry::new(),
@@ -221,6 +227,18 @@
         journal::lock(&self.observations).ask(now, subject, tokens);
     }
 
+    /// Returns a part of what callers asked this host for.
+    pub(super) fn asked(&self, from: usize, count: usize) -> Vec<wire::Asked> {
+        let now = self.now();
+        journal::lock(&self.observations).asked(now, from, count)
+    }
+
+    /// Takes what callers asked a peer for, for the placement.
+    pub(super) fn note_demand(&self, digest: &wire::Digest) {
+        let now = self.now();
+        journal::lock(&self.observations).hear(now, digest);
+    }
+
     /// Debits what a peer asks for and returns the tokens that it gets.
     pub(super) fn lend(self: &sync::Arc<Self>, id: u128, event: entry::Event) -> u64 {
         let mut lent = 0;
@@ -305,8 +323,7 @@
     }
 }
 
-fn rules(settings: &settings::Entry) -> entry::Rules {
-    let mut rules = entry::Rules::default();
+fn rules(settings: &settings::Entry, mut rules: entry::Rules) -> entry::Rules {
     rules.admission.requests = settings.limits.queue_requests;
     rules.admission.bytes = settings.limits.queue_bytes;
     rules.shards = settings.rates.shards;
