--- a/crates/carawaycleat/src/entry/peers.rs
+++ b/crates/carawaycleat/src/entry/peers.rs
@@ -25,7 +25,7 @@
     match (request.method.as_str(), request.path.as_str()) {
         ("POST", "/peer/exchange") => with_body(&request, |digest: wire::Digest| {
             shared.receive(&digest.stamp);
-            shared.hear(&digest);
+            shared.note_demand(&digest);
             exchange::digest(&shared)
         }),
         ("POST", "/peer/report") => with_body(&request, |report| reported(&shared, report)),
