fix: count demand only of requests that were accepted

Cause: an entry host counted the demand of each request before it was checked, so that unknown model names and callers without a key grew the table of demand without bound. Change: the reducer asks for the count once a request has passed its checks.

--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -31,6 +31,7 @@
         };
         self.requests.insert(id, request);
         self.note(timeline::Kind::Arrived, id, "");
+        self.ask(id);
         self.take_tokens(now, id);
         self.dispatch_all(now);
     }
@@ -51,6 +52,22 @@
         }
     }
 
+    /// Counts the demand of a request that was accepted. One that names an unknown model or has no valid key is not
+    /// counted, so that callers cannot fill the table of demand.
+    fn ask(&mut self, id: request::Id) {
+        let Some(arrival) = self.requests.get(&id).map(|request| &request.arrival) else {
+            return;
+        };
+        if let Some(model) = arrival.model.clone() {
+            let (adapter, tokens) = (arrival.adapter.clone(), arrival.cost());
+            self.emit(super::Effect::Ask {
+                model,
+                adapter,
+                tokens,
+            });
+        }
+    }
+
     /// Checks everything that does not depend on load.
     fn check(&self, now: clock::Instant, arrival: &super::Arrival) -> Verdict<state::Request> {
         if self.is_stopping {
--- a/crates/carawaycleat-core/src/entry/effect.rs
+++ b/crates/carawaycleat-core/src/entry/effect.rs
@@ -6,6 +6,15 @@
 /// Something that an entry host is to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
+    /// Count what an accepted request asks of a model, for the placement.
+    Ask {
+        /// The model.
+        model: name::Name,
+        /// The adapter on top of it.
+        adapter: Option<name::Name>,
+        /// The tokens reserved.
+        tokens: u64,
+    },
     /// Record the claim of a request's idempotency key, and answer with [`Event::Claimed`](super::Event::Claimed).
     Claim {
         /// The request.
--- a/crates/carawaycleat-core/tests/suite/path_world/host.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/host.rs
@@ -142,7 +142,7 @@
                 }
             }
             // Counted by the daemon only; the world keeps its own record of tokens and attempts.
-            entry::Effect::Tokens { .. } | entry::Effect::Retry(_) => {}
+            entry::Effect::Ask { .. } | entry::Effect::Tokens { .. } | entry::Effect::Retry(_) => {}
             entry::Effect::Refuse(id, refusal) => self.refused(id, &refusal),
             entry::Effect::Cancel { attempt, upstream } => {
                 let is_kept = self.kept.contains(&request_of(attempt));
--- a/crates/carawaycleat-standin/examples/overhead.rs
+++ b/crates/carawaycleat-standin/examples/overhead.rs
@@ -173,14 +173,16 @@
         };
         let engine = standin::Engine::start(&self.executor, options).expect("an engine");
         let name = text(&format!("engine-{}", self.engines.len()));
-        let mut settings = settings::Side::default();
-        settings.host = name.clone();
-        settings.upstream = name;
-        settings.entries = vec![peers];
+        let mut settings = settings::Side {
+            host: name.clone(),
+            upstream: name,
+            entries: vec![peers],
+            order_settle_ms: 500,
+            ..settings::Side::default()
+        };
         settings.listen.work = ([127, 0, 0, 1], 0).into();
         settings.engine.address = engine.local_address();
         settings.engine.max_requests = 0;
-        settings.order_settle_ms = 500;
         let side = side::Daemon::start(self.executor.clone(), settings).expect("a sidecar");
         self.engines.push(engine);
         self.sides.push(side);
--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -2,7 +2,6 @@
 use std::time;
 
 use carawaycleat_core::entry;
-use carawaycleat_core::placement;
 use carawaycleat_core::request;
 use carawaycleat_core::resource;
 use carawaycleat_net as net;
@@ -65,13 +64,6 @@
         intake,
     };
     let arrival = serving.intake.arrival.clone();
-    if let Some(model) = &arrival.model {
-        let subject = placement::Subject {
-            model: model.clone(),
-            adapter: arrival.adapter.clone(),
-        };
-        serving.shared.ask(&subject, arrival.cost());
-    }
     serving
         .shared
         .step(entry::Event::Arrived(Box::new(arrival)));
--- a/crates/carawaycleat/src/entry/perform.rs
+++ b/crates/carawaycleat/src/entry/perform.rs
@@ -1,6 +1,7 @@
 use std::sync;
 
 use carawaycleat_core::entry;
+use carawaycleat_core::placement;
 use carawaycleat_core::timeline;
 use carawaycleat_wire as wire;
 
@@ -15,6 +16,13 @@
     /// Performs an effect of the reducer without waiting.
     pub(super) fn perform(self: &sync::Arc<Self>, effect: entry::Effect) {
         match effect {
+            entry::Effect::Ask {
+                model,
+                adapter,
+                tokens,
+            } => {
+                self.ask(&placement::Subject { model, adapter }, tokens);
+            }
             entry::Effect::Claim { request, key } => self.send(request, mailbox::Order::Claim(key)),
             entry::Effect::Settle { request, outcome } => {
                 self.spawn(claims::settle(self.clone(), request, outcome));
