--- a/crates/carawaycleat-standin/examples/overhead.rs
+++ b/crates/carawaycleat-standin/examples/overhead.rs
@@ -116,14 +116,16 @@
 /// Runs the entry host until the process is ended.
 fn serve(store: net::SocketAddr) {
     let loopback: net::SocketAddr = ([127, 0, 0, 1], 0).into();
-    let mut settings = settings::Entry::default();
-    settings.host = text("entry-1");
-    settings.listen = settings::Listen {
-        callers: loopback,
-        operators: loopback,
-        peers: loopback,
+    let mut settings = settings::Entry {
+        host: text("entry-1"),
+        listen: settings::Listen {
+            callers: loopback,
+            operators: loopback,
+            peers: loopback,
+        },
+        peers: Vec::new(),
+        ..settings::Entry::default()
     };
-    settings.peers = Vec::new();
     settings.store.endpoints = vec![store];
     settings.placement.loads_per_second = 100.0;
     settings.placement.loads_in_flight = 20;
@@ -173,14 +175,16 @@
         };
         let engine = standin::Engine::start(&self.executor, options).expect("an engine");
         let name = text(&format!("engine-{}", self.engines.len()));
-        let mut settings = settings::Side::default();
-        settings.host = name.clone();
-        settings.upstream = name;
-        settings.entries = vec![peers];
+        let mut settings = settings::Side {
+            host: name.clone(),
+            upstream: name,
+            entries: vec![peers],
+            order_settle_ms: 500,
+            ..settings::Side::default()
+        };
         settings.listen.work = ([127, 0, 0, 1], 0).into();
         settings.engine.address = engine.local_address();
         settings.engine.max_requests = 0;
-        settings.order_settle_ms = 500;
         let side = side::Daemon::start(self.executor.clone(), settings).expect("a sidecar");
         self.engines.push(engine);
         self.sides.push(side);
