--- a/crates/carawaycleat-standin/examples/overhead.rs
+++ b/crates/carawaycleat-standin/examples/overhead.rs
@@ -116,14 +116,16 @@
 /// Runs the entry host until the process is ended.
 fn serve(store: net::SocketAddr) {
     let loopback: net::SocketAddr = ([127, 0, 0, 1], 0).into();
-    let mut settings = settings::Entry::default();
-    settings.host = text("entry-1");
-    settings.listen = settings::Listen {
-        callers: loopback,
-        operators: loopback,
-        peers: loopback,
+    let mut settings = settings::Entry {
+        host: text("entry-1"),
+        listen: settings::Listen {
+            callers: loopback,
+            operators: loopback,
+            peers: loopback,
+        },
+        peers: Vec::new(),
+        ..settings::Entry::default()
     };
-    settings.peers = Vec::new();
     settings.store.endpoints = vec![store];
     settings.placement.loads_per_second = 100.0;
     settings.placement.loads_in_flight = 20;
