fix: let each entry host hear all sidecars, and wait longer for tokens

A host without a copy of the configuration answered unknown_route instead of a refusal that is worth repeating. In the rolling replacement of all entry hosts, requests within the rate were refused after a wait of 250 ms while new hosts had empty shards. Change: directives name all entry hosts; a host without a copy refuses with configuration_stale; a request waits for tokens for up to 2 s, within its deadline. The timeline shows each change of the held shards.

--- a/crates/carawaycleat-core/src/entry/control.rs
+++ b/crates/carawaycleat-core/src/entry/control.rs
@@ -218,17 +218,14 @@
         self.expire(now);
         self.serve_pending(now);
         self.dispatch_all(now);
-        let held = self.held;
         for effect in self.holder.tick(now) {
             // The ledger must not spend what the effect gives away.
             self.refresh_shards(now);
             self.emit(super::Effect::Shards(effect));
         }
-        if self.held != held {
-            let detail = format!("{} of {}", self.held, self.holder.total());
-            self.record(
-                super::Record::new(timeline::Kind::StateChanged).detail(format!("shards {detail}")),
-            );
+        if std::mem::replace(&mut self.noted_held, self.held) != self.held {
+            let detail = format!("shards {} of {}", self.held, self.holder.total());
+            self.record(super::Record::new(timeline::Kind::StateChanged).detail(detail));
         }
         if self.is_stopping && self.requests.is_empty() && self.holder.is_released() {
             self.emit(super::Effect::Exit);
--- a/crates/carawaycleat-core/src/entry/reducer.rs
+++ b/crates/carawaycleat-core/src/entry/reducer.rs
@@ -41,6 +41,8 @@
     pub(super) holder: rate::Holder,
     pub(super) ledger: rate::Ledger,
     pub(super) held: u32,
+    /// The number of shards that the timeline shows.
+    pub(super) noted_held: u32,
     pub(super) offers: collections::BTreeMap<(name::Name, name::Name), u64>,
     pub(super) pending: pending::Pending,
     pub(super) queue: admission::Queue,
@@ -71,6 +73,7 @@
                 .rules(rules.rate),
             ledger: rate::Ledger::new().rules(rules.rate),
             held: 0,
+            noted_held: 0,
             offers: collections::BTreeMap::new(),
             pending: pending::Pending::default(),
             queue: admission::Queue::new(rules.admission),
--- a/crates/carawaycleat-core/src/entry/rules.rs
+++ b/crates/carawaycleat-core/src/entry/rules.rs
@@ -33,8 +33,8 @@
             rate: rate::Rules::GUARDED,
             shards: rate::SHARDS,
             shard_validity: rate::VALIDITY,
-            // Longer than one round trip to a peer, shorter than the bound on the first token.
-            token_wait: time::Duration::from_millis(250),
+            // A late answer is better than a refusal within the rate; the deadline bounds the wait as well.
+            token_wait: time::Duration::from_secs(2),
             borrows: true,
             token_waiters: 64,
         }
--- a/crates/carawaycleat/src/entry/callers/intake.rs
+++ b/crates/carawaycleat/src/entry/callers/intake.rs
@@ -62,6 +62,12 @@
                 .map(|(name, route)| (name.clone(), route.clone()))
         });
         let Some((name, route)) = route else {
+            // A host that has just started knows no routes; that a route does not exist is only known with a copy.
+            if !shared.with(|reducer, _| reducer.monitor().is_confirmed()) {
+                let message = "this host has no configuration yet";
+                let reason = outcome::Reason::ConfigurationStale;
+                return Err((None, super::refuse(reason, message)));
+            }
             let message = format!("no route matches {}", request.path);
             return Err((None, super::refuse(outcome::Reason::UnknownRoute, message)));
         };
--- a/crates/carawaycleat/src/entry/peers.rs
+++ b/crates/carawaycleat/src/entry/peers.rs
@@ -14,9 +14,6 @@
 use super::placing;
 use super::shared;
 
-/// The most entry hosts that a sidecar is told to report to.
-const MAX_MEMBERS: usize = 6;
-
 /// Answers a peer or a sidecar.
 pub(super) async fn answer(
     shared: sync::Arc<shared::Shared>,
@@ -141,7 +138,8 @@
             leaving: found.is_some_and(|resource| resource.leaving),
             plan_revision: plan.as_ref().map_or(0, |plan| plan.revision),
             holdings: items.iter().map(holding).collect(),
-            members: members::of(history).into_iter().take(MAX_MEMBERS).collect(),
+            // Each entry host routes by the reports that it hears itself.
+            members: members::of(history),
         }
     })
 }
