fix: hand the rates over when an entry host is replaced

Besides, a stopping host kept its part of the rates for as long as its last request ran. Change: a process never releases or claims what a later incarnation on its address holds; the tasks of a daemon end with it; a stopping host releases its shards once the load balancer has had time, and says so in the roster, so that the others take over its part while its requests end. The streaming reads of answers no longer set a timer for each piece, because the reducer watches progress.

--- a/crates/carawaycleat-core/src/entry/control.rs
+++ b/crates/carawaycleat-core/src/entry/control.rs
@@ -73,16 +73,21 @@
     }
 
     fn take_up_roster(&mut self) {
-        let keys = self
+        let records: Vec<_> = self
             .history
             .with_prefix(ROSTER_PREFIX)
-            .map(|(key, _, _)| &key[ROSTER_PREFIX.len()..]);
-        let hosts: Vec<_> = keys
-            .filter_map(|host| name::Name::parse(host).ok())
+            .filter_map(|(key, value, _)| {
+                let host = name::Name::parse(&key[ROSTER_PREFIX.len()..]).ok()?;
+                Some((host, is_leaving(value)))
+            })
             .collect();
+        // A leaving host still counts towards a majority, but has no part of the rates.
+        let holders = records.iter().filter(|(_, is_leaving)| !is_leaving);
+        let holders: Vec<_> = holders.map(|(host, _)| host.clone()).collect();
+        self.holder.roster(&holders);
+        let hosts: Vec<_> = records.into_iter().map(|(host, _)| host).collect();
         if hosts != self.roster {
             self.monitor.roster(&hosts);
-            self.holder.roster(&hosts);
             self.offers.retain(|(host, _), _| hosts.contains(host));
             self.roster = hosts;
         }
@@ -254,10 +259,15 @@
         }
     }
 
-    pub(super) fn stop(&mut self, now: clock::Instant) {
-        self.is_stopping = true;
+    /// Gives up the host's part of the rates, so that the others have it while running requests end.
+    pub(super) fn release_shards(&mut self, now: clock::Instant) {
         self.holder.stop();
         self.refresh_shards(now);
+    }
+
+    pub(super) fn stop(&mut self, now: clock::Instant) {
+        self.is_stopping = true;
+        self.release_shards(now);
         self.record(super::Record::new(timeline::Kind::Leaving));
     }
 }
@@ -272,3 +282,14 @@
         revision,
     })
 }
+
+/// Returns whether the record of an entry host says that it is stopping.
+fn is_leaving(value: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Member {
+        #[serde(default)]
+        leaving: bool,
+    }
+
+    serde_json::from_slice::<Member>(value).is_ok_and(|member| member.leaving)
+}
--- a/crates/carawaycleat-core/src/entry/event.rs
+++ b/crates/carawaycleat-core/src/entry/event.rs
@@ -75,7 +75,9 @@
     ShardsRead(Vec<rate::Observed>),
     /// Time has passed.
     Tick,
-    /// The process is to stop: running requests end, and shards are released.
+    /// The process is about to stop: its shards are released, and what it still serves uses borrowed tokens.
+    Release,
+    /// The process is to stop: running requests end, and no new ones are taken.
     Stop,
 }
 
--- a/crates/carawaycleat-core/src/entry/reducer.rs
+++ b/crates/carawaycleat-core/src/entry/reducer.rs
@@ -134,6 +134,7 @@
             super::Event::ShardsWritten(id, answer) => self.holder.answer(now, &id, answer),
             super::Event::ShardsRead(records) => self.holder.read(now, &records),
             super::Event::Tick => self.tick(now),
+            super::Event::Release => self.release_shards(now),
             super::Event::Stop => self.stop(now),
         }
         std::mem::take(&mut self.effects)
--- a/crates/carawaycleat-core/src/rate/slot.rs
+++ b/crates/carawaycleat-core/src/rate/slot.rs
@@ -24,7 +24,9 @@
 
     /// Returns whether this process or its predecessor on the same address holds the shard.
     pub(super) fn is_at(&self, owner: &super::Owner) -> bool {
-        self.owner().is_some_and(|o| o.address == owner.address)
+        // A process that has been replaced on its address must not touch what its successor holds.
+        self.owner()
+            .is_some_and(|o| o.address == owner.address && o.incarnation <= owner.incarnation)
     }
 
     pub(super) fn is_held(&self, now: clock::Instant) -> bool {
--- a/crates/carawaycleat-core/tests/suite/rate_stop.rs
+++ b/crates/carawaycleat-core/tests/suite/rate_stop.rs
@@ -1,4 +1,6 @@
 use carawaycleat_core::clock;
+use carawaycleat_core::config;
+use carawaycleat_core::entry;
 use carawaycleat_core::name;
 use carawaycleat_core::rate;
 
@@ -46,3 +48,66 @@
         assert!(holder.is_released());
     }
 }
+
+/// Guards against a replaced process that releases the shards of its successor on the same address.
+#[test]
+fn a_replaced_process_leaves_the_shards_of_its_successor_alone() {
+    let owner = |incarnation| rate::Owner {
+        host: name::Name::parse("entry-1").expect("a valid name"),
+        address: ([127, 0, 0, 1], 8082).into(),
+        incarnation,
+    };
+    let mut holder = rate::Holder::new(owner(1), SHARDS);
+    holder.roster(&[owner(1).host]);
+    let held = |number| rate::Observed {
+        number,
+        shard: Some(rate::Shard {
+            owner: Some(owner(2)),
+            sequence: 1,
+            validity_ms: 60_000,
+            operation: "other".to_owned(),
+        }),
+        revision: 5,
+    };
+    let records: Vec<_> = (0..SHARDS).map(held).collect();
+    holder.list(clock::Instant::from_millis(1), &records);
+    let mut revision = 5;
+    assert_eq!(tick(&mut holder, 1_000, &mut revision), []);
+    holder.stop();
+    assert_eq!(tick(&mut holder, 2_000, &mut revision), []);
+    assert!(holder.is_released());
+}
+
+/// Returns the number of shards that a host claims first, beside a peer with this record in the roster.
+fn claimed_beside(peer: &str) -> usize {
+    let host = name::Name::parse("entry-1").expect("a valid name");
+    let zone = name::Name::parse("zone-1").expect("a valid name");
+    let owner = rate::Owner {
+        host,
+        address: ([127, 0, 0, 1], 8082).into(),
+        incarnation: 1,
+    };
+    let mut reducer = entry::Reducer::new(owner, zone, entry::Rules::default());
+    let record = |host: &str, value: &str| config::Change {
+        key: format!("/carawaycleat/v1/roster/{host}"),
+        value: Some(value.as_bytes().to_vec()),
+        revision: 1,
+    };
+    let pairs = vec![record("entry-1", "{}"), record("entry-2", peer)];
+    let now = clock::Instant::from_millis(1_000);
+    reducer.step(now, entry::Event::Listing { revision: 1, pairs });
+    let effects = reducer.step(now, entry::Event::Tick);
+    let claimed = effects.iter().find_map(|effect| match effect {
+        entry::Effect::Shards(rate::Effect::Write(write)) => Some(write.puts.len()),
+        _ => None,
+    });
+    claimed.unwrap_or(0)
+}
+
+/// Guards against a part of the rates that nobody can spend while a stopping host waits for its running requests.
+#[test]
+fn a_leaving_host_has_no_part_of_the_rates() {
+    let shards = usize::try_from(rate::SHARDS).expect("a small number");
+    assert_eq!(claimed_beside("{}"), shards / 2);
+    assert_eq!(claimed_beside(r#"{"leaving":true}"#), shards);
+}
--- a/crates/carawaycleat-wire/src/message/digest.rs
+++ b/crates/carawaycleat-wire/src/message/digest.rs
@@ -61,4 +61,7 @@
     pub availability_zone: name::Name,
     /// The incarnation of its process.
     pub incarnation: u64,
+    /// Whether the host is stopping and holds no part of the rates any more.
+    #[serde(default)]
+    pub leaving: bool,
 }
--- a/crates/carawaycleat-wire/tests/suite/hostile.rs
+++ b/crates/carawaycleat-wire/tests/suite/hostile.rs
@@ -180,6 +180,7 @@
             peer_address: ([127, 0, 0, 1], 9_000).into(),
             availability_zone: name("a"),
             incarnation: 3,
+            leaving: false,
         }],
     }
 }
--- a/crates/carawaycleat/src/entry/attempt.rs
+++ b/crates/carawaycleat/src/entry/attempt.rs
@@ -16,9 +16,6 @@
 use super::shared;
 use crate::upstream;
 
-/// The longest silence of an attempt; the reducer gives up earlier when there is no progress.
-const PATIENCE: time::Duration = time::Duration::from_secs(3_600);
-
 /// The time allowed until a sidecar begins to answer.
 const SIDE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
@@ -250,7 +247,7 @@
         if let Some(frame) = decoder.next_frame().map_err(|error| error.to_string())? {
             return Ok(Some(frame));
         }
-        match reader.next_within(PATIENCE).await {
+        match reader.next().await {
             Ok(Some(piece)) => decoder.push(&piece),
             Ok(None) => return Ok(None),
             Err(error) => return Err(error.to_string()),
--- a/crates/carawaycleat/src/entry/background.rs
+++ b/crates/carawaycleat/src/entry/background.rs
@@ -61,9 +61,22 @@
     }
 }
 
+/// Enters the roster.
 async fn enter(shared: &shared::Shared) {
-    let value =
-        serde_json::to_vec(&shared.member).expect("a member can always be written to memory");
+    put(shared, &shared.member).await;
+}
+
+/// Notes in the roster that this host is stopping, so that the others take over its part of the rates.
+pub(super) async fn announce(shared: &shared::Shared) {
+    let member = wire::Member {
+        leaving: true,
+        ..shared.member.clone()
+    };
+    put(shared, &member).await;
+}
+
+async fn put(shared: &shared::Shared, member: &wire::Member) {
+    let value = serde_json::to_vec(member).expect("a member can always be written to memory");
     let put = store::Write::put(members::key(shared.host()), value);
     let answer = shared
         .store
--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -146,6 +146,10 @@
     async fn drain(&self) {
         let delay = time::Duration::from_millis(self.shared.settings.shutdown.drain_delay_ms);
         async_io::Timer::after(delay).await;
+        // Running requests may take long; meanwhile the other hosts serve their callers with this host's part of the
+        // rates.
+        self.shared.step(entry::Event::Release);
+        background::announce(&self.shared).await;
         self.callers.drain().await;
         self.shared.step(entry::Event::Stop);
         let expired = async {
@@ -171,6 +175,7 @@
         self.callers.abort();
         self.operators.abort();
         self.peers.abort();
+        self.shared.end_tasks();
         cut
     }
 }
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -41,6 +41,9 @@
     /// Closed when the reducer says that the process can exit.
     pub(super) exit: async_channel::Receiver<()>,
     pub(super) exiting: async_channel::Sender<()>,
+    stopping: async_channel::Sender<()>,
+    /// Closed when the daemon has stopped.
+    stopped: async_channel::Receiver<()>,
     clock: journal::Monotonic,
     reducer: sync::Mutex<entry::Reducer>,
     mailboxes: sync::Mutex<collections::HashMap<request::Id, mailbox::Sender>>,
@@ -74,6 +77,7 @@
         let pool = net::Pool::default();
         let timeout = time::Duration::from_millis(settings.store.timeout_ms);
         let (exiting, exit) = async_channel::bounded(1);
+        let (stopping, stopped) = async_channel::bounded(1);
         Self {
             executor,
             policy,
@@ -85,10 +89,13 @@
                 peer_address,
                 availability_zone: settings.availability_zone.clone(),
                 incarnation,
+                leaving: false,
             },
             callers: sync::OnceLock::new(),
             exit,
             exiting,
+            stopping,
+            stopped,
             clock: journal::Monotonic::start(),
             reducer: sync::Mutex::new(reducer),
             mailboxes: sync::Mutex::default(),
@@ -313,9 +320,20 @@
         self.draining.load(sync::atomic::Ordering::Relaxed)
     }
 
-    /// Runs a task beside the others until it ends.
+    /// Runs a task beside the others until it ends or the daemon has stopped.
     pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(task).detach();
+        let stopped = self.stopped.clone();
+        let stopped = async move {
+            let _ = stopped.recv().await;
+        };
+        self.executor
+            .spawn(futures_lite::future::or(task, stopped))
+            .detach();
+    }
+
+    /// Ends all tasks. A daemon that went on in the background would act beside its successor on the same address.
+    pub(super) fn end_tasks(&self) {
+        self.stopping.close();
     }
 
     pub(super) fn host(&self) -> &name::Name {
--- a/crates/carawaycleat/src/side/daemon.rs
+++ b/crates/carawaycleat/src/side/daemon.rs
@@ -88,6 +88,7 @@
             ));
         }
         self.server.abort();
+        self.shared.end_tasks();
         cut
     }
 }
--- a/crates/carawaycleat/src/side/shared.rs
+++ b/crates/carawaycleat/src/side/shared.rs
@@ -31,6 +31,9 @@
     /// Closed when the reducer says that the process can exit.
     pub(super) exit: async_channel::Receiver<()>,
     exiting: async_channel::Sender<()>,
+    stopping: async_channel::Sender<()>,
+    /// Closed when the daemon has stopped.
+    stopped: async_channel::Receiver<()>,
     executor: sync::Arc<net::Executor>,
     clock: journal::Monotonic,
     is_stopping: atomic::AtomicBool,
@@ -63,12 +66,15 @@
             .max_jobs(settings.limits.requests);
         let pool = net::Pool::default();
         let (exiting, exit) = async_channel::bounded(1);
+        let (stopping, stopped) = async_channel::bounded(1);
         Self {
             engine: upstream::Engine::new(pool.clone(), settings.engine.address),
             pool,
             metric: metric::Side::new(),
             exit,
             exiting,
+            stopping,
+            stopped,
             executor,
             clock,
             is_stopping: atomic::AtomicBool::new(false),
@@ -277,9 +283,20 @@
         self.journal.answer(query)
     }
 
-    /// Runs a task beside the others until it ends.
+    /// Runs a task beside the others until it ends or the daemon has stopped.
     pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(task).detach();
+        let stopped = self.stopped.clone();
+        let stopped = async move {
+            let _ = stopped.recv().await;
+        };
+        self.executor
+            .spawn(futures_lite::future::or(task, stopped))
+            .detach();
+    }
+
+    /// Ends all tasks. A daemon that went on in the background would act beside its successor on the same address.
+    pub(super) fn end_tasks(&self) {
+        self.stopping.close();
     }
 }
 
--- a/crates/carawaycleat/src/upstream/answer.rs
+++ b/crates/carawaycleat/src/upstream/answer.rs
@@ -1,5 +1,4 @@
 use std::collections;
-use std::time;
 
 use carawaycleat_core::outcome;
 use carawaycleat_net as net;
@@ -8,9 +7,6 @@
 
 use super::engine;
 
-/// The longest wait for the next piece of an answer; the entry host gives up earlier when there is no progress.
-const PATIENCE: time::Duration = time::Duration::from_secs(600);
-
 /// The longest error body that is read, in bytes.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
@@ -111,7 +107,7 @@
         if let Some(head) = self.head.take() {
             return Some(head);
         }
-        match self.reader.next_within(PATIENCE).await {
+        match self.reader.next().await {
             Ok(Some(piece)) => {
                 self.count += piece.len() as u64;
                 Some(wire::Part::Body(piece))
@@ -132,7 +128,7 @@
             if let Some(part) = self.waiting.pop_front() {
                 return Some(part);
             }
-            match self.reader.next_within(PATIENCE).await {
+            match self.reader.next().await {
                 Ok(Some(piece)) => self.decode(&piece),
                 Ok(None) => {
                     let part = self.incomplete("the stream ended without [DONE]".to_owned());
@@ -220,7 +216,7 @@
     async fn refused(&mut self) -> wire::Part {
         self.ended = true;
         let mut message = Vec::new();
-        while let Ok(Some(piece)) = self.reader.next_within(PATIENCE).await {
+        while let Ok(Some(piece)) = self.reader.next().await {
             message.extend_from_slice(&piece);
             if message.len() > MAX_ERROR_BYTES {
                 break;
