--- a/crates/carawaycleat-core/src/config/check.rs
+++ b/crates/carawaycleat-core/src/config/check.rs
@@ -1,8 +1,6 @@
 use crate::name;
 use crate::resource;
 
-use super::Error;
-
 impl super::Snapshot {
     /// Checks the rules that would be broken by writing `resource` as `id`.
     ///
@@ -13,27 +11,27 @@
     /// Returns all broken rules: fields out of range, missing references, and conflicts with other resources.
     pub fn check_put(&self, id: &resource::Id, resource: &resource::Resource) -> super::Result<()> {
         if resource.kind() != id.kind {
-            return Err(Error::Kind(id.clone(), resource.kind()));
+            return Err(super::Error::Kind(id.clone(), resource.kind()));
         }
         let mut problems = Vec::new();
         if let Err(error) = resource.validate() {
-            problems.push(Error::Invalid(id.clone(), error));
+            problems.push(super::Error::Invalid(id.clone(), error));
         }
         for target in references(resource) {
             if self.get(&target).is_none() {
-                problems.push(Error::Missing(id.clone(), target));
+                problems.push(super::Error::Missing(id.clone(), target));
             }
         }
         problems.extend(self.foreign(id, resource));
         if own_addresses_equal(resource) {
-            problems.push(Error::Conflict(id.clone(), id.clone(), "address"));
+            problems.push(super::Error::Conflict(id.clone(), id.clone(), "address"));
         }
         for (other, entry) in self.iter().filter(|(other, _)| *other != id) {
             if let Some(what) = conflict(resource, &entry.resource) {
-                problems.push(Error::Conflict(id.clone(), other.clone(), what));
+                problems.push(super::Error::Conflict(id.clone(), other.clone(), what));
             }
         }
-        Error::collect(problems)
+        super::Error::collect(problems)
     }
 
     /// Checks that no other resource names `id`.
@@ -47,17 +45,17 @@
         let users = self
             .iter()
             .filter(|(_, entry)| references(&entry.resource).contains(id))
-            .map(|(by, _)| Error::InUse(id.clone(), by.clone()));
-        Error::collect(users.collect())
+            .map(|(by, _)| super::Error::InUse(id.clone(), by.clone()));
+        super::Error::collect(users.collect())
     }
 
-    fn foreign(&self, id: &resource::Id, resource: &resource::Resource) -> Vec<Error> {
+    fn foreign(&self, id: &resource::Id, resource: &resource::Resource) -> Vec<super::Error> {
         match resource {
             resource::Resource::Model(model) => {
                 let version = resource::Id::new(resource::Kind::Version, model.version.clone());
                 let found = self.version(&model.version);
                 let is_foreign = found.is_some_and(|v| v.model != id.name);
-                let error = || Error::Foreign(id.clone(), version.clone());
+                let error = || super::Error::Foreign(id.clone(), version.clone());
                 is_foreign.then(error).into_iter().collect()
             }
             resource::Resource::Version(version) => self
@@ -65,7 +63,7 @@
                 .filter(|(name, m)| m.version == id.name && **name != version.model)
                 .map(|(name, _)| {
                     let model = resource::Id::new(resource::Kind::Model, name.clone());
-                    Error::Foreign(model, id.clone())
+                    super::Error::Foreign(model, id.clone())
                 })
                 .collect(),
             _ => Vec::new(),
--- a/crates/carawaycleat-core/src/freshness/monitor.rs
+++ b/crates/carawaycleat-core/src/freshness/monitor.rs
@@ -4,8 +4,6 @@
 use crate::clock;
 use crate::name;
 
-use super::State;
-
 #[derive(Clone, Debug)]
 struct Peer {
     report: super::Report,
@@ -148,19 +146,19 @@
     }
 
     /// Returns how far the copy can be relied on.
-    pub fn state(&self, now: clock::Instant) -> State {
+    pub fn state(&self, now: clock::Instant) -> super::State {
         let age = self.store_age(now);
         let is_younger = |limit: time::Duration| age.is_some_and(|age| age < limit);
         if !self.is_confirmed {
-            State::Isolated
+            super::State::Isolated
         } else if is_younger(super::FRESH_FOR) {
-            State::Fresh
+            super::State::Fresh
         } else if self.is_outage(now) {
-            State::Outage
+            super::State::Outage
         } else if is_younger(super::ISOLATED_AFTER) {
-            State::Asking
+            super::State::Asking
         } else {
-            State::Isolated
+            super::State::Isolated
         }
     }
 
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod path_fake;
 mod path_world;
 mod placement;
+mod placement_demand;
 mod rate;
 mod rate_stop;
 mod rate_world;
--- a/crates/carawaycleat-core/tests/suite/path_world/caller.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/caller.rs
@@ -7,27 +7,21 @@
 use carawaycleat_core::outcome;
 use carawaycleat_core::request;
 
-use super::Broken;
-use super::FIRST;
-use super::LAST;
-use super::LONG;
-use super::Rule;
-use super::World;
 use crate::path_fake as fake;
 use crate::routing as support;
 
-impl World {
+impl super::World {
     /// Lets the callers of this step send their requests.
     pub(super) fn demand(&mut self) {
-        if !(FIRST - 2..=LAST + 20).contains(&self.step) {
+        if !(super::FIRST - 2..=super::LAST + 20).contains(&self.step) {
             return;
         }
         let step = self.step;
         let turn = (step as usize) % fake::HOSTS;
-        if step == FIRST - 2 {
+        if step == super::FIRST - 2 {
             for host in 0..fake::HOSTS {
-                self.arrive(host, "w1", true, "POST", None, LONG);
-                self.arrive(host, "w2", true, "POST", None, LONG);
+                self.arrive(host, "w1", true, "POST", None, super::LONG);
+                self.arrive(host, "w2", true, "POST", None, super::LONG);
             }
         }
         self.arrive(turn, "w2", false, "GET", None, 4);
@@ -62,14 +56,14 @@
         };
         let id = request::Id::from_u128((self.callers.len() as u128 + 1) << 8);
         let key = match self.rule {
-            Rule::ConnectionKey => *self.connection_key.get_or_insert(workspace),
+            super::Rule::ConnectionKey => *self.connection_key.get_or_insert(workspace),
             _ => workspace,
         };
         let arrival = entry::Arrival {
             id,
             digest: Some(fake::digest(key)),
             route: support::name(if is_model { "models" } else { "desk" }),
-            method: if self.rule == Rule::RetryAll && claim.is_none() {
+            method: if self.rule == super::Rule::RetryAll && claim.is_none() {
                 "GET".to_owned()
             } else {
                 method.to_owned()
@@ -118,10 +112,14 @@
         let is_withdrawn =
             workspace == "w1" && self.withdrawn_at.is_some_and(|at| self.now > at + 5_000);
         *self.used.entry(workspace).or_default() += u64::from(self.callers[&id].is_model);
-        self.check_that(is_own, Broken::Answer, format!("{id:?} got {content:?}"));
+        self.check_that(
+            is_own,
+            super::Broken::Answer,
+            format!("{id:?} got {content:?}"),
+        );
         self.check_that(
             !is_withdrawn,
-            Broken::Withdrawn,
+            super::Broken::Withdrawn,
             format!("{id:?} gets more"),
         );
     }
@@ -135,24 +133,24 @@
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
-        if rule == Rule::CheckOnArrival && withdraws && caller.executions > 0 {
+        if rule == super::Rule::CheckOnArrival && withdraws && caller.executions > 0 {
             self.kept.insert(id);
             return;
         }
         let outcome = match rule {
-            Rule::AllNotRun => outcome::Outcome::NotRun,
+            super::Rule::AllNotRun => outcome::Outcome::NotRun,
             _ => refusal.outcome,
         };
         let is_first = caller.refused.replace((refusal.reason, outcome)).is_none();
         let (executions, is_finished) = (caller.executions, caller.is_finished);
         self.check_that(
             is_first && !is_finished,
-            Broken::Answer,
+            super::Broken::Answer,
             format!("{id:?} has two ends"),
         );
         self.check_that(
             outcome != outcome::Outcome::NotRun || executions == 0,
-            Broken::FalseNotRun,
+            super::Broken::FalseNotRun,
             format!("{id:?} {refusal:?}"),
         );
         let is_cut = self.planned_only && refusal.reason != outcome::Reason::ShuttingDown;
@@ -160,7 +158,7 @@
             || refusal.reason == outcome::Reason::DuplicateRequest;
         self.check_that(
             !is_cut || is_limited,
-            Broken::Stopped,
+            super::Broken::Stopped,
             format!("{id:?} {refusal:?}"),
         );
     }
--- a/crates/carawaycleat-core/tests/suite/path_world/fault.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/fault.rs
@@ -6,99 +6,92 @@
 use carawaycleat_core::resource;
 use carawaycleat_core::side;
 
-use super::CUT_MS;
-use super::Fault;
-use super::Message;
-use super::PAUSE_MS;
-use super::Rule;
-use super::Wish;
-use super::World;
 use super::is_open;
 use crate::path_fake as fake;
 use crate::routing as support;
 
-impl World {
-    pub(super) fn inject(&mut self, fault: Fault) {
+impl super::World {
+    pub(super) fn inject(&mut self, fault: super::Fault) {
         let now = self.now;
         match fault {
-            Fault::JobLost
-            | Fault::JobLate
-            | Fault::JobTwice
-            | Fault::CutBefore
-            | Fault::CutAfter => {
+            super::Fault::JobLost
+            | super::Fault::JobLate
+            | super::Fault::JobTwice
+            | super::Fault::CutBefore
+            | super::Fault::CutAfter => {
                 self.delayed.insert(fault, 2);
             }
-            Fault::ReportsLost | Fault::ReportsLate | Fault::ReportsTwice => {
+            super::Fault::ReportsLost | super::Fault::ReportsLate | super::Fault::ReportsTwice => {
                 self.delayed.insert(fault, 8);
             }
-            Fault::ChangesLost | Fault::ChangesLate | Fault::ChangesTwice => {
+            super::Fault::ChangesLost | super::Fault::ChangesLate | super::Fault::ChangesTwice => {
                 self.delayed.insert(fault, 2);
                 // A change for the fault to meet.
-                self.wishes.push(Wish::Rewrite(3));
+                self.wishes.push(super::Wish::Rewrite(3));
             }
-            Fault::ExchangesLate => {
+            super::Fault::ExchangesLate => {
                 self.delayed.insert(fault, 12);
             }
-            Fault::ListLate => {
+            super::Fault::ListLate => {
                 let event = entry::Event::Listed(fake::upstream(1), true);
-                self.send(10_000, Message::Host(0, 1, Box::new(event), None));
+                self.send(10_000, super::Message::Host(0, 1, Box::new(event), None));
                 self.meet(fault, 1);
             }
-            Fault::HostKilled => self.kill_host(0),
-            Fault::HostPaused => self.hosts[0].paused_until = now + PAUSE_MS,
-            Fault::SideKilled => self.kill_side(2),
-            Fault::SidePaused => self.upstreams[2].paused_until = now + PAUSE_MS,
-            Fault::RegionCut => self.cut_until = now + CUT_MS,
-            Fault::Silent => {
+            super::Fault::HostKilled => self.kill_host(0),
+            super::Fault::HostPaused => self.hosts[0].paused_until = now + super::PAUSE_MS,
+            super::Fault::SideKilled => self.kill_side(2),
+            super::Fault::SidePaused => self.upstreams[2].paused_until = now + super::PAUSE_MS,
+            super::Fault::RegionCut => self.cut_until = now + super::CUT_MS,
+            super::Fault::Silent => {
                 for upstream in [0, 2] {
-                    self.upstreams[upstream].silent_until = now + PAUSE_MS;
+                    self.upstreams[upstream].silent_until = now + super::PAUSE_MS;
                 }
             }
-            Fault::Short => {
+            super::Fault::Short => {
                 for upstream in &mut self.upstreams {
                     upstream.shorts += 1;
                 }
             }
-            Fault::Crossed => {
+            super::Fault::Crossed => {
                 for upstream in &mut self.upstreams {
                     upstream.crossings += 1;
                 }
             }
-            Fault::KeyWithdrawn => {
-                self.wishes.push(Wish::Withdraw);
+            super::Fault::KeyWithdrawn => {
+                self.wishes.push(super::Wish::Withdraw);
             }
-            Fault::StoreDown => self.store.down_until = now + CUT_MS,
-            Fault::StoreSlow => self.store.slow_until = now + CUT_MS,
-            Fault::AnswerLost => self.store.answers_to_lose += 1,
-            Fault::Leaving => self.leave(2),
-            Fault::HostStopped => self.stop_host(1),
-            Fault::SideStopped => self.stop_side(0),
-            Fault::CallerGone => self.leave_callers(),
+            super::Fault::StoreDown => self.store.down_until = now + super::CUT_MS,
+            super::Fault::StoreSlow => self.store.slow_until = now + super::CUT_MS,
+            super::Fault::AnswerLost => self.store.answers_to_lose += 1,
+            super::Fault::Leaving => self.leave(2),
+            super::Fault::HostStopped => self.stop_host(1),
+            super::Fault::SideStopped => self.stop_side(0),
+            super::Fault::CallerGone => self.leave_callers(),
         }
         let meets_at_once = !matches!(
             fault,
-            Fault::JobLost
-                | Fault::JobLate
-                | Fault::JobTwice
-                | Fault::CutBefore
-                | Fault::CutAfter
-                | Fault::ReportsLost
-                | Fault::ReportsLate
-                | Fault::ReportsTwice
-                | Fault::ChangesLost
-                | Fault::ChangesLate
-                | Fault::ChangesTwice
-                | Fault::ExchangesLate
-                | Fault::Short
-                | Fault::Crossed
-                | Fault::AnswerLost
-                | Fault::ListLate
+            super::Fault::JobLost
+                | super::Fault::JobLate
+                | super::Fault::JobTwice
+                | super::Fault::CutBefore
+                | super::Fault::CutAfter
+                | super::Fault::ReportsLost
+                | super::Fault::ReportsLate
+                | super::Fault::ReportsTwice
+                | super::Fault::ChangesLost
+                | super::Fault::ChangesLate
+                | super::Fault::ChangesTwice
+                | super::Fault::ExchangesLate
+                | super::Fault::Short
+                | super::Fault::Crossed
+                | super::Fault::AnswerLost
+                | super::Fault::ListLate
         );
         self.meet(fault, u64::from(meets_at_once));
     }
 
     /// Takes one occurrence of a fault of a message or connection.
-    pub(super) fn strikes(&mut self, fault: Fault) -> bool {
+    pub(super) fn strikes(&mut self, fault: super::Fault) -> bool {
         let Some(left) = self.delayed.get_mut(&fault).filter(|left| **left > 0) else {
             return false;
         };
@@ -114,16 +107,16 @@
         }
         for wish in std::mem::take(&mut self.wishes) {
             match wish {
-                Wish::Rewrite(upstream) => {
+                super::Wish::Rewrite(upstream) => {
                     let leaving = self.upstreams[upstream].leaving;
                     self.store.write_upstream(upstream, leaving);
                 }
-                Wish::Leave(upstream) => {
+                super::Wish::Leave(upstream) => {
                     self.upstreams[upstream].leaving = true;
                     self.upstreams[upstream].leaves_at.get_or_insert(self.now);
                     self.store.write_upstream(upstream, true);
                 }
-                Wish::Withdraw => {
+                super::Wish::Withdraw => {
                     let id = resource::Id::new(resource::Kind::Key, support::name("k-w1"));
                     self.store.put(config::key(&id), None);
                     self.withdrawn_at.get_or_insert(self.now);
@@ -134,18 +127,18 @@
     }
 
     pub(super) fn leave(&mut self, index: usize) {
-        if self.rule == Rule::ListOnly {
+        if self.rule == super::Rule::ListOnly {
             self.upstreams[index].leaves_at.get_or_insert(self.now);
             let event = entry::Event::Listed(fake::upstream(index), true);
             for host in 0..self.hosts.len() {
                 let incarnation = self.hosts[host].incarnation;
                 self.send(
                     10_000,
-                    Message::Host(host, incarnation, Box::new(event.clone()), None),
+                    super::Message::Host(host, incarnation, Box::new(event.clone()), None),
                 );
             }
         } else {
-            self.wishes.push(Wish::Leave(index));
+            self.wishes.push(super::Wish::Leave(index));
         }
     }
 
@@ -168,7 +161,7 @@
     }
 
     pub(super) fn stop_host(&mut self, index: usize) {
-        if self.rule == Rule::StopAtOnce {
+        if self.rule == super::Rule::StopAtOnce {
             self.hosts[index].reducer = None;
             self.hosts[index].has_exited = true;
             return;
@@ -179,7 +172,7 @@
 
     pub(super) fn stop_side(&mut self, index: usize) {
         self.upstreams[index].leaves_at.get_or_insert(self.now);
-        if self.rule == Rule::StopAtOnce {
+        if self.rule == super::Rule::StopAtOnce {
             return self.kill_side(index);
         }
         self.step_side(index, side::Event::Shutdown);
--- a/crates/carawaycleat-core/tests/suite/path_world/host.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/host.rs
@@ -6,17 +6,11 @@
 use carawaycleat_core::rate;
 use carawaycleat_core::request;
 
-use super::CLAIM_WITHIN_MS;
-use super::Fault;
-use super::Message;
-use super::Rule;
-use super::STEP_MS;
-use super::World;
 use super::index_of;
 use super::request_of;
 use crate::path_fake as fake;
 
-impl World {
+impl super::World {
     pub(super) fn step_host(
         &mut self,
         host: usize,
@@ -24,7 +18,7 @@
         content: Option<fake::Content>,
     ) {
         let event = match self.rule {
-            Rule::TrustAnswers => self.trust(event),
+            super::Rule::TrustAnswers => self.trust(event),
             _ => event,
         };
         if let (entry::Event::Attempt(attempt, _), Some(content)) = (&event, content) {
@@ -43,7 +37,7 @@
         };
         let is_head = matches!(event, entry::Event::Attempt(_, entry::Progress::Head(_)));
         let mut effects = reducer.step(now, event);
-        if self.rule == Rule::CheckOnArrival {
+        if self.rule == super::Rule::CheckOnArrival {
             // A refusal that is ignored precedes the end of the attempt.
             effects.sort_by_key(|effect| !matches!(effect, entry::Effect::Refuse(..)));
         }
@@ -91,7 +85,7 @@
                 let operation = request.as_u128();
                 let (flow, action) =
                     claim::Flow::new(self.clock(host), operation, fake::host(host));
-                let deadline = self.now + CLAIM_WITHIN_MS;
+                let deadline = self.now + super::CLAIM_WITHIN_MS;
                 self.hosts[host]
                     .flows
                     .insert(request, (key, flow, deadline));
@@ -110,7 +104,7 @@
             } => {
                 let caller = &self.callers[&request];
                 let seen = match self.rule {
-                    Rule::ForwardHeaders => fake::secret(caller.workspace),
+                    super::Rule::ForwardHeaders => fake::secret(caller.workspace),
                     _ => String::new(),
                 };
                 let job = fake::Job {
@@ -166,7 +160,7 @@
     }
 
     pub(super) fn fetch(&mut self, host: usize, peer: usize, since: u64) {
-        if self.is_cut(host == 0, peer == 0) || self.rule == Rule::NoRepair {
+        if self.is_cut(host == 0, peer == 0) || self.rule == super::Rule::NoRepair {
             return;
         }
         let Some(reducer) = &self.hosts[peer].reducer else {
@@ -185,7 +179,10 @@
             },
         };
         let incarnation = self.hosts[host].incarnation;
-        self.send(0, Message::Host(host, incarnation, Box::new(event), None));
+        self.send(
+            0,
+            super::Message::Host(host, incarnation, Box::new(event), None),
+        );
     }
 
     pub(super) fn borrow(&mut self, host: usize, peer: usize, workspace: name::Name, tokens: u64) {
@@ -214,7 +211,10 @@
             tokens: lent.unwrap_or(0),
         };
         let incarnation = self.hosts[host].incarnation;
-        self.send(0, Message::Host(host, incarnation, Box::new(event), None));
+        self.send(
+            0,
+            super::Message::Host(host, incarnation, Box::new(event), None),
+        );
     }
 
     pub(super) fn shards(&mut self, host: usize, effect: rate::Effect) {
@@ -225,7 +225,7 @@
                     let lost = self.store.answers_to_lose;
                     let answer = self.store.shards(&write);
                     self.meet(
-                        Fault::AnswerLost,
+                        super::Fault::AnswerLost,
                         u64::from(self.store.answers_to_lose < lost),
                     );
                     answer
@@ -242,13 +242,13 @@
         let (incarnation, delay) = (self.hosts[host].incarnation, self.store_delay());
         self.send(
             delay,
-            Message::Host(host, incarnation, Box::new(event), None),
+            super::Message::Host(host, incarnation, Box::new(event), None),
         );
     }
 
     pub(super) fn step_claim(&mut self, host: usize, id: request::Id, event: claim::Event) {
         let now = self.clock(host);
-        if self.rule == Rule::AssumeClaim && event == claim::Event::Lost {
+        if self.rule == super::Rule::AssumeClaim && event == claim::Event::Lost {
             return self.step_host(host, entry::Event::Claimed(id, Ok(())), None);
         }
         let Some((_, flow, _)) = self.hosts[host].flows.get_mut(&id) else {
@@ -281,16 +281,16 @@
                     let lost = self.store.answers_to_lose;
                     let event = self.store.claim(&key, &action);
                     self.meet(
-                        Fault::AnswerLost,
+                        super::Fault::AnswerLost,
                         u64::from(self.store.answers_to_lose < lost),
                     );
                     event
                 } else {
-                    delay += STEP_MS;
+                    delay += super::STEP_MS;
                     claim::Event::Lost
                 };
                 let incarnation = self.hosts[host].incarnation;
-                self.send(delay, Message::Claim(host, incarnation, id, event));
+                self.send(delay, super::Message::Claim(host, incarnation, id, event));
             }
         }
     }
--- a/crates/carawaycleat-core/tests/suite/path_world/invariant.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/invariant.rs
@@ -3,14 +3,10 @@
 use carawaycleat_core::entry;
 use carawaycleat_core::outcome;
 
-use super::Broken;
-use super::Fault;
-use super::Rule;
-use super::World;
 use super::is_open;
 use crate::path_fake as fake;
 
-impl World {
+impl super::World {
     /// Records that an upstream begins a request, and checks that it may.
     pub(super) fn execute(&mut self, upstream: usize, job: fake::Job) {
         let id = job.request;
@@ -18,7 +14,7 @@
         for workspace in ["w1", "w2", "w3"] {
             let is_seen = seen.contains(&fake::secret(workspace))
                 || seen.contains(&fake::digest(workspace).to_hex());
-            self.check_that(!is_seen, Broken::KeySeen, seen.clone());
+            self.check_that(!is_seen, super::Broken::KeySeen, seen.clone());
         }
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
@@ -26,26 +22,30 @@
         caller.executions += 1;
         let caller = caller.clone();
         let is_own = job.workspace.as_deref() == Some(caller.workspace);
-        self.check_that(is_own, Broken::Workspace, format!("{id:?} {job:?}"));
+        self.check_that(is_own, super::Broken::Workspace, format!("{id:?} {job:?}"));
         let was_refused = caller.refused.map(|(_, o)| o) == Some(outcome::Outcome::NotRun);
-        self.check_that(!was_refused, Broken::FalseNotRun, format!("{id:?} runs"));
+        self.check_that(
+            !was_refused,
+            super::Broken::FalseNotRun,
+            format!("{id:?} runs"),
+        );
         let is_withdrawn =
             caller.workspace == "w1" && self.withdrawn_at.is_some_and(|at| self.now > at + 5_000);
         // A job that the network or a paused sidecar kept for longer than the bound was sent before it.
-        let is_kept = self.delayed.contains_key(&Fault::JobLate)
-            || self.delayed.contains_key(&Fault::JobTwice)
+        let is_kept = self.delayed.contains_key(&super::Fault::JobLate)
+            || self.delayed.contains_key(&super::Fault::JobTwice)
             || self.upstreams[upstream].paused_until > 0;
         let broken = if is_kept {
-            Broken::LateStart
+            super::Broken::LateStart
         } else {
-            Broken::Withdrawn
+            super::Broken::Withdrawn
         };
         self.check_that(!is_withdrawn, broken, format!("{id:?} starts"));
         let leaves_at = self.upstreams[upstream].leaves_at;
         let leaving = leaves_at.map(|at| at.max(self.cut_until));
         self.check_that(
             leaving.is_none_or(|at| self.now <= at + 3_000),
-            Broken::LeavingWork,
+            super::Broken::LeavingWork,
             format!("{id:?} at u{upstream}"),
         );
         if caller.method == "POST" && !caller.is_model {
@@ -56,7 +56,11 @@
             });
             let total: u32 = same.map(|other| other.executions).sum();
             let total = total.max(caller.executions);
-            self.check_that(total <= 1, Broken::RanTwice, format!("{id:?} {job:?}"));
+            self.check_that(
+                total <= 1,
+                super::Broken::RanTwice,
+                format!("{id:?} {job:?}"),
+            );
         }
         self.progress(&job, entry::Progress::Started, None, 0);
         let next = job.position;
@@ -74,7 +78,7 @@
                 continue;
             }
             let revision = match self.rule {
-                Rule::LastArrival => host.last_arrival,
+                super::Rule::LastArrival => host.last_arrival,
                 _ => self.revision(index),
             };
             let (before, since) = (host.in_force, host.connected_since);
@@ -82,7 +86,7 @@
             self.hosts[index].in_force = revision;
             self.check_that(
                 revision >= before,
-                Broken::Reverted,
+                super::Broken::Reverted,
                 format!("e{index} from {before} to {revision}"),
             );
             let due = self
@@ -92,7 +96,7 @@
             let due = due.map(|(revision, _)| *revision).max().unwrap_or(0);
             self.check_that(
                 is_paused || revision >= due,
-                Broken::NotInForce,
+                super::Broken::NotInForce,
                 format!("e{index} has {revision}, not {due}"),
             );
         }
@@ -100,7 +104,7 @@
         let allowed = fake::BURST + fake::RATE * self.now / 1_000;
         self.check_that(
             used <= allowed,
-            Broken::Rate,
+            super::Broken::Rate,
             format!("{used} of {allowed}"),
         );
         let wrong = self.callers.iter().find(|(_, caller)| {
@@ -109,7 +113,7 @@
         });
         if let Some((id, caller)) = wrong {
             let detail = format!("{id:?} {caller:?}");
-            self.break_with(Broken::Answer, detail);
+            self.break_with(super::Broken::Answer, detail);
         }
     }
 
@@ -122,9 +126,9 @@
             .collect();
         for (id, host) in open {
             let broken = if self.hosts[host].has_exited {
-                Broken::Stopped
+                super::Broken::Stopped
             } else {
-                Broken::Unended
+                super::Broken::Unended
             };
             let detail = format!("{id:?} {:?}", self.callers[&id]);
             self.break_with(broken, detail);
--- a/crates/carawaycleat-core/tests/suite/path_world/network.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/network.rs
@@ -4,16 +4,9 @@
 use carawaycleat_core::freshness;
 use carawaycleat_core::side;
 
-use super::Fault;
-use super::Host;
-use super::LATE_MS;
-use super::Message;
-use super::Rule;
-use super::STEP_MS;
-use super::World;
 use crate::path_fake as fake;
 
-impl World {
+impl super::World {
     pub(super) fn is_cut(&self, first_in_a: bool, second_in_a: bool) -> bool {
         self.now < self.cut_until && first_in_a != second_in_a
     }
@@ -29,13 +22,13 @@
 
     pub(super) fn store_delay(&self) -> u64 {
         if self.now < self.store.slow_until {
-            LATE_MS
+            super::LATE_MS
         } else {
             0
         }
     }
 
-    pub(super) fn send(&mut self, delay: u64, message: Message) {
+    pub(super) fn send(&mut self, delay: u64, message: super::Message) {
         self.sent += 1;
         self.messages.push((self.now + delay, self.sent, message));
     }
@@ -45,7 +38,7 @@
         for host in 0..self.hosts.len() {
             let is_up = self.hosts[host].reducer.is_some();
             if !(is_up && self.has_store(host) && self.now >= self.hosts[host].paused_until) {
-                self.hosts[host].connected_since = self.now + STEP_MS;
+                self.hosts[host].connected_since = self.now + super::STEP_MS;
                 continue;
             }
             let (incarnation, since) = (self.hosts[host].incarnation, self.hosts[host].watched);
@@ -58,18 +51,19 @@
                     through,
                     changes: self.store.since(since),
                 };
-                let message = || Message::Host(host, incarnation, Box::new(event.clone()), None);
-                if self.strikes(Fault::ChangesTwice) {
-                    self.send(LATE_MS, message());
+                let message =
+                    || super::Message::Host(host, incarnation, Box::new(event.clone()), None);
+                if self.strikes(super::Fault::ChangesTwice) {
+                    self.send(super::LATE_MS, message());
                 }
-                if self.strikes(Fault::ChangesLate) {
-                    delay += LATE_MS;
+                if self.strikes(super::Fault::ChangesLate) {
+                    delay += super::LATE_MS;
                 }
-                if !self.strikes(Fault::ChangesLost) {
+                if !self.strikes(super::Fault::ChangesLost) {
                     self.send(delay, message());
                 }
             }
-            let contact = Message::Contact(host, incarnation, self.clock(host), through);
+            let contact = super::Message::Contact(host, incarnation, self.clock(host), through);
             self.send(delay, contact);
         }
         if self.step.is_multiple_of(2) {
@@ -82,7 +76,7 @@
     }
 
     pub(super) fn exchange(&mut self, host: usize, peer: usize) {
-        let is_awake = |h: &Host| h.reducer.is_some() && self.now >= h.paused_until;
+        let is_awake = |h: &super::Host| h.reducer.is_some() && self.now >= h.paused_until;
         if !is_awake(&self.hosts[host])
             || !is_awake(&self.hosts[peer])
             || self.is_cut(host == 0, peer == 0)
@@ -107,22 +101,22 @@
             .map(|r| r.offers(now))
             .unwrap_or_default();
         let event = entry::Event::Heard { report, offers };
-        let delay = if self.strikes(Fault::ExchangesLate) {
-            LATE_MS
+        let delay = if self.strikes(super::Fault::ExchangesLate) {
+            super::LATE_MS
         } else {
             0
         };
         let incarnation = self.hosts[host].incarnation;
         self.send(
             delay,
-            Message::Host(host, incarnation, Box::new(event), None),
+            super::Message::Host(host, incarnation, Box::new(event), None),
         );
     }
 
     pub(super) fn deliver(&mut self) {
         loop {
             let now = self.now;
-            let is_due = |m: &(u64, u64, Message)| m.0 <= now;
+            let is_due = |m: &(u64, u64, super::Message)| m.0 <= now;
             let mut due: Vec<_> = self.messages.extract_if(.., |m| is_due(m)).collect();
             due.sort_by_key(|(at, sequence, _)| (*at, *sequence));
             if due.is_empty() {
@@ -134,43 +128,49 @@
         }
     }
 
-    pub(super) fn receive(&mut self, message: Message) {
+    pub(super) fn receive(&mut self, message: super::Message) {
         match message {
-            Message::Host(host, incarnation, event, content) => {
+            super::Message::Host(host, incarnation, event, content) => {
                 if self.postpone_host(host, incarnation) {
                     let until = self.hosts[host].paused_until - self.now;
-                    return self.send(until, Message::Host(host, incarnation, event, content));
+                    return self.send(
+                        until,
+                        super::Message::Host(host, incarnation, event, content),
+                    );
                 }
                 if self.hosts[host].incarnation == incarnation {
                     self.step_host(host, *event, content);
                 }
             }
-            Message::Contact(host, incarnation, sent, revision) => {
+            super::Message::Contact(host, incarnation, sent, revision) => {
                 if self.postpone_host(host, incarnation) {
                     let until = self.hosts[host].paused_until - self.now;
-                    return self.send(until, Message::Contact(host, incarnation, sent, revision));
+                    return self.send(
+                        until,
+                        super::Message::Contact(host, incarnation, sent, revision),
+                    );
                 }
                 let applied = self.revision(host);
                 if self.hosts[host].incarnation == incarnation && applied >= revision {
                     self.step_host(host, entry::Event::StoreContact(sent), None);
-                } else if self.rule != Rule::NoRepair && self.hosts[host].watched > applied {
+                } else if self.rule != super::Rule::NoRepair && self.hosts[host].watched > applied {
                     // The watch begins again after what is applied.
                     self.hosts[host].watched = applied;
                 }
             }
-            Message::Claim(host, incarnation, id, event) => {
+            super::Message::Claim(host, incarnation, id, event) => {
                 if self.hosts[host].incarnation == incarnation {
                     self.step_claim(host, id, event);
                 }
             }
-            Message::Job(upstream, job) => {
+            super::Message::Job(upstream, job) => {
                 let until = self.upstreams[upstream].paused_until;
                 if self.now < until {
-                    return self.send(until - self.now, Message::Job(upstream, job));
+                    return self.send(until - self.now, super::Message::Job(upstream, job));
                 }
                 self.job(upstream, job);
             }
-            Message::Directive(upstream, directive) => {
+            super::Message::Directive(upstream, directive) => {
                 self.step_side(upstream, side::Event::Directive(directive));
             }
         }
--- a/crates/carawaycleat-core/tests/suite/path_world/sidecar.rs
+++ b/crates/carawaycleat-core/tests/suite/path_world/sidecar.rs
@@ -6,17 +6,10 @@
 use carawaycleat_core::routing;
 use carawaycleat_core::side;
 
-use super::Fault;
-use super::LATE_MS;
-use super::Message;
-use super::Rule;
-use super::SIDE_TIMEOUT_MS;
-use super::STEP_MS;
-use super::World;
 use crate::path_fake as fake;
 use crate::routing as support;
 
-impl World {
+impl super::World {
     pub(super) fn fail(
         &mut self,
         job: &fake::Job,
@@ -45,31 +38,34 @@
         let event = entry::Event::Attempt(job.attempt, progress);
         self.send(
             delay,
-            Message::Host(job.host, incarnation, Box::new(event), content),
+            super::Message::Host(job.host, incarnation, Box::new(event), content),
         );
     }
 
     pub(super) fn send_job(&mut self, upstream: usize, job: fake::Job) {
         let unknown = outcome::Outcome::Unknown;
         let failed = outcome::Reason::UpstreamFailed;
-        if self.upstreams[upstream].side.is_none() || self.strikes(Fault::CutBefore) {
+        if self.upstreams[upstream].side.is_none() || self.strikes(super::Fault::CutBefore) {
             return self.fail(&job, outcome::Outcome::NotRun, failed, false, 0);
         }
-        if self.is_cut_from(job.host, upstream) || self.strikes(Fault::JobLost) {
-            return self.fail(&job, unknown, failed, true, SIDE_TIMEOUT_MS);
+        if self.is_cut_from(job.host, upstream) || self.strikes(super::Fault::JobLost) {
+            return self.fail(&job, unknown, failed, true, super::SIDE_TIMEOUT_MS);
         }
-        if self.strikes(Fault::JobLate) {
-            self.fail(&job, unknown, failed, true, SIDE_TIMEOUT_MS);
-            return self.send(SIDE_TIMEOUT_MS + LATE_MS, Message::Job(upstream, job));
+        if self.strikes(super::Fault::JobLate) {
+            self.fail(&job, unknown, failed, true, super::SIDE_TIMEOUT_MS);
+            return self.send(
+                super::SIDE_TIMEOUT_MS + super::LATE_MS,
+                super::Message::Job(upstream, job),
+            );
         }
-        if self.strikes(Fault::JobTwice) {
-            self.send(LATE_MS, Message::Job(upstream, job.clone()));
+        if self.strikes(super::Fault::JobTwice) {
+            self.send(super::LATE_MS, super::Message::Job(upstream, job.clone()));
         }
-        if self.strikes(Fault::CutAfter) {
+        if self.strikes(super::Fault::CutAfter) {
             // The caller's side of the connection is gone, the request is not.
-            self.fail(&job, unknown, failed, true, STEP_MS);
+            self.fail(&job, unknown, failed, true, super::STEP_MS);
         }
-        self.send(0, Message::Job(upstream, job));
+        self.send(0, super::Message::Job(upstream, job));
     }
 
     pub(super) fn job(&mut self, upstream: usize, job: fake::Job) {
@@ -142,7 +138,7 @@
         let is_short = run.next + 1 == length && upstream.shorts > 0;
         if run.next == length || is_short {
             upstream.shorts -= u32::from(is_short);
-            self.meet(Fault::Short, u64::from(is_short));
+            self.meet(super::Fault::Short, u64::from(is_short));
             self.upstreams[index]
                 .runs
                 .retain(|other| other.job.attempt != attempt);
@@ -167,7 +163,7 @@
                 shown = other;
             }
         }
-        self.meet(Fault::Crossed, u64::from(is_crossed));
+        self.meet(super::Fault::Crossed, u64::from(is_crossed));
         let content = Some((shown.job.request, shown.next));
         let progress = if is_model {
             entry::Progress::Token {
@@ -207,7 +203,7 @@
             upstream: fake::upstream(index),
             incarnation: report.incarnation,
             sequence: report.sequence,
-            leaving: report.leaving && self.rule != Rule::ListOnly,
+            leaving: report.leaving && self.rule != super::Rule::ListOnly,
             reachable: true,
             resident: vec![routing::Resident {
                 model: support::name("m"),
@@ -220,16 +216,16 @@
         };
         for host in 0..self.hosts.len() {
             let incarnation = self.hosts[host].incarnation;
-            if self.is_cut_from(host, index) || self.strikes(Fault::ReportsLost) {
+            if self.is_cut_from(host, index) || self.strikes(super::Fault::ReportsLost) {
                 continue;
             }
             let event = entry::Event::Reported(Box::new(load.clone()));
-            let message = || Message::Host(host, incarnation, Box::new(event.clone()), None);
-            if self.strikes(Fault::ReportsTwice) {
-                self.send(LATE_MS, message());
+            let message = || super::Message::Host(host, incarnation, Box::new(event.clone()), None);
+            if self.strikes(super::Fault::ReportsTwice) {
+                self.send(super::LATE_MS, message());
             }
-            let delay = if self.strikes(Fault::ReportsLate) {
-                LATE_MS
+            let delay = if self.strikes(super::Fault::ReportsLate) {
+                super::LATE_MS
             } else {
                 0
             };
@@ -255,6 +251,6 @@
             leaving: found.is_some_and(|(_, upstream)| upstream.leaving),
             ..side::Directive::default()
         };
-        self.send(0, Message::Directive(index, directive));
+        self.send(0, super::Message::Directive(index, directive));
     }
 }
--- a/crates/carawaycleat-core/tests/suite/rate.rs
+++ b/crates/carawaycleat-core/tests/suite/rate.rs
@@ -6,8 +6,6 @@
 use carawaycleat_core::resource;
 
 use crate::rate_world;
-use crate::rate_world::Demand;
-use crate::rate_world::Fault;
 
 const WORKERS: usize = 4;
 const STEPS: u64 = 8;
@@ -17,8 +15,8 @@
 /// Runs one cell and returns the counted steps and whether the sum held.
 fn run(
     rules: rate::Rules,
-    demand: Demand,
-    injections: &[(u64, Fault)],
+    demand: rate_world::Demand,
+    injections: &[(u64, rate_world::Fault)],
 ) -> (u64, u64, Result<(), String>) {
     let mut world = rate_world::World::new(rules, demand, 7);
     for step in 0..STEPS + TAIL {
@@ -36,10 +34,10 @@
     (world.steps, world.admitted, Ok(()))
 }
 
-fn pairs(later: u64) -> Vec<Vec<(u64, Fault)>> {
+fn pairs(later: u64) -> Vec<Vec<(u64, rate_world::Fault)>> {
     let mut cells = Vec::new();
-    for first in Fault::ALL {
-        for second in Fault::ALL {
+    for first in rate_world::Fault::ALL {
+        for second in rate_world::Fault::ALL {
             for step in 0..STEPS {
                 cells.push(vec![(step, first), (step + later, second)]);
             }
@@ -48,12 +46,12 @@
     cells
 }
 
-fn singles() -> Vec<Vec<(u64, Fault)>> {
+fn singles() -> Vec<Vec<(u64, rate_world::Fault)>> {
     let steps = |fault| (0..STEPS).map(move |step| vec![(step, fault)]);
-    Fault::ALL.into_iter().flat_map(steps).collect()
+    rate_world::Fault::ALL.into_iter().flat_map(steps).collect()
 }
 
-fn run_all(demand: Demand, cells: &[Vec<(u64, Fault)>]) {
+fn run_all(demand: rate_world::Demand, cells: &[Vec<(u64, rate_world::Fault)>]) {
     let results: Vec<_> = std::thread::scope(|scope| {
         let run_part = |worker: usize| -> Vec<_> {
             let part = cells.iter().skip(worker).step_by(WORKERS);
@@ -91,12 +89,15 @@
 
 /// Guards against a fault, or two together, letting the hosts exceed rate and burst.
 #[yare::parameterized(
-    single_steady = { Demand::Steady, singles },
-    single_shifting = { Demand::Shifting, singles },
-    pair_steady = { Demand::Steady, || pairs(2) },
-    pair_shifting = { Demand::Shifting, || pairs(0) },
+    single_steady = { rate_world::Demand::Steady, singles },
+    single_shifting = { rate_world::Demand::Shifting, singles },
+    pair_steady = { rate_world::Demand::Steady, || pairs(2) },
+    pair_shifting = { rate_world::Demand::Shifting, || pairs(0) },
 )]
-fn the_sum_holds_under_faults(demand: Demand, cells: fn() -> Vec<Vec<(u64, Fault)>>) {
+fn the_sum_holds_under_faults(
+    demand: rate_world::Demand,
+    cells: fn() -> Vec<Vec<(u64, rate_world::Fault)>>,
+) {
     run_all(demand, &cells());
 }
 
@@ -105,23 +106,23 @@
     local_buckets = { rate::Rules::LOCAL, &[] },
     after_the_fact = { rate::Rules::AFTER_THE_FACT, &[] },
     loans_not_debited = { rate::Rules { debits_loans: false, ..rate::Rules::GUARDED }, &[] },
-    loans_without_expiry = { rate::Rules { expires_loans: false, ..rate::Rules::GUARDED }, &[(0, Fault::TransfersLate)] },
-    credited_twice = { rate::Rules { credits_once: false, ..rate::Rules::GUARDED }, &[(0, Fault::TransfersDuplicated)] },
-    spends_until_released = { rate::Rules { stops_before_release: false, ..rate::Rules::GUARDED }, &[(0, Fault::AnswersLost), (0, Fault::ReadsFail), (0, Fault::PlannedStop)] },
-    spends_past_validity = { rate::Rules { ends_with_validity: false, ..rate::Rules::GUARDED }, &[(0, Fault::RegionCut)] },
-    claims_at_once = { rate::Rules { waits_for_validity: false, ..rate::Rules::GUARDED }, &[(0, Fault::RegionCut)] },
-    claims_unconfirmed = { rate::Rules { confirms_claims: false, ..rate::Rules::GUARDED }, &[(0, Fault::CrashSameAddress), (0, Fault::CrashSameAddress), (0, Fault::CrashSameAddress), (0, Fault::WritesFail), (1, Fault::ReadsFail)] },
-    counts_from_effect = { rate::Rules { counts_from_sending: false, ..rate::Rules::GUARDED }, &[(0, Fault::AnswersLost), (0, Fault::ReadsFail), (4, Fault::RegionCut)] },
+    loans_without_expiry = { rate::Rules { expires_loans: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::TransfersLate)] },
+    credited_twice = { rate::Rules { credits_once: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::TransfersDuplicated)] },
+    spends_until_released = { rate::Rules { stops_before_release: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::AnswersLost), (0, rate_world::Fault::ReadsFail), (0, rate_world::Fault::PlannedStop)] },
+    spends_past_validity = { rate::Rules { ends_with_validity: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::RegionCut)] },
+    claims_at_once = { rate::Rules { waits_for_validity: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::RegionCut)] },
+    claims_unconfirmed = { rate::Rules { confirms_claims: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::CrashSameAddress), (0, rate_world::Fault::CrashSameAddress), (0, rate_world::Fault::CrashSameAddress), (0, rate_world::Fault::WritesFail), (1, rate_world::Fault::ReadsFail)] },
+    counts_from_effect = { rate::Rules { counts_from_sending: false, ..rate::Rules::GUARDED }, &[(0, rate_world::Fault::AnswersLost), (0, rate_world::Fault::ReadsFail), (4, rate_world::Fault::RegionCut)] },
 )]
-fn the_naive_rule_exceeds_the_sum(rules: rate::Rules, faults: &[(u64, Fault)]) {
-    let cell = |step: u64| -> Vec<(u64, Fault)> {
+fn the_naive_rule_exceeds_the_sum(rules: rate::Rules, faults: &[(u64, rate_world::Fault)]) {
+    let cell = |step: u64| -> Vec<(u64, rate_world::Fault)> {
         faults
             .iter()
             .map(|(later, fault)| (step + later, *fault))
             .collect()
     };
     let count = |rules| {
-        let runs = [Demand::Steady, Demand::Shifting].map(|demand| {
+        let runs = [rate_world::Demand::Steady, rate_world::Demand::Shifting].map(|demand| {
             (0..STEPS)
                 .filter(|step| run(rules, demand, &cell(*step)).2.is_err())
                 .count()
@@ -302,14 +303,14 @@
 
 /// Guards against shards that stay unused after a planned stop, a restart or a host that joins.
 #[yare::parameterized(
-    planned_stop = { Fault::PlannedStop },
-    restart = { Fault::CrashSameAddress },
-    join = { Fault::HostJoins },
-    lost_answers = { Fault::AnswersLost },
-    late_writes = { Fault::WritesLate },
+    planned_stop = { rate_world::Fault::PlannedStop },
+    restart = { rate_world::Fault::CrashSameAddress },
+    join = { rate_world::Fault::HostJoins },
+    lost_answers = { rate_world::Fault::AnswersLost },
+    late_writes = { rate_world::Fault::WritesLate },
 )]
-fn all_shards_are_held_again_soon(fault: Fault) {
-    let mut world = rate_world::World::new(rate::Rules::GUARDED, Demand::Steady, 7);
+fn all_shards_are_held_again_soon(fault: rate_world::Fault) {
+    let mut world = rate_world::World::new(rate::Rules::GUARDED, rate_world::Demand::Steady, 7);
     for step in 0..6 {
         if step == 2 {
             world.inject(fault);
--- a/crates/carawaycleat-net/examples/load.rs
+++ b/crates/carawaycleat-net/examples/load.rs
@@ -3,12 +3,11 @@
 //! `cargo run --release -p carawaycleat-net --example load`
 
 use std::sync;
-use std::time::Duration;
-use std::time::Instant;
+use std::time;
 
 use carawaycleat_net as net;
 
-const WAIT: Duration = Duration::from_secs(10);
+const WAIT: time::Duration = time::Duration::from_secs(10);
 const CALLERS: usize = 32;
 const REQUESTS: usize = 2_000;
 const CHUNKS: usize = 20_000;
@@ -59,7 +58,7 @@
 ) -> f64 {
     let pool = net::Pool::default();
     let address = handle.local_address();
-    let start = Instant::now();
+    let start = time::Instant::now();
     let caller = |_| {
         let pool = pool.clone();
         executor.spawn(async move {
--- a/crates/carawaycleat-net/src/limits.rs
+++ b/crates/carawaycleat-net/src/limits.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time;
 
 /// The longest head that `async-h1` decodes, in bytes.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
@@ -19,7 +19,7 @@
     pub(crate) body_bytes: usize,
     pub(crate) connections: usize,
     pub(crate) requests: usize,
-    pub(crate) idle: Duration,
+    pub(crate) idle: time::Duration,
 }
 
 impl Default for Limits {
@@ -29,7 +29,7 @@
             body_bytes: 4 * 1024 * 1024,
             connections: 4096,
             requests: 2048,
-            idle: Duration::from_secs(60),
+            idle: time::Duration::from_secs(60),
         }
     }
 }
@@ -66,7 +66,7 @@
     /// Sets how long a connection may be idle, a request may take to arrive and the caller may take to receive
     /// 64 KiB of an answer.
     #[must_use]
-    pub fn idle(mut self, idle: Duration) -> Self {
+    pub fn idle(mut self, idle: time::Duration) -> Self {
         self.idle = idle;
         self
     }
--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -7,7 +7,7 @@
 
 use std::net;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use crate::error;
 use crate::request;
@@ -19,14 +19,14 @@
 /// A client that keeps connections for reuse. Clones share the connections.
 #[derive(Clone, Debug)]
 pub struct Pool {
-    connect_timeout: Duration,
+    connect_timeout: time::Duration,
     idle: sync::Arc<idle::Idle>,
 }
 
 impl Default for Pool {
     /// Returns a pool with 2 s to connect and 256 idle connections per address.
     fn default() -> Self {
-        Self::new(Duration::from_secs(2), 256)
+        Self::new(time::Duration::from_secs(2), 256)
     }
 }
 
@@ -34,7 +34,7 @@
     /// Returns a pool that waits at most `connect_timeout` for a connection and keeps at most `idle` connections per
     /// address.
     #[must_use]
-    pub fn new(connect_timeout: Duration, idle: usize) -> Self {
+    pub fn new(connect_timeout: time::Duration, idle: usize) -> Self {
         Self {
             connect_timeout,
             idle: sync::Arc::new(idle::Idle::new(idle)),
@@ -51,7 +51,7 @@
         &self,
         address: net::SocketAddr,
         request: request::Request,
-        timeout: Duration,
+        timeout: time::Duration,
     ) -> Result<Reply, Failure> {
         let mut sent = false;
         let exchange = self.exchange(address, request, &mut sent);
--- a/crates/carawaycleat-net/src/pool/idle.rs
+++ b/crates/carawaycleat-net/src/pool/idle.rs
@@ -2,16 +2,15 @@
 use std::io;
 use std::net;
 use std::sync;
-use std::time::Duration;
-use std::time::Instant;
+use std::time;
 
 /// A connection that is older is not reused; it is shorter than the idle time of the server, so that the server rarely
 /// closes a connection while a request is on its way.
-const MAX_IDLE: Duration = Duration::from_secs(30);
+const MAX_IDLE: time::Duration = time::Duration::from_secs(30);
 
 pub(super) type Connection = sync::Arc<async_io::Async<net::TcpStream>>;
 
-type Connections = collections::HashMap<net::SocketAddr, Vec<(Instant, Connection)>>;
+type Connections = collections::HashMap<net::SocketAddr, Vec<(time::Instant, Connection)>>;
 
 /// Connections that wait for their next request.
 #[derive(Debug)]
@@ -52,7 +51,7 @@
         let mut connections = self.lock();
         let list = connections.entry(address).or_default();
         if list.len() < self.limit {
-            list.push((Instant::now(), connection));
+            list.push((time::Instant::now(), connection));
         }
     }
 
--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -3,7 +3,7 @@
 use std::pin;
 use std::sync;
 use std::task;
-use std::time::Duration;
+use std::time;
 
 use futures_lite::AsyncRead as _;
 
@@ -101,7 +101,7 @@
     /// # Errors
     ///
     /// Returns [`error::Error::Timeout`] when nothing arrived in time, otherwise as [`Reader::next`].
-    pub async fn next_within(&mut self, idle: Duration) -> error::Result<Option<Vec<u8>>> {
+    pub async fn next_within(&mut self, idle: time::Duration) -> error::Result<Option<Vec<u8>>> {
         let expired = async {
             async_io::Timer::after(idle).await;
             Err(error::Error::Timeout)
--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -8,7 +8,7 @@
 
 use std::net;
 use std::sync;
-use std::time::Duration;
+use std::time;
 
 use crate::error;
 use crate::limits;
@@ -19,7 +19,7 @@
 pub use handle::Handle;
 
 /// How long the server waits after `accept` failed, for example because no file descriptor was free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// A server that is bound to its address.
 ///
--- a/crates/carawaycleat-net/src/server/answer.rs
+++ b/crates/carawaycleat-net/src/server/answer.rs
@@ -2,7 +2,7 @@
 use std::net;
 use std::pin;
 use std::task;
-use std::time::Duration;
+use std::time;
 
 use futures_lite::AsyncRead as _;
 use futures_lite::AsyncReadExt as _;
@@ -25,7 +25,7 @@
     response: response::Response,
     method: http_types::Method,
     close: bool,
-    idle: Duration,
+    idle: time::Duration,
 ) -> io::Result<()> {
     let streamed = matches!(response.body, body::Body::Stream(_));
     let encoder = async_h1::server::Encoder::new(convert(response, close), method);
@@ -83,7 +83,7 @@
 async fn copy(
     mut stream: &async_io::Async<net::TcpStream>,
     mut encoder: async_h1::server::Encoder,
-    idle: Duration,
+    idle: time::Duration,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -2,8 +2,7 @@
 use std::net;
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
-use std::time::Instant;
+use std::time;
 
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
@@ -19,7 +18,7 @@
 const READ_BYTES: usize = 4 * 1024;
 /// How long and how much a closing connection still reads. Closing a socket with unread bytes resets the connection,
 /// and the caller may then lose the answer.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: time::Duration = time::Duration::from_secs(1);
 const LINGER_BYTES: usize = 1024 * 1024;
 
 /// Why no request came out of a connection.
@@ -129,7 +128,7 @@
 
     async fn receive(&mut self) -> Result<Incoming, Stop> {
         self.wait().await?;
-        let deadline = Instant::now() + self.open.shared.limits.idle;
+        let deadline = time::Instant::now() + self.open.shared.limits.idle;
         let read = async {
             match self.read_request().await {
                 Err(Stop::End) => {
@@ -263,7 +262,7 @@
 async fn write_refusal(
     stream: &async_io::Async<net::TcpStream>,
     refusal: refusal::Refusal,
-    idle: Duration,
+    idle: time::Duration,
 ) {
     let method = http_types::Method::Get;
     if answer::write(stream, refusal.response(), method, true, idle)
--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -5,7 +5,7 @@
 use std::net;
 use std::sync;
 use std::thread;
-use std::time::Duration;
+use std::time;
 
 use carawaycleat_net as http;
 
@@ -242,7 +242,7 @@
     peer::run(async |_| {
         let request = http::Request::new("POST", "/");
         let result = http::Pool::default()
-            .send(address, request, Duration::from_millis(50))
+            .send(address, request, time::Duration::from_millis(50))
             .await;
         let failure = result.expect_err("a failure");
         assert!(failure.sent);
@@ -270,7 +270,7 @@
             .body;
         assert_eq!(body.next().await.expect("a piece"), Some(b"abc".to_vec()));
         assert!(matches!(
-            body.next_within(Duration::from_millis(50)).await,
+            body.next_within(time::Duration::from_millis(50)).await,
             Err(http::Error::Timeout)
         ));
     });
--- a/crates/carawaycleat-net/tests/suite/guard.rs
+++ b/crates/carawaycleat-net/tests/suite/guard.rs
@@ -3,7 +3,7 @@
 use std::io::Write as _;
 use std::net;
 use std::thread;
-use std::time::Duration;
+use std::time;
 
 use carawaycleat_net as http;
 
@@ -147,7 +147,7 @@
     );
     for byte in request.bytes() {
         (&stream).write_all(&[byte]).expect("sent");
-        thread::sleep(Duration::from_millis(1));
+        thread::sleep(time::Duration::from_millis(1));
     }
     assert!(peer::read_all(&stream).ends_with("POST /x abcde"));
 }
@@ -171,7 +171,7 @@
 /// Guards against a caller that holds a connection by sending slowly.
 #[test]
 fn cuts_slow_request() {
-    let handle = peer::echo(http::Limits::default().idle(Duration::from_millis(100)));
+    let handle = peer::echo(http::Limits::default().idle(time::Duration::from_millis(100)));
     let stream = peer::connect(handle.local_address(), b"GET / HTTP/1.1\r\n");
     check(&peer::read_all(&stream), 408, "invalid_request");
 }
@@ -179,7 +179,7 @@
 /// Guards against idle connections without a bound.
 #[test]
 fn closes_idle_connection() {
-    let handle = peer::echo(http::Limits::default().idle(Duration::from_millis(100)));
+    let handle = peer::echo(http::Limits::default().idle(time::Duration::from_millis(100)));
     let stream = peer::connect(handle.local_address(), b"");
     assert_eq!(peer::read_all(&stream), "");
     assert_eq!(handle.counts().malformed, 0);
--- a/crates/carawaycleat-net/tests/suite/peer.rs
+++ b/crates/carawaycleat-net/tests/suite/peer.rs
@@ -5,12 +5,12 @@
 use std::net;
 use std::sync;
 use std::thread;
-use std::time::Duration;
+use std::time;
 
 use carawaycleat_net as http;
 
 /// No test waits this long unless it fails.
-pub(crate) const WAIT: Duration = Duration::from_secs(10);
+pub(crate) const WAIT: time::Duration = time::Duration::from_secs(10);
 
 /// Runs a future on an executor, whose tasks run meanwhile.
 pub(crate) fn run<T>(test: impl AsyncFnOnce(sync::Arc<http::Executor>) -> T) -> T {
@@ -77,7 +77,7 @@
             for piece in answer {
                 (&stream).write_all(piece).expect("sent");
                 // Lets the client read the piece by itself; the outcome must not depend on it.
-                thread::sleep(Duration::from_millis(20));
+                thread::sleep(time::Duration::from_millis(20));
             }
         }
     });
--- a/crates/carawaycleat-standin/tests/processes/pause.rs
+++ b/crates/carawaycleat-standin/tests/processes/pause.rs
@@ -3,10 +3,9 @@
 use std::thread;
 use std::time;
 
-use rustix::process::Signal;
-
 use crate::caller;
 use crate::world;
+use rustix::process;
 
 const STREAMS: usize = 4;
 const TOKENS: u32 = 200;
@@ -19,7 +18,7 @@
 }
 
 /// Pauses what `signal` reaches while streams run, wakes it when they have ended, and checks all answers.
-fn assert_no_harm(world: &world::World, signal: impl Fn(Signal, usize)) {
+fn assert_no_harm(world: &world::World, signal: impl Fn(process::Signal, usize)) {
     let mut streams: Vec<_> = (0..STREAMS)
         .map(|number| {
             let request = world.chat(0, &prompt(number), TOKENS);
@@ -31,12 +30,12 @@
         assert!(stream.read_tokens(3) >= 3);
     }
     let engine = world.busiest_engine();
-    signal(Signal::STOP, engine);
+    signal(process::Signal::STOP, engine);
     let right = |number| world::expected(0, &prompt(number), TOKENS);
     for (number, stream) in streams.into_iter().enumerate() {
         stream.finish().assert_whole_or_error(&right(number));
     }
-    signal(Signal::CONT, engine);
+    signal(process::Signal::CONT, engine);
     for round in 0..world::ENTRIES * 3 {
         let prompt = format!("awake {round}");
         world::wait_until("the model answers again", || {
@@ -77,7 +76,7 @@
     let request = world::chat(1, 0, "a long answer", 2_000, true);
     let mut running = request.open(world.callers(2)).expect("a stream");
     assert!(running.read_tokens(3) >= 3);
-    world.entries[2].process.signal(Signal::STOP);
+    world.entries[2].process.signal(process::Signal::STOP);
     let answer = caller::Request::new("DELETE", "/v1/resources/key/key-2")
         .send(world.entries[0].operators)
         .expect("an answer");
@@ -86,7 +85,7 @@
     // The request waits in the listener of the paused host, which reads it as soon as it wakes.
     let waiting = world::chat(1, 0, "while paused", 5, false).send_later(world.callers(2));
     thread::sleep(REVOKED_WITHIN.saturating_sub(deleted.elapsed()));
-    world.entries[2].process.signal(Signal::CONT);
+    world.entries[2].process.signal(process::Signal::CONT);
     let woken = time::Instant::now();
     let answer = waiting.join().expect("sent").expect("an answer");
     assert!(matches!(answer.status, 401 | 503), "{answer:?}");
--- a/crates/carawaycleat-standin/tests/processes/stop.rs
+++ b/crates/carawaycleat-standin/tests/processes/stop.rs
@@ -1,9 +1,8 @@
 //! Planned stops (P11).
 
-use rustix::process::Signal;
-
 use crate::caller;
 use crate::world;
+use rustix::process;
 
 /// Tokens for more than the drain delay.
 const TOKENS: u32 = 200;
@@ -34,7 +33,7 @@
 fn planned_stop_of_an_entry_host_cuts_nothing() {
     let mut world = world::World::start(world::Plan::default());
     let streams = open(&world, 0, 6, TOKENS);
-    world.entries[0].process.signal(Signal::TERM);
+    world.entries[0].process.signal(process::Signal::TERM);
     world.entries[0]
         .process
         .wait_for_line(|line| line.contains("shutting down").then_some(()));
@@ -53,7 +52,7 @@
     let mut world = world::World::start(world::Plan::replicated());
     let streams = open(&world, 0, 6, TOKENS);
     let engine = world.busiest_engine();
-    world.sides[engine].process.signal(Signal::TERM);
+    world.sides[engine].process.signal(process::Signal::TERM);
     assert_whole(streams, TOKENS);
     assert_eq!(world.sides[engine].process.exit_code(), Some(0));
     let other = world.chat(0, "other", 5).stream(world.callers(1));
@@ -66,9 +65,9 @@
     let mut world = world::World::start(world::Plan::default());
     let streams = open(&world, 0, 2, 4_000);
     let process = &mut world.entries[0].process;
-    process.signal(Signal::TERM);
+    process.signal(process::Signal::TERM);
     process.wait_for_line(|line| line.contains("shutting down").then_some(()));
-    process.signal(Signal::TERM);
+    process.signal(process::Signal::TERM);
     assert_eq!(process.exit_code(), Some(1));
     let cut = process.wait_for_line(|line| {
         let listed = line.split_once("2 requests were cut: ")?.1;
@@ -93,9 +92,9 @@
     let streams = open(&world, 0, 2, TOKENS);
     let engine = world.busiest_engine();
     let process = &mut world.sides[engine].process;
-    process.signal(Signal::TERM);
+    process.signal(process::Signal::TERM);
     process.wait_for_line(|line| line.contains("shutting down").then_some(()));
-    process.signal(Signal::TERM);
+    process.signal(process::Signal::TERM);
     assert_eq!(process.exit_code(), Some(1));
     process.wait_for_line(|line| line.contains("jobs were cut").then_some(()));
     for (number, stream) in streams.into_iter().enumerate() {
--- a/crates/carawaycleat/src/document/table.rs
+++ b/crates/carawaycleat/src/document/table.rs
@@ -4,7 +4,7 @@
 use std::str;
 
 use carawaycleat_core::name;
-use toml::de::DeValue;
+use toml::de;
 
 const NAME: &str = "a name of 1 to 128 characters of a-z, A-Z, 0-9, '-', '_', '.' and '@'";
 
@@ -16,12 +16,12 @@
     sink: &'a super::Sink<'a>,
     path: String,
     line: usize,
-    entries: Option<&'a toml::de::DeTable<'a>>,
+    entries: Option<&'a de::DeTable<'a>>,
     known: cell::RefCell<Vec<&'static str>>,
 }
 
 impl<'a> Table<'a> {
-    pub(super) fn root(sink: &'a super::Sink<'a>, entries: &'a toml::de::DeTable<'a>) -> Self {
+    pub(super) fn root(sink: &'a super::Sink<'a>, entries: &'a de::DeTable<'a>) -> Self {
         Self::new(sink, String::new(), 1, Some(entries))
     }
 
@@ -29,7 +29,7 @@
         sink: &'a super::Sink<'a>,
         path: String,
         line: usize,
-        entries: Option<&'a toml::de::DeTable<'a>>,
+        entries: Option<&'a de::DeTable<'a>>,
     ) -> Self {
         let known = cell::RefCell::default();
         Self {
@@ -65,7 +65,7 @@
     /// Returns the table `key`; a missing one is empty.
     pub(crate) fn table(&self, key: &'static str) -> Self {
         let entries = match self.value(key) {
-            Some(DeValue::Table(table)) => Some(table),
+            Some(de::DeValue::Table(table)) => Some(table),
             Some(other) => {
                 self.report(key, describe(other), "a table");
                 None
@@ -93,7 +93,7 @@
         for item in array.iter() {
             let line = self.sink.line(item.span());
             match item.get_ref() {
-                DeValue::Table(table) => {
+                de::DeValue::Table(table) => {
                     tables.push(Self::new(self.sink, self.path_of(key), line, Some(table)));
                 }
                 other => self.report(key, describe(other), "tables only"),
@@ -148,8 +148,8 @@
             return default;
         };
         let number = match value {
-            DeValue::Float(float) => float.as_str().parse().ok(),
-            DeValue::Integer(integer) => integer.as_str().parse().ok(),
+            de::DeValue::Float(float) => float.as_str().parse().ok(),
+            de::DeValue::Integer(integer) => integer.as_str().parse().ok(),
             _ => None,
         };
         match number.filter(|number| range.contains(number)) {
@@ -284,7 +284,7 @@
     }
 
     /// Marks `key` as known and returns its value.
-    pub(crate) fn value(&self, key: &'static str) -> Option<&'a DeValue<'a>> {
+    pub(crate) fn value(&self, key: &'static str) -> Option<&'a de::DeValue<'a>> {
         if !self.known.borrow().contains(&key) {
             self.known.borrow_mut().push(key);
         }
@@ -295,8 +295,8 @@
         &self,
         key: &str,
     ) -> Option<(
-        &'a toml::Spanned<toml::de::DeString<'a>>,
-        &'a toml::Spanned<DeValue<'a>>,
+        &'a toml::Spanned<de::DeString<'a>>,
+        &'a toml::Spanned<de::DeValue<'a>>,
     )> {
         self.entries?
             .iter()
@@ -312,20 +312,20 @@
     }
 }
 
-fn integer(value: &DeValue<'_>) -> Option<u64> {
+fn integer(value: &de::DeValue<'_>) -> Option<u64> {
     let integer = value.as_integer()?;
     u64::from_str_radix(integer.as_str(), integer.radix()).ok()
 }
 
 /// Returns a short text for a value in a message.
-pub(super) fn describe(value: &DeValue<'_>) -> String {
+pub(super) fn describe(value: &de::DeValue<'_>) -> String {
     match value {
-        DeValue::String(text) => format!("{text:?}"),
-        DeValue::Integer(integer) => integer.as_str().to_owned(),
-        DeValue::Float(float) => float.as_str().to_owned(),
-        DeValue::Boolean(flag) => flag.to_string(),
-        DeValue::Datetime(datetime) => datetime.to_string(),
-        DeValue::Array(_) => "an array".to_owned(),
-        DeValue::Table(_) => "a table".to_owned(),
+        de::DeValue::String(text) => format!("{text:?}"),
+        de::DeValue::Integer(integer) => integer.as_str().to_owned(),
+        de::DeValue::Float(float) => float.as_str().to_owned(),
+        de::DeValue::Boolean(flag) => flag.to_string(),
+        de::DeValue::Datetime(datetime) => datetime.to_string(),
+        de::DeValue::Array(_) => "an array".to_owned(),
+        de::DeValue::Table(_) => "a table".to_owned(),
     }
 }
--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -95,8 +95,8 @@
         opening.append(&mut body);
         let (writer, stream) = net::stream();
         let response = self.sink.head().stream(stream);
-        let executor = self.shared.executor.clone();
-        executor.spawn(self.stream(writer, opening)).detach();
+        let shared = self.shared.clone();
+        shared.tasks.spawn_to_end(self.stream(writer, opening));
         response
     }
 
--- a/crates/carawaycleat/src/entry/daemon.rs
+++ b/crates/carawaycleat/src/entry/daemon.rs
@@ -175,7 +175,7 @@
         self.callers.abort();
         self.operators.abort();
         self.peers.abort();
-        self.shared.end_tasks();
+        self.shared.tasks.end();
         cut
     }
 }
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -22,6 +22,7 @@
 use crate::journal;
 use crate::metric;
 use crate::settings;
+use crate::tasks;
 
 /// The silence up to which a peer counts as live; four exchanges.
 const LIVE_FOR: time::Duration = time::Duration::from_secs(2);
@@ -31,7 +32,7 @@
 pub(super) struct Shared {
     pub(super) settings: settings::Entry,
     pub(super) policy: super::Policy,
-    pub(super) executor: sync::Arc<net::Executor>,
+    pub(super) tasks: tasks::Tasks,
     pub(super) pool: net::Pool,
     pub(super) store: store::Client,
     pub(super) metric: metric::Entry,
@@ -41,9 +42,6 @@
     /// Closed when the reducer says that the process can exit.
     pub(super) exit: async_channel::Receiver<()>,
     pub(super) exiting: async_channel::Sender<()>,
-    stopping: async_channel::Sender<()>,
-    /// Closed when the daemon has stopped.
-    stopped: async_channel::Receiver<()>,
     clock: journal::Monotonic,
     reducer: sync::Mutex<entry::Reducer>,
     mailboxes: sync::Mutex<collections::HashMap<request::Id, mailbox::Sender>>,
@@ -77,9 +75,8 @@
         let pool = net::Pool::default();
         let timeout = time::Duration::from_millis(settings.store.timeout_ms);
         let (exiting, exit) = async_channel::bounded(1);
-        let (stopping, stopped) = async_channel::bounded(1);
         Self {
-            executor,
+            tasks: tasks::Tasks::new(executor),
             policy,
             store: store::Client::new(pool.clone(), &settings.store.endpoints, timeout),
             pool,
@@ -94,8 +91,6 @@
             callers: sync::OnceLock::new(),
             exit,
             exiting,
-            stopping,
-            stopped,
             clock: journal::Monotonic::start(),
             reducer: sync::Mutex::new(reducer),
             mailboxes: sync::Mutex::default(),
@@ -322,18 +317,7 @@
 
     /// Runs a task beside the others until it ends or the daemon has stopped.
     pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let stopped = self.stopped.clone();
-        let stopped = async move {
-            let _ = stopped.recv().await;
-        };
-        self.executor
-            .spawn(futures_lite::future::or(task, stopped))
-            .detach();
-    }
-
-    /// Ends all tasks. A daemon that went on in the background would act beside its successor on the same address.
-    pub(super) fn end_tasks(&self) {
-        self.stopping.close();
+        self.tasks.spawn(task);
     }
 
     pub(super) fn host(&self) -> &name::Name {
--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod document;
 mod journal;
+mod tasks;
 
 pub mod api;
 pub mod cli;
--- a/crates/carawaycleat/src/side/daemon.rs
+++ b/crates/carawaycleat/src/side/daemon.rs
@@ -88,7 +88,7 @@
             ));
         }
         self.server.abort();
-        self.shared.end_tasks();
+        self.shared.tasks.end();
         cut
     }
 }
--- a/crates/carawaycleat/src/side/shared.rs
+++ b/crates/carawaycleat/src/side/shared.rs
@@ -19,6 +19,7 @@
 use crate::journal;
 use crate::metric;
 use crate::settings;
+use crate::tasks;
 use crate::upstream;
 
 /// What all tasks of a sidecar share.
@@ -31,10 +32,7 @@
     /// Closed when the reducer says that the process can exit.
     pub(super) exit: async_channel::Receiver<()>,
     exiting: async_channel::Sender<()>,
-    stopping: async_channel::Sender<()>,
-    /// Closed when the daemon has stopped.
-    stopped: async_channel::Receiver<()>,
-    executor: sync::Arc<net::Executor>,
+    pub(super) tasks: tasks::Tasks,
     clock: journal::Monotonic,
     is_stopping: atomic::AtomicBool,
     reducer: sync::Mutex<side::Reducer>,
@@ -66,16 +64,13 @@
             .max_jobs(settings.limits.requests);
         let pool = net::Pool::default();
         let (exiting, exit) = async_channel::bounded(1);
-        let (stopping, stopped) = async_channel::bounded(1);
         Self {
             engine: upstream::Engine::new(pool.clone(), settings.engine.address),
             pool,
             metric: metric::Side::new(),
             exit,
             exiting,
-            stopping,
-            stopped,
-            executor,
+            tasks: tasks::Tasks::new(executor),
             clock,
             is_stopping: atomic::AtomicBool::new(false),
             reducer: sync::Mutex::new(reducer),
@@ -285,18 +280,7 @@
 
     /// Runs a task beside the others until it ends or the daemon has stopped.
     pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let stopped = self.stopped.clone();
-        let stopped = async move {
-            let _ = stopped.recv().await;
-        };
-        self.executor
-            .spawn(futures_lite::future::or(task, stopped))
-            .detach();
-    }
-
-    /// Ends all tasks. A daemon that went on in the background would act beside its successor on the same address.
-    pub(super) fn end_tasks(&self) {
-        self.stopping.close();
+        self.tasks.spawn(task);
     }
 }
 
