refactor: call what the reducer sends to a request's task a message

Cause: mailbox::Order and the engine's memory::Order had one name for two things. Behaviour is as before. Conclusion: read-through.

--- a/crates/carawaycleat/src/entry/callers/serving.rs
+++ b/crates/carawaycleat/src/entry/callers/serving.rs
@@ -22,7 +22,7 @@
 struct Serving {
     shared: sync::Arc<shared::Shared>,
     intake: intake::Intake,
-    orders: mailbox::Receiver,
+    messages: mailbox::Receiver,
     attempt: Option<attempt::Attempt>,
     sink: sink::Sink,
     /// The text that the caller already has, to resume from.
@@ -52,7 +52,7 @@
 ) -> net::Response {
     let id = intake.arrival.id;
     let mut serving = Serving {
-        orders: shared.open_mailbox(id),
+        messages: shared.open_mailbox(id),
         sink: sink::Sink::new(intake.call.as_ref(), wire::Id::from_u128(id.as_u128())),
         attempt: None,
         text: String::new(),
@@ -68,7 +68,7 @@
         .shared
         .step(entry::Event::Arrived(Box::new(arrival)));
     // What the reducer decided at once is already in the mailbox.
-    serving.is_immediate = !serving.orders.is_empty();
+    serving.is_immediate = !serving.messages.is_empty();
     serving.answer().await
 }
 
@@ -137,16 +137,16 @@
     /// Waits until there is something for the caller, and appends it to `body`.
     async fn next(&mut self, body: &mut Vec<u8>) -> Happened {
         loop {
-            // Orders come first: the end of a request overrides what an attempt still brings.
-            let order = match self.orders.try_recv() {
-                Ok(order) => Some(order),
+            // Messages come first: the end of a request overrides what an attempt still brings.
+            let message = match self.messages.try_recv() {
+                Ok(message) => Some(message),
                 Err(_) => match &mut self.attempt {
-                    None => self.orders.recv().await.ok(),
+                    None => self.messages.recv().await.ok(),
                     Some(attempt) => {
-                        let order = async { Incoming::Order(self.orders.recv().await.ok()) };
+                        let message = async { Incoming::Message(self.messages.recv().await.ok()) };
                         let step = async { Incoming::Step(attempt.next().await) };
-                        match futures_lite::future::or(order, step).await {
-                            Incoming::Order(order) => order,
+                        match futures_lite::future::or(message, step).await {
+                            Incoming::Message(message) => message,
                             Incoming::Step(Some(step)) => {
                                 if self.take(step, body) {
                                     self.take_ready(body);
@@ -162,15 +162,15 @@
                     }
                 },
             };
-            match order {
-                Some(mailbox::Order::Claim(key)) => self.claim(key).await,
-                Some(mailbox::Order::Dispatch(dispatch)) => self.dispatch(&dispatch),
-                Some(mailbox::Order::Finish(count)) => {
+            match message {
+                Some(mailbox::Message::Claim(key)) => self.claim(key).await,
+                Some(mailbox::Message::Dispatch(dispatch)) => self.dispatch(&dispatch),
+                Some(mailbox::Message::Finish(count)) => {
                     self.ended = true;
                     self.sink.close(count, body);
                     return Happened::Finished;
                 }
-                Some(mailbox::Order::Refuse(refusal)) => {
+                Some(mailbox::Message::Refuse(refusal)) => {
                     self.ended = true;
                     return Happened::Refused(refusal.into());
                 }
@@ -181,7 +181,7 @@
 
     /// Takes the steps that have already arrived, so that they leave in one write.
     fn take_ready(&mut self, body: &mut Vec<u8>) {
-        while body.len() < JOINED_BYTES && self.orders.is_empty() {
+        while body.len() < JOINED_BYTES && self.messages.is_empty() {
             let Some(step) = self.attempt.as_mut().and_then(attempt::Attempt::ready) else {
                 return;
             };
@@ -301,7 +301,7 @@
 }
 
 enum Incoming {
-    Order(Option<mailbox::Order>),
+    Message(Option<mailbox::Message>),
     Step(Option<attempt::Step>),
 }
 
--- a/crates/carawaycleat/src/entry/mailbox.rs
+++ b/crates/carawaycleat/src/entry/mailbox.rs
@@ -4,7 +4,7 @@
 
 /// What the reducer wants of the task that serves one request.
 #[derive(Debug)]
-pub(super) enum Order {
+pub(super) enum Message {
     /// Record the claim of the idempotency key.
     Claim(String),
     /// Send the request to an upstream.
@@ -25,5 +25,5 @@
     pub(super) position: u64,
 }
 
-pub(super) type Sender = async_channel::Sender<Order>;
-pub(super) type Receiver = async_channel::Receiver<Order>;
+pub(super) type Sender = async_channel::Sender<Message>;
+pub(super) type Receiver = async_channel::Receiver<Message>;
--- a/crates/carawaycleat/src/entry/perform.rs
+++ b/crates/carawaycleat/src/entry/perform.rs
@@ -23,7 +23,9 @@
             } => {
                 self.ask(&placement::Subject { model, adapter }, tokens);
             }
-            entry::Effect::Claim { request, key } => self.send(request, mailbox::Order::Claim(key)),
+            entry::Effect::Claim { request, key } => {
+                self.send(request, mailbox::Message::Claim(key))
+            }
             entry::Effect::Settle { request, outcome } => {
                 self.spawn(claims::settle(self.clone(), request, outcome));
             }
@@ -42,16 +44,16 @@
                     idempotent,
                     position,
                 };
-                self.send(request, mailbox::Order::Dispatch(dispatch));
+                self.send(request, mailbox::Message::Dispatch(dispatch));
             }
             // A part is passed on by the task that received it.
             entry::Effect::Deliver(_) => {}
             entry::Effect::Finish { request, count } => {
-                self.send(request, mailbox::Order::Finish(count));
+                self.send(request, mailbox::Message::Finish(count));
             }
             entry::Effect::Refuse(request, refusal) => {
                 self.metric.refuse(refusal.reason);
-                self.send(request, mailbox::Order::Refuse(refusal));
+                self.send(request, mailbox::Message::Refuse(refusal));
             }
             entry::Effect::Cancel { attempt, upstream } => {
                 let id = wire::Id::from_u128(attempt.as_u128());
--- a/crates/carawaycleat/src/entry/shared.rs
+++ b/crates/carawaycleat/src/entry/shared.rs
@@ -272,10 +272,10 @@
         journal::lock(&self.mailboxes).keys().copied().collect()
     }
 
-    pub(super) fn send(&self, id: request::Id, order: mailbox::Order) {
+    pub(super) fn send(&self, id: request::Id, message: mailbox::Message) {
         if let Some(sender) = journal::lock(&self.mailboxes).get(&id) {
             // The task may just have ended; its end is an event of its own.
-            let _ = sender.try_send(order);
+            let _ = sender.try_send(message);
         }
     }
 
