refactor: look an upstream up by name, and keep one rule for when to retry

Cause: the read-through found that each attempt and each report of a sidecar scanned all resources for one upstream, under the reducer's lock, and that the callers' refusal had its own copy of the rule for Retry-After, with two functions that nothing called. Behaviour is as before; no test changed. No time was measured.

--- a/crates/carawaycleat-core/src/config/snapshot.rs
+++ b/crates/carawaycleat-core/src/config/snapshot.rs
@@ -138,6 +138,15 @@
         }
     }
 
+    /// Returns the upstream `name`.
+    pub fn upstream(&self, name: &name::Name) -> Option<&resource::Upstream> {
+        let id = resource::Id::new(resource::Kind::Upstream, name.clone());
+        match &self.entries.get(&id)?.resource {
+            resource::Resource::Upstream(upstream) => Some(upstream),
+            _ => None,
+        }
+    }
+
     /// Returns the workspace `name`.
     pub fn workspace(&self, name: &name::Name) -> Option<&resource::Workspace> {
         let id = resource::Id::new(resource::Kind::Workspace, name.clone());
--- a/crates/carawaycleat/src/api/refusal.rs
+++ b/crates/carawaycleat/src/api/refusal.rs
@@ -25,40 +25,7 @@
 impl Refusal {
     /// Returns a refusal of a request that did not run.
     pub fn not_run(reason: outcome::Reason, message: impl Into<String>) -> Self {
-        let retry_after = reason
-            .is_temporary()
-            .then_some(time::Duration::from_secs(1));
-        Self {
-            reason,
-            outcome: outcome::Outcome::NotRun,
-            message: message.into(),
-            retry_after,
-            allowed: None,
-        }
-    }
-
-    /// Returns a failure with `outcome`.
-    pub fn failed(
-        reason: outcome::Reason,
-        outcome: outcome::Outcome,
-        message: impl Into<String>,
-    ) -> Self {
-        let retry_after = (outcome == outcome::Outcome::NotRun && reason.is_temporary())
-            .then_some(time::Duration::from_secs(1));
-        Self {
-            reason,
-            outcome,
-            message: message.into(),
-            retry_after,
-            allowed: None,
-        }
-    }
-
-    /// Sets the time after which it is worth trying again, and returns the refusal.
-    #[must_use]
-    pub fn retry_after(mut self, span: time::Duration) -> Self {
-        self.retry_after = Some(span);
-        self
+        entry::Refusal::not_run(reason, message).into()
     }
 
     /// Sets the methods that the path has, and returns the refusal.
--- a/crates/carawaycleat/src/entry/attempt.rs
+++ b/crates/carawaycleat/src/entry/attempt.rs
@@ -172,9 +172,8 @@
     name: &name::Name,
 ) -> Option<(std_net::SocketAddr, Option<std_net::SocketAddr>)> {
     shared.with(|reducer, _| {
-        let mut upstreams = reducer.history().snapshot().upstreams();
-        let found = upstreams.find(|(known, _)| *known == name);
-        found.map(|(_, upstream)| (upstream.address, upstream.side_address))
+        let found = reducer.history().snapshot().upstream(name)?;
+        Some((found.address, found.side_address))
     })
 }
 
--- a/crates/carawaycleat/src/entry/peers.rs
+++ b/crates/carawaycleat/src/entry/peers.rs
@@ -116,11 +116,7 @@
     let stamp = shared.stamp();
     shared.with(|reducer, now| {
         let history = reducer.history();
-        let found = history
-            .snapshot()
-            .upstreams()
-            .find(|(name, _)| *name == upstream);
-        let found = found.map(|(_, resource)| resource);
+        let found = history.snapshot().upstream(upstream);
         // A plan that does not name the upstream says nothing about what it holds.
         let plan = found.and_then(|resource| plan(history, resource));
         let plan = plan.filter(|plan| plan.holdings(upstream).is_some());
