--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -0,0 +1,27 @@
+//! Decisions that one entry host takes for the fleet: which engine holds which weights, and which part of each
+//! workspace's allowance each host may use.
+//!
+//! The entry host that holds the coordinator's lease runs a [`Reducer`]. It hears the reports of all hosts and engines,
+//! and sends orders to engines while [`Term`] says that no other host can.
+
+mod demand;
+mod effect;
+mod engine;
+mod event;
+mod order;
+mod plan;
+mod reducer;
+mod rules;
+mod share;
+mod term;
+
+pub use effect::Effect;
+pub use engine::Engine;
+pub use event::Event;
+pub use event::Outcome;
+pub use event::Status;
+pub use order::Operation;
+pub use order::Order;
+pub use reducer::Reducer;
+pub use rules::Rules;
+pub use term::Term;
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/demand.rs
@@ -0,0 +1,67 @@
+use std::collections;
+use std::hash;
+use std::time;
+
+use crate::clock;
+
+/// The time over which demand is averaged. Busy models change within a few seconds.
+const MEMORY: time::Duration = time::Duration::from_millis(1_800);
+
+/// What is asked for in a second, averaged over a short time.
+#[derive(Clone, Debug)]
+pub(super) struct Demand<K> {
+    entries: collections::HashMap<K, Entry>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    amount: f64,
+    at: clock::Instant,
+    asked: clock::Instant,
+}
+
+impl<K> Default for Demand<K> {
+    fn default() -> Self {
+        Self {
+            entries: collections::HashMap::new(),
+        }
+    }
+}
+
+impl Entry {
+    fn decayed(&self, now: clock::Instant) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+        self.amount * (-age).exp()
+    }
+}
+
+impl<K: Eq + hash::Hash + Clone> Demand<K> {
+    pub(super) fn add(&mut self, now: clock::Instant, key: &K, amount: f64) {
+        let entry = self.entries.entry(key.clone()).or_insert(Entry {
+            amount: 0.0,
+            at: now,
+            asked: now,
+        });
+        entry.amount = entry.decayed(now) + amount;
+        entry.at = now;
+        if amount > 0.0 {
+            entry.asked = now;
+        }
+    }
+
+    /// Returns the amount asked for in a second.
+    pub(super) fn rate(&self, now: clock::Instant, key: &K) -> f64 {
+        let amount = self.entries.get(key).map_or(0.0, |entry| entry.decayed(now));
+        amount / MEMORY.as_secs_f64()
+    }
+
+    /// Returns when it was asked for last.
+    pub(super) fn last(&self, key: &K) -> Option<clock::Instant> {
+        self.entries.get(key).map(|entry| entry.asked)
+    }
+
+    /// Forgets what has not been asked for since `span`.
+    pub(super) fn forget(&mut self, now: clock::Instant, span: time::Duration) {
+        self.entries.retain(|_, entry| now.since(entry.asked) < span);
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/effect.rs
@@ -0,0 +1,22 @@
+use std::net;
+
+use super::order;
+use crate::name;
+
+/// Something that the coordinator is to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send an order and report its outcome.
+    Order(order::Order),
+    /// Ask an engine for its status.
+    Probe(name::Name, net::SocketAddr),
+    /// Log a decision about an engine.
+    Record {
+        /// What was decided.
+        event: &'static str,
+        /// The engine.
+        engine: name::Name,
+        /// What decided, in words of the field.
+        detail: String,
+    },
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -0,0 +1,62 @@
+use crate::name;
+use crate::relay;
+
+/// What an engine says of its weights and work.
+#[derive(Clone, Debug, Default)]
+pub struct Status {
+    /// The models with their adapters.
+    pub models: Vec<(name::Name, Vec<name::Name>)>,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// The number of orders accepted.
+    pub sequence: u64,
+    /// The requests that run.
+    pub running: u32,
+    /// The requests that wait.
+    pub queued: u32,
+    /// The adapters in transit, with their models.
+    pub coming: Vec<(name::Name, name::Name)>,
+    /// The models whose weights are in host memory.
+    pub in_memory: Option<Vec<name::Name>>,
+    /// The models whose weights are on disk.
+    pub on_disk: Option<Vec<name::Name>>,
+}
+
+/// The result of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The engine carries it out.
+    Accepted,
+    /// It holds already, or was carried out at once.
+    Holds,
+    /// Another order is in progress, or the number of accepted orders differs.
+    Conflict,
+    /// The engine refused it for good, or another engine has the address.
+    Refused,
+    /// There was no answer; it may still be carried out.
+    Unknown,
+}
+
+/// Something that the coordinator learns.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// This host has become the coordinator with this fencing token.
+    Elected(u64),
+    /// The configuration has changed.
+    Configured(Vec<(name::Name, relay::Engine)>),
+    /// An upstream has been seen.
+    Seen(Box<relay::Sighting>),
+    /// The entry of an upstream has been removed.
+    Removed(name::Name),
+    /// An entry host has reported.
+    Reported(Box<relay::Report>),
+    /// An engine has answered a probe.
+    Probed(name::Name, Box<Status>),
+    /// An order has been answered.
+    Settled(name::Name, u64, Outcome),
+    /// Time has passed. Orders are sent only while this host may.
+    Tick {
+        /// Whether this host may send orders.
+        may_order: bool,
+    },
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -0,0 +1,290 @@
+//! Which engine should get or give up which weights.
+
+use std::collections;
+use std::time;
+
+use super::engine;
+use super::order;
+use super::reducer;
+use crate::clock;
+use crate::name;
+use crate::relay;
+
+/// A step that brings the placement closer to the demand.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Step {
+    pub(super) engine: name::Name,
+    pub(super) operation: order::Operation,
+    pub(super) model: name::Name,
+    pub(super) adapter: Option<name::Name>,
+    /// The time until its effect.
+    pub(super) time: time::Duration,
+    /// Whether it is a load from the weight store.
+    pub(super) from_store: bool,
+}
+
+/// The pressure of a model above the average that justifies moving another model away.
+const MOVE_PRESSURE: f64 = 1.3;
+/// The time since the last request after which an adapter may make way for another one.
+const ADAPTER_IDLE: time::Duration = time::Duration::from_millis(700);
+
+/// A model as the plan sees it.
+#[derive(Clone, Debug)]
+struct Model<'a> {
+    name: &'a name::Name,
+    spec: &'a relay::Model,
+    demand: f64,
+    waiting: u32,
+    /// The engines that hold it or load it.
+    copies: usize,
+}
+
+impl Model<'_> {
+    /// Returns the demand that each copy carries.
+    fn pressure(&self) -> f64 {
+        self.demand / self.copies.max(1) as f64
+    }
+
+    /// Returns the demand of each copy after one has gone.
+    fn pressure_without(&self) -> f64 {
+        match self.copies {
+            0 | 1 => f64::INFINITY,
+            copies => self.demand / (copies - 1) as f64,
+        }
+    }
+}
+
+/// The state of one service that a plan is made for.
+#[derive(Debug)]
+pub(super) struct Plan<'a> {
+    pub(super) now: clock::Instant,
+    pub(super) state: &'a reducer::Reducer,
+    pub(super) service: &'a name::Name,
+    pub(super) spec: &'a relay::Engine,
+}
+
+impl Plan<'_> {
+    fn engines(&self) -> impl Iterator<Item = &engine::Engine> {
+        self.state.engines.values().filter(|engine| {
+            engine.sighting.service == *self.service
+                && engine.sighting.state == relay::State::Ready
+        })
+    }
+
+    /// Returns whether an engine serves a model or soon will.
+    fn counts(&self, engine: &engine::Engine, model: &name::Name) -> bool {
+        let held = engine.models.contains_key(model) && engine.unloading() != Some(model);
+        let loading = engine.loading().is_some_and(|(loading, _)| loading == model);
+        (held || loading) && !self.state.is_suspect(self.now, &engine.sighting.id)
+    }
+
+    fn models(&self) -> Vec<Model<'_>> {
+        let waiting = self.state.waiting_for_models(self.now, self.service);
+        let model = |(name, spec)| {
+            let key = (self.service.clone(), name);
+            let demand = self.state.models.rate(self.now, &key);
+            let (_, name) = key;
+            let (name, _) = self
+                .spec
+                .models
+                .get_key_value(&name)
+                .unwrap_or_else(|| unreachable!("the name is a key of the map"));
+            Model {
+                name,
+                spec,
+                demand,
+                waiting: waiting.get(name).copied().unwrap_or(0),
+                copies: self
+                    .engines()
+                    .filter(|engine| self.counts(engine, name))
+                    .count(),
+            }
+        };
+        self.spec
+            .models
+            .iter()
+            .map(|(name, spec)| (name.clone(), spec))
+            .map(model)
+            .collect()
+    }
+
+    /// Returns the next step for models, if one is worth it.
+    pub(super) fn model_step(&self) -> Option<Step> {
+        let models = self.models();
+        let places: usize = models.iter().map(|model| model.copies).sum();
+        let demand: f64 = models.iter().map(|model| model.demand).sum();
+        let average = demand / places.max(1) as f64;
+        let mut receivers: Vec<_> = models.iter().collect();
+        receivers.sort_by(|one, other| {
+            let rank = |model: &Model<'_>| (model.copies == 0, model.copies == 0 && model.waiting > 0);
+            rank(other)
+                .cmp(&rank(one))
+                .then(other.pressure().total_cmp(&one.pressure()))
+        });
+        receivers
+            .into_iter()
+            .filter(|model| model.copies == 0 || model.demand > 0.0)
+            .find_map(|model| self.add_copy(model, &models, average))
+    }
+
+    fn add_copy(&self, model: &Model<'_>, models: &[Model<'_>], average: f64) -> Option<Step> {
+        let free: Vec<_> = self
+            .engines()
+            .filter(|engine| {
+                engine.is_free(self.now)
+                    && !engine.models.contains_key(model.name)
+                    && !self.state.is_suspect(self.now, &engine.sighting.id)
+            })
+            .collect();
+        let loads_left = self.state.loads_left(self.now, self.spec.loads_per_second);
+        let load = |engine: &engine::Engine| engine.load_time(model.name, model.spec);
+        let allowed = |engine: &engine::Engine| loads_left || !load(engine).1;
+        let with_room = free
+            .iter()
+            .filter(|engine| engine.free_mb(self.spec) >= model.spec.weights_mb && allowed(engine))
+            .min_by_key(|engine| (load(engine).0, engine.running));
+        if let Some(engine) = with_room {
+            let (time, from_store) = load(engine);
+            return Some(Step {
+                engine: engine.sighting.id.clone(),
+                operation: order::Operation::Load,
+                model: model.name.clone(),
+                adapter: None,
+                time,
+                from_store,
+            });
+        }
+        if model.copies > 0 && model.pressure() < average * MOVE_PRESSURE {
+            return None;
+        }
+        free.iter()
+            .filter(|engine| allowed(engine))
+            .filter_map(|engine| {
+                let donor = self.donor(engine, model, models)?;
+                Some((engine, donor))
+            })
+            .min_by(|(one, a), (other, b)| {
+                let cost = |engine: &engine::Engine, donor: &Model<'_>| {
+                    let share = donor.pressure_without() / model.pressure().max(1.0);
+                    share + load(engine).0.as_secs_f64()
+                };
+                cost(one, a).total_cmp(&cost(other, b))
+            })
+            .map(|(engine, donor)| Step {
+                engine: engine.sighting.id.clone(),
+                operation: order::Operation::Unload,
+                model: donor.name.clone(),
+                adapter: None,
+                time: time::Duration::from_millis(50),
+                from_store: false,
+            })
+    }
+
+    /// Returns the model that an engine can give up for `receiver`.
+    fn donor<'m>(
+        &self,
+        engine: &engine::Engine,
+        receiver: &Model<'_>,
+        models: &'m [Model<'m>],
+    ) -> Option<&'m Model<'m>> {
+        let rules = &self.state.rules;
+        let room = engine.free_mb(self.spec);
+        models
+            .iter()
+            .filter(|model| {
+                let settled = engine
+                    .models
+                    .get(model.name)
+                    .is_some_and(|held| self.now.since(held.since) >= rules.min_stay);
+                let enough = room + model.spec.weights_mb >= receiver.spec.weights_mb;
+                let worth = match receiver.copies {
+                    0 => model.copies > 1,
+                    _ => model.pressure_without() <= receiver.pressure() * rules.donor_pressure,
+                };
+                settled && enough && worth
+            })
+            .min_by(|one, other| one.pressure_without().total_cmp(&other.pressure_without()))
+    }
+
+    /// Returns the next step for adapters, if one is needed.
+    pub(super) fn adapter_step(&self) -> Option<Step> {
+        let wanted = self.state.waiting_for_adapters(self.now, self.service);
+        wanted
+            .iter()
+            .find_map(|(model, adapter)| self.place_adapter(model, adapter))
+    }
+
+    fn place_adapter(&self, model: &name::Name, adapter: &name::Name) -> Option<Step> {
+        let key = (model.clone(), adapter.clone());
+        let spec = self.spec.models.get(model)?;
+        let holders: Vec<_> = self
+            .engines()
+            .filter(|engine| {
+                engine.models.contains_key(model)
+                    && engine.unloading() != Some(model)
+                    && !self.state.is_suspect(self.now, &engine.sighting.id)
+            })
+            .collect();
+        let is_placed = holders.iter().any(|engine| {
+            engine.adapters.contains_key(&key)
+                || engine.coming.contains_key(&key)
+                || engine
+                    .adapter_orders
+                    .iter()
+                    .any(|open| open.order.adapter.as_ref() == Some(adapter))
+        });
+        if is_placed || spec.adapter_mb <= 0.0 {
+            return None;
+        }
+        let ready: Vec<_> = holders
+            .into_iter()
+            .filter(|engine| engine.takes_adapters(self.now))
+            .collect();
+        let with_room = ready
+            .iter()
+            .filter(|engine| {
+                let used = engine.adapters.len() + engine.coming.len();
+                used < self.spec.adapter_slots && engine.coming.len() < engine::MAX_COMING
+            })
+            .min_by_key(|engine| (engine.adapters.len() / 3, engine.running));
+        if let Some(engine) = with_room {
+            return Some(Step {
+                engine: engine.sighting.id.clone(),
+                operation: order::Operation::Load,
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+                time: time::Duration::from_millis(10),
+                from_store: false,
+            });
+        }
+        let (engine, (model, adapter)) = self.idle_adapter(&ready)?;
+        Some(Step {
+            engine: engine.sighting.id.clone(),
+            operation: order::Operation::Unload,
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+            time: time::Duration::ZERO,
+            from_store: false,
+        })
+    }
+
+    /// Returns the adapter that was asked for least recently, on the engines that have no place left.
+    fn idle_adapter<'e>(
+        &self,
+        engines: &[&'e engine::Engine],
+    ) -> Option<(&'e engine::Engine, &'e (name::Name, name::Name))> {
+        let last = |(model, adapter): &(name::Name, name::Name)| {
+            let key = (self.service.clone(), model.clone(), adapter.clone());
+            self.state.adapters.last(&key).unwrap_or_default()
+        };
+        engines
+            .iter()
+            .filter(|engine| engine.adapters.len() + engine.coming.len() >= self.spec.adapter_slots)
+            .flat_map(|engine| engine.adapters.keys().map(|key| (*engine, key)))
+            .filter(|(_, key)| self.now.since(last(key)) >= ADAPTER_IDLE)
+            .min_by_key(|(_, key)| last(key))
+    }
+}
+
+/// The requests that wait for each model.
+pub(super) type Waiting = collections::HashMap<name::Name, u32>;
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -0,0 +1,459 @@
+use std::collections;
+use std::time;
+
+use super::demand;
+use super::effect;
+use super::engine;
+use super::event;
+use super::order;
+use super::plan;
+use super::rules;
+use super::share;
+use crate::clock;
+use crate::name;
+use crate::relay;
+
+/// The most orders that one step sends.
+const MAX_STEPS: usize = 64;
+/// How long demand for an adapter or model is remembered.
+const DEMAND_MEMORY: time::Duration = time::Duration::from_secs(60);
+/// The time between two probes of an engine whose order should be complete.
+const SETTLE_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// The time before an order without an answer is sent again.
+const RESEND: time::Duration = time::Duration::from_millis(700);
+/// The time for which an engine that refused an order gets no other.
+const REFUSED_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+/// The time for which reported demand counts without a newer report.
+const REPORT_AGE: time::Duration = time::Duration::from_millis(1_500);
+
+#[derive(Debug)]
+struct Host {
+    report: relay::Report,
+    at: clock::Instant,
+}
+
+/// Everything that the coordinator decides.
+#[derive(Debug)]
+pub struct Reducer {
+    pub(super) rules: rules::Rules,
+    epoch: u64,
+    services: collections::BTreeMap<name::Name, relay::Engine>,
+    pub(super) engines: collections::BTreeMap<name::Name, engine::Engine>,
+    hosts: collections::BTreeMap<name::Name, Host>,
+    pub(super) models: demand::Demand<(name::Name, name::Name)>,
+    pub(super) adapters: demand::Demand<(name::Name, name::Name, name::Name)>,
+    shares: share::Shares,
+    /// When loads from the weight store were ordered.
+    loads: collections::VecDeque<clock::Instant>,
+    orders: u64,
+}
+
+impl Reducer {
+    /// Returns the reducer of a host that has not been elected yet.
+    #[must_use]
+    pub fn new(rules: rules::Rules) -> Self {
+        Self {
+            rules,
+            epoch: 0,
+            services: collections::BTreeMap::new(),
+            engines: collections::BTreeMap::new(),
+            hosts: collections::BTreeMap::new(),
+            models: demand::Demand::default(),
+            adapters: demand::Demand::default(),
+            shares: share::Shares::default(),
+            loads: collections::VecDeque::new(),
+            orders: 0,
+        }
+    }
+
+    /// Takes up an event and returns what is to be done.
+    pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<effect::Effect> {
+        let mut effects = Vec::new();
+        match event {
+            event::Event::Elected(epoch) => self.elected(now, epoch),
+            event::Event::Configured(services) => self.services = services.into_iter().collect(),
+            event::Event::Seen(sighting) => self.see(now, *sighting),
+            event::Event::Removed(id) => {
+                self.engines.remove(&id);
+            }
+            event::Event::Reported(report) => self.hear(now, *report),
+            event::Event::Probed(id, status) => self.probed(now, &id, *status),
+            event::Event::Settled(id, number, outcome) => {
+                self.settle(now, &id, number, outcome, &mut effects);
+            }
+            event::Event::Tick { may_order } => {
+                self.tick(now, may_order, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Forgets what only the coordinator of the time knew. Loads that a predecessor ordered are not known, so the
+    /// window of loads begins half full.
+    fn elected(&mut self, now: clock::Instant, epoch: u64) {
+        self.epoch = epoch;
+        self.hosts.clear();
+        let sightings: Vec<_> = self
+            .engines
+            .values()
+            .map(|engine| engine.sighting.clone())
+            .collect();
+        self.engines.clear();
+        for sighting in sightings {
+            self.see(now, sighting);
+        }
+        for engine in self.engines.values_mut() {
+            // The entry may lag behind; only a probe tells what the engine holds now.
+            engine.sequence = None;
+        }
+    }
+
+    fn see(&mut self, now: clock::Instant, sighting: relay::Sighting) {
+        let id = sighting.id.clone();
+        match self.engines.get_mut(&id) {
+            Some(engine) => engine.update(now, sighting),
+            None => {
+                let mut engine = engine::Engine::new(now, sighting);
+                engine.sequence = None;
+                self.engines.insert(id, engine);
+            }
+        }
+    }
+
+    fn hear(&mut self, now: clock::Instant, report: relay::Report) {
+        for ask in &report.asks {
+            let model = (ask.service.clone(), ask.model.clone());
+            self.models.add(now, &model, ask.tokens as f64);
+            if let Some(adapter) = &ask.adapter {
+                let (service, model) = model;
+                let key = (service, model, adapter.clone());
+                self.adapters.add(now, &key, ask.tokens.max(1) as f64);
+            }
+        }
+        self.shares.record(now, &report.host, &report.usage);
+        let host = report.host.clone();
+        self.hosts.insert(host, Host { report, at: now });
+    }
+
+    fn probed(&mut self, now: clock::Instant, id: &name::Name, status: event::Status) {
+        let lag = self.rules.report_lag;
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.probe(now, status, lag);
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: clock::Instant,
+        id: &name::Name,
+        number: u64,
+        outcome: event::Outcome,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let about_adapter = engine
+            .adapter_orders
+            .iter()
+            .position(|open| open.order.number == number);
+        let order = match about_adapter {
+            Some(at) => engine.adapter_orders[at].order.clone(),
+            None => match &engine.open {
+                Some(open) if open.order.number == number => open.order.clone(),
+                _ => return,
+            },
+        };
+        effects.push(effect::Effect::Record {
+            event: "order_settled",
+            engine: id.clone(),
+            detail: format!(
+                "outcome={outcome:?} operation={:?} model={} adapter={} sequence={}",
+                order.operation,
+                order.model,
+                order.adapter.as_deref().unwrap_or("-"),
+                order.sequence
+            ),
+        });
+        engine.last_order = now;
+        match (outcome, about_adapter) {
+            (event::Outcome::Unknown, Some(at)) => {
+                engine.adapter_orders[at].state = engine::OpenState::Unknown;
+                engine.adapter_orders[at].sent = now;
+            }
+            (event::Outcome::Unknown, None) => {
+                if let Some(open) = &mut engine.open {
+                    open.state = engine::OpenState::Unknown;
+                    open.sent = now;
+                }
+            }
+            (event::Outcome::Accepted | event::Outcome::Holds, Some(at)) => {
+                engine.adapter_orders.remove(at);
+                engine.sequence = Some(order.sequence + 1);
+                if let Some(adapter) = order.adapter {
+                    let key = (order.model, adapter);
+                    match order.operation {
+                        order::Operation::Load => {
+                            engine.coming.insert(key, now);
+                        }
+                        order::Operation::Unload => {
+                            engine.adapters.remove(&key);
+                        }
+                    }
+                }
+            }
+            (event::Outcome::Accepted, None) => {
+                engine.sequence = Some(order.sequence + 1);
+                engine.busy = true;
+                if let Some(open) = &mut engine.open {
+                    open.state = engine::OpenState::Accepted;
+                }
+            }
+            (event::Outcome::Holds, None) => {
+                engine.open = None;
+                engine.sequence = None;
+            }
+            (event::Outcome::Conflict, at) => {
+                if let Some(at) = at {
+                    engine.adapter_orders.remove(at);
+                } else {
+                    engine.open = None;
+                }
+                engine.sequence = None;
+            }
+            (event::Outcome::Refused, at) => {
+                if let Some(at) = at {
+                    engine.adapter_orders.remove(at);
+                } else {
+                    engine.open = None;
+                }
+                engine.sequence = None;
+                engine.blocked_until = now + REFUSED_PAUSE;
+            }
+        }
+    }
+
+    fn tick(&mut self, now: clock::Instant, may_order: bool, effects: &mut Vec<effect::Effect>) {
+        let silence = self.rules.host_silence;
+        self.hosts.retain(|_, host| now.since(host.at) < silence);
+        self.models.forget(now, DEMAND_MEMORY);
+        self.adapters.forget(now, DEMAND_MEMORY);
+        let window = self.rules.load_window;
+        while self
+            .loads
+            .front()
+            .is_some_and(|load| now.since(*load) >= window)
+        {
+            self.loads.pop_front();
+        }
+        self.probe(now, effects);
+        for engine in self.engines.values_mut() {
+            engine.settle_adapters(now);
+        }
+        if may_order {
+            self.resend(now, effects);
+            self.order(now, effects);
+        }
+    }
+
+    fn probe(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let services = &self.services;
+        for (id, engine) in &mut self.engines {
+            if !services.contains_key(&engine.sighting.service) {
+                continue;
+            }
+            let settling = engine.sequence.is_none()
+                || engine.open.as_ref().is_some_and(|open| now >= open.ready)
+                || !engine.adapter_orders.is_empty();
+            let interval = if settling {
+                SETTLE_INTERVAL
+            } else {
+                self.rules.probe_interval
+            };
+            if now.since(engine.probed) >= interval {
+                engine.probed = now;
+                let address = engine.sighting.address;
+                effects.push(effect::Effect::Probe(id.clone(), address));
+            }
+        }
+    }
+
+    /// Sends orders again that got no answer. The same condition keeps them from taking effect twice.
+    fn resend(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        for engine in self.engines.values_mut() {
+            let open = engine.open.iter_mut().chain(&mut engine.adapter_orders);
+            for open in open {
+                if open.state == engine::OpenState::Unknown && now.since(open.sent) >= RESEND {
+                    open.state = engine::OpenState::Sent;
+                    open.sent = now;
+                    open.order.epoch = self.epoch;
+                    effects.push(effect::Effect::Order(open.order.clone()));
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        for _ in 0..MAX_STEPS {
+            let step = self.services.iter().find_map(|(service, spec)| {
+                let plan = plan::Plan {
+                    now,
+                    state: self,
+                    service,
+                    spec,
+                };
+                plan.adapter_step().or_else(|| plan.model_step())
+            });
+            let Some(step) = step else {
+                return;
+            };
+            self.send(now, step, effects);
+        }
+    }
+
+    fn send(&mut self, now: clock::Instant, step: plan::Step, effects: &mut Vec<effect::Effect>) {
+        let Some(engine) = self.engines.get_mut(&step.engine) else {
+            return;
+        };
+        let Some(sequence) = engine.sequence else {
+            return;
+        };
+        self.orders += 1;
+        let order = order::Order {
+            number: self.orders,
+            engine: step.engine.clone(),
+            address: engine.sighting.address,
+            operation: step.operation,
+            model: step.model,
+            adapter: step.adapter,
+            sequence,
+            epoch: self.epoch,
+        };
+        let open = engine::Open {
+            order: order.clone(),
+            sent: now,
+            ready: now + step.time,
+            state: engine::OpenState::Sent,
+        };
+        engine.last_order = now;
+        if order.adapter.is_some() {
+            engine.adapter_orders.push(open);
+        } else {
+            engine.open = Some(open);
+        }
+        if step.from_store {
+            self.loads.push_back(now);
+        }
+        effects.push(effect::Effect::Record {
+            event: "ordered",
+            engine: step.engine,
+            detail: format!(
+                "operation={:?} model={} adapter={} sequence={sequence} epoch={} from_store={}",
+                order.operation,
+                order.model,
+                order.adapter.as_deref().unwrap_or("-"),
+                self.epoch,
+                step.from_store
+            ),
+        });
+        effects.push(effect::Effect::Order(order));
+    }
+
+    /// Returns whether another load from the weight store may begin.
+    pub(super) fn loads_left(&self, _now: clock::Instant, per_second: f64) -> bool {
+        let most = per_second * self.rules.load_window.as_secs_f64();
+        (self.loads.len() as f64) + 1.0 <= most.max(1.0)
+    }
+
+    /// Returns whether hosts get no answers from an upstream.
+    pub(super) fn is_suspect(&self, now: clock::Instant, id: &name::Name) -> bool {
+        let fresh = self
+            .hosts
+            .values()
+            .filter(|host| now.since(host.at) < REPORT_AGE);
+        let (mut hosts, mut suspecting) = (0, 0);
+        for host in fresh {
+            hosts += 1;
+            suspecting += usize::from(host.report.suspects.contains(id));
+        }
+        suspecting > 0 && suspecting * 2 >= hosts
+    }
+
+    fn waiting(&self, now: clock::Instant) -> impl Iterator<Item = &relay::Ask> {
+        self.hosts
+            .values()
+            .filter(move |host| now.since(host.at) < REPORT_AGE)
+            .flat_map(|host| &host.report.asks)
+            .filter(|ask| ask.waiting > 0)
+    }
+
+    pub(super) fn waiting_for_models(
+        &self,
+        now: clock::Instant,
+        service: &name::Name,
+    ) -> plan::Waiting {
+        let mut waiting = plan::Waiting::new();
+        for ask in self.waiting(now).filter(|ask| ask.service == *service) {
+            *waiting.entry(ask.model.clone()).or_default() += ask.waiting;
+        }
+        waiting
+    }
+
+    pub(super) fn waiting_for_adapters(
+        &self,
+        now: clock::Instant,
+        service: &name::Name,
+    ) -> collections::BTreeSet<(name::Name, name::Name)> {
+        self.waiting(now)
+            .filter(|ask| ask.service == *service)
+            .filter_map(|ask| Some((ask.model.clone(), ask.adapter.clone()?)))
+            .collect()
+    }
+
+    /// Returns what `host` is to know.
+    #[must_use]
+    pub fn view(&self, now: clock::Instant, host: &name::Name) -> relay::View {
+        let mut running = collections::HashMap::<&name::Name, u32>::new();
+        for other in self.hosts.values() {
+            if other.report.host != *host {
+                for (id, count) in &other.report.running {
+                    *running.entry(id).or_default() += count;
+                }
+            }
+        }
+        let millis = |until: clock::Instant| {
+            u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX)
+        };
+        let mut expected = collections::BTreeMap::new();
+        for engine in self.engines.values() {
+            if let Some((model, ready)) = engine.loading() {
+                let left = millis(ready) + 50;
+                let entry = expected.entry(model.clone()).or_insert(left);
+                *entry = left.min(*entry);
+            }
+        }
+        let placed = self.engines.iter().filter(|(_, engine)| {
+            self.services.contains_key(&engine.sighting.service) && engine.answered.is_some()
+        });
+        let placed = placed.map(|(id, engine)| relay::Placed {
+            upstream: id.clone(),
+            models: engine.models.keys().cloned().collect(),
+            loading: engine
+                .loading()
+                .map(|(model, ready)| (model.clone(), millis(ready)))
+                .into_iter()
+                .collect(),
+            unloading: engine.unloading().cloned().into_iter().collect(),
+            adapters: engine.adapters.keys().cloned().collect(),
+            running: running.get(id).copied().unwrap_or(0),
+        });
+        let hosts: Vec<_> = self.hosts.keys().cloned().collect();
+        relay::View {
+            epoch: self.epoch,
+            hosts: u32::try_from(hosts.len()).unwrap_or(u32::MAX),
+            shares: self.shares.of(now, host, &hosts),
+            placed: placed.collect(),
+            expected: expected.into_iter().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/rules.rs
@@ -0,0 +1,32 @@
+use std::time;
+
+/// Bounds and thresholds of the coordinator.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// The window over which loads from the weight store are counted.
+    pub load_window: time::Duration,
+    /// The time between two probes of an engine.
+    pub probe_interval: time::Duration,
+    /// The age of an engine's report behind its state.
+    pub report_lag: time::Duration,
+    /// The time after which a host that has not reported counts as gone.
+    pub host_silence: time::Duration,
+    /// The pressure of a model that gives a copy up, as a part of the pressure of the one that takes its place.
+    pub donor_pressure: f64,
+    /// The least time between the arrival of a copy and its removal.
+    pub min_stay: time::Duration,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            load_window: time::Duration::from_secs(5),
+            probe_interval: time::Duration::from_millis(500),
+            // Engines report their state of some hundred milliseconds ago.
+            report_lag: time::Duration::from_millis(350),
+            host_silence: time::Duration::from_millis(2_000),
+            donor_pressure: 0.5,
+            min_stay: time::Duration::from_millis(1_500),
+        }
+    }
+}
--- a/crates/carawaycleat-core/src/key/index.rs
+++ b/crates/carawaycleat-core/src/key/index.rs
@@ -48,12 +48,17 @@
         let Ok(digest) = super::Digest::parse(&key.digest) else {
             return;
         };
+        let grant = Grant {
+            key: name.clone(),
+            workspace: key.workspace.clone(),
+        };
+        self.grant(digest, grant);
+    }
+
+    /// Adds a key, unless there is one with the same digest.
+    fn grant(&mut self, digest: super::Digest, grant: Grant) {
         let bucket = self.buckets.entry(digest.prefix()).or_default();
         if bucket.iter().all(|(other, _)| *other != digest) {
-            let grant = Grant {
-                key: name.clone(),
-                workspace: key.workspace.clone(),
-            };
             bucket.push((digest, grant));
         }
     }
@@ -71,3 +76,13 @@
         found
     }
 }
+
+impl FromIterator<(super::Digest, Grant)> for Index {
+    fn from_iter<I: IntoIterator<Item = (super::Digest, Grant)>>(keys: I) -> Self {
+        let mut index = Self::default();
+        for (digest, grant) in keys {
+            index.grant(digest, grant);
+        }
+        index
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -0,0 +1,74 @@
+use std::sync;
+use std::time;
+
+use super::catalog;
+use crate::clock;
+use crate::name;
+
+/// Where a request is.
+#[derive(Clone, Debug)]
+pub(super) enum Place {
+    /// It waits for an upstream.
+    Waiting,
+    /// It has been sent.
+    At {
+        upstream: name::Name,
+        sent: clock::Instant,
+        progress: clock::Instant,
+        /// Whether a byte of an answer has arrived from there.
+        answered: bool,
+    },
+}
+
+/// A request that has no complete answer yet.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub(super) name: String,
+    pub(super) route: sync::Arc<catalog::Route>,
+    pub(super) service: name::Name,
+    pub(super) model: Option<name::Name>,
+    pub(super) adapter: Option<name::Name>,
+    pub(super) affinity: u64,
+    pub(super) workspace: Option<name::Name>,
+    pub(super) keyed: bool,
+    pub(super) priority: u8,
+    /// The tokens charged to the workspace.
+    pub(super) cost: u64,
+    pub(super) arrived: clock::Instant,
+    /// When the final answer is due.
+    pub(super) due: clock::Instant,
+    /// When the caller stops waiting.
+    pub(super) patience: clock::Instant,
+    pub(super) attempt: u32,
+    /// The attempts that may have run.
+    pub(super) runs: u32,
+    /// The upstreams that an attempt was sent to.
+    pub(super) tried: Vec<name::Name>,
+    /// The upstreams that could not run it.
+    pub(super) rejected: u32,
+    pub(super) place: Place,
+    /// Whether a part of the answer has been passed on.
+    pub(super) delivered: bool,
+    /// The last event that the caller has received.
+    pub(super) after: Option<u64>,
+}
+
+impl Pending {
+    /// Returns the order in which waiting requests are sent: by the time at which the answer is wanted, with a
+    /// handicap for each rank.
+    pub(super) fn urgency(&self) -> clock::Instant {
+        const HANDICAP: time::Duration = time::Duration::from_millis(300);
+        let patience = self.patience.since(self.arrived);
+        let objective = self.route.objective.min(patience / 4);
+        self.arrived + objective + HANDICAP * u32::from(self.priority)
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        matches!(self.place, Place::Waiting)
+    }
+
+    /// Returns whether another attempt may be sent after one that may have run.
+    pub(super) fn may_repeat(&self) -> bool {
+        self.route.is_repeatable() && self.runs < self.route.attempts
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/pick.rs
@@ -0,0 +1,138 @@
+//! The choice of an upstream.
+
+use std::hash;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
+
+use super::catalog;
+use super::pending;
+use super::upstream;
+use crate::clock;
+use crate::name;
+
+/// What choosing an upstream led to.
+#[derive(Debug)]
+pub(super) enum Choice {
+    /// The upstream to send to.
+    Upstream(name::Name),
+    /// Upstreams hold what is needed, and none has room.
+    Full,
+    /// No upstream holds what is needed.
+    Unplaced,
+}
+
+/// The cost of an upstream in another availability zone, in units of load.
+const ZONE_COST: f64 = 0.04;
+/// The advantage of the upstream that is likely to have the prompt in its cache, in units of load.
+const AFFINITY_GAIN: f64 = 0.12;
+/// The cost of a failure rate of one.
+const FAILURE_COST: f64 = 3.0;
+/// The most that latency counts against an upstream, relative to the fastest one.
+const MAX_PACE: f64 = 8.0;
+
+/// What the choice goes by besides the upstreams.
+#[derive(Debug)]
+pub(super) struct Context<'a> {
+    pub(super) now: clock::Instant,
+    pub(super) zone: &'a name::Name,
+    pub(super) service: &'a catalog::Service,
+    pub(super) lapse: std::time::Duration,
+}
+
+impl Context<'_> {
+    fn slots(&self, upstream: &upstream::Upstream) -> u32 {
+        match &self.service.engine {
+            Some(engine) if upstream.sighting.slots == 0 => engine.slots,
+            _ => upstream.sighting.slots,
+        }
+    }
+
+    /// Chooses the upstream for a request, one that was not tried before where there is one.
+    pub(super) fn pick(&self, table: &upstream::Table, request: &pending::Pending) -> Choice {
+        let holders: Vec<_> = table
+            .values()
+            .filter(|upstream| self.suits(upstream, request))
+            .collect();
+        if holders.is_empty() {
+            return Choice::Unplaced;
+        }
+        let untried: Vec<_> = holders
+            .iter()
+            .copied()
+            .filter(|upstream| !request.tried.contains(&upstream.sighting.id))
+            .collect();
+        let (candidates, repeated) = match untried.is_empty() {
+            true => (holders, true),
+            false => (untried, false),
+        };
+        let sound: Vec<_> = candidates
+            .iter()
+            .copied()
+            .filter(|upstream| !upstream.is_avoided(self.now))
+            .collect();
+        if sound.is_empty() && repeated {
+            return Choice::Full;
+        }
+        let candidates = if sound.is_empty() { candidates } else { sound };
+        let open: Vec<_> = candidates
+            .into_iter()
+            .filter(|upstream| upstream.has_room(self.now, self.slots(upstream)))
+            .collect();
+        let fastest = open
+            .iter()
+            .filter_map(|upstream| upstream.latency())
+            .fold(f64::INFINITY, f64::min);
+        let cheapest = open.iter().min_by(|one, other| {
+            let cost = |upstream| self.cost(upstream, request, fastest);
+            cost(one).total_cmp(&cost(other))
+        });
+        cheapest.map_or(Choice::Full, |upstream| {
+            Choice::Upstream(upstream.sighting.id.clone())
+        })
+    }
+
+    fn suits(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
+        upstream.sighting.service == request.service
+            && upstream.is_open(self.now, self.lapse)
+            && request
+                .model
+                .as_ref()
+                .filter(|_| self.service.engine.is_some())
+                .is_none_or(|model| upstream.holds(self.now, model, request.adapter.as_ref()))
+    }
+
+    fn cost(
+        &self,
+        upstream: &upstream::Upstream,
+        request: &pending::Pending,
+        fastest: f64,
+    ) -> f64 {
+        let slots = self.slots(upstream);
+        let pace = upstream
+            .latency()
+            .map_or(1.0, |latency| (latency / fastest.max(0.001)).clamp(1.0, MAX_PACE));
+        let zone = if upstream.sighting.zone == *self.zone {
+            0.0
+        } else {
+            ZONE_COST
+        };
+        let affinity = match request.affinity {
+            0 => 0.0,
+            affinity => AFFINITY_GAIN * rank(affinity, &upstream.sighting.id),
+        };
+        // An upstream that has not answered yet is tried, but not by everything at once.
+        upstream.load(slots) * pace.sqrt() + zone - affinity
+            + FAILURE_COST * upstream.failure_rate(self.now)
+            + (pace - 1.0) * 0.1
+    }
+}
+
+/// Returns a number from 0 to 1 that every host computes alike for a prompt and an upstream.
+fn rank(affinity: u64, upstream: &str) -> f64 {
+    let mut hasher = hash::DefaultHasher::new();
+    affinity.hash(&mut hasher);
+    upstream.hash(&mut hasher);
+    // The sharp power leaves one clear favourite.
+    let part = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
+    part.powi(8)
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -0,0 +1,35 @@
+use crate::name;
+
+/// What a host's callers ask of a model or adapter.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Ask {
+    /// The service.
+    pub service: name::Name,
+    /// The model.
+    pub model: name::Name,
+    /// The adapter on top of it.
+    pub adapter: Option<name::Name>,
+    /// The tokens of the answers asked for since the last report.
+    pub tokens: u64,
+    /// The requests that wait because no upstream holds it.
+    pub waiting: u32,
+}
+
+/// What an entry host tells the coordinator.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Report {
+    /// The host.
+    pub host: name::Name,
+    /// The time that the counts cover, in milliseconds.
+    pub span_ms: u64,
+    /// What is asked for.
+    pub asks: Vec<Ask>,
+    /// The requests in progress by upstream.
+    pub running: Vec<(name::Name, u32)>,
+    /// The tokens that each workspace asked for since the last report, refused ones included.
+    pub usage: Vec<(name::Name, u64)>,
+    /// Upstreams that have not answered lately.
+    pub suspects: Vec<name::Name>,
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -0,0 +1,209 @@
+use std::collections;
+use std::time;
+
+use super::sighting;
+use super::view;
+use crate::clock;
+use crate::name;
+
+/// The time in which the memory of failures halves.
+const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_millis(2_500);
+/// The weight of the newest observation in an average.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// The first and longest time for which an unreachable upstream is avoided.
+const FIRST_AVOIDANCE: time::Duration = time::Duration::from_millis(400);
+const MAX_AVOIDANCE: time::Duration = time::Duration::from_millis(3_200);
+/// The age up to which the coordinator's knowledge goes before an upstream's own entry.
+const VIEW_AGE: time::Duration = time::Duration::from_millis(1_500);
+/// How long a model that an upstream did not have counts as missing there against an older report.
+const MISSING: time::Duration = time::Duration::from_millis(600);
+/// How long an upstream that was full gets no further request.
+const FULL: time::Duration = time::Duration::from_millis(40);
+
+/// What an entry host believes of an upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What it has said of itself.
+    pub sighting: sighting::Sighting,
+    /// When its entry was removed.
+    pub(super) removed: Option<clock::Instant>,
+    /// This host's requests in progress there.
+    pub(super) running: u32,
+    /// The requests of other hosts in progress there, as the coordinator said last.
+    pub(super) others: u32,
+    /// The last time that a byte of an answer arrived.
+    pub(super) progress: clock::Instant,
+    placed: Option<(clock::Instant, view::Placed)>,
+    failures: f64,
+    failures_at: clock::Instant,
+    latency: Option<f64>,
+    avoided_until: clock::Instant,
+    strikes: u32,
+    full_until: clock::Instant,
+    missing: Vec<(name::Name, Option<name::Name>, clock::Instant)>,
+}
+
+impl Upstream {
+    /// Returns the belief about an upstream that has just been seen.
+    #[must_use]
+    pub fn new(sighting: sighting::Sighting) -> Self {
+        Self {
+            sighting,
+            removed: None,
+            running: 0,
+            others: 0,
+            progress: clock::Instant::default(),
+            placed: None,
+            failures: 0.0,
+            failures_at: clock::Instant::default(),
+            latency: None,
+            avoided_until: clock::Instant::default(),
+            strikes: 0,
+            full_until: clock::Instant::default(),
+            missing: Vec::new(),
+        }
+    }
+
+    /// Takes up a newer entry. A restarted upstream holds nothing of what was known.
+    pub(super) fn update(&mut self, now: clock::Instant, sighting: sighting::Sighting) {
+        let restarted = sighting.started > self.sighting.started;
+        if restarted {
+            let running = self.running;
+            *self = Self::new(sighting);
+            self.running = running;
+            return;
+        }
+        if sighting.models != self.sighting.models {
+            self.missing.clear();
+            let is_old = |at: clock::Instant| now.since(at) > VIEW_AGE;
+            if self.placed.as_ref().is_some_and(|(at, _)| is_old(*at)) {
+                self.placed = None;
+            }
+        }
+        self.sighting = sighting;
+        self.removed = None;
+    }
+
+    /// Takes up what the coordinator knows of its weights.
+    pub(super) fn place(&mut self, now: clock::Instant, placed: view::Placed) {
+        self.others = placed.running;
+        self.placed = Some((now, placed));
+    }
+
+    /// Returns whether it may get new work.
+    pub(super) fn is_open(&self, now: clock::Instant, lapse: time::Duration) -> bool {
+        let present = self
+            .removed
+            .is_none_or(|removed| now.since(removed) < lapse);
+        present && self.sighting.state == sighting::State::Ready
+    }
+
+    /// Returns whether it holds what a request needs.
+    pub(super) fn holds(
+        &self,
+        now: clock::Instant,
+        model: &name::Name,
+        adapter: Option<&name::Name>,
+    ) -> bool {
+        let missing = self.missing.iter().any(|(name, other, at)| {
+            name == model && other.as_ref() == adapter && now.since(*at) < MISSING
+        });
+        !missing && self.holds_model(model) && adapter.is_none_or(|adapter| self.has(model, adapter))
+    }
+
+    pub(super) fn holds_model(&self, model: &name::Name) -> bool {
+        match &self.placed {
+            Some((_, placed)) => placed.models.contains(model) && !placed.unloading.contains(model),
+            None => self.sighting.models.contains_key(model),
+        }
+    }
+
+    fn has(&self, model: &name::Name, adapter: &name::Name) -> bool {
+        match &self.placed {
+            Some((_, placed)) => placed
+                .adapters
+                .iter()
+                .any(|(held, name)| held == model && name == adapter),
+            None => self
+                .sighting
+                .models
+                .get(model)
+                .is_some_and(|adapters| adapters.contains(adapter)),
+        }
+    }
+
+    /// Notes that it did not have what a request needs.
+    pub(super) fn lacks(
+        &mut self,
+        now: clock::Instant,
+        model: &name::Name,
+        adapter: Option<&name::Name>,
+    ) {
+        self.missing
+            .retain(|(_, _, at)| now.since(*at) < MISSING);
+        self.missing.push((model.clone(), adapter.cloned(), now));
+    }
+
+    /// Returns whether another request fits beside those in progress.
+    pub(super) fn has_room(&self, now: clock::Instant, slots: u32) -> bool {
+        now >= self.full_until && self.running + self.others < slots
+    }
+
+    pub(super) fn is_avoided(&self, now: clock::Instant) -> bool {
+        now < self.avoided_until
+    }
+
+    /// Returns the requests in progress as a fraction of the slots, with one more.
+    pub(super) fn load(&self, slots: u32) -> f64 {
+        f64::from(self.running + self.others + 1) / f64::from(slots.max(1))
+    }
+
+    /// Returns the fraction of recent requests that failed.
+    pub(super) fn failure_rate(&self, now: clock::Instant) -> f64 {
+        let age = now.since(self.failures_at).as_secs_f64();
+        self.failures * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Returns the average time to the first byte of an answer, in seconds.
+    pub(super) fn latency(&self) -> Option<f64> {
+        self.latency
+    }
+
+    /// Notes the first byte of an answer.
+    pub(super) fn answered(&mut self, now: clock::Instant, latency: time::Duration) {
+        self.progress = now;
+        self.strikes = 0;
+        self.avoided_until = clock::Instant::default();
+        let latency = latency.as_secs_f64();
+        self.latency = Some(match self.latency {
+            None => latency,
+            Some(average) => average + NEWEST_WEIGHT * (latency - average),
+        });
+    }
+
+    /// Notes whether a request succeeded.
+    pub(super) fn observe(&mut self, now: clock::Instant, failed: bool) {
+        let newest = if failed { 1.0 } else { 0.0 };
+        let rate = self.failure_rate(now);
+        self.failures = rate + NEWEST_WEIGHT * (newest - rate);
+        self.failures_at = now;
+    }
+
+    /// Notes that it did not accept a connection or made no progress, and avoids it for a time.
+    pub(super) fn avoid(&mut self, now: clock::Instant) {
+        if self.is_avoided(now) {
+            return;
+        }
+        let span = FIRST_AVOIDANCE * 2_u32.pow(self.strikes.min(5));
+        self.strikes += 1;
+        self.avoided_until = now + span.min(MAX_AVOIDANCE);
+    }
+
+    /// Notes that it had no room.
+    pub(super) fn was_full(&mut self, now: clock::Instant) {
+        self.full_until = now + FULL;
+    }
+}
+
+/// The upstreams by identifier.
+pub(super) type Table = collections::BTreeMap<name::Name, Upstream>;
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -0,0 +1,35 @@
+use crate::name;
+
+/// What the coordinator knows of an engine's weights.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Placed {
+    /// The engine.
+    pub upstream: name::Name,
+    /// The models that it holds.
+    pub models: Vec<name::Name>,
+    /// The models that are being loaded, with the milliseconds that are left.
+    pub loading: Vec<(name::Name, u64)>,
+    /// The models that are being unloaded.
+    pub unloading: Vec<name::Name>,
+    /// The adapters that it holds, with their models.
+    pub adapters: Vec<(name::Name, name::Name)>,
+    /// The requests of all hosts in progress there.
+    pub running: u32,
+}
+
+/// What the coordinator tells an entry host.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct View {
+    /// The coordinator's fencing token; views of an earlier coordinator are dropped.
+    pub epoch: u64,
+    /// The number of entry hosts.
+    pub hosts: u32,
+    /// The part of each workspace's allowance that this host may use.
+    pub shares: Vec<(name::Name, f64)>,
+    /// The engines.
+    pub placed: Vec<Placed>,
+    /// The milliseconds until each model that is held nowhere can run, where it is known.
+    pub expected: Vec<(name::Name, u64)>,
+}
--- a/crates/carawaycleat-core/src/retry/budget.rs
+++ b/crates/carawaycleat-core/src/retry/budget.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Sets the retries that are allowed beside the fraction of the requests.
+    pub const fn set_minimum(&mut self, minimum: u64) {
+        self.minimum = minimum;
+    }
+
     /// Counts a request that is sent for the first time.
     pub const fn request(&mut self, now: clock::Instant) {
         self.slot(now).requests += 1;
--- a/crates/carawaycleat-net/src/limits.rs
+++ b/crates/carawaycleat-net/src/limits.rs
@@ -1,6 +1,6 @@
 use std::time;
 
-/// The longest head that `async-h1` decodes, in bytes.
+/// The default length of a head in bytes, and the longest head of an answer that `async-h1` decodes.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
 /// Limits of a server.
@@ -20,6 +20,7 @@
     pub(crate) connections: usize,
     pub(crate) requests: usize,
     pub(crate) idle: time::Duration,
+    pub(crate) header: time::Duration,
 }
 
 impl Default for Limits {
@@ -30,15 +31,16 @@
             connections: 4096,
             requests: 2048,
             idle: time::Duration::from_secs(60),
+            header: time::Duration::from_secs(60),
         }
     }
 }
 
 impl Limits {
-    /// Sets the longest head of a request in bytes. `async-h1` decodes less than 8 KiB, larger values have no effect.
+    /// Sets the longest head of a request in bytes.
     #[must_use]
     pub fn header_bytes(mut self, bytes: usize) -> Self {
-        self.header_bytes = bytes.min(MAX_HEAD_BYTES);
+        self.header_bytes = bytes;
         self
     }
 
@@ -70,4 +72,11 @@
         self.idle = idle;
         self
     }
+
+    /// Sets how long the head of a request may take from its first byte. It is at most the idle time.
+    #[must_use]
+    pub fn header_time(mut self, header: time::Duration) -> Self {
+        self.header = header;
+        self
+    }
 }
--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     connect_timeout: time::Duration,
+    accepts_unframed: bool,
     idle: sync::Arc<idle::Idle>,
 }
 
@@ -37,24 +38,33 @@
     pub fn new(connect_timeout: time::Duration, idle: usize) -> Self {
         Self {
             connect_timeout,
+            accepts_unframed: false,
             idle: sync::Arc::new(idle::Idle::new(idle)),
         }
     }
 
-    /// Sends a request and returns the answer once its head has arrived. `timeout` covers connecting, sending and the
-    /// head of the answer.
+    /// Accepts answers without a length, which end with their connection. A connection that is closed in order ends
+    /// such a body; one that is reset fails it.
+    #[must_use]
+    pub fn accept_unframed(mut self) -> Self {
+        self.accepts_unframed = true;
+        self
+    }
+
+    /// Sends a request like [`Pool::send`], on a connection that was idle for less than `max_idle` or a new one.
     ///
     /// # Errors
     ///
-    /// Returns a failure that says whether bytes of the request may have left. Nothing is sent twice.
-    pub async fn send(
+    /// Returns a failure as [`Pool::send`].
+    pub async fn send_fresh(
         &self,
         address: net::SocketAddr,
         request: request::Request,
         timeout: time::Duration,
+        max_idle: time::Duration,
     ) -> Result<Reply, Failure> {
         let mut sent = false;
-        let exchange = self.exchange(address, request, &mut sent);
+        let exchange = self.exchange(address, request, max_idle, &mut sent);
         let expired = async {
             async_io::Timer::after(timeout).await;
             Err(error::Error::Timeout)
@@ -63,14 +73,31 @@
         result.map_err(|error| Failure { sent, error })
     }
 
+    /// Sends a request and returns the answer once its head has arrived. `timeout` covers connecting, sending and the
+    /// head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure that says whether bytes of the request may have left. Nothing is sent twice.
+    pub async fn send(
+        &self,
+        address: net::SocketAddr,
+        request: request::Request,
+        timeout: time::Duration,
+    ) -> Result<Reply, Failure> {
+        self.send_fresh(address, request, timeout, time::Duration::MAX)
+            .await
+    }
+
     async fn exchange(
         &self,
         address: net::SocketAddr,
         request: request::Request,
+        max_idle: time::Duration,
         sent: &mut bool,
     ) -> error::Result<Reply> {
         let head = exchange::encode(&request, address)?;
-        let reused = self.idle.take(address);
+        let reused = self.idle.take(address, max_idle);
         let mut retry = reused.is_some();
         let mut stream = match reused {
             Some(stream) => stream,
@@ -85,9 +112,12 @@
         }
         let home = idle::Home::new(&self.idle, address);
         match written {
-            Ok(()) => exchange::read(stream, home, request.method == "HEAD").await,
+            Ok(()) => {
+                let to_head = request.method == "HEAD";
+                exchange::read(stream, home, to_head, self.accepts_unframed).await
+            }
             // The server may have answered early, for example because the body is too long.
-            Err(error) if *sent => match exchange::read(stream, home, false).await {
+            Err(error) if *sent => match exchange::read(stream, home, false, false).await {
                 Ok(reply) => Ok(reply.not_reusable()),
                 Err(_) => Err(error.into()),
             },
--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::io::Write as _;
 use std::net;
+use std::time;
 
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
@@ -92,8 +93,9 @@
 /// Reads the head of the answer.
 pub(super) async fn read(
     stream: idle::Connection,
-    home: idle::Home,
+    mut home: idle::Home,
     to_head: bool,
+    unframed: bool,
 ) -> error::Result<reply::Reply> {
     let mut bytes = Vec::new();
     let (head, length) = loop {
@@ -109,16 +111,27 @@
     let no_body = to_head || matches!(head.status, 204 | 304);
     let framing = match head::framing(&head.headers).map_err(error::Error::malformed)? {
         _ if no_body => scanner::Framing::None,
+        scanner::Framing::None if unframed => scanner::Framing::Close,
         // Without a length, a cut body looks like a complete one.
         scanner::Framing::None => return Err(error::Error::Incomplete),
         framing => framing,
     };
     let keep = !head.headers.has_token("connection", "close");
+    home.keep_for(keep_alive(&head.headers));
     let (source, progress) = source::Source::new(stream.clone(), bytes, length, framing);
-    let mut decoded = async_h1::client::decode(source)
-        .await
-        .map_err(error::Error::malformed)?;
-    let body = (framing != scanner::Framing::None).then(|| decoded.take_body().into_reader());
+    let body: Option<reader::Body> = match framing {
+        scanner::Framing::None => None,
+        // `async-h1` takes an answer without a length as empty.
+        scanner::Framing::Close => Some(Box::new(futures_lite::io::BufReader::new(
+            source.without_head(),
+        ))),
+        _ => {
+            let mut decoded = async_h1::client::decode(source)
+                .await
+                .map_err(error::Error::malformed)?;
+            Some(decoded.take_body().into_reader())
+        }
+    };
     let body = reader::Reader::new(body, progress, stream, keep.then_some(home));
     Ok(reply::Reply {
         status: head.status,
@@ -127,6 +140,16 @@
     })
 }
 
+/// Returns how long the server keeps an idle connection, where it says so.
+fn keep_alive(headers: &crate::Headers) -> Option<time::Duration> {
+    let value = headers.get("keep-alive")?;
+    let parameters = value.split(',').map(str::trim);
+    let seconds = parameters
+        .filter_map(|parameter| parameter.strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok())?;
+    Some(time::Duration::from_secs(seconds))
+}
+
 struct Head {
     status: u16,
     headers: crate::Headers,
--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -15,7 +15,7 @@
 const PIECE_BYTES: usize = 4 * 1024;
 const MAX_PIECE_BYTES: usize = 64 * 1024;
 
-type Body = Box<dyn futures_lite::AsyncBufRead + Unpin + Send + Sync>;
+pub(super) type Body = Box<dyn futures_lite::AsyncBufRead + Unpin + Send + Sync>;
 
 /// The body of an answer.
 ///
--- a/crates/carawaycleat-net/src/pool/source.rs
+++ b/crates/carawaycleat-net/src/pool/source.rs
@@ -41,7 +41,9 @@
     /// The position in `received`.
     position: usize,
     head: usize,
-    chunked: bool,
+    framing: scanner::Framing,
+    /// Whether a body that ends with its connection has ended.
+    closed: bool,
     scanner: scanner::Scanner,
     tail: &'static [u8],
     /// A fault of the framing; it stays, because bytes behind it have no meaning.
@@ -62,7 +64,8 @@
             received,
             position: 0,
             head,
-            chunked: framing == scanner::Framing::Chunked,
+            framing,
+            closed: false,
             scanner: scanner::Scanner::new(framing),
             tail: b"",
             fault: None,
@@ -74,6 +77,13 @@
         (source, progress)
     }
 
+    /// Skips the head, which has been parsed already.
+    pub(super) fn without_head(mut self) -> Self {
+        self.received.drain(..self.head);
+        self.head = 0;
+        self
+    }
+
     fn end(&self, excess: bool) {
         self.progress.set(Progress::ENDED);
         if excess {
@@ -126,13 +136,19 @@
                 return task::Poll::Ready(Ok(length));
             }
             let in_head = self.position < self.head;
-            if !in_head && self.scanner.is_done() {
+            if self.closed || (!in_head && self.scanner.is_done()) {
                 return task::Poll::Ready(Ok(0));
             }
             let length = task::ready!(self.poll_raw(context, buffer))?;
             if in_head {
                 return task::Poll::Ready(Ok(length));
             }
+            if length == 0 && self.framing == scanner::Framing::Close {
+                // The connection carries nothing behind this answer.
+                self.end(true);
+                self.closed = true;
+                return task::Poll::Ready(Ok(0));
+            }
             if length == 0 {
                 return task::Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
             }
@@ -146,7 +162,11 @@
             if self.scanner.is_done() {
                 let excess = scan.used < length || !self.received.is_empty();
                 self.end(excess);
-                self.tail = if self.chunked { b"\r\n" } else { b"" };
+                self.tail = if self.framing == scanner::Framing::Chunked {
+                    b"\r\n"
+                } else {
+                    b""
+                };
             }
             if scan.body > 0 {
                 return task::Poll::Ready(Ok(scan.body));
--- a/crates/carawaycleat-net/src/scanner.rs
+++ b/crates/carawaycleat-net/src/scanner.rs
@@ -9,11 +9,14 @@
     None,
     Length(u64),
     Chunked,
+    /// The body ends with its connection.
+    Close,
 }
 
 #[derive(Debug)]
 enum State {
     Data(u64),
+    UntilClose,
     Size { digits: usize, value: u64 },
     SizeEnd(u64),
     Chunk(u64),
@@ -48,6 +51,7 @@
         let state = match framing {
             Framing::None | Framing::Length(0) => State::Done,
             Framing::Length(length) => State::Data(length),
+            Framing::Close => State::UntilClose,
             Framing::Chunked => State::Size {
                 digits: 0,
                 value: 0,
@@ -70,6 +74,10 @@
             let rest = &bytes[scan.used..];
             let trailer = matches!(self.state, State::Trailer { .. });
             let used = match &mut self.state {
+                State::UntilClose => {
+                    self.body_bytes += rest.len() as u64;
+                    rest.len()
+                }
                 State::Data(left) | State::Chunk(left) => {
                     let length = usize::try_from(*left).unwrap_or(usize::MAX).min(rest.len());
                     *left -= length as u64;
--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -48,6 +48,7 @@
     listener: async_io::Async<net::TcpListener>,
     address: net::SocketAddr,
     limits: limits::Limits,
+    drops_abandoned: bool,
 }
 
 impl Server {
@@ -63,6 +64,7 @@
             listener,
             address,
             limits: limits::Limits::default(),
+            drops_abandoned: false,
         })
     }
 
@@ -73,6 +75,13 @@
         self
     }
 
+    /// Drops a handler whose caller goes away before the answer. By default, a handler runs to its end.
+    #[must_use]
+    pub fn drop_abandoned(mut self) -> Self {
+        self.drops_abandoned = true;
+        self
+    }
+
     /// Returns the address that the listener is bound to.
     #[must_use]
     pub fn local_address(&self) -> net::SocketAddr {
@@ -81,14 +90,14 @@
 
     /// Accepts connections on `executor` and answers requests with `handler`.
     ///
-    /// The handler runs to its end even when the caller has gone away. A caller that closes its sending side during a
-    /// streamed answer counts as gone, see [`crate::Writer::closed`].
+    /// The handler runs to its end even when the caller has gone away, unless [`Server::drop_abandoned`] is set. A caller
+    /// that closes its sending side during a streamed answer counts as gone, see [`crate::Writer::closed`].
     pub fn start<H, F>(self, executor: sync::Arc<crate::Executor>, handler: H) -> Handle
     where
         H: Fn(request::Request) -> F + Send + Sync + 'static,
         F: Future<Output = response::Response> + Send + 'static,
     {
-        let (shared, signals) = shared::Shared::new(self.limits);
+        let (shared, signals) = shared::Shared::new(self.limits, self.drops_abandoned);
         let shared = sync::Arc::new(shared);
         let accept = accept(
             self.listener,
--- a/crates/carawaycleat-net/src/server/answer.rs
+++ b/crates/carawaycleat-net/src/server/answer.rs
@@ -127,6 +127,20 @@
     task::Poll::Ready(Ok((filled, false)))
 }
 
+/// Waits until the caller closes its side before the answer. A caller that sends more bytes is not watched further,
+/// because they have to stay unread.
+pub(super) async fn gone(stream: &async_io::Async<net::TcpStream>) {
+    loop {
+        let readable = stream.readable().await;
+        match stream.get_ref().peek(&mut [0]) {
+            Ok(0) => return,
+            Ok(_) => return std::future::pending().await,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock && readable.is_ok() => {}
+            Err(_) => return,
+        }
+    }
+}
+
 /// Waits until the caller closes its side. Bytes that it sends meanwhile are dropped; the connection is closed after
 /// the answer because of them.
 async fn watch(stream: &async_io::Async<net::TcpStream>) -> io::Result<()> {
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -7,6 +7,7 @@
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
 
+use crate::limits;
 use crate::request;
 use crate::response;
 use crate::scanner;
@@ -97,7 +98,17 @@
             };
             let shared = &self.open.shared;
             shared.count_request();
-            let response = handler(incoming.request).await;
+            let handled =
+                futures_lite::future::or(async { Some(handler(incoming.request).await) }, async {
+                    if !shared.drops_abandoned {
+                        return std::future::pending().await;
+                    }
+                    answer::gone(&self.stream).await;
+                    None
+                });
+            let Some(response) = handled.await else {
+                return;
+            };
             // async-h1 never reads a pipelined request; closing tells the caller that it was not run.
             let close = incoming.close
                 || !self.buffer.is_empty()
@@ -109,7 +120,7 @@
                 response,
                 incoming.method,
                 close,
-                shared.limits.idle,
+                shared.limits().idle,
             )
             .await;
             drop(incoming.active);
@@ -128,7 +139,7 @@
 
     async fn receive(&mut self) -> Result<Incoming, Stop> {
         self.wait().await?;
-        let deadline = time::Instant::now() + self.open.shared.limits.idle;
+        let deadline = time::Instant::now() + self.open.shared.limits().idle;
         let read = async {
             match self.read_request().await {
                 Err(Stop::End) => {
@@ -153,7 +164,7 @@
     async fn wait(&mut self) -> Result<(), Stop> {
         let shared = self.open.shared.clone();
         let idle = async {
-            let timer = async_io::Timer::after(shared.limits.idle);
+            let timer = async_io::Timer::after(shared.limits().idle);
             futures_lite::future::or(shared::ended(&shared.idle), async {
                 timer.await;
             })
@@ -167,17 +178,12 @@
     }
 
     async fn read_request(&mut self) -> Result<Incoming, Stop> {
-        let limits = &self.open.shared.limits;
-        let mut from = 0;
-        let head = loop {
-            if let Some(head) = incoming::head(&self.buffer, from, limits)? {
-                break head;
-            }
-            from = self.buffer.len();
-            if read(&self.stream, &mut self.buffer).await? == 0 {
-                return Err(Stop::End);
-            }
-        };
+        let limits = self.open.shared.limits();
+        let head = futures_lite::future::or(self.read_head(&limits), async {
+            async_io::Timer::after(limits.header).await;
+            Err(Stop::Refuse(refusal::Refusal::TOO_SLOW))
+        })
+        .await?;
         if matches!(head.framing, scanner::Framing::Length(length) if length > limits.body_bytes as u64)
         {
             return Err(refusal::Refusal::BODY_TOO_LARGE.into());
@@ -197,8 +203,21 @@
         })
     }
 
+    async fn read_head(&mut self, limits: &limits::Limits) -> Result<incoming::Head, Stop> {
+        let mut from = 0;
+        loop {
+            if let Some(head) = incoming::head(&self.buffer, from, limits)? {
+                return Ok(head);
+            }
+            from = self.buffer.len();
+            if read(&self.stream, &mut self.buffer).await? == 0 {
+                return Err(Stop::End);
+            }
+        }
+    }
+
     async fn read_body(&mut self, head: incoming::Head) -> Result<request::Request, Stop> {
-        let limits = &self.open.shared.limits;
+        let limits = self.open.shared.limits();
         let mut scanner = scanner::Scanner::new(head.framing);
         let mut end = head.length;
         let mut trailers = head.length;
@@ -235,11 +254,6 @@
         } else {
             trailers = message.len();
         }
-        if head.expects {
-            // async-h1 would start a task on its own global executor to answer the expectation.
-            let removed = remove_expect(&mut message, head.length);
-            trailers -= removed;
-        }
         Ok(incoming::body(head, message, trailers).await?)
     }
 
@@ -248,7 +262,7 @@
         if refusal.is_malformed() {
             shared.malformed.fetch_add(1, atomic::Ordering::Relaxed);
         }
-        write_refusal(&self.stream, refusal, shared.limits.idle).await;
+        write_refusal(&self.stream, refusal, shared.limits().idle).await;
     }
 }
 
@@ -304,26 +318,3 @@
     buffer.extend_from_slice(&bytes[..length]);
     Ok(length)
 }
-
-/// Removes the `Expect` headers from the head of `message` and returns the number of bytes removed.
-fn remove_expect(message: &mut Vec<u8>, head: usize) -> usize {
-    let name = b"\r\nexpect:";
-    let mut removed = 0;
-    loop {
-        let rest = &message[..head - removed];
-        let Some(start) = rest
-            .windows(name.len())
-            .position(|part| part.eq_ignore_ascii_case(name))
-        else {
-            return removed;
-        };
-        // The line break in front of the removed line stays.
-        let start = start + 2;
-        let length = rest[start..]
-            .iter()
-            .position(|byte| *byte == b'\n')
-            .map_or(0, |end| end + 1);
-        message.drain(start..start + length);
-        removed += length;
-    }
-}
--- a/crates/carawaycleat-net/src/server/handle.rs
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -1,6 +1,7 @@
 use std::net;
 use std::sync;
 
+use crate::limits;
 use crate::server::counts;
 use crate::server::shared;
 
@@ -22,6 +23,16 @@
         self.address
     }
 
+    /// Replaces the limits. Requests that have begun to arrive keep the limits they began with.
+    pub fn set_limits(&self, limits: limits::Limits) {
+        self.shared.set_limits(limits);
+    }
+
+    /// Makes each connection close after its next answer, while new connections are still accepted.
+    pub fn close_after_answers(&self) {
+        self.shared.close_after_answers();
+    }
+
     /// Closes the listener. Open connections are closed after their next answer.
     pub fn stop_accepting(&self) {
         self.shared.stop_accepting();
--- a/crates/carawaycleat-net/src/server/incoming.rs
+++ b/crates/carawaycleat-net/src/server/incoming.rs
@@ -140,10 +140,18 @@
     if head.framing == scanner::Framing::None {
         return Ok(request);
     }
+    if let scanner::Framing::Length(_) = head.framing {
+        request.body = message[head.length..].to_vec();
+        return Ok(request);
+    }
+    // `async-h1` limits the head that it decodes, and the body needs nothing of the head but its framing.
+    let head_bytes = b"POST / HTTP/1.1\r\nhost: body\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut framed = head_bytes.to_vec();
+    framed.extend_from_slice(&message[head.length..]);
     let replay = Replay {
-        message: message.into(),
+        message: framed.into(),
         position: 0,
-        trailers,
+        trailers: trailers - head.length + head_bytes.len(),
     };
     let malformed = || refusal::Refusal::invalid("malformed request");
     let decoded = async_h1::server::decode(replay)
--- a/crates/carawaycleat-net/src/server/shared.rs
+++ b/crates/carawaycleat-net/src/server/shared.rs
@@ -24,7 +24,9 @@
 /// State that the connections of a server share.
 #[derive(Debug)]
 pub(super) struct Shared {
-    pub(super) limits: limits::Limits,
+    limits: sync::Mutex<limits::Limits>,
+    /// Whether a handler is dropped when its caller goes away.
+    pub(super) drops_abandoned: bool,
     pub(super) stopping: atomic::AtomicBool,
     pub(super) malformed: atomic::AtomicU64,
     pub(super) idle: Signal,
@@ -43,12 +45,13 @@
 }
 
 impl Shared {
-    pub(super) fn new(limits: limits::Limits) -> (Self, Signals) {
+    pub(super) fn new(limits: limits::Limits, drops_abandoned: bool) -> (Self, Signals) {
         let (accepting_sender, accepting) = async_channel::bounded(1);
         let (idle_sender, idle) = async_channel::bounded(1);
         let (abort_sender, abort) = async_channel::bounded(1);
         let shared = Self {
-            limits,
+            limits: sync::Mutex::new(limits),
+            drops_abandoned,
             stopping: atomic::AtomicBool::new(false),
             malformed: atomic::AtomicU64::new(0),
             idle,
@@ -67,8 +70,26 @@
         (shared, Signals { accepting })
     }
 
-    pub(super) fn stop_accepting(&self) {
+    pub(super) fn limits(&self) -> limits::Limits {
+        self.limits
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(super) fn set_limits(&self, limits: limits::Limits) {
+        *self
+            .limits
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner) = limits;
+    }
+
+    pub(super) fn close_after_answers(&self) {
         self.stopping.store(true, atomic::Ordering::SeqCst);
+    }
+
+    pub(super) fn stop_accepting(&self) {
+        self.close_after_answers();
         self.accepting.close();
     }
 
@@ -139,7 +160,7 @@
 impl Open {
     /// Counts a connection, unless too many are open.
     pub(super) fn new(shared: &sync::Arc<Shared>) -> Option<Self> {
-        if !take(&shared.open, shared.limits.connections) {
+        if !take(&shared.open, shared.limits().connections) {
             shared.refused.fetch_add(1, atomic::Ordering::Relaxed);
             return None;
         }
@@ -177,7 +198,7 @@
 impl Active {
     /// Counts a request, unless too many are in progress.
     pub(super) fn new(shared: &sync::Arc<Shared>) -> Option<Self> {
-        if !take(&shared.active, shared.limits.requests) {
+        if !take(&shared.active, shared.limits().requests) {
             shared.queue_full.fetch_add(1, atomic::Ordering::Relaxed);
             return None;
         }
--- a/crates/carawaycleat-net/src/sse.rs
+++ b/crates/carawaycleat-net/src/sse.rs
@@ -2,6 +2,9 @@
 
 mod decoder;
 mod event;
+mod splitter;
 
 pub use decoder::Decoder;
 pub use event::Event;
+pub use splitter::Run;
+pub use splitter::Splitter;
