--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -117,6 +117,26 @@
         let is_probed = self
             .answered
             .is_some_and(|at| now.since(at) < time::Duration::from_secs(2));
+        if let Some(open) = &self.open {
+            let order = &open.order;
+            let holds = sighting.models.contains_key(&order.model);
+            let done = (order.operation == order::Operation::Load) == holds;
+            if sighting.sequence > order.sequence && done {
+                // Engines write their entry when an order about a model is complete.
+                if holds {
+                    let held = Held { since: now };
+                    self.models.insert(order.model.clone(), held);
+                } else {
+                    let model = order.model.clone();
+                    self.models.remove(&model);
+                    self.adapters.retain(|(name, _), _| *name != model);
+                }
+                self.sequence = self.sequence.max(Some(sighting.sequence));
+                self.busy = false;
+                self.open = None;
+                self.last_order = now;
+            }
+        }
         self.sighting = sighting;
         if !is_probed && self.open.is_none() {
             let sighting = self.sighting.clone();
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -25,6 +25,8 @@
 
 /// The pressure of a model above the average that justifies moving another model away.
 const MOVE_PRESSURE: f64 = 1.3;
+/// The pressure of a model, relative to the average, that justifies another copy where there is room.
+const COPY_PRESSURE: f64 = 0.7;
 /// The time since the last request after which an adapter may make way for another one.
 const ADAPTER_IDLE: time::Duration = time::Duration::from_millis(700);
 
@@ -108,6 +110,19 @@
             .collect()
     }
 
+    /// Returns the models that are asked for as `name=copies/demand/waiting` words.
+    pub(super) fn summary(&self) -> String {
+        let models = self.models();
+        let asked = models
+            .iter()
+            .filter(|model| model.demand >= 1.0 || model.waiting > 0 || model.copies == 0);
+        let words = asked.map(|model| {
+            let (copies, demand, waiting) = (model.copies, model.demand, model.waiting);
+            format!("{}={copies}/{demand:.0}/{waiting}", model.name)
+        });
+        words.collect::<Vec<_>>().join(" ")
+    }
+
     /// Returns the next step for models, if one is worth it.
     pub(super) fn model_step(&self) -> Option<Step> {
         let models = self.models();
@@ -123,7 +138,10 @@
         });
         receivers
             .into_iter()
-            .filter(|model| model.copies == 0 || model.demand > 0.0)
+            .filter(|model| {
+                let busy = model.demand > 0.0 && model.pressure() >= average * COPY_PRESSURE;
+                model.copies == 0 || busy
+            })
             .find_map(|model| self.add_copy(model, &models, average))
     }
 
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -19,6 +19,8 @@
 const DEMAND_MEMORY: time::Duration = time::Duration::from_secs(60);
 /// The time between two probes of an engine whose order should be complete.
 const SETTLE_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// The time between two log lines about the placement.
+const LOG_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// The time before an order without an answer is sent again.
 const RESEND: time::Duration = time::Duration::from_millis(700);
 /// The time for which an engine that refused an order gets no other.
@@ -46,6 +48,7 @@
     /// When loads from the weight store were ordered.
     loads: collections::VecDeque<clock::Instant>,
     orders: u64,
+    logged: clock::Instant,
 }
 
 impl Reducer {
@@ -63,6 +66,7 @@
             shares: share::Shares::default(),
             loads: collections::VecDeque::new(),
             orders: 0,
+            logged: clock::Instant::default(),
         }
     }
 
@@ -250,6 +254,10 @@
         for engine in self.engines.values_mut() {
             engine.settle_adapters(now);
         }
+        if now.since(self.logged) >= LOG_INTERVAL {
+            self.logged = now;
+            self.log_placement(now, effects);
+        }
         if may_order {
             self.resend(now, effects);
             self.order(now, effects);
@@ -278,6 +286,23 @@
         }
     }
 
+    /// Logs the demand, copies and waiting requests of each model that is asked for.
+    fn log_placement(&self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        for (service, spec) in &self.services {
+            let plan = plan::Plan {
+                now,
+                state: self,
+                service,
+                spec,
+            };
+            effects.push(effect::Effect::Record {
+                event: "placement",
+                engine: service.clone(),
+                detail: plan.summary(),
+            });
+        }
+    }
+
     /// Sends orders again that got no answer. The same condition keeps them from taking effect twice.
     fn resend(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         for engine in self.engines.values_mut() {
--- a/crates/carawaycleat-core/src/relay/allowance.rs
+++ b/crates/carawaycleat-core/src/relay/allowance.rs
@@ -28,9 +28,7 @@
 
 /// The part of the burst that a process starts with. A process that is restarted has forgotten what the one before
 /// it used.
-const FIRST_LEVEL: f64 = 0.3;
-/// The part of the burst that is used, so that shares that overlap while they move stay within the whole.
-const BURST_PART: f64 = 0.8;
+const FIRST_LEVEL: f64 = 0.5;
 
 impl Allowance {
     /// Returns the part `share` of `rate` tokens a second and of `burst`.
@@ -60,7 +58,7 @@
 
     fn capacity(&self) -> f64 {
         // A host with a small part still lets single large requests pass.
-        (self.burst.max(self.rate * 0.5) * BURST_PART * self.share).max(1.0)
+        (self.burst * self.share).max(1.0)
     }
 
     fn fill(&mut self, now: clock::Instant) {
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -34,6 +34,9 @@
 /// The time before the end of a request's time at which a waiting one is refused, so that the answer arrives in time.
 const REFUSAL_LEAD: time::Duration = time::Duration::from_millis(40);
 
+/// The prompt tokens that take an engine as long as one token of an answer.
+const PROMPT_TOKENS: u64 = 3;
+
 type Key = (clock::Instant, event::Id);
 
 /// Everything that an entry host decides about requests.
@@ -226,10 +229,10 @@
                 return Err(refuse(refusal::Reason::RateLimited, Some(wait)));
             }
         }
-        let output = arrival.tokens.map_or(0, |(_, output)| output);
         if let Some(model) = &arrival.model {
             let key = (service.clone(), model.clone(), arrival.adapter.clone());
-            *self.asks.entry(key).or_default() += output.max(1);
+            let (prompt, output) = arrival.tokens.unwrap_or((0, 1));
+            *self.asks.entry(key).or_default() += output + prompt / PROMPT_TOKENS;
         }
         Ok(pending::Pending {
             name: arrival.name,
@@ -387,8 +390,10 @@
             after: request.after,
         };
         let detail = format!(
-            "attempt={} zone={} load={}+{} waited_ms={} config={}",
+            "attempt={} model={} adapter={} zone={} load={}+{} waited_ms={} config={}",
             request.attempt,
+            request.model.as_deref().unwrap_or("-"),
+            request.adapter.as_deref().unwrap_or("-"),
             entry.sighting.zone,
             entry.running,
             entry.others,
@@ -576,7 +581,12 @@
                 (_, false) => entry.was_full(now),
             }
         }
-        let detail = format!("attempt={} misdirected={misdirected}", request.attempt);
+        let detail = format!(
+            "attempt={} misdirected={misdirected} model={} adapter={}",
+            request.attempt,
+            request.model.as_deref().unwrap_or("-"),
+            request.adapter.as_deref().unwrap_or("-")
+        );
         effects.push(record(
             "not_run",
             request.name.clone(),
@@ -689,8 +699,10 @@
             retry_after,
         };
         let detail = format!(
-            "reason={} status={} attempts={} delivered={} ms={}",
+            "reason={} model={} adapter={} status={} attempts={} delivered={} ms={}",
             reason.as_str(),
+            request.model.as_deref().unwrap_or("-"),
+            request.adapter.as_deref().unwrap_or("-"),
             refusal.status(),
             request.attempt,
             request.delivered,
@@ -837,8 +849,24 @@
             .take(MAX_SCAN)
             .map(|(_, id)| *id)
             .collect();
+        let mut unserved = collections::HashSet::new();
         for id in ids {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            // What one request does not find, later ones that need the same do not find either.
+            let need = (
+                request.service.clone(),
+                request.model.clone(),
+                request.adapter.clone(),
+            );
+            if request.tried.is_empty() && unserved.contains(&need) {
+                continue;
+            }
             self.seek(now, id, effects);
+            if self.requests.get(&id).is_some_and(pending::Pending::is_waiting) {
+                unserved.insert(need);
+            }
         }
     }
 
@@ -856,6 +884,17 @@
         }
         let detail = format!("version={}", catalog.version());
         effects.push(record("configured", String::new(), None, detail));
+        // Allowances fill from the moment at which they are known, not from the first request.
+        for workspace in catalog.workspaces() {
+            let share = self.share(now, &workspace.name);
+            let (rate, burst) = (workspace.rate, workspace.burst);
+            self.allowances
+                .entry(workspace.name.clone())
+                .or_insert_with(|| allowance::Allowance::new(now, rate, burst, share))
+                .set(now, rate, burst, share);
+        }
+        self.allowances
+            .retain(|name, _| catalog.workspace(name).is_some());
         self.catalog = Some(catalog);
         self.serve_waiting(now, effects);
     }
--- a/crates/carawaycleat-net/src/pool/source.rs
+++ b/crates/carawaycleat-net/src/pool/source.rs
@@ -48,6 +48,8 @@
     tail: &'static [u8],
     /// A fault of the framing; it stays, because bytes behind it have no meaning.
     fault: Option<&'static str>,
+    /// An error of the socket; it stays, because a socket reports a reset only once and an end after it.
+    broken: Option<io::ErrorKind>,
     progress: sync::Arc<Progress>,
 }
 
@@ -69,6 +71,7 @@
             scanner: scanner::Scanner::new(framing),
             tail: b"",
             fault: None,
+            broken: None,
             progress: progress.clone(),
         };
         if source.scanner.is_done() {
@@ -126,6 +129,9 @@
         buffer: &mut [u8],
     ) -> task::Poll<io::Result<usize>> {
         loop {
+            if let Some(kind) = self.broken {
+                return task::Poll::Ready(Err(kind.into()));
+            }
             if let Some(fault) = self.fault {
                 return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, fault)));
             }
@@ -139,7 +145,13 @@
             if self.closed || (!in_head && self.scanner.is_done()) {
                 return task::Poll::Ready(Ok(0));
             }
-            let length = task::ready!(self.poll_raw(context, buffer))?;
+            let length = match task::ready!(self.poll_raw(context, buffer)) {
+                Ok(length) => length,
+                Err(error) => {
+                    self.broken = Some(error.kind());
+                    continue;
+                }
+            };
             if in_head {
                 return task::Poll::Ready(Ok(length));
             }
--- a/crates/carawaycleat-net/src/server/handle.rs
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -33,6 +33,13 @@
         self.shared.close_after_answers();
     }
 
+    /// Closes the connections that wait for a request, and each other one after its answer. New connections are still
+    /// accepted.
+    pub fn close_idle(&self) {
+        self.shared.close_after_answers();
+        self.shared.idle.close();
+    }
+
     /// Closes the listener. Open connections are closed after their next answer.
     pub fn stop_accepting(&self) {
         self.shared.stop_accepting();
