fix: condition orders on the engine's own count of orders

The entry of an engine in the store has a count of its writes under the name that its report uses for accepted orders. Orders after an unload were refused with 409 until a probe corrected the count. A model that gives way is followed by the one it makes room for, moves need a loaded receiver, and a model that nothing asks for may stay on disk.

--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -50,6 +50,10 @@
     pub(super) coming: collections::BTreeMap<Adapter, clock::Instant>,
     /// The order about a model that is in progress.
     pub(super) open: Option<Open>,
+    /// The model that takes the place of the one that is being unloaded.
+    pub(super) successor: Option<name::Name>,
+    /// The orders in a row that met another state than expected.
+    pub(super) conflicts: u32,
     /// The orders about adapters that have no answer yet.
     pub(super) adapter_orders: Vec<Open>,
     /// The number of orders that the engine has accepted, where it is known.
@@ -72,8 +76,10 @@
             adapters: collections::BTreeMap::new(),
             coming: collections::BTreeMap::new(),
             open: None,
+            successor: None,
+            conflicts: 0,
             adapter_orders: Vec::new(),
-            sequence: Some(sighting.sequence),
+            sequence: None,
             in_memory: sighting.in_memory.clone(),
             on_disk: sighting.on_disk.clone(),
             running: 0,
@@ -119,9 +125,10 @@
             .is_some_and(|at| now.since(at) < time::Duration::from_secs(2));
         if let Some(open) = &self.open {
             let order = &open.order;
+            let order_sequence = order.sequence;
             let holds = sighting.models.contains_key(&order.model);
             let done = (order.operation == order::Operation::Load) == holds;
-            if sighting.sequence > order.sequence && done {
+            if done {
                 // Engines write their entry when an order about a model is complete.
                 if holds {
                     let held = Held { since: now };
@@ -131,7 +138,7 @@
                     self.models.remove(&model);
                     self.adapters.retain(|(name, _), _| *name != model);
                 }
-                self.sequence = self.sequence.max(Some(sighting.sequence));
+                self.sequence = Some(order_sequence + 1);
                 self.busy = false;
                 self.open = None;
                 self.last_order = now;
@@ -141,7 +148,6 @@
         if !is_probed && self.open.is_none() {
             let sighting = self.sighting.clone();
             self.hold(now, sighting.models.iter().map(|(m, a)| (m, a.as_slice())));
-            self.sequence = self.sequence.max(Some(sighting.sequence));
             self.in_memory = sighting.in_memory;
             self.on_disk = sighting.on_disk;
         }
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -17,6 +17,8 @@
     pub(super) operation: order::Operation,
     pub(super) model: name::Name,
     pub(super) adapter: Option<name::Name>,
+    /// The model that takes the place of one that is unloaded.
+    pub(super) successor: Option<name::Name>,
     /// The time until its effect.
     pub(super) time: time::Duration,
     /// Whether it is a load from the weight store.
@@ -37,6 +39,10 @@
     spec: &'a relay::Model,
     demand: f64,
     waiting: u32,
+    /// Whether nothing has asked for it for some time and a copy of its weights is close to an engine.
+    is_spare: bool,
+    /// The part of the slots in use on the engines that hold it.
+    load: f64,
     /// The engines that hold it or load it.
     copies: usize,
 }
@@ -77,7 +83,22 @@
     fn counts(&self, engine: &engine::Engine, model: &name::Name) -> bool {
         let held = engine.models.contains_key(model) && engine.unloading() != Some(model);
         let loading = engine.loading().is_some_and(|(loading, _)| loading == model);
-        (held || loading) && !self.state.is_suspect(self.now, &engine.sighting.id)
+        let coming = engine.successor.as_ref() == Some(model);
+        (held || loading || coming) && !self.state.is_suspect(self.now, &engine.sighting.id)
+    }
+
+    /// Returns whether a model has not been asked for lately.
+    fn is_idle(&self, model: &name::Name) -> bool {
+        let key = (self.service.clone(), model.clone());
+        let observed = self.state.asked.unwrap_or(self.now);
+        let last = self.state.models.last(&key).unwrap_or(observed);
+        self.now.since(last.max(observed)) >= self.state.rules.idle
+    }
+
+    /// Returns whether an engine has a copy of a model's weights on disk or in host memory.
+    fn is_at_hand(&self, model: &name::Name) -> bool {
+        self.engines()
+            .any(|engine| engine.on_disk.contains(model) || engine.in_memory.contains(model))
     }
 
     fn models(&self) -> Vec<Model<'_>> {
@@ -91,15 +112,21 @@
                 .models
                 .get_key_value(&name)
                 .unwrap_or_else(|| unreachable!("the name is a key of the map"));
+            let waiting = waiting.get(name).copied().unwrap_or(0);
+            let holders: Vec<_> = self
+                .engines()
+                .filter(|engine| self.counts(engine, name))
+                .collect();
+            let running: u32 = holders.iter().map(|engine| engine.running).sum();
+            let slots = self.spec.slots.max(1) * u32::try_from(holders.len()).unwrap_or(1);
             Model {
                 name,
                 spec,
                 demand,
-                waiting: waiting.get(name).copied().unwrap_or(0),
-                copies: self
-                    .engines()
-                    .filter(|engine| self.counts(engine, name))
-                    .count(),
+                waiting,
+                is_spare: waiting == 0 && self.is_idle(name) && self.is_at_hand(name),
+                load: f64::from(running) / f64::from(slots.max(1)),
+                copies: holders.len(),
             }
         };
         self.spec
@@ -123,8 +150,32 @@
         words.collect::<Vec<_>>().join(" ")
     }
 
+    /// Returns the load of a model whose place has been freed, if there is one.
+    fn successor_step(&self) -> Option<Step> {
+        self.engines().find_map(|engine| {
+            let name = engine.successor.as_ref()?;
+            let spec = self.spec.models.get(name)?;
+            let fits = engine.free_mb(self.spec) >= spec.weights_mb;
+            let (time, from_store) = engine.load_time(name, spec);
+            let allowed =
+                !from_store || self.state.loads_left(self.now, self.spec.loads_per_second);
+            (engine.is_free(self.now) && fits && allowed).then(|| Step {
+                engine: engine.sighting.id.clone(),
+                operation: order::Operation::Load,
+                model: name.clone(),
+                adapter: None,
+                successor: None,
+                time,
+                from_store,
+            })
+        })
+    }
+
     /// Returns the next step for models, if one is worth it.
     pub(super) fn model_step(&self) -> Option<Step> {
+        if let Some(step) = self.successor_step() {
+            return Some(step);
+        }
         let models = self.models();
         let places: usize = models.iter().map(|model| model.copies).sum();
         let demand: f64 = models.iter().map(|model| model.demand).sum();
@@ -140,7 +191,8 @@
             .into_iter()
             .filter(|model| {
                 let busy = model.demand > 0.0 && model.pressure() >= average * COPY_PRESSURE;
-                model.copies == 0 || busy
+                let lost = model.copies == 0 && !model.is_spare;
+                lost || busy
             })
             .find_map(|model| self.add_copy(model, &models, average))
     }
@@ -150,6 +202,7 @@
             .engines()
             .filter(|engine| {
                 engine.is_free(self.now)
+                    && engine.successor.as_ref().is_none_or(|next| next == model.name)
                     && !engine.models.contains_key(model.name)
                     && !self.state.is_suspect(self.now, &engine.sighting.id)
             })
@@ -168,11 +221,19 @@
                 operation: order::Operation::Load,
                 model: model.name.clone(),
                 adapter: None,
+                successor: None,
                 time,
                 from_store,
             });
         }
-        if model.copies > 0 && model.pressure() < average * MOVE_PRESSURE {
+        let observed = self
+            .state
+            .asked
+            .is_some_and(|asked| self.now.since(asked) >= self.state.rules.observation);
+        let pressed = observed
+            && model.pressure() >= average * MOVE_PRESSURE
+            && model.load >= self.state.rules.loaded;
+        if model.copies > 0 && !pressed {
             return None;
         }
         free.iter()
@@ -183,8 +244,9 @@
             })
             .min_by(|(one, a), (other, b)| {
                 let cost = |engine: &engine::Engine, donor: &Model<'_>| {
-                    let share = donor.pressure_without() / model.pressure().max(1.0);
-                    share + load(engine).0.as_secs_f64()
+                    let share = self.price(donor) / model.pressure().max(1.0);
+                    let busy = f64::from(engine.running) / f64::from(self.spec.slots.max(1));
+                    share + load(engine).0.as_secs_f64() / 3.0 + busy
                 };
                 cost(one, a).total_cmp(&cost(other, b))
             })
@@ -193,6 +255,7 @@
                 operation: order::Operation::Unload,
                 model: donor.name.clone(),
                 adapter: None,
+                successor: Some(model.name.clone()),
                 time: time::Duration::from_millis(50),
                 from_store: false,
             })
@@ -215,13 +278,23 @@
                     .get(model.name)
                     .is_some_and(|held| self.now.since(held.since) >= rules.min_stay);
                 let enough = room + model.spec.weights_mb >= receiver.spec.weights_mb;
-                let worth = match receiver.copies {
-                    0 => model.copies > 1,
-                    _ => model.pressure_without() <= receiver.pressure() * rules.donor_pressure,
+                let worth = match (receiver.copies, model.copies) {
+                    (0, 1) => model.is_spare && receiver.waiting > 0,
+                    (_, 1) => model.is_spare && receiver.load >= rules.saturated,
+                    (0, _) => true,
+                    _ => self.price(model) <= receiver.pressure() * rules.donor_pressure,
                 };
                 settled && enough && worth
             })
-            .min_by(|one, other| one.pressure_without().total_cmp(&other.pressure_without()))
+            .min_by(|one, other| self.price(one).total_cmp(&self.price(other)))
+    }
+
+    /// Returns the demand that each copy of a model carries after one has gone.
+    fn price(&self, model: &Model<'_>) -> f64 {
+        if model.is_spare {
+            return 0.0;
+        }
+        model.pressure_without()
     }
 
     /// Returns the next step for adapters, if one is needed.
@@ -271,6 +344,7 @@
                 operation: order::Operation::Load,
                 model: model.clone(),
                 adapter: Some(adapter.clone()),
+                successor: None,
                 time: time::Duration::from_millis(10),
                 from_store: false,
             });
@@ -281,6 +355,7 @@
             operation: order::Operation::Unload,
             model: model.clone(),
             adapter: Some(adapter.clone()),
+            successor: None,
             time: time::Duration::ZERO,
             from_store: false,
         })
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -23,6 +23,8 @@
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// The time before an order without an answer is sent again.
 const RESEND: time::Duration = time::Duration::from_millis(700);
+/// The conflicts in a row after which an engine is asked for its state.
+const MAX_CONFLICTS: u32 = 4;
 /// The time for which an engine that refused an order gets no other.
 const REFUSED_PAUSE: time::Duration = time::Duration::from_millis(1_000);
 /// The time for which reported demand counts without a newer report.
@@ -48,6 +50,8 @@
     /// When loads from the weight store were ordered.
     loads: collections::VecDeque<clock::Instant>,
     orders: u64,
+    /// When demand was reported first.
+    pub(super) asked: Option<clock::Instant>,
     logged: clock::Instant,
 }
 
@@ -66,6 +70,7 @@
             shares: share::Shares::default(),
             loads: collections::VecDeque::new(),
             orders: 0,
+            asked: None,
             logged: clock::Instant::default(),
         }
     }
@@ -106,10 +111,11 @@
         for sighting in sightings {
             self.see(now, sighting);
         }
-        for engine in self.engines.values_mut() {
-            // The entry may lag behind; only a probe tells what the engine holds now.
-            engine.sequence = None;
-        }
+        let per_second = self.services.values().map(|spec| spec.loads_per_second);
+        let per_second = per_second.fold(0.0, f64::max);
+        let half = (per_second * self.rules.load_window.as_secs_f64() / 2.0).ceil();
+        self.loads = std::iter::repeat_n(now, half as usize).collect();
+        self.asked = None;
     }
 
     fn see(&mut self, now: clock::Instant, sighting: relay::Sighting) {
@@ -117,14 +123,15 @@
         match self.engines.get_mut(&id) {
             Some(engine) => engine.update(now, sighting),
             None => {
-                let mut engine = engine::Engine::new(now, sighting);
-                engine.sequence = None;
-                self.engines.insert(id, engine);
+                self.engines.insert(id, engine::Engine::new(now, sighting));
             }
         }
     }
 
     fn hear(&mut self, now: clock::Instant, report: relay::Report) {
+        if !report.asks.is_empty() {
+            self.asked.get_or_insert(now);
+        }
         for ask in &report.asks {
             let model = (ask.service.clone(), ask.model.clone());
             self.models.add(now, &model, ask.tokens as f64);
@@ -180,6 +187,9 @@
             ),
         });
         engine.last_order = now;
+        if matches!(outcome, event::Outcome::Accepted | event::Outcome::Holds) {
+            engine.conflicts = 0;
+        }
         match (outcome, about_adapter) {
             (event::Outcome::Unknown, Some(at)) => {
                 engine.adapter_orders[at].state = engine::OpenState::Unknown;
@@ -223,7 +233,14 @@
                 } else {
                     engine.open = None;
                 }
-                engine.sequence = None;
+                // Most often another order is just ending; the condition keeps a repeat harmless.
+                engine.conflicts += 1;
+                engine.blocked_until = now + self.rules.conflict_pause;
+                if engine.conflicts >= MAX_CONFLICTS {
+                    engine.conflicts = 0;
+                    engine.sequence = None;
+                    engine.successor = None;
+                }
             }
             (event::Outcome::Refused, at) => {
                 if let Some(at) = at {
@@ -366,6 +383,9 @@
         } else {
             engine.open = Some(open);
         }
+        if order.adapter.is_none() {
+            engine.successor = step.successor;
+        }
         if step.from_store {
             self.loads.push_back(now);
         }
--- a/crates/carawaycleat-core/src/coordinator/rules.rs
+++ b/crates/carawaycleat-core/src/coordinator/rules.rs
@@ -13,6 +13,16 @@
     pub host_silence: time::Duration,
     /// The pressure of a model that gives a copy up, as a part of the pressure of the one that takes its place.
     pub donor_pressure: f64,
+    /// The time for which demand is observed before models are moved for it.
+    pub observation: time::Duration,
+    /// The time without requests after which a model may be left on disk only, when others need its place.
+    pub idle: time::Duration,
+    /// The part of the slots in use from which a model's engines count as loaded.
+    pub loaded: f64,
+    /// The part of the slots in use from which a model's engines count as saturated.
+    pub saturated: f64,
+    /// The pause after an order that met another state than expected.
+    pub conflict_pause: time::Duration,
     /// The least time between the arrival of a copy and its removal.
     pub min_stay: time::Duration,
 }
@@ -26,6 +36,11 @@
             report_lag: time::Duration::from_millis(350),
             host_silence: time::Duration::from_millis(2_000),
             donor_pressure: 0.5,
+            observation: time::Duration::from_millis(1_000),
+            idle: time::Duration::from_millis(10_000),
+            loaded: 0.35,
+            saturated: 0.8,
+            conflict_pause: time::Duration::from_millis(120),
             min_stay: time::Duration::from_millis(1_500),
         }
     }
--- a/crates/carawaycleat-core/src/relay/sighting.rs
+++ b/crates/carawaycleat-core/src/relay/sighting.rs
@@ -35,8 +35,6 @@
     pub remaining: Option<time::Duration>,
     /// The models that it holds, with the adapters it has named.
     pub models: collections::BTreeMap<name::Name, Vec<name::Name>>,
-    /// The number of orders that it has accepted.
-    pub sequence: u64,
     /// The models whose weights are in its host memory.
     pub in_memory: Vec<name::Name>,
     /// The models whose weights are on its disk.
