feat: send requests first that can still be on time, and refuse hopeless ones at once

Under load, requests that were late already went before those that could be on time, and waited until their callers had left.

--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -4,7 +4,6 @@
 //! The entry host that holds the coordinator's lease runs a [`Reducer`]. It hears the reports of all hosts and engines,
 //! and sends orders to engines while [`Term`] says that no other host can.
 
-mod demand;
 mod effect;
 mod engine;
 mod event;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,7 +1,6 @@
 use std::collections;
 use std::time;
 
-use super::demand;
 use super::effect;
 use super::engine;
 use super::event;
@@ -10,6 +9,7 @@
 use super::rules;
 use super::share;
 use crate::clock;
+use crate::flow;
 use crate::name;
 use crate::relay;
 
@@ -22,7 +22,7 @@
 /// The time between two log lines about the placement.
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// The time before an order without an answer is sent again.
-const RESEND: time::Duration = time::Duration::from_millis(700);
+const RESEND: time::Duration = time::Duration::from_millis(40);
 /// The conflicts in a row after which an engine is asked for its state.
 const MAX_CONFLICTS: u32 = 4;
 /// The time for which an engine that refused an order gets no other.
@@ -44,8 +44,8 @@
     services: collections::BTreeMap<name::Name, relay::Engine>,
     pub(super) engines: collections::BTreeMap<name::Name, engine::Engine>,
     hosts: collections::BTreeMap<name::Name, Host>,
-    pub(super) models: demand::Demand<(name::Name, name::Name)>,
-    pub(super) adapters: demand::Demand<(name::Name, name::Name, name::Name)>,
+    pub(super) models: flow::Flow<(name::Name, name::Name)>,
+    pub(super) adapters: flow::Flow<(name::Name, name::Name, name::Name)>,
     shares: share::Shares,
     /// When loads from the weight store were ordered.
     loads: collections::VecDeque<clock::Instant>,
@@ -65,8 +65,8 @@
             services: collections::BTreeMap::new(),
             engines: collections::BTreeMap::new(),
             hosts: collections::BTreeMap::new(),
-            models: demand::Demand::default(),
-            adapters: demand::Demand::default(),
+            models: flow::Flow::default(),
+            adapters: flow::Flow::default(),
             shares: share::Shares::default(),
             loads: collections::VecDeque::new(),
             orders: 0,
--- a/crates/carawaycleat-core/src/coordinator/share.rs
+++ b/crates/carawaycleat-core/src/coordinator/share.rs
@@ -1,7 +1,7 @@
 use std::collections;
 
-use super::demand;
 use crate::clock;
+use crate::flow;
 use crate::name;
 
 /// The part of an allowance that is divided evenly, so that a host whose demand begins can serve at once.
@@ -13,7 +13,7 @@
 /// The division of the workspaces' allowances among the hosts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Shares {
-    usage: demand::Demand<(name::Name, name::Name)>,
+    usage: flow::Flow<(name::Name, name::Name)>,
     workspaces: collections::BTreeSet<name::Name>,
 }
 
--- a/crates/carawaycleat-core/src/coordinator/demand.rs
+++ b/crates/carawaycleat-core/src/flow.rs
@@ -1,15 +1,17 @@
+//! Averages of what flows in a second.
+
 use std::collections;
 use std::hash;
 use std::time;
 
 use crate::clock;
 
-/// The time over which demand is averaged. Busy models change within a few seconds.
+/// The time over which a flow is averaged. Busy models change within a few seconds.
 const MEMORY: time::Duration = time::Duration::from_millis(1_800);
 
-/// What is asked for in a second, averaged over a short time.
+/// Amounts in a second by key, averaged over a short time.
 #[derive(Clone, Debug)]
-pub(super) struct Demand<K> {
+pub(crate) struct Flow<K> {
     entries: collections::HashMap<K, Entry>,
 }
 
@@ -17,10 +19,10 @@
 struct Entry {
     amount: f64,
     at: clock::Instant,
-    asked: clock::Instant,
+    last: clock::Instant,
 }
 
-impl<K> Default for Demand<K> {
+impl<K> Default for Flow<K> {
     fn default() -> Self {
         Self {
             entries: collections::HashMap::new(),
@@ -35,33 +37,33 @@
     }
 }
 
-impl<K: Eq + hash::Hash + Clone> Demand<K> {
-    pub(super) fn add(&mut self, now: clock::Instant, key: &K, amount: f64) {
+impl<K: Eq + hash::Hash + Clone> Flow<K> {
+    pub(crate) fn add(&mut self, now: clock::Instant, key: &K, amount: f64) {
         let entry = self.entries.entry(key.clone()).or_insert(Entry {
             amount: 0.0,
             at: now,
-            asked: now,
+            last: now,
         });
         entry.amount = entry.decayed(now) + amount;
         entry.at = now;
         if amount > 0.0 {
-            entry.asked = now;
+            entry.last = now;
         }
     }
 
-    /// Returns the amount asked for in a second.
-    pub(super) fn rate(&self, now: clock::Instant, key: &K) -> f64 {
+    /// Returns the amount in a second.
+    pub(crate) fn rate(&self, now: clock::Instant, key: &K) -> f64 {
         let amount = self.entries.get(key).map_or(0.0, |entry| entry.decayed(now));
         amount / MEMORY.as_secs_f64()
     }
 
-    /// Returns when it was asked for last.
-    pub(super) fn last(&self, key: &K) -> Option<clock::Instant> {
-        self.entries.get(key).map(|entry| entry.asked)
+    /// Returns when an amount was added last.
+    pub(crate) fn last(&self, key: &K) -> Option<clock::Instant> {
+        self.entries.get(key).map(|entry| entry.last)
     }
 
-    /// Forgets what has not been asked for since `span`.
-    pub(super) fn forget(&mut self, now: clock::Instant, span: time::Duration) {
-        self.entries.retain(|_, entry| now.since(entry.asked) < span);
+    /// Forgets the keys to which nothing was added for `span`.
+    pub(crate) fn forget(&mut self, now: clock::Instant, span: time::Duration) {
+        self.entries.retain(|_, entry| now.since(entry.last) < span);
     }
 }
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod coordinator;
 pub mod entry;
+mod flow;
 pub mod freshness;
 pub mod key;
 pub mod membership;
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -20,6 +20,12 @@
     },
 }
 
+/// Callers of streams leave when nothing has arrived for this time, or for these multiples of the objective and of the
+/// longest pause between events, whichever is longest.
+const ABANDON_TIME: time::Duration = time::Duration::from_millis(2_000);
+const ABANDON_OBJECTIVES: u32 = 4;
+const ABANDON_GAPS: u32 = 8;
+
 /// A request that has no complete answer yet.
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
@@ -54,13 +60,28 @@
 }
 
 impl Pending {
+    /// Returns the time until which an answer that begins is on time.
+    pub(super) fn wanted(&self) -> clock::Instant {
+        let patience = self.patience.since(self.arrived);
+        self.arrived + self.route.objective.min(patience / 4)
+    }
+
     /// Returns the order in which waiting requests are sent: by the time at which the answer is wanted, with a
     /// handicap for each rank.
     pub(super) fn urgency(&self) -> clock::Instant {
         const HANDICAP: time::Duration = time::Duration::from_millis(300);
-        let patience = self.patience.since(self.arrived);
-        let objective = self.route.objective.min(patience / 4);
-        self.arrived + objective + HANDICAP * u32::from(self.priority)
+        self.wanted() + HANDICAP * u32::from(self.priority)
+    }
+
+    /// Returns the time after which the caller is no longer there for the beginning of an answer.
+    pub(super) fn abandoned(&self) -> clock::Instant {
+        if self.route.kind != catalog::Kind::Streaming {
+            return self.due;
+        }
+        let patience = ABANDON_TIME
+            .max(self.route.objective * ABANDON_OBJECTIVES)
+            .max(self.route.gap * ABANDON_GAPS);
+        self.due.min(self.arrived + patience)
     }
 
     pub(super) fn is_waiting(&self) -> bool {
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -16,6 +16,7 @@
 use super::upstream;
 use super::view;
 use crate::clock;
+use crate::flow;
 use crate::name;
 use crate::retry;
 
@@ -37,6 +38,13 @@
 /// The prompt tokens that take an engine as long as one token of an answer.
 const PROMPT_TOKENS: u64 = 3;
 
+/// The rate at which requests of a line are sent when none has been sent lately, in requests a second.
+const MIN_SEND_RATE: f64 = 2.0;
+/// The shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
+
+/// What requests that wait for the same upstreams have in common: the service and the model.
+type Line = (name::Name, Option<name::Name>);
 type Key = (clock::Instant, event::Id);
 
 /// Everything that an entry host decides about requests.
@@ -53,6 +61,10 @@
     requests: collections::HashMap<event::Id, pending::Pending>,
     /// The waiting requests by urgency.
     waiting: collections::BTreeSet<Key>,
+    /// The waiting requests of each line, as of the last step that served them.
+    lines: collections::HashMap<Line, u32>,
+    /// The requests sent in each line.
+    sends: flow::Flow<Line>,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
     budgets: collections::HashMap<name::Name, retry::Budget>,
     hosts: usize,
@@ -76,6 +88,8 @@
             table: upstream::Table::new(),
             requests: collections::HashMap::new(),
             waiting: collections::BTreeSet::new(),
+            lines: collections::HashMap::new(),
+            sends: flow::Flow::default(),
             allowances: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             hosts: 1,
@@ -302,13 +316,38 @@
                 self.waiting.remove(&key);
                 self.send(now, id, &upstream, effects);
             }
-            pick::Choice::Full => {
-                self.waiting.insert(key);
-            }
+            pick::Choice::Full => self.queue(now, id, key, effects),
             pick::Choice::Unplaced => self.wait_for_placement(now, id, key, effects),
         }
     }
 
+    /// Lets a request wait for room, unless those that wait already leave it no chance.
+    fn queue(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        key: Key,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if request.attempt > 0 || self.waiting.contains(&key) {
+            self.waiting.insert(key);
+            return;
+        }
+        let line = (request.service.clone(), request.model.clone());
+        let ahead = self.lines.get(&line).copied().unwrap_or(0);
+        let rate = self.sends.rate(now, &line).max(MIN_SEND_RATE);
+        let wait = time::Duration::from_secs_f64(ahead as f64 / rate);
+        if now + wait > request.abandoned() {
+            let retry = wait - request.abandoned().since(now);
+            let retry = retry.max(MIN_RETRY_AFTER);
+            return self.refuse(now, id, refusal::Reason::NoUpstream, Some(retry), effects);
+        }
+        self.waiting.insert(key);
+    }
+
     /// Lets a request wait for a model that no upstream holds, unless it cannot be loaded in time.
     fn wait_for_placement(
         &mut self,
@@ -323,7 +362,7 @@
         let waited = now.since(request.arrived);
         let expected = request.model.as_ref().and_then(|model| self.expected(now, model));
         let hopeless = match expected {
-            Some(expected) => now + expected + MIN_REMAINING >= request.due,
+            Some(expected) => now + expected + MIN_REMAINING >= request.abandoned(),
             None => waited >= self.rules.max_unplaced_wait,
         };
         if hopeless {
@@ -377,6 +416,8 @@
             answered: false,
         };
         entry.running += 1;
+        let line = (request.service.clone(), request.model.clone());
+        self.sends.add(now, &line, 1.0);
         let remaining = request.due.since(now);
         let dispatch = command::Dispatch {
             attempt: request.attempt,
@@ -752,7 +793,12 @@
                 } else {
                     time::Duration::ZERO
                 };
-                now + lead >= request.due
+                let due = if request.is_waiting() && !request.delivered {
+                    request.abandoned()
+                } else {
+                    request.due
+                };
+                now + lead >= due
             })
             .map(|(id, _)| *id)
             .collect();
@@ -843,14 +889,25 @@
 
     /// Sends waiting requests to the upstreams that have room.
     fn serve_waiting(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        let ids: Vec<_> = self
+        // A request that can still be on time goes before one that is late already: each takes the same capacity.
+        let (late, on_time): (Vec<_>, Vec<_>) = self
             .waiting
             .iter()
             .take(MAX_SCAN)
             .map(|(_, id)| *id)
-            .collect();
+            .partition(|id| {
+                let request = self.requests.get(id);
+                request.is_none_or(|request| request.wanted() <= now)
+            });
+        self.lines.clear();
+        for id in on_time.iter().chain(&late) {
+            if let Some(request) = self.requests.get(id) {
+                let line = (request.service.clone(), request.model.clone());
+                *self.lines.entry(line).or_default() += 1;
+            }
+        }
         let mut unserved = collections::HashSet::new();
-        for id in ids {
+        for id in on_time.into_iter().chain(late) {
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
