--- a/crates/carawaycleat-core/src/relay/allowance.rs
+++ b/crates/carawaycleat-core/src/relay/allowance.rs
@@ -23,6 +23,8 @@
     burst: f64,
     share: f64,
     level: f64,
+    /// The tokens of refused callers that were told when to come back and are not due yet.
+    promised: f64,
     filled: clock::Instant,
 }
 
@@ -39,6 +41,7 @@
             burst: 0.0,
             share,
             level: 0.0,
+            promised: 0.0,
             filled: now,
         };
         allowance.set(now, rate, burst, share);
@@ -64,7 +67,9 @@
     fn fill(&mut self, now: clock::Instant) {
         let elapsed = now.since(self.filled).as_secs_f64();
         self.filled = self.filled.max(now);
-        self.level = (self.level + elapsed * self.rate * self.share).min(self.capacity());
+        let gained = elapsed * self.rate * self.share;
+        self.level = (self.level + gained).min(self.capacity());
+        self.promised = (self.promised - gained).max(0.0);
     }
 
     /// Takes `tokens`. A request may take more than there is as long as the level is above zero, and the level then
@@ -84,7 +89,10 @@
             self.level -= tokens;
             return Ok(());
         }
-        let seconds = (needed - self.level) / (self.rate * self.share).max(1.0);
+        let missing = needed - self.level + self.promised;
+        let seconds = missing / (self.rate * self.share).max(1.0);
+        // Callers that are refused one after the other come back one after the other.
+        self.promised += tokens;
         Err(time::Duration::from_secs_f64(seconds.min(60.0)))
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -196,7 +196,8 @@
     ) -> Result<pending::Pending, refusal::Refusal> {
         let stale = refuse(
             refusal::Reason::ConfigurationStale,
-            Some(time::Duration::from_millis(500)),
+            // Another host may serve at once.
+            Some(time::Duration::from_millis(100)),
         );
         let Some(catalog) = &self.catalog else {
             return Err(stale);
@@ -806,6 +807,10 @@
             let retry = time::Duration::from_millis(500);
             self.refuse(now, id, refusal::Reason::Timeout, Some(retry), effects);
         }
+        let others = self.hosts.saturating_sub(1);
+        for entry in self.table.values_mut() {
+            entry.estimate_others(now, others);
+        }
         self.move_stalled(now, effects);
         self.serve_waiting(now, effects);
     }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -17,6 +17,10 @@
 const VIEW_AGE: time::Duration = time::Duration::from_millis(1_500);
 /// How long a model that an upstream did not have counts as missing there against an older report.
 const MISSING: time::Duration = time::Duration::from_millis(600);
+/// The part of the requests in progress that an upstream without room keeps as its limit, and the growth of the limit
+/// over as many answers as it has places.
+const FULL_PART: f64 = 0.8;
+const GROWTH: f64 = 2.0;
 /// How long an upstream that was full gets no further request.
 const FULL: time::Duration = time::Duration::from_millis(40);
 
@@ -29,8 +33,11 @@
     pub(super) removed: Option<clock::Instant>,
     /// This host's requests in progress there.
     pub(super) running: u32,
-    /// The requests of other hosts in progress there, as the coordinator said last.
+    /// The requests of other hosts in progress there, as far as this host can tell.
     pub(super) others: u32,
+    /// The requests that this host may have in progress there. It shrinks when the upstream had no room and grows with
+    /// each answer, so that hosts which do not hear of each other still share an upstream.
+    limit: f64,
     /// The last time that a byte of an answer arrived.
     pub(super) progress: clock::Instant,
     placed: Option<(clock::Instant, view::Placed)>,
@@ -48,6 +55,7 @@
     #[must_use]
     pub fn new(sighting: sighting::Sighting) -> Self {
         Self {
+            limit: f64::from(sighting.slots.max(1)),
             sighting,
             removed: None,
             running: 0,
@@ -144,9 +152,23 @@
         self.missing.push((model.clone(), adapter.cloned(), now));
     }
 
+    /// Estimates the requests of the other `hosts` where the coordinator has not told lately: as many each as here.
+    pub(super) fn estimate_others(&mut self, now: clock::Instant, hosts: usize) {
+        let is_fresh = self
+            .placed
+            .as_ref()
+            .is_some_and(|(at, _)| now.since(*at) < VIEW_AGE);
+        if !is_fresh {
+            let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+            self.others = self.running.saturating_mul(hosts);
+        }
+    }
+
     /// Returns whether another request fits beside those in progress.
     pub(super) fn has_room(&self, now: clock::Instant, slots: u32) -> bool {
-        now >= self.full_until && self.running + self.others < slots
+        now >= self.full_until
+            && self.running + self.others < slots
+            && f64::from(self.running) < self.limit
     }
 
     pub(super) fn is_avoided(&self, now: clock::Instant) -> bool {
@@ -172,6 +194,8 @@
     /// Notes the first byte of an answer.
     pub(super) fn answered(&mut self, now: clock::Instant, latency: time::Duration) {
         self.progress = now;
+        let slots = f64::from(self.sighting.slots.max(1));
+        self.limit = (self.limit + GROWTH / self.limit).min(slots);
         self.strikes = 0;
         self.avoided_until = clock::Instant::default();
         let latency = latency.as_secs_f64();
@@ -201,6 +225,9 @@
 
     /// Notes that it had no room.
     pub(super) fn was_full(&mut self, now: clock::Instant) {
+        if now >= self.full_until {
+            self.limit = (f64::from(self.running) * FULL_PART).max(1.0);
+        }
         self.full_until = now + FULL;
     }
 }
