--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -154,7 +154,12 @@
     }
 
     /// Takes up a status. One that may be older than the last order says nothing about what that order changed.
-    pub(super) fn probe(&mut self, now: clock::Instant, status: event::Status, lag: time::Duration) {
+    pub(super) fn probe(
+        &mut self,
+        now: clock::Instant,
+        status: event::Status,
+        lag: time::Duration,
+    ) {
         self.answered = Some(now);
         self.running = status.running + status.queued;
         if let Some(in_memory) = status.in_memory {
@@ -245,6 +250,17 @@
         (open.order.operation == order::Operation::Unload).then_some(&open.order.model)
     }
 
+    /// Returns the models that it serves or soon will.
+    pub(super) fn serves(&self) -> impl Iterator<Item = &name::Name> {
+        let held = self
+            .models
+            .keys()
+            .filter(|model| self.unloading() != Some(*model));
+        let coming = self.loading().map(|(model, _)| model);
+        let coming = coming.or(self.successor.as_ref());
+        held.chain(coming.filter(|model| !self.models.contains_key(*model)))
+    }
+
     /// Returns the megabytes that are left beside the models held and loading and all places for adapters.
     pub(super) fn free_mb(&self, engine: &relay::Engine) -> f64 {
         let size = |model: &name::Name| engine.models.get(model).map_or(0.0, |m| m.weights_mb);
@@ -262,7 +278,11 @@
     }
 
     /// Returns the time of a load, and whether it counts as a load from the weight store.
-    pub(super) fn load_time(&self, name: &name::Name, model: &relay::Model) -> (time::Duration, bool) {
+    pub(super) fn load_time(
+        &self,
+        name: &name::Name,
+        model: &relay::Model,
+    ) -> (time::Duration, bool) {
         if self.in_memory.contains(name) {
             (model.warm_load, false)
         } else if self.on_disk.contains(name) {
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -65,83 +65,88 @@
 /// The state of one service that a plan is made for.
 #[derive(Debug)]
 pub(super) struct Plan<'a> {
-    pub(super) now: clock::Instant,
-    pub(super) state: &'a reducer::Reducer,
-    pub(super) service: &'a name::Name,
-    pub(super) spec: &'a relay::Engine,
+    now: clock::Instant,
+    state: &'a reducer::Reducer,
+    service: &'a name::Name,
+    spec: &'a relay::Engine,
+    /// The engines of the service that take orders.
+    engines: Vec<&'a engine::Engine>,
+    models: collections::BTreeMap<&'a name::Name, Model<'a>>,
 }
 
-impl Plan<'_> {
-    fn engines(&self) -> impl Iterator<Item = &engine::Engine> {
-        self.state.engines.values().filter(|engine| {
-            engine.sighting.service == *self.service
-                && engine.sighting.state == relay::State::Ready
-        })
+impl<'a> Plan<'a> {
+    pub(super) fn new(
+        now: clock::Instant,
+        state: &'a reducer::Reducer,
+        service: &'a name::Name,
+        spec: &'a relay::Engine,
+    ) -> Self {
+        let engines = state.engines.values().filter(|engine| {
+            engine.sighting.service == *service && engine.sighting.state == relay::State::Ready
+        });
+        let mut plan = Self {
+            now,
+            state,
+            service,
+            spec,
+            engines: engines.collect(),
+            models: collections::BTreeMap::new(),
+        };
+        plan.models = plan.survey();
+        plan
     }
 
-    /// Returns whether an engine serves a model or soon will.
-    fn counts(&self, engine: &engine::Engine, model: &name::Name) -> bool {
-        let held = engine.models.contains_key(model) && engine.unloading() != Some(model);
-        let loading = engine.loading().is_some_and(|(loading, _)| loading == model);
-        let coming = engine.successor.as_ref() == Some(model);
-        (held || loading || coming) && !self.state.is_suspect(self.now, &engine.sighting.id)
+    /// Returns what is known of each model, from one pass over the engines.
+    fn survey(&self) -> collections::BTreeMap<&'a name::Name, Model<'a>> {
+        let waiting = self.state.waiting_for_models(self.now, self.service);
+        let mut at_hand = collections::HashSet::new();
+        let mut holders = collections::HashMap::<&name::Name, (usize, u32)>::new();
+        for engine in &self.engines {
+            at_hand.extend(engine.in_memory.iter().chain(&engine.on_disk));
+            if self.state.is_suspect(&engine.sighting.id) {
+                continue;
+            }
+            for model in engine.serves() {
+                let (copies, running) = holders.entry(model).or_default();
+                *copies += 1;
+                *running += engine.running;
+            }
+        }
+        let model = |(name, spec): (&'a name::Name, &'a relay::Model)| {
+            let key = (self.service.clone(), name.clone());
+            let waiting = waiting.get(name).copied().unwrap_or(0);
+            let (copies, running) = holders.get(name).copied().unwrap_or_default();
+            let slots = f64::from(self.spec.slots.max(1)) * copies.max(1) as f64;
+            let model = Model {
+                name,
+                spec,
+                demand: self.state.models.rate(self.now, &key),
+                waiting,
+                is_spare: waiting == 0 && at_hand.contains(name) && self.is_idle(&key),
+                load: f64::from(running) / slots,
+                copies,
+            };
+            (name, model)
+        };
+        self.spec.models.iter().map(model).collect()
     }
 
     /// Returns whether a model has not been asked for lately.
-    fn is_idle(&self, model: &name::Name) -> bool {
-        let key = (self.service.clone(), model.clone());
+    fn is_idle(&self, key: &(name::Name, name::Name)) -> bool {
         let observed = self.state.asked.unwrap_or(self.now);
-        let last = self.state.models.last(&key).unwrap_or(observed);
+        let last = self.state.models.last(key).unwrap_or(observed);
         self.now.since(last.max(observed)) >= self.state.rules.idle
     }
 
-    /// Returns whether an engine has a copy of a model's weights on disk or in host memory.
-    fn is_at_hand(&self, model: &name::Name) -> bool {
-        self.engines()
-            .any(|engine| engine.on_disk.contains(model) || engine.in_memory.contains(model))
-    }
-
-    fn models(&self) -> Vec<Model<'_>> {
-        let waiting = self.state.waiting_for_models(self.now, self.service);
-        let model = |(name, spec)| {
-            let key = (self.service.clone(), name);
-            let demand = self.state.models.rate(self.now, &key);
-            let (_, name) = key;
-            let (name, _) = self
-                .spec
-                .models
-                .get_key_value(&name)
-                .unwrap_or_else(|| unreachable!("the name is a key of the map"));
-            let waiting = waiting.get(name).copied().unwrap_or(0);
-            let holders: Vec<_> = self
-                .engines()
-                .filter(|engine| self.counts(engine, name))
-                .collect();
-            let running: u32 = holders.iter().map(|engine| engine.running).sum();
-            let slots = self.spec.slots.max(1) * u32::try_from(holders.len()).unwrap_or(1);
-            Model {
-                name,
-                spec,
-                demand,
-                waiting,
-                is_spare: waiting == 0 && self.is_idle(name) && self.is_at_hand(name),
-                load: f64::from(running) / f64::from(slots.max(1)),
-                copies: holders.len(),
-            }
-        };
-        self.spec
-            .models
-            .iter()
-            .map(|(name, spec)| (name.clone(), spec))
-            .map(model)
-            .collect()
+    fn engines(&self) -> impl Iterator<Item = &'a engine::Engine> {
+        self.engines.iter().copied()
     }
 
     /// Returns the models that are asked for as `name=copies/demand/waiting` words.
     pub(super) fn summary(&self) -> String {
-        let models = self.models();
-        let asked = models
-            .iter()
+        let asked = self
+            .models
+            .values()
             .filter(|model| model.demand >= 1.0 || model.waiting > 0 || model.copies == 0);
         let words = asked.map(|model| {
             let (copies, demand, waiting) = (model.copies, model.demand, model.waiting);
@@ -176,13 +181,13 @@
         if let Some(step) = self.successor_step() {
             return Some(step);
         }
-        let models = self.models();
-        let places: usize = models.iter().map(|model| model.copies).sum();
-        let demand: f64 = models.iter().map(|model| model.demand).sum();
+        let places: usize = self.models.values().map(|model| model.copies).sum();
+        let demand: f64 = self.models.values().map(|model| model.demand).sum();
         let average = demand / places.max(1) as f64;
-        let mut receivers: Vec<_> = models.iter().collect();
+        let mut receivers: Vec<_> = self.models.values().collect();
         receivers.sort_by(|one, other| {
-            let rank = |model: &Model<'_>| (model.copies == 0, model.copies == 0 && model.waiting > 0);
+            let rank =
+                |model: &Model<'_>| (model.copies == 0, model.copies == 0 && model.waiting > 0);
             rank(other)
                 .cmp(&rank(one))
                 .then(other.pressure().total_cmp(&one.pressure()))
@@ -194,17 +199,20 @@
                 let lost = model.copies == 0 && !model.is_spare;
                 lost || busy
             })
-            .find_map(|model| self.add_copy(model, &models, average))
+            .find_map(|model| self.add_copy(model, average))
     }
 
-    fn add_copy(&self, model: &Model<'_>, models: &[Model<'_>], average: f64) -> Option<Step> {
+    fn add_copy(&self, model: &Model<'_>, average: f64) -> Option<Step> {
         let free: Vec<_> = self
             .engines()
             .filter(|engine| {
                 engine.is_free(self.now)
-                    && engine.successor.as_ref().is_none_or(|next| next == model.name)
+                    && engine
+                        .successor
+                        .as_ref()
+                        .is_none_or(|next| next == model.name)
                     && !engine.models.contains_key(model.name)
-                    && !self.state.is_suspect(self.now, &engine.sighting.id)
+                    && !self.state.is_suspect(&engine.sighting.id)
             })
             .collect();
         let loads_left = self.state.loads_left(self.now, self.spec.loads_per_second);
@@ -239,7 +247,7 @@
         free.iter()
             .filter(|engine| allowed(engine))
             .filter_map(|engine| {
-                let donor = self.donor(engine, model, models)?;
+                let donor = self.donor(engine, model)?;
                 Some((engine, donor))
             })
             .min_by(|(one, a), (other, b)| {
@@ -262,21 +270,15 @@
     }
 
     /// Returns the model that an engine can give up for `receiver`.
-    fn donor<'m>(
-        &self,
-        engine: &engine::Engine,
-        receiver: &Model<'_>,
-        models: &'m [Model<'m>],
-    ) -> Option<&'m Model<'m>> {
+    fn donor(&self, engine: &engine::Engine, receiver: &Model<'_>) -> Option<&Model<'a>> {
         let rules = &self.state.rules;
         let room = engine.free_mb(self.spec);
-        models
+        engine
+            .models
             .iter()
+            .filter(|(_, held)| self.now.since(held.since) >= rules.min_stay)
+            .filter_map(|(name, _)| self.models.get(name))
             .filter(|model| {
-                let settled = engine
-                    .models
-                    .get(model.name)
-                    .is_some_and(|held| self.now.since(held.since) >= rules.min_stay);
                 let enough = room + model.spec.weights_mb >= receiver.spec.weights_mb;
                 let worth = match (receiver.copies, model.copies) {
                     (0, 1) => model.is_spare && receiver.waiting > 0,
@@ -284,7 +286,7 @@
                     (0, _) => true,
                     _ => self.price(model) <= receiver.pressure() * rules.donor_pressure,
                 };
-                settled && enough && worth
+                enough && worth
             })
             .min_by(|one, other| self.price(one).total_cmp(&self.price(other)))
     }
@@ -313,7 +315,7 @@
             .filter(|engine| {
                 engine.models.contains_key(model)
                     && engine.unloading() != Some(model)
-                    && !self.state.is_suspect(self.now, &engine.sighting.id)
+                    && !self.state.is_suspect(&engine.sighting.id)
             })
             .collect();
         let is_placed = holders.iter().any(|engine| {
@@ -362,10 +364,10 @@
     }
 
     /// Returns the adapter that was asked for least recently, on the engines that have no place left.
-    fn idle_adapter<'e>(
+    fn idle_adapter(
         &self,
-        engines: &[&'e engine::Engine],
-    ) -> Option<(&'e engine::Engine, &'e (name::Name, name::Name))> {
+        engines: &[&'a engine::Engine],
+    ) -> Option<(&'a engine::Engine, &'a (name::Name, name::Name))> {
         let last = |(model, adapter): &(name::Name, name::Name)| {
             let key = (self.service.clone(), model.clone(), adapter.clone());
             self.state.adapters.last(&key).unwrap_or_default()
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -14,7 +14,7 @@
 use crate::relay;
 
 /// The most orders that one step sends.
-const MAX_STEPS: usize = 64;
+const MAX_STEPS: usize = 24;
 /// How long demand for an adapter or model is remembered.
 const DEMAND_MEMORY: time::Duration = time::Duration::from_secs(60);
 /// The time between two probes of an engine whose order should be complete.
@@ -47,6 +47,7 @@
     pub(super) models: flow::Flow<(name::Name, name::Name)>,
     pub(super) adapters: flow::Flow<(name::Name, name::Name, name::Name)>,
     shares: share::Shares,
+    suspects: collections::HashSet<name::Name>,
     /// When loads from the weight store were ordered.
     loads: collections::VecDeque<clock::Instant>,
     orders: u64,
@@ -68,6 +69,7 @@
             models: flow::Flow::default(),
             adapters: flow::Flow::default(),
             shares: share::Shares::default(),
+            suspects: collections::HashSet::new(),
             loads: collections::VecDeque::new(),
             orders: 0,
             asked: None,
@@ -267,6 +269,7 @@
         {
             self.loads.pop_front();
         }
+        self.find_suspects(now);
         self.probe(now, effects);
         for engine in self.engines.values_mut() {
             engine.settle_adapters(now);
@@ -306,12 +309,7 @@
     /// Logs the demand, copies and waiting requests of each model that is asked for.
     fn log_placement(&self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         for (service, spec) in &self.services {
-            let plan = plan::Plan {
-                now,
-                state: self,
-                service,
-                spec,
-            };
+            let plan = plan::Plan::new(now, self, service, spec);
             effects.push(effect::Effect::Record {
                 event: "placement",
                 engine: service.clone(),
@@ -338,12 +336,7 @@
     fn order(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         for _ in 0..MAX_STEPS {
             let step = self.services.iter().find_map(|(service, spec)| {
-                let plan = plan::Plan {
-                    now,
-                    state: self,
-                    service,
-                    spec,
-                };
+                let plan = plan::Plan::new(now, self, service, spec);
                 plan.adapter_step().or_else(|| plan.model_step())
             });
             let Some(step) = step else {
@@ -411,17 +404,26 @@
     }
 
     /// Returns whether hosts get no answers from an upstream.
-    pub(super) fn is_suspect(&self, now: clock::Instant, id: &name::Name) -> bool {
+    pub(super) fn is_suspect(&self, id: &name::Name) -> bool {
+        self.suspects.contains(id)
+    }
+
+    /// Finds the upstreams that half of the hosts get no answers from.
+    fn find_suspects(&mut self, now: clock::Instant) {
         let fresh = self
             .hosts
             .values()
             .filter(|host| now.since(host.at) < REPORT_AGE);
-        let (mut hosts, mut suspecting) = (0, 0);
+        let mut counts = collections::HashMap::<&name::Name, usize>::new();
+        let mut hosts = 0;
         for host in fresh {
             hosts += 1;
-            suspecting += usize::from(host.report.suspects.contains(id));
+            for id in &host.report.suspects {
+                *counts.entry(id).or_default() += 1;
+            }
         }
-        suspecting > 0 && suspecting * 2 >= hosts
+        let suspects = counts.into_iter().filter(|(_, count)| count * 2 >= hosts);
+        self.suspects = suspects.map(|(id, _)| id.clone()).collect();
     }
 
     fn waiting(&self, now: clock::Instant) -> impl Iterator<Item = &relay::Ask> {
@@ -466,9 +468,8 @@
                 }
             }
         }
-        let millis = |until: clock::Instant| {
-            u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX)
-        };
+        let millis =
+            |until: clock::Instant| u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX);
         let mut expected = collections::BTreeMap::new();
         for engine in self.engines.values() {
             if let Some((model, ready)) = engine.loading() {
--- a/crates/carawaycleat-core/src/coordinator/share.rs
+++ b/crates/carawaycleat-core/src/coordinator/share.rs
@@ -45,7 +45,11 @@
                 self.usage.rate(now, &key)
             };
             let total: f64 = hosts.iter().map(rate).sum();
-            let proportional = if total > 0.0 { rate(host) / total } else { even };
+            let proportional = if total > 0.0 {
+                rate(host) / total
+            } else {
+                even
+            };
             let share = EVEN_PART * even + (1.0 - EVEN_PART) * proportional;
             (workspace.clone(), share.min(MAX_FACTOR * even))
         };
--- a/crates/carawaycleat-core/src/flow.rs
+++ b/crates/carawaycleat-core/src/flow.rs
@@ -53,7 +53,10 @@
 
     /// Returns the amount in a second.
     pub(crate) fn rate(&self, now: clock::Instant, key: &K) -> f64 {
-        let amount = self.entries.get(key).map_or(0.0, |entry| entry.decayed(now));
+        let amount = self
+            .entries
+            .get(key)
+            .map_or(0.0, |entry| entry.decayed(now));
         amount / MEMORY.as_secs_f64()
     }
 
--- a/crates/carawaycleat-core/src/relay/pick.rs
+++ b/crates/carawaycleat-core/src/relay/pick.rs
@@ -101,16 +101,11 @@
                 .is_none_or(|model| upstream.holds(self.now, model, request.adapter.as_ref()))
     }
 
-    fn cost(
-        &self,
-        upstream: &upstream::Upstream,
-        request: &pending::Pending,
-        fastest: f64,
-    ) -> f64 {
+    fn cost(&self, upstream: &upstream::Upstream, request: &pending::Pending, fastest: f64) -> f64 {
         let slots = self.slots(upstream);
-        let pace = upstream
-            .latency()
-            .map_or(1.0, |latency| (latency / fastest.max(0.001)).clamp(1.0, MAX_PACE));
+        let pace = upstream.latency().map_or(1.0, |latency| {
+            (latency / fastest.max(0.001)).clamp(1.0, MAX_PACE)
+        });
         let zone = if upstream.sighting.zone == *self.zone {
             0.0
         } else {
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -204,7 +204,11 @@
         };
         let can_deny = self.is_current(now, self.rules.max_denial_age);
         let deny = |reason| {
-            if can_deny { refuse(reason, None) } else { stale }
+            if can_deny {
+                refuse(reason, None)
+            } else {
+                stale
+            }
         };
         let digest = match &arrival.credential {
             arrival::Credential::Ambiguous => {
@@ -361,7 +365,10 @@
             return;
         };
         let waited = now.since(request.arrived);
-        let expected = request.model.as_ref().and_then(|model| self.expected(now, model));
+        let expected = request
+            .model
+            .as_ref()
+            .and_then(|model| self.expected(now, model));
         let hopeless = match expected {
             Some(expected) => now + expected + MIN_REMAINING >= request.abandoned(),
             None => waited >= self.rules.max_unplaced_wait,
@@ -926,7 +933,11 @@
                 continue;
             }
             self.seek(now, id, effects);
-            if self.requests.get(&id).is_some_and(pending::Pending::is_waiting) {
+            if self
+                .requests
+                .get(&id)
+                .is_some_and(pending::Pending::is_waiting)
+            {
                 unserved.insert(need);
             }
         }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -116,7 +116,9 @@
         let missing = self.missing.iter().any(|(name, other, at)| {
             name == model && other.as_ref() == adapter && now.since(*at) < MISSING
         });
-        !missing && self.holds_model(model) && adapter.is_none_or(|adapter| self.has(model, adapter))
+        !missing
+            && self.holds_model(model)
+            && adapter.is_none_or(|adapter| self.has(model, adapter))
     }
 
     pub(super) fn holds_model(&self, model: &name::Name) -> bool {
@@ -147,8 +149,7 @@
         model: &name::Name,
         adapter: Option<&name::Name>,
     ) {
-        self.missing
-            .retain(|(_, _, at)| now.since(*at) < MISSING);
+        self.missing.retain(|(_, _, at)| now.since(*at) < MISSING);
         self.missing.push((model.clone(), adapter.cloned(), now));
     }
 
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -0,0 +1,123 @@
+//! Patterns of demand: where copies of models go.
+
+use carawaycleat_core::coordinator as core_coordinator;
+
+use crate::coordinator;
+
+fn busy(models: &[&str], running: u32) -> core_coordinator::Status {
+    core_coordinator::Status {
+        running,
+        ..coordinator::status(models, 0)
+    }
+}
+
+/// Pattern: demand moves from one model to another. Guards against copies that stay with the model that has fallen
+/// silent while the engines of the busy one are loaded.
+#[test]
+fn copy_moves_to_the_model_that_is_asked_for() {
+    let mut world = coordinator::World::new(&["old", "new", "other"]);
+    world.engine("one", &["old", "other"]);
+    world.engine("two", &["old", "new"]);
+    for _ in 0..30 {
+        world.pass(100);
+        world.ask("new", None, 5_000, 0);
+        world.ask("other", None, 50, 0);
+        world.probe("two", busy(&["old", "new"], 4));
+        let orders = world.tick();
+        let Some(order) = orders.first() else {
+            continue;
+        };
+        assert_eq!(order.engine.as_str(), "one");
+        assert_eq!(order.operation, core_coordinator::Operation::Unload);
+        assert_eq!(order.model.as_str(), "old");
+        return;
+    }
+    panic!("no copy has moved");
+}
+
+/// Pattern: demand differs while the engines have room. Guards against moves that serve nobody better.
+#[test]
+fn copies_stay_where_engines_have_room() {
+    let mut world = coordinator::World::new(&["old", "new", "other"]);
+    world.engine("one", &["old", "other"]);
+    world.engine("two", &["old", "new"]);
+    for _ in 0..30 {
+        world.pass(100);
+        world.ask("new", None, 5_000, 0);
+        world.ask("other", None, 50, 0);
+        world.probe("two", busy(&["old", "new"], 1));
+        assert!(world.tick().is_empty());
+    }
+}
+
+/// Pattern: one receiver and several donors. Guards against all donors giving way at once for one copy.
+#[test]
+fn each_place_that_is_freed_has_its_successor() {
+    let mut world = coordinator::World::new(&["old", "new", "a", "b", "c"]);
+    world.engine("one", &["old", "a"]);
+    world.engine("two", &["old", "b"]);
+    world.engine("three", &["old", "c"]);
+    world.engine("four", &["old", "new"]);
+    let mut unloads = 0;
+    for _ in 0..25 {
+        world.pass(100);
+        world.ask("new", None, 3_000, 0);
+        for other in ["a", "b", "c"] {
+            world.ask(other, None, 700, 0);
+        }
+        world.probe("four", busy(&["old", "new"], 4));
+        unloads += world.tick().len();
+    }
+    assert!((1..=2).contains(&unloads), "{unloads} models gave way");
+}
+
+/// Pattern: a freed place. Guards against a place that stays empty, or goes to another model, after its unload.
+#[test]
+fn successor_is_loaded_when_the_place_is_free() {
+    let mut world = coordinator::World::new(&["old", "new", "other"]);
+    world.engine("one", &["old", "other"]);
+    world.engine("two", &["old", "new"]);
+    let order = loop {
+        world.pass(100);
+        world.ask("new", None, 5_000, 0);
+        world.probe("two", busy(&["old", "new"], 4));
+        if let Some(order) = world.tick().into_iter().next() {
+            break order;
+        }
+    };
+    world.settle(&order, core_coordinator::Outcome::Accepted);
+    world.pass(100);
+    let left = crate::relay_fake::sighting("one", "models", &["other"]);
+    world.feed(core_coordinator::Event::Seen(Box::new(left)));
+    let load = world.tick().remove(0);
+    assert_eq!(load.operation, core_coordinator::Operation::Load);
+    assert_eq!((load.model.as_str(), load.sequence), ("new", 1));
+}
+
+/// Pattern: a model that nothing asks for, beside a saturated one. Guards against places that idle models keep while
+/// their weights are on disk, and against losing a model whose weights are nowhere close.
+#[test]
+fn idle_model_makes_way_only_when_it_is_on_disk() {
+    for on_disk in [false, true] {
+        let mut world = coordinator::World::new(&["idle", "new", "a", "b"]);
+        world.engine("one", &["idle", "a"]);
+        world.engine("two", &["new", "b"]);
+        let held = || core_coordinator::Status {
+            on_disk: on_disk.then(|| vec![crate::relay_fake::name("idle")]),
+            ..coordinator::status(&["idle", "a"], 0)
+        };
+        let mut unloaded = false;
+        for _ in 0..150 {
+            world.pass(100);
+            world.ask("new", None, 5_000, 0);
+            for other in ["a", "b"] {
+                world.ask(other, None, 100, 0);
+            }
+            world.probe("two", busy(&["new", "b"], 4));
+            world.probe("one", held());
+            let orders = world.tick();
+            unloaded |= orders.iter().any(|order| order.model.as_str() == "idle");
+        }
+        assert_eq!(unloaded, on_disk);
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/relay.rs
@@ -0,0 +1,218 @@
+//! Requests of callers: what may be sent where, and what may be said of them.
+
+use carawaycleat_core::relay;
+
+use crate::relay_fake;
+
+fn plain_world() -> relay_fake::World {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "plain", &[]));
+    world.see(relay_fake::sighting("two", "plain", &[]));
+    world
+}
+
+/// Guards against an idempotent request that ends with the first upstream's failure.
+#[test]
+fn failed_idempotent_request_runs_elsewhere() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    let first = world.upstream(id);
+    world.answer(id, 500, false);
+    assert_ne!(world.upstream(id), first);
+    world.answer(id, 200, false);
+    assert!(matches!(world.last(id), Some(relay::Command::Deliver)));
+}
+
+/// Guards against a booking that runs twice after its answer was lost.
+#[test]
+fn non_idempotent_request_is_not_repeated_once_sent() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/book/1"));
+    let attempt = world.dispatch(id).attempt;
+    world.fail(id, attempt, true);
+    let refusal = world.refusal(id);
+    assert_eq!(refusal.status(), 502);
+    assert!(refusal.may_have_run);
+}
+
+/// Guards against a booking that is given up although no byte of it has left.
+#[test]
+fn non_idempotent_request_moves_on_before_it_is_sent() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/book/1"));
+    let first = world.dispatch(id);
+    world.fail(id, first.attempt, false);
+    assert_ne!(world.upstream(id), first.upstream.as_str());
+}
+
+/// Guards against a booking that is given up although the upstream says that it did not run.
+#[test]
+fn rejected_request_runs_elsewhere() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/book/1"));
+    let first = world.upstream(id);
+    world.answer(id, 503, true);
+    assert_ne!(world.upstream(id), first);
+}
+
+/// Guards against the claim that a request has not run after an answer of an upstream was lost.
+#[test]
+fn refusal_after_a_lost_answer_does_not_promise_anything() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    for _ in 0..2 {
+        let attempt = world.dispatch(id).attempt;
+        world.fail(id, attempt, true);
+    }
+    assert_eq!(world.refusal(id).status(), 502);
+}
+
+/// Guards against more upstreams than the route allows for one request.
+#[test]
+fn attempts_are_bounded_by_the_route() {
+    let mut world = plain_world();
+    world.see(relay_fake::sighting("three", "plain", &[]));
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    world.answer(id, 500, false);
+    world.answer(id, 500, false);
+    // The second failure is delivered as the upstream's own answer.
+    assert!(matches!(world.last(id), Some(relay::Command::Deliver)));
+    assert_eq!(world.commands[&id].len(), 3);
+}
+
+/// Guards against retries that multiply the load of failing upstreams.
+#[test]
+fn retries_are_bounded_by_the_budget() {
+    let rules = relay::Rules {
+        retry_percent: 10,
+        retry_slack: 5,
+        ..relay::Rules::default()
+    };
+    let mut world = relay_fake::World::with_rules(rules);
+    for id in ["one", "two", "three"] {
+        world.see(relay_fake::sighting(id, "plain", &[]));
+    }
+    let mut retried = 0;
+    for _ in 0..100 {
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        world.answer(id, 500, false);
+        if world.is_sent(id) {
+            retried += 1;
+            world.answer(id, 500, false);
+        }
+    }
+    assert!((5..=15).contains(&retried), "{retried} retries");
+}
+
+/// Guards against a final answer that comes later than the operator wants.
+#[test]
+fn time_limit_ends_a_sent_request_as_possibly_run() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/book/1"));
+    world.pass(relay_fake::millis(3_950));
+    assert!(world.is_sent(id));
+    world.pass(relay_fake::millis(75));
+    assert_eq!(world.refusal(id).status(), 504);
+}
+
+/// Guards against a promise of an unrun request while an attempt is in progress.
+#[test]
+fn time_limit_ends_an_unsent_request_as_not_run() {
+    let mut world = relay_fake::World::new();
+    let id = world.arrive(relay_fake::arrival("/book/1"));
+    world.pass(relay_fake::millis(4_100));
+    assert_eq!(world.refusal(id).status(), 503);
+}
+
+/// Guards against an attempt that goes on for a caller who has left.
+#[test]
+fn request_of_a_gone_caller_is_not_sent_again() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    let attempt = world.dispatch(id).attempt;
+    world.feed(relay::Event::CallerGone(id));
+    world.fail(id, attempt, true);
+    assert_eq!(world.commands[&id].len(), 1);
+    assert_eq!(world.reducer.counts(), (0, 0));
+}
+
+/// Guards against answers of an attempt that another one has replaced.
+#[test]
+fn answer_of_an_earlier_attempt_is_dropped() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    let first = world.dispatch(id).attempt;
+    world.fail(id, first, true);
+    let answer = relay::Answer {
+        status: 200,
+        not_run: false,
+        streams: false,
+    };
+    world.feed(relay::Event::Answered(id, first, answer));
+    assert!(world.is_sent(id));
+}
+
+/// Guards against work for an upstream that is leaving.
+#[test]
+fn draining_upstream_gets_no_work() {
+    let mut world = plain_world();
+    let mut leaving = relay_fake::sighting("one", "plain", &[]);
+    leaving.state = relay::State::Draining;
+    world.see(leaving);
+    for _ in 0..4 {
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        assert_eq!(world.upstream(id), "two");
+    }
+}
+
+/// Guards against work for an upstream whose entry was removed while the store was in reach.
+#[test]
+fn removed_upstream_gets_no_work() {
+    let mut world = plain_world();
+    world.pass(relay_fake::millis(3_000));
+    world.feed(relay::Event::Removed(relay_fake::name("one")));
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    assert_eq!(world.upstream(id), "two");
+}
+
+/// Guards against an empty fleet after an outage of the store in which entries of live upstreams lapsed.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_used_until_they_had_time_to_return() {
+    let mut world = plain_world();
+    world.pass(relay_fake::millis(1_000));
+    world.now = world.now + relay_fake::millis(3_000);
+    world.confirm();
+    for id in ["one", "two"] {
+        world.feed(relay::Event::Removed(relay_fake::name(id)));
+    }
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    assert!(world.is_sent(id));
+    world.pass(relay_fake::millis(2_500));
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    assert!(!world.is_sent(id), "what is still missing is gone");
+}
+
+/// Guards against models of the process before at an upstream that started again under its identifier.
+#[test]
+fn restarted_upstream_holds_what_it_says_now() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let mut restarted = relay_fake::sighting("one", "models", &[]);
+    restarted.started = 2;
+    world.see(restarted);
+    let id = world.arrive(relay_fake::arrival("/live/1"));
+    assert!(!world.is_sent(id));
+}
+
+/// Guards against one silent upstream that holds requests until their time is over.
+#[test]
+fn request_leaves_an_upstream_without_progress() {
+    let mut world = plain_world();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    let first = world.upstream(id);
+    world.pass(relay_fake::millis(700));
+    assert_ne!(world.upstream(id), first);
+    // Later requests avoid it as well.
+    let next = world.arrive(relay_fake::arrival("/read/1"));
+    assert_ne!(world.upstream(next), first);
+}
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -0,0 +1,118 @@
+//! Allowances of workspaces over all hosts.
+
+use carawaycleat_core::clock;
+use carawaycleat_core::relay;
+
+use crate::relay_fake;
+
+const START: clock::Instant = clock::Instant::from_millis(10_000);
+
+/// Guards against hosts that together spend more than the rate and burst: each sends as much as it can for eight
+/// seconds with an even part.
+#[test]
+fn parts_of_all_hosts_stay_within_the_whole() {
+    let (rate, burst) = (10_000, 10_000);
+    let mut spent = 0;
+    for _ in 0..5 {
+        let mut allowance = relay::Allowance::new(START, rate, burst, 0.2);
+        for step in 0..8_000 {
+            let now = START + relay_fake::millis(step);
+            if allowance.take(now, 100).is_ok() {
+                spent += 100;
+            }
+        }
+    }
+    assert!(spent <= 8 * rate + burst, "{spent} tokens");
+    assert!(spent >= 8 * rate, "{spent} tokens");
+}
+
+/// Guards against a request that can never pass because it is larger than a host's part of the burst.
+#[test]
+fn large_request_passes_and_is_paid_off() {
+    let mut allowance = relay::Allowance::new(START, 1_000, 1_000, 0.2);
+    let now = START + relay_fake::millis(2_000);
+    assert!(allowance.take(now, 2_000).is_ok());
+    let wait = allowance.take(now, 100).expect_err("used up");
+    assert!(wait >= relay_fake::millis(9_000), "{wait:?}");
+}
+
+/// Guards against callers that are all told to come back at the same moment.
+#[test]
+fn refused_callers_are_spaced() {
+    let mut allowance = relay::Allowance::new(START, 1_000, 1_000, 1.0);
+    while allowance.take(START, 100).is_ok() {}
+    let first = allowance.take(START, 500).expect_err("used up");
+    let second = allowance.take(START, 500).expect_err("used up");
+    assert!(second >= first + relay_fake::millis(400));
+}
+
+/// Guards against a lowered allowance that is followed only after the old burst is used.
+#[test]
+fn lowered_allowance_cuts_the_level() {
+    let mut allowance = relay::Allowance::new(START, 100_000, 100_000, 1.0);
+    let now = START + relay_fake::millis(1_000);
+    allowance.set(now, 1_000, 1_000, 1.0);
+    assert!(allowance.take(now, 1_000).is_ok());
+    assert!(allowance.take(now, 1_000).is_err());
+}
+
+/// Guards against refusals in the first second because an allowance begins to fill with its first request.
+#[test]
+fn allowance_fills_before_the_first_request() {
+    let mut world = relay_fake::World::new();
+    world.feed(relay::Event::Configured(Box::new(relay_fake::catalog(
+        2, 1_000,
+    ))));
+    world.see(relay_fake::sighting("one", "plain", &[]));
+    world.pass(relay_fake::millis(2_000));
+    for _ in 0..9 {
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        assert!(world.is_sent(id));
+        world.answer(id, 200, false);
+    }
+}
+
+/// Guards against tokens that are lost to a request which did not run.
+#[test]
+fn tokens_of_an_unrun_request_are_given_back() {
+    let mut world = relay_fake::World::new();
+    world.feed(relay::Event::Configured(Box::new(relay_fake::catalog(
+        2, 1_000,
+    ))));
+    world.pass(relay_fake::millis(1_000));
+    for _ in 0..30 {
+        // No upstream: each one waits until its caller leaves.
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        world.pass(relay_fake::millis(1_300));
+        assert_eq!(world.refusal(id).reason, relay::Reason::NoUpstream);
+    }
+}
+
+/// Guards against refusals at a host that gets most of a workspace's requests: the coordinator's share follows.
+#[test]
+fn share_of_the_coordinator_is_used_while_it_is_fresh() {
+    let mut world = relay_fake::World::new();
+    world.feed(relay::Event::Hosts(10));
+    world.feed(relay::Event::Configured(Box::new(relay_fake::catalog(
+        2, 1_000,
+    ))));
+    world.see(relay_fake::sighting("one", "plain", &[]));
+    let view = relay::View {
+        epoch: 1,
+        hosts: 10,
+        shares: vec![(relay_fake::name("designers"), 0.9)],
+        placed: Vec::new(),
+        expected: Vec::new(),
+    };
+    world.feed(relay::Event::Viewed(Box::new(view)));
+    let mut served = 0;
+    for _ in 0..20 {
+        world.pass(relay_fake::millis(100));
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        if world.is_sent(id) {
+            served += 1;
+            world.answer(id, 200, false);
+        }
+    }
+    assert!(served >= 16, "{served} of 20");
+}
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -0,0 +1,266 @@
+//! An entry host with upstreams that the tests play.
+
+use std::collections;
+use std::time;
+
+use carawaycleat_core::clock;
+use carawaycleat_core::key;
+use carawaycleat_core::name;
+use carawaycleat_core::relay;
+
+pub(crate) const HOST: &str = "shop.example";
+pub(crate) const KEY: &str = "key-one";
+
+pub(crate) fn name(text: &str) -> name::Name {
+    name::Name::parse(text).expect("a valid name")
+}
+
+pub(crate) fn millis(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
+
+pub(crate) fn route(prefix: &str, kind: relay::Kind, service: &str) -> relay::Route {
+    relay::Route {
+        name: name("route"),
+        host: HOST.into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: millis(4_000),
+        objective: millis(500),
+        gap: millis(150),
+        attempts: 2,
+        priority: 1,
+        targets: vec![relay::Target {
+            service: name(service),
+            weight: 1,
+        }],
+        public: false,
+        resumable: true,
+    }
+}
+
+pub(crate) fn model(weights_mb: f64) -> relay::Model {
+    relay::Model {
+        weights_mb,
+        load: millis(5_000),
+        warm_load: millis(600),
+        disk_load: millis(1_200),
+        adapter_mb: 60.0,
+    }
+}
+
+pub(crate) fn engine(models: &[&str]) -> relay::Engine {
+    relay::Engine {
+        models: models
+            .iter()
+            .map(|text| (name(text), model(72_000.0)))
+            .collect(),
+        slots: 4,
+        tokens: 100_000,
+        weights_mb: 200_000.0,
+        adapter_slots: 2,
+        loads_per_second: 1.4,
+    }
+}
+
+pub(crate) fn workspace(rate: u64) -> relay::Workspace {
+    relay::Workspace {
+        name: name("designers"),
+        priority: None,
+        rate,
+        burst: rate,
+        plain_tokens: 100,
+        keys: vec![key::Digest::of(KEY)],
+    }
+}
+
+pub(crate) fn catalog(version: u64, rate: u64) -> relay::Catalog {
+    let mut booking = route("/book/", relay::Kind::NonIdempotent, "plain");
+    booking.attempts = 1;
+    let mut batch = route("/batch/", relay::Kind::Streaming, "models");
+    batch.resumable = false;
+    let routes = vec![
+        route("/live/", relay::Kind::Streaming, "models"),
+        batch,
+        route("/read/", relay::Kind::Idempotent, "plain"),
+        booking,
+    ];
+    let plain = relay::Service {
+        connections: 100,
+        engine: None,
+    };
+    let models = relay::Service {
+        connections: 100,
+        engine: Some(engine(&["small", "large", "rare"])),
+    };
+    let services = [(name("plain"), plain), (name("models"), models)];
+    relay::Catalog::new(
+        version,
+        routes,
+        services.into_iter().collect(),
+        vec![workspace(rate)],
+        None,
+    )
+}
+
+pub(crate) fn sighting(id: &str, service: &str, models: &[&str]) -> relay::Sighting {
+    relay::Sighting {
+        id: name(id),
+        started: 1,
+        service: name(service),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        zone: name("zone-a"),
+        slots: 4,
+        state: relay::State::Ready,
+        remaining: None,
+        models: models.iter().map(|text| (name(text), Vec::new())).collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+pub(crate) fn arrival(path: &str) -> relay::Arrival {
+    relay::Arrival {
+        name: "request".to_owned(),
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        credential: relay::Credential::Key(key::Digest::of(KEY)),
+        patience: Some(millis(12_000)),
+        model: path.starts_with("/live").then(|| name("small")),
+        adapter: None,
+        tokens: Some((60, 40)),
+        affinity: 0,
+        seed: 7,
+    }
+}
+
+/// An entry host at a time of its own.
+pub(crate) struct World {
+    pub(crate) reducer: relay::Reducer,
+    pub(crate) now: clock::Instant,
+    next: relay::Id,
+    /// The last command of each request.
+    pub(crate) commands: collections::HashMap<relay::Id, Vec<relay::Command>>,
+    /// The events of log records in order.
+    pub(crate) records: Vec<&'static str>,
+}
+
+impl World {
+    /// Returns a host with a configuration and no upstreams.
+    pub(crate) fn new() -> Self {
+        Self::with_rules(relay::Rules::default())
+    }
+
+    pub(crate) fn with_rules(rules: relay::Rules) -> Self {
+        let mut world = Self {
+            reducer: relay::Reducer::new(name("host-1"), name("zone-a"), rules),
+            now: clock::Instant::from_millis(100_000),
+            next: 0,
+            commands: collections::HashMap::new(),
+            records: Vec::new(),
+        };
+        world.feed(relay::Event::Configured(Box::new(catalog(1, 1_000_000))));
+        world.confirm();
+        world
+    }
+
+    /// Confirms the configuration as of now.
+    pub(crate) fn confirm(&mut self) {
+        self.feed(relay::Event::Confirmed(self.now));
+    }
+
+    pub(crate) fn feed(&mut self, event: relay::Event) {
+        for effect in self.reducer.step(self.now, event) {
+            match effect {
+                relay::Effect::Tell(id, command) => {
+                    self.commands.entry(id).or_default().push(command);
+                }
+                relay::Effect::Record(record) => self.records.push(record.event),
+                relay::Effect::Report => {}
+            }
+        }
+    }
+
+    pub(crate) fn see(&mut self, sighting: relay::Sighting) {
+        self.feed(relay::Event::Seen(Box::new(sighting)));
+    }
+
+    /// Lets time pass in steps of 25 ms, with the store in reach.
+    pub(crate) fn pass(&mut self, span: time::Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + millis(25);
+            self.confirm();
+            self.feed(relay::Event::Tick);
+        }
+    }
+
+    pub(crate) fn arrive(&mut self, arrival: relay::Arrival) -> relay::Id {
+        self.next += 1;
+        self.feed(relay::Event::Arrived(self.next, Box::new(arrival)));
+        self.next
+    }
+
+    /// Returns the last command of a request.
+    pub(crate) fn last(&self, id: relay::Id) -> Option<&relay::Command> {
+        self.commands.get(&id)?.last()
+    }
+
+    /// Returns the attempt that a request was sent with last.
+    pub(crate) fn dispatch(&self, id: relay::Id) -> relay::Dispatch {
+        match self.last(id) {
+            Some(relay::Command::Send(dispatch)) => (**dispatch).clone(),
+            other => panic!("not sent: {other:?}"),
+        }
+    }
+
+    /// Returns the upstream that a request was sent to last.
+    pub(crate) fn upstream(&self, id: relay::Id) -> String {
+        self.dispatch(id).upstream.as_str().to_owned()
+    }
+
+    pub(crate) fn is_sent(&self, id: relay::Id) -> bool {
+        matches!(self.last(id), Some(relay::Command::Send(_)))
+    }
+
+    /// Returns the refusal that a request ended with.
+    pub(crate) fn refusal(&self, id: relay::Id) -> relay::Refusal {
+        match self.last(id) {
+            Some(relay::Command::Refuse(refusal)) => *refusal,
+            other => panic!("not refused: {other:?}"),
+        }
+    }
+
+    /// Answers the last attempt of a request.
+    pub(crate) fn answer(&mut self, id: relay::Id, status: u16, not_run: bool) {
+        let attempt = self.dispatch(id).attempt;
+        let answer = relay::Answer {
+            status,
+            not_run,
+            streams: false,
+        };
+        self.feed(relay::Event::Answered(id, attempt, answer));
+    }
+
+    /// Begins the stream of the last attempt of a request.
+    pub(crate) fn begin(&mut self, id: relay::Id) -> u32 {
+        let attempt = self.dispatch(id).attempt;
+        let answer = relay::Answer {
+            status: 200,
+            not_run: false,
+            streams: true,
+        };
+        self.feed(relay::Event::Answered(id, attempt, answer));
+        attempt
+    }
+
+    /// Fails an attempt of a request.
+    pub(crate) fn fail(&mut self, request: relay::Id, attempt: u32, sent: bool) {
+        self.feed(relay::Event::Failed {
+            request,
+            attempt,
+            sent,
+            unreachable: !sent,
+        });
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -0,0 +1,190 @@
+//! Patterns of load: who waits, who is refused, and where work goes.
+
+use std::collections;
+
+use carawaycleat_core::relay;
+
+use crate::relay_fake;
+
+fn live(world: &mut relay_fake::World, model: &str) -> relay::Id {
+    let mut arrival = relay_fake::arrival("/live/1");
+    arrival.model = Some(relay_fake::name(model));
+    world.arrive(arrival)
+}
+
+fn finish(world: &mut relay_fake::World, id: relay::Id) {
+    let attempt = world.begin(id);
+    world.feed(relay::Event::Progress(id, attempt, Some(0)));
+    world.feed(relay::Event::Ended(id, attempt));
+}
+
+/// Pattern: a burst at equal upstreams. Guards against one upstream that gets more than its part.
+#[test]
+fn burst_spreads_over_upstreams() {
+    let mut world = relay_fake::World::new();
+    for id in ["one", "two", "three"] {
+        world.see(relay_fake::sighting(id, "models", &["small"]));
+    }
+    let mut counts = collections::HashMap::new();
+    for _ in 0..12 {
+        let id = live(&mut world, "small");
+        *counts.entry(world.upstream(id)).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|count| *count == 4), "{counts:?}");
+}
+
+/// Pattern: more requests than places. Guards against a queue that serves late requests first: each takes the same
+/// capacity, and a late one earns less.
+#[test]
+fn freed_place_goes_to_a_request_that_can_be_on_time() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let running: Vec<_> = (0..4).map(|_| live(&mut world, "small")).collect();
+    let late = live(&mut world, "small");
+    world.pass(relay_fake::millis(550));
+    let fresh = live(&mut world, "small");
+    finish(&mut world, running[0]);
+    assert!(world.is_sent(fresh));
+    assert!(!world.is_sent(late));
+}
+
+/// Pattern: a queue that grows faster than it drains. Guards against callers who are held until they leave although
+/// it is known that they cannot be served.
+#[test]
+fn hopeless_request_is_refused_at_once() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let mut refused = 0;
+    for _ in 0..60 {
+        let id = live(&mut world, "small");
+        world.feed(relay::Event::Tick);
+        if let Some(relay::Command::Refuse(refusal)) = world.last(id) {
+            assert_eq!(refusal.status(), 503);
+            assert!(refusal.retry_after.is_some());
+            refused += 1;
+        }
+    }
+    assert!(refused > 20, "{refused} refused");
+    let (_, waiting) = world.reducer.counts();
+    assert!(waiting < 30, "{waiting} wait");
+}
+
+/// Pattern: a rare model that nothing holds. Guards against a caller who is held to the end of its time.
+#[test]
+fn request_for_an_unplaced_model_is_refused_after_a_bounded_wait() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let id = live(&mut world, "rare");
+    assert!(world.last(id).is_none(), "it waits for the model at first");
+    world.pass(relay_fake::millis(1_300));
+    assert_eq!(world.refusal(id).status(), 503);
+}
+
+/// Pattern: a rare model that is being loaded. Guards against a refusal although it will be there in time.
+#[test]
+fn request_waits_for_a_model_that_is_on_its_way() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let view = |expected| relay::View {
+        epoch: 1,
+        hosts: 1,
+        shares: Vec::new(),
+        placed: Vec::new(),
+        expected,
+    };
+    let soon = vec![(relay_fake::name("rare"), 1_500)];
+    world.feed(relay::Event::Viewed(Box::new(view(soon))));
+    let id = live(&mut world, "rare");
+    world.pass(relay_fake::millis(1_400));
+    assert!(world.last(id).is_none());
+    world.see(relay_fake::sighting("two", "models", &["rare"]));
+    assert_eq!(world.upstream(id), "two");
+    let late = vec![(relay_fake::name("large"), 9_000)];
+    world.feed(relay::Event::Viewed(Box::new(view(late))));
+    let id = live(&mut world, "large");
+    assert_eq!(world.refusal(id).status(), 503, "it cannot be there in time");
+}
+
+/// Pattern: two hosts that do not hear of each other share an upstream. Guards against a host that keeps sending to
+/// an upstream which others fill.
+#[test]
+fn full_upstream_lowers_the_limit_of_a_host() {
+    let mut world = relay_fake::World::new();
+    let mut sighting = relay_fake::sighting("one", "plain", &[]);
+    sighting.slots = 8;
+    world.see(sighting);
+    let ids: Vec<_> = (0..6)
+        .map(|_| world.arrive(relay_fake::arrival("/read/1")))
+        .collect();
+    assert!(ids.iter().all(|id| world.is_sent(*id)));
+    world.answer(ids[5], 503, true);
+    world.answer(ids[4], 200, false);
+    world.pass(relay_fake::millis(50));
+    let more: Vec<_> = (0..4)
+        .map(|_| world.arrive(relay_fake::arrival("/read/1")))
+        .collect();
+    let sent = more.iter().filter(|id| world.is_sent(**id)).count();
+    assert!(sent <= 1, "{sent} more were sent");
+}
+
+/// Pattern: an upstream that fails part of its requests while its status check is good. Guards against an even
+/// division among sound and failing upstreams.
+#[test]
+fn failing_upstream_gets_little_work() {
+    let mut world = relay_fake::World::new();
+    for id in ["bad", "one", "two"] {
+        world.see(relay_fake::sighting(id, "plain", &[]));
+    }
+    let mut to_bad = 0;
+    for _ in 0..200 {
+        world.pass(relay_fake::millis(25));
+        let id = world.arrive(relay_fake::arrival("/book/1"));
+        let bad = world.upstream(id) == "bad";
+        to_bad += usize::from(bad);
+        world.answer(id, if bad { 500 } else { 200 }, false);
+    }
+    assert!(to_bad < 20, "{to_bad} of 200 went to the failing one");
+    assert!(to_bad > 0, "it is tried again, so that it can recover");
+}
+
+/// Pattern: a slow upstream among fast ones. Guards against a choice by count alone, which treats a slow upstream as
+/// a fast one.
+#[test]
+fn slow_upstream_gets_less_work() {
+    let mut world = relay_fake::World::new();
+    for id in ["slow", "fast"] {
+        world.see(relay_fake::sighting(id, "plain", &[]));
+    }
+    let mut to_slow = 0;
+    for _ in 0..100 {
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        let slow = world.upstream(id) == "slow";
+        to_slow += usize::from(slow);
+        world.pass(relay_fake::millis(if slow { 400 } else { 50 }));
+        world.answer(id, 200, false);
+    }
+    assert!(to_slow < 15, "{to_slow} of 100 went to the slow one");
+}
+
+/// Pattern: a session with a prompt in one upstream's cache. Guards against prompts that are read anew elsewhere while
+/// that upstream has room.
+#[test]
+fn requests_with_a_common_prompt_go_to_one_upstream() {
+    let mut world = relay_fake::World::new();
+    for id in ["one", "two", "three", "four"] {
+        world.see(relay_fake::sighting(id, "models", &["small"]));
+    }
+    let mut moved = 0;
+    for session in 1..=20 {
+        let mut homes = collections::HashSet::new();
+        for _ in 0..5 {
+            let mut arrival = relay_fake::arrival("/live/1");
+            arrival.affinity = session;
+            let id = world.arrive(arrival);
+            homes.insert(world.upstream(id));
+            finish(&mut world, id);
+        }
+        moved += homes.len() - 1;
+    }
+    assert!(moved <= 5, "{moved} moves of 20 sessions");
+}
