--- a/crates/carawaycleat-core/src/coordinator/event.rs
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -43,7 +43,14 @@
     /// This host has become the coordinator with this fencing token.
     Elected(u64),
     /// The configuration has changed.
-    Configured(Vec<(name::Name, relay::Engine)>),
+    Configured {
+        /// The engines of each service that has models.
+        services: Vec<(name::Name, relay::Engine)>,
+        /// The workspaces.
+        workspaces: Vec<relay::Workspace>,
+    },
+    /// The entry hosts that may serve.
+    Hosts(Vec<name::Name>),
     /// An upstream has been seen.
     Seen(Box<relay::Sighting>),
     /// The entry of an upstream has been removed.
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -17,6 +17,8 @@
 const MAX_STEPS: usize = 24;
 /// How long demand for an adapter or model is remembered.
 const DEMAND_MEMORY: time::Duration = time::Duration::from_secs(60);
+/// The time from the expected end of a load until hosts know of it, in milliseconds.
+const EXPECTED_SLACK_MS: u64 = 50;
 /// The time between two probes of an engine whose order should be complete.
 const SETTLE_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// The time between two log lines about the placement.
@@ -82,7 +84,14 @@
         let mut effects = Vec::new();
         match event {
             event::Event::Elected(epoch) => self.elected(now, epoch),
-            event::Event::Configured(services) => self.services = services.into_iter().collect(),
+            event::Event::Configured {
+                services,
+                workspaces,
+            } => {
+                self.services = services.into_iter().collect();
+                self.shares.configure(now, workspaces);
+            }
+            event::Event::Hosts(hosts) => self.shares.set_hosts(hosts),
             event::Event::Seen(sighting) => self.see(now, *sighting),
             event::Event::Removed(id) => {
                 self.engines.remove(&id);
@@ -104,6 +113,7 @@
     fn elected(&mut self, now: clock::Instant, epoch: u64) {
         self.epoch = epoch;
         self.hosts.clear();
+        self.shares.restart(now);
         let sightings: Vec<_> = self
             .engines
             .values()
@@ -457,27 +467,61 @@
             .collect()
     }
 
-    /// Returns what `host` is to know.
-    #[must_use]
-    pub fn view(&self, now: clock::Instant, host: &name::Name) -> relay::View {
-        let mut running = collections::HashMap::<&name::Name, u32>::new();
-        for other in self.hosts.values() {
-            if other.report.host != *host {
-                for (id, count) in &other.report.running {
-                    *running.entry(id).or_default() += count;
-                }
+    /// Returns the answer to the last report of `host`, and grants what it wants.
+    pub fn answer(&mut self, now: clock::Instant, host: &name::Name) -> relay::View {
+        let silence = self.rules.host_silence;
+        let reporting: Vec<_> = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| now.since(host.at) < silence)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let (number, full, wants) = match self.hosts.get_mut(host) {
+            Some(host) => {
+                let wants = std::mem::take(&mut host.report.wants);
+                (host.report.number, host.report.full, wants)
             }
+            None => (0, true, Vec::new()),
+        };
+        let grants = self.shares.grant(now, &wants, reporting.len());
+        let (placed, expected) = if full {
+            (self.placed(now, host), self.expected(now))
+        } else {
+            (Vec::new(), Vec::new())
+        };
+        relay::View {
+            epoch: self.epoch,
+            number,
+            grants,
+            shares: self.shares.of(now, host, &reporting),
+            placed,
+            expected,
         }
-        let millis =
-            |until: clock::Instant| u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX);
+    }
+
+    /// Returns the time until each model that is being loaded is there, in milliseconds.
+    fn expected(&self, now: clock::Instant) -> Vec<(name::Name, u64)> {
         let mut expected = collections::BTreeMap::new();
         for engine in self.engines.values() {
             if let Some((model, ready)) = engine.loading() {
-                let left = millis(ready) + 50;
+                let left = millis(now, ready) + EXPECTED_SLACK_MS;
                 let entry = expected.entry(model.clone()).or_insert(left);
                 *entry = left.min(*entry);
             }
         }
+        expected.into_iter().collect()
+    }
+
+    /// Returns what `host` is to know of the engines.
+    fn placed(&self, now: clock::Instant, host: &name::Name) -> Vec<relay::Placed> {
+        let mut running = collections::HashMap::<&name::Name, u32>::new();
+        for other in self.hosts.values() {
+            if other.report.host != *host {
+                for (id, count) in &other.report.running {
+                    *running.entry(id).or_default() += count;
+                }
+            }
+        }
         let placed = self.engines.iter().filter(|(_, engine)| {
             self.services.contains_key(&engine.sighting.service) && engine.answered.is_some()
         });
@@ -486,20 +530,17 @@
             models: engine.models.keys().cloned().collect(),
             loading: engine
                 .loading()
-                .map(|(model, ready)| (model.clone(), millis(ready)))
+                .map(|(model, ready)| (model.clone(), millis(now, ready)))
                 .into_iter()
                 .collect(),
             unloading: engine.unloading().cloned().into_iter().collect(),
             adapters: engine.adapters.keys().cloned().collect(),
             running: running.get(id).copied().unwrap_or(0),
         });
-        let hosts: Vec<_> = self.hosts.keys().cloned().collect();
-        relay::View {
-            epoch: self.epoch,
-            hosts: u32::try_from(hosts.len()).unwrap_or(u32::MAX),
-            shares: self.shares.of(now, host, &hosts),
-            placed: placed.collect(),
-            expected: expected.into_iter().collect(),
-        }
+        placed.collect()
     }
 }
+
+fn millis(now: clock::Instant, until: clock::Instant) -> u64 {
+    u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/carawaycleat-core/src/relay/allowance.rs
+++ b/crates/carawaycleat-core/src/relay/allowance.rs
@@ -89,11 +89,22 @@
             self.level -= tokens;
             return Ok(());
         }
-        let missing = needed - self.level + self.promised;
+        Err(self.promise(needed, tokens))
+    }
+
+    /// Returns the time after which a request that got no tokens elsewhere would pass here.
+    pub fn wait(&mut self, now: clock::Instant, tokens: u64) -> time::Duration {
+        self.fill(now);
+        let tokens = tokens as f64;
+        self.promise(tokens.min(self.capacity()), tokens)
+    }
+
+    /// Callers that are refused one after the other come back one after the other.
+    fn promise(&mut self, needed: f64, tokens: f64) -> time::Duration {
+        let missing = (needed - self.level + self.promised).max(0.0);
         let seconds = missing / (self.rate * self.share).max(1.0);
-        // Callers that are refused one after the other come back one after the other.
         self.promised += tokens;
-        Err(time::Duration::from_secs_f64(seconds.min(60.0)))
+        time::Duration::from_secs_f64(seconds.min(60.0))
     }
 
     /// Gives back the tokens of a request that did not run.
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -40,6 +40,8 @@
     pub(super) priority: u8,
     /// The tokens charged to the workspace.
     pub(super) cost: u64,
+    /// Whether it has the tokens that it costs.
+    pub(super) has_tokens: bool,
     pub(super) arrived: clock::Instant,
     /// When the final answer is due.
     pub(super) due: clock::Instant,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -45,6 +45,20 @@
 
 /// What requests that wait for the same upstreams have in common: the service and the model.
 type Line = (name::Name, Option<name::Name>);
+/// The longest time that a request waits for tokens of its workspace: some round trips to the coordinator.
+const BORROW_TIME: time::Duration = time::Duration::from_millis(250);
+/// The time for which the coordinator is not asked again after it had no tokens.
+const DENIAL_TIME: time::Duration = time::Duration::from_millis(60);
+
+/// A request that waits for tokens.
+#[derive(Clone, Copy, Debug)]
+struct Borrower {
+    request: event::Id,
+    since: clock::Instant,
+    /// The report that asks for its tokens.
+    report: Option<u64>,
+}
+
 type Key = (clock::Instant, event::Id);
 
 /// Everything that an entry host decides about requests.
@@ -67,6 +81,11 @@
     sends: flow::Flow<Line>,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
     budgets: collections::HashMap<name::Name, retry::Budget>,
+    /// The requests that wait for tokens of their workspace, in order of arrival.
+    borrowers: collections::VecDeque<Borrower>,
+    /// When the coordinator last had no tokens of a workspace.
+    denied: collections::HashMap<name::Name, clock::Instant>,
+    reports: u64,
     hosts: usize,
     view: Option<(clock::Instant, view::View)>,
     asks: collections::HashMap<(name::Name, name::Name, Option<name::Name>), u64>,
@@ -92,6 +111,9 @@
             sends: flow::Flow::default(),
             allowances: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
+            borrowers: collections::VecDeque::new(),
+            denied: collections::HashMap::new(),
+            reports: 0,
             hosts: 1,
             view: None,
             asks: collections::HashMap::new(),
@@ -172,15 +194,31 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let name = arrival.name.clone();
+        let workspace = self.workspace_of(&arrival);
+        let tokens = arrival.tokens.unwrap_or_default();
         match self.admit(now, arrival) {
             Ok(request) => {
+                let has_tokens = request.has_tokens;
                 self.requests.insert(id, request);
-                self.seek(now, id, effects);
+                if has_tokens {
+                    self.seek(now, id, effects);
+                } else {
+                    self.borrowers.push_back(Borrower {
+                        request: id,
+                        since: now,
+                        report: None,
+                    });
+                    effects.push(effect::Effect::Report);
+                }
             }
             Err(refusal) => {
                 let detail = format!(
-                    "reason={} config_age_ms={}",
+                    "reason={} status={} workspace={} tokens={} config={} config_age_ms={}",
                     refusal.reason.as_str(),
+                    refusal.status(),
+                    workspace.as_deref().unwrap_or("-"),
+                    tokens.0 + tokens.1,
+                    self.catalog.as_ref().map_or(0, catalog::Catalog::version),
                     self.config_age(now).map_or(0, |age| age.as_millis())
                 );
                 effects.push(record("refused", name, None, detail));
@@ -189,6 +227,15 @@
         }
     }
 
+    /// Returns the workspace whose key came with a request.
+    fn workspace_of(&self, arrival: &arrival::Arrival) -> Option<name::Name> {
+        let arrival::Credential::Key(digest) = &arrival.credential else {
+            return None;
+        };
+        let workspace = self.catalog.as_ref()?.workspace_of(digest)?;
+        Some(workspace.name.clone())
+    }
+
     fn admit(
         &mut self,
         now: clock::Instant,
@@ -233,6 +280,7 @@
             .ok_or_else(|| deny(refusal::Reason::UnknownRoute))?;
         let patience = arrival.patience.unwrap_or(route.timeout);
         let mut cost = 0;
+        let mut has_tokens = true;
         if let Some(workspace) = workspace {
             cost = arrival.cost(workspace.plain_tokens);
             *self.usage.entry(workspace.name.clone()).or_default() += cost;
@@ -245,7 +293,12 @@
                 });
             allowance.set(now, workspace.rate, workspace.burst, share);
             if let Err(wait) = allowance.take(now, cost) {
-                return Err(refuse(refusal::Reason::RateLimited, Some(wait)));
+                let denied = self.denied.get(&workspace.name);
+                let denied = denied.is_some_and(|at| now.since(*at) < DENIAL_TIME);
+                if !self.has_view(now) || denied {
+                    return Err(refuse(refusal::Reason::RateLimited, Some(wait)));
+                }
+                has_tokens = false;
             }
         }
         if let Some(model) = &arrival.model {
@@ -265,6 +318,7 @@
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
             cost,
+            has_tokens,
             arrived: now,
             due: now + route.timeout.min(patience),
             patience: now + patience,
@@ -279,6 +333,65 @@
         })
     }
 
+    fn has_view(&self, now: clock::Instant) -> bool {
+        let view = self.view.as_ref();
+        view.is_some_and(|(at, _)| now.since(*at) < VIEW_AGE)
+    }
+
+    /// Gives the tokens that the coordinator granted to the requests that wait for them, and refuses the others that
+    /// the coordinator has heard of.
+    fn lend(
+        &mut self,
+        now: clock::Instant,
+        number: u64,
+        grants: Vec<(name::Name, u32)>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let mut grants: collections::HashMap<_, _> = grants.into_iter().collect();
+        for borrower in std::mem::take(&mut self.borrowers) {
+            let id = borrower.request;
+            if borrower.report != Some(number) {
+                self.borrowers.push_back(borrower);
+                continue;
+            }
+            let Some(request) = self.requests.get_mut(&id) else {
+                continue;
+            };
+            let workspace = request.workspace.clone();
+            let granted = workspace.as_ref().and_then(|name| grants.get_mut(name));
+            match granted.filter(|count| **count > 0) {
+                Some(count) => {
+                    *count -= 1;
+                    request.has_tokens = true;
+                    self.seek(now, id, effects);
+                }
+                None => {
+                    if let Some(workspace) = workspace {
+                        self.denied.insert(workspace, now);
+                    }
+                    self.refuse_tokens(now, id, effects);
+                }
+            }
+        }
+    }
+
+    fn refuse_tokens(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let request = self.requests.get(&id);
+        let allowance = request.and_then(|request| {
+            let name = request.workspace.as_ref()?;
+            let cost = request.cost;
+            Some((self.allowances.get_mut(name)?, cost))
+        });
+        let wait = allowance.map(|(allowance, cost)| allowance.wait(now, cost));
+        let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+        self.refuse(now, id, refusal::Reason::RateLimited, Some(wait), effects);
+    }
+
     /// Returns this host's part of a workspace's allowance.
     fn share(&self, now: clock::Instant, workspace: &name::Name) -> f64 {
         let even = 1.0 / self.hosts.max(1) as f64;
@@ -439,8 +552,10 @@
             after: request.after,
         };
         let detail = format!(
-            "attempt={} model={} adapter={} zone={} load={}+{} waited_ms={} config={}",
+            "attempt={} workspace={} tokens={} model={} adapter={} zone={} load={}+{} waited_ms={} config={}",
             request.attempt,
+            request.workspace.as_deref().unwrap_or("-"),
+            request.cost,
             request.model.as_deref().unwrap_or("-"),
             request.adapter.as_deref().unwrap_or("-"),
             entry.sighting.zone,
@@ -739,7 +854,7 @@
         };
         self.waiting.remove(&(request.urgency(), id));
         let may_have_run = request.runs > 0 || in_progress.is_some();
-        if !may_have_run {
+        if !may_have_run && request.has_tokens {
             self.give_back(&request);
         }
         let refusal = refusal::Refusal {
@@ -748,8 +863,10 @@
             retry_after,
         };
         let detail = format!(
-            "reason={} model={} adapter={} status={} attempts={} delivered={} ms={}",
+            "reason={} workspace={} tokens={} model={} adapter={} status={} attempts={} delivered={} ms={}",
             reason.as_str(),
+            request.workspace.as_deref().unwrap_or("-"),
+            request.cost,
             request.model.as_deref().unwrap_or("-"),
             request.adapter.as_deref().unwrap_or("-"),
             refusal.status(),
@@ -792,6 +909,14 @@
         self.table.retain(|_, entry| {
             entry.running > 0 || entry.removed.is_none_or(|at| now.since(at) < gone)
         });
+        while let Some(borrower) = self.borrowers.front() {
+            if now.since(borrower.since) < BORROW_TIME {
+                break;
+            }
+            let id = borrower.request;
+            self.borrowers.pop_front();
+            self.refuse_tokens(now, id, effects);
+        }
         let due: Vec<_> = self
             .requests
             .iter()
@@ -1054,12 +1179,19 @@
         if is_older {
             return;
         }
+        if view.placed.is_empty()
+            && let Some((_, current)) = &mut self.view
+        {
+            std::mem::swap(&mut view.expected, &mut current.expected);
+        }
         for placed in view.placed.drain(..) {
             if let Some(entry) = self.table.get_mut(&placed.upstream) {
                 entry.place(now, placed);
             }
         }
+        let (number, grants) = (view.number, std::mem::take(&mut view.grants));
         self.view = Some((now, view));
+        self.lend(now, number, grants, effects);
         self.serve_waiting(now, effects);
     }
 
@@ -1067,8 +1199,20 @@
         self.hosts = hosts.max(1);
     }
 
-    /// Returns what the coordinator is to know, and starts the counts anew.
-    pub fn report(&mut self, now: clock::Instant) -> report::Report {
+    /// Returns what the coordinator is to know, and starts the counts anew. With `full`, the answer is to tell about
+    /// engines.
+    pub fn report(&mut self, now: clock::Instant, full: bool) -> report::Report {
+        self.reports += 1;
+        let mut wants = Vec::new();
+        for borrower in &mut self.borrowers {
+            let request = self.requests.get(&borrower.request);
+            let workspace = request.and_then(|request| request.workspace.clone());
+            if let (Some(request), Some(workspace)) = (request, workspace) {
+                // A repeat after a lost answer takes tokens twice, which is on the safe side.
+                borrower.report = Some(self.reports);
+                wants.push((workspace, request.cost));
+            }
+        }
         let mut waiting = collections::HashMap::<_, u32>::new();
         for (_, id) in &self.waiting {
             let Some(request) = self.requests.get(id) else {
@@ -1099,6 +1243,9 @@
         self.reported = now;
         report::Report {
             host: self.host.clone(),
+            number: self.reports,
+            full: full || !waiting.is_empty(),
+            wants,
             span_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
             asks: asks.collect(),
             running: self
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -22,6 +22,12 @@
 pub struct Report {
     /// The host.
     pub host: name::Name,
+    /// The number of the report, counted by its host.
+    pub number: u64,
+    /// Whether the answer is to tell about engines.
+    pub full: bool,
+    /// The tokens of each request that waits for tokens of its workspace.
+    pub wants: Vec<(name::Name, u64)>,
     /// The time that the counts cover, in milliseconds.
     pub span_ms: u64,
     /// What is asked for.
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -24,11 +24,13 @@
 pub struct View {
     /// The coordinator's fencing token; views of an earlier coordinator are dropped.
     pub epoch: u64,
-    /// The number of entry hosts.
-    pub hosts: u32,
-    /// The part of each workspace's allowance that this host may use.
+    /// The report that this answers.
+    pub number: u64,
+    /// The requests of the report that get their tokens, by workspace, in the order of the report.
+    pub grants: Vec<(name::Name, u32)>,
+    /// The part of each workspace's allowance that this host may use without asking.
     pub shares: Vec<(name::Name, f64)>,
-    /// The engines.
+    /// The engines; none where the report did not ask.
     pub placed: Vec<Placed>,
     /// The milliseconds until each model that is held nowhere can run, where it is known.
     pub expected: Vec<(name::Name, u64)>,
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -110,7 +110,10 @@
     assert_eq!(orders[0].operation, coordinator::Operation::Load);
     assert_eq!(orders[0].model.as_str(), "rare");
     assert_eq!((orders[0].sequence, orders[0].epoch), (0, 41));
-    assert!(world.tick().is_empty(), "an order in progress is not repeated");
+    assert!(
+        world.tick().is_empty(),
+        "an order in progress is not repeated"
+    );
 }
 
 /// Guards against more weights than an engine's memory holds.
@@ -125,7 +128,11 @@
             .tick()
             .into_iter()
             .filter(|order| order.operation == coordinator::Operation::Load);
-        assert_eq!(loads.count(), 0, "two models of 72 GB and adapters fill 200 GB");
+        assert_eq!(
+            loads.count(),
+            0,
+            "two models of 72 GB and adapters fill 200 GB"
+        );
     }
 }
 
@@ -261,7 +268,10 @@
     world.ask("small", Some("a1"), 100, 1);
     assert!(world.tick().is_empty());
     let view = world.reducer.view(world.now, &relay_fake::name("host-1"));
-    let holders = view.placed.iter().filter(|placed| !placed.adapters.is_empty());
+    let holders = view
+        .placed
+        .iter()
+        .filter(|placed| !placed.adapters.is_empty());
     assert_eq!(holders.count(), 1);
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -102,7 +102,11 @@
     let late = vec![(relay_fake::name("large"), 9_000)];
     world.feed(relay::Event::Viewed(Box::new(view(late))));
     let id = live(&mut world, "large");
-    assert_eq!(world.refusal(id).status(), 503, "it cannot be there in time");
+    assert_eq!(
+        world.refusal(id).status(),
+        503,
+        "it cannot be there in time"
+    );
 }
 
 /// Pattern: two hosts that do not hear of each other share an upstream. Guards against a host that keeps sending to
