--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -493,6 +493,7 @@
             epoch: self.epoch,
             number,
             grants,
+            full,
             shares: self.shares.of(now, host, &reporting),
             placed,
             expected,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1179,7 +1179,7 @@
         if is_older {
             return;
         }
-        if view.placed.is_empty()
+        if !view.full
             && let Some((_, current)) = &mut self.view
         {
             std::mem::swap(&mut view.expected, &mut current.expected);
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -30,7 +30,9 @@
     pub grants: Vec<(name::Name, u32)>,
     /// The part of each workspace's allowance that this host may use without asking.
     pub shares: Vec<(name::Name, f64)>,
-    /// The engines; none where the report did not ask.
+    /// Whether it tells about engines.
+    pub full: bool,
+    /// The engines.
     pub placed: Vec<Placed>,
     /// The milliseconds until each model that is held nowhere can run, where it is known.
     pub expected: Vec<(name::Name, u64)>,
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -21,7 +21,10 @@
             orders: Vec::new(),
         };
         let services = vec![(relay_fake::name("models"), relay_fake::engine(models))];
-        world.feed(coordinator::Event::Configured(services));
+        world.feed(coordinator::Event::Configured {
+            services,
+            workspaces: vec![relay_fake::workspace(1_000)],
+        });
         world.feed(coordinator::Event::Elected(41));
         // The loads that a predecessor may have ordered are forgotten after the window.
         world.now = world.now + relay_fake::millis(6_000);
@@ -69,6 +72,9 @@
     pub(crate) fn ask(&mut self, model: &str, adapter: Option<&str>, tokens: u64, waiting: u32) {
         let report = relay::Report {
             host: relay_fake::name("host-1"),
+            number: 1,
+            full: true,
+            wants: Vec::new(),
             span_ms: 200,
             asks: vec![relay::Ask {
                 service: relay_fake::name("models"),
@@ -267,7 +273,7 @@
     world.pass(20);
     world.ask("small", Some("a1"), 100, 1);
     assert!(world.tick().is_empty());
-    let view = world.reducer.view(world.now, &relay_fake::name("host-1"));
+    let view = world.reducer.answer(world.now, &relay_fake::name("host-1"));
     let holders = view
         .placed
         .iter()
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod coordinator;
 mod coordinator_load;
+mod coordinator_share;
 mod fake;
 mod fault;
 mod freshness;
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -99,8 +99,10 @@
     world.see(relay_fake::sighting("one", "plain", &[]));
     let view = relay::View {
         epoch: 1,
-        hosts: 10,
+        number: 0,
+        grants: Vec::new(),
         shares: vec![(relay_fake::name("designers"), 0.9)],
+        full: true,
         placed: Vec::new(),
         expected: Vec::new(),
     };
@@ -116,3 +118,81 @@
     }
     assert!(served >= 16, "{served} of 20");
 }
+
+/// Returns a host whose part of the allowance is smaller than one request, and which hears the coordinator.
+fn lender() -> relay_fake::World {
+    let mut world = relay_fake::World::new();
+    world.feed(relay::Event::Hosts(100));
+    world.feed(relay::Event::Configured(Box::new(relay_fake::catalog(
+        2, 1_000,
+    ))));
+    world.see(relay_fake::sighting("one", "plain", &[]));
+    world.feed(relay::Event::Viewed(Box::new(view(0, 0))));
+    // The local part is used up.
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    if world.is_sent(id) {
+        world.answer(id, 200, false);
+    }
+    world
+}
+
+fn view(number: u64, granted: u32) -> relay::View {
+    relay::View {
+        epoch: 1,
+        number,
+        grants: vec![(relay_fake::name("designers"), granted)],
+        shares: vec![(relay_fake::name("designers"), 0.001)],
+        full: true,
+        placed: Vec::new(),
+        expected: Vec::new(),
+    }
+}
+
+/// Guards against refusals within the allowance because each host's part is smaller than one request.
+#[test]
+fn request_without_tokens_asks_the_coordinator() {
+    let mut world = lender();
+    let first = world.arrive(relay_fake::arrival("/read/1"));
+    let second = world.arrive(relay_fake::arrival("/read/1"));
+    assert!(world.last(first).is_none() && world.last(second).is_none());
+    let report = world.reducer.report(world.now, false);
+    let wanted: Vec<_> = report.wants.iter().map(|(_, tokens)| *tokens).collect();
+    assert!(wanted.ends_with(&[100, 100]), "{wanted:?}");
+    let before = u32::try_from(wanted.len()).expect("a small number") - 2;
+    world.feed(relay::Event::Viewed(Box::new(view(
+        report.number,
+        before + 1,
+    ))));
+    assert!(world.is_sent(first));
+    assert_eq!(world.refusal(second).status(), 429);
+}
+
+/// Guards against tokens of one report that are taken for those of another.
+#[test]
+fn answer_to_an_earlier_report_refuses_nobody() {
+    let mut world = lender();
+    let earlier = world.reducer.report(world.now, false).number;
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    world.feed(relay::Event::Viewed(Box::new(view(earlier, 0))));
+    assert!(world.last(id).is_none());
+}
+
+/// Guards against a caller that waits for a coordinator which does not answer.
+#[test]
+fn wait_for_tokens_is_bounded() {
+    let mut world = lender();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    world.pass(relay_fake::millis(300));
+    assert_eq!(world.refusal(id).status(), 429);
+}
+
+/// Guards against a host without a coordinator that asks for tokens: it uses its even part and refuses the rest.
+#[test]
+fn host_without_a_coordinator_refuses_at_once() {
+    let mut world = lender();
+    world.pass(relay_fake::millis(3_000));
+    let ids: Vec<_> = (0..3)
+        .map(|_| world.arrive(relay_fake::arrival("/read/1")))
+        .collect();
+    assert_eq!(world.refusal(ids[2]).status(), 429);
+}
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -87,8 +87,10 @@
     world.see(relay_fake::sighting("one", "models", &["small"]));
     let view = |expected| relay::View {
         epoch: 1,
-        hosts: 1,
+        number: 0,
+        grants: Vec::new(),
         shares: Vec::new(),
+        full: true,
         placed: Vec::new(),
         expected,
     };
