feat(cli): explain a request from logs

`carawaycleat explain ID [FILE...]` shows the decisions about one request over all hosts in order, what each went by, and the cause in the last line.

--- a/crates/carawaycleat-core/src/relay/rules.rs
+++ b/crates/carawaycleat-core/src/relay/rules.rs
@@ -22,8 +22,9 @@
 impl Default for Rules {
     fn default() -> Self {
         Self {
-            // The platform's bound for a withdrawn key is 5 s; the rest is for requests on their way.
-            max_config_age: time::Duration::from_millis(4_200),
+            // The platform's bound for a withdrawn key is 5 s. A watch may hear nothing for a second while keys are
+            // withdrawn, and the rest is for requests on their way.
+            max_config_age: time::Duration::from_millis(3_400),
             max_denial_age: time::Duration::from_millis(1_500),
             // The platform's bound is 20%; the margin covers requests that never leave their caller.
             retry_percent: 16,
--- a/crates/carawaycleat/src/cli.rs
+++ b/crates/carawaycleat/src/cli.rs
@@ -6,6 +6,7 @@
 mod client;
 mod delete;
 mod error;
+mod explain;
 mod get;
 mod options;
 mod status;
@@ -73,6 +74,7 @@
                 if_match,
             } => delete::run(&client, *kind, name, *if_match, output, out).await,
             Command::Watch { kind } => watch::run(&client, *kind, output, out).await,
+            Command::Explain { id, files } => explain::run(id, files, output, out),
             Command::Status => status::run(&client, output, out).await,
             Command::Timeline { local, filter } => {
                 timeline::run(&client, filter, *local, output, out).await
--- a/crates/carawaycleat/src/cli/options.rs
+++ b/crates/carawaycleat/src/cli/options.rs
@@ -92,6 +92,13 @@
         /// The kind, or none for all.
         kind: Option<resource::Kind>,
     },
+    /// Shows what logs say about one request.
+    Explain {
+        /// The identifier that the caller gave.
+        id: String,
+        /// The logs; standard input when there are none.
+        files: Vec<path::PathBuf>,
+    },
     /// Shows the state of entry hosts.
     Status,
     /// Shows the timeline.
@@ -155,8 +162,8 @@
 
 fn command() -> impl bpaf::Parser<Invocation> {
     let (check, apply, get, delete) = (check(), apply(), get(), delete());
-    let (watch, status, timeline) = (watch(), status(), timeline());
-    bpaf::construct!([check, apply, get, delete, watch, status, timeline])
+    let (watch, explain, status, timeline) = (watch(), explain(), status(), timeline());
+    bpaf::construct!([check, apply, get, delete, watch, explain, status, timeline])
 }
 
 fn check() -> impl bpaf::Parser<Invocation> {
@@ -229,6 +236,21 @@
         .help("Follow changes of resources")
 }
 
+fn explain() -> impl bpaf::Parser<Invocation> {
+    let given = given();
+    let id =
+        bpaf::positional::<String>("ID").help("Identifier of the request, as its caller gave it");
+    let files = bpaf::positional::<path::PathBuf>("FILE")
+        .help("Log of a process; standard input when there is none")
+        .many();
+    let command = bpaf::construct!(Command::Explain { id, files });
+    bpaf::construct!(given, command)
+        .to_options()
+        .descr("Shows the decisions about one request in the logs of several processes, and its cause.")
+        .command("explain")
+        .help("Explain what happened to one request from logs")
+}
+
 fn status() -> impl bpaf::Parser<Invocation> {
     let given = given();
     let command = bpaf::pure(Command::Status);
