--- a/crates/carawaycleat/tests/suite/operators.rs
+++ b/crates/carawaycleat/tests/suite/operators.rs
@@ -10,7 +10,7 @@
 
 use crate::manifest;
 
-const PAGE: &str = include_str!("../../../../docs/operators.md");
+const PAGE: &str = include_str!("../../../../docs/OPERATIONS.md");
 
 /// Returns the text from a heading to the next one of the same or a higher level.
 fn section(heading: &str) -> &'static str {
