--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -7,6 +7,7 @@
 mod effect;
 mod engine;
 mod event;
+mod history;
 mod order;
 mod plan;
 mod reducer;
@@ -19,6 +20,7 @@
 pub use event::Event;
 pub use event::Outcome;
 pub use event::Status;
+pub use history::History;
 pub use order::Operation;
 pub use order::Order;
 pub use reducer::Reducer;
