--- a/crates/carawaycleat-core/src/relay/pick.rs
+++ b/crates/carawaycleat-core/src/relay/pick.rs
@@ -71,9 +71,19 @@
             .filter(|upstream| !upstream.is_avoided(self.now))
             .collect();
         if sound.is_empty() && repeated {
-            return Choice::Full;
+            return Choice::Unplaced;
+        }
+        // Where all are avoided, one request at a time finds out whether an upstream is back.
+        let candidates: Vec<_> = match sound.is_empty() {
+            true => candidates
+                .into_iter()
+                .filter(|upstream| upstream.running == 0)
+                .collect(),
+            false => sound,
+        };
+        if candidates.is_empty() {
+            return Choice::Unplaced;
         }
-        let candidates = if sound.is_empty() { candidates } else { sound };
         let open: Vec<_> = candidates
             .into_iter()
             .filter(|upstream| upstream.has_room(self.now, self.slots(upstream)))
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -869,8 +869,9 @@
             retry_after,
         };
         let detail = format!(
-            "reason={} workspace={} tokens={} model={} adapter={} status={} attempts={} delivered={} ms={}",
+            "reason={} config_age_ms={} workspace={} tokens={} model={} adapter={} status={} attempts={} delivered={} ms={}",
             reason.as_str(),
+            self.config_age(now).map_or(0, |age| age.as_millis()),
             request.workspace.as_deref().unwrap_or("-"),
             request.cost,
             request.model.as_deref().unwrap_or("-"),
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -194,3 +194,26 @@
     }
     assert!(moved <= 5, "{moved} moves of 20 sessions");
 }
+
+/// Pattern: the only upstream with a model goes down. Guards against retries that all go to it, and against a loss of
+/// the model that the coordinator does not hear of.
+#[test]
+fn lost_holder_of_a_model_is_reported_and_not_retried() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let id = live(&mut world, "small");
+    let attempt = world.begin(id);
+    world.feed(relay::Event::Progress(id, attempt, Some(4)));
+    world.fail(id, attempt, false);
+    assert_eq!(
+        world.commands[&id].len(),
+        2,
+        "it is not sent to the same upstream at once"
+    );
+    let report = world.reducer.report(world.now, true);
+    assert!(report.asks.iter().any(|ask| ask.waiting == 1));
+    assert_eq!(report.suspects.len(), 1);
+    world.see(relay_fake::sighting("two", "models", &["small"]));
+    assert_eq!(world.upstream(id), "two");
+    assert_eq!(world.dispatch(id).after, Some(4));
+}
