feat: share doubt about upstreams, and end waits that have no chance

The coordinator names upstreams that several hosts get no answers from, at most a quarter of a service; what may run once is not sent to an upstream whose last connection broke. An attempt of which no byte left takes nothing of the retry budget.

--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -21,6 +21,9 @@
 const EXPECTED_SLACK_MS: u64 = 50;
 /// The time between two probes of an engine whose order should be complete.
 const SETTLE_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// The hosts that have to get no answers from an upstream before all avoid it, as a part of the hosts and in number.
+const SUSPICION_PART: usize = 8;
+const MIN_SUSPICION: usize = 2;
 /// The time between two log lines about the placement.
 const LOG_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// The time before an order without an answer is sent again.
@@ -432,7 +435,11 @@
                 *counts.entry(id).or_default() += 1;
             }
         }
-        let suspects = counts.into_iter().filter(|(_, count)| count * 2 >= hosts);
+        // Most hosts of a large fleet send little to one upstream, so few of them notice.
+        let enough = (hosts / SUSPICION_PART).max(MIN_SUSPICION).min(hosts);
+        let suspects = counts
+            .into_iter()
+            .filter(|(_, count)| *count >= enough.max(1));
         self.suspects = suspects.map(|(id, _)| id.clone()).collect();
     }
 
@@ -494,6 +501,7 @@
             number,
             grants,
             full,
+            suspects: self.suspects.iter().cloned().collect(),
             shares: self.shares.of(now, host, &reporting),
             placed,
             expected,
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -47,7 +47,11 @@
     pub(super) due: clock::Instant,
     /// When the caller stops waiting.
     pub(super) patience: clock::Instant,
+    /// Whether it waits for a model or adapter that no upstream holds, and not for room.
+    pub(super) unplaced: bool,
     pub(super) attempt: u32,
+    /// The attempts of which a byte may have left.
+    pub(super) arrivals: u32,
     /// The attempts that may have run.
     pub(super) runs: u32,
     /// The upstreams that an attempt was sent to.
--- a/crates/carawaycleat-core/src/relay/pick.rs
+++ b/crates/carawaycleat-core/src/relay/pick.rs
@@ -70,6 +70,13 @@
             .copied()
             .filter(|upstream| !upstream.is_avoided(self.now))
             .collect();
+        // What may run once only is not used to find out whether an upstream is sound.
+        let certain: Vec<_> = sound
+            .iter()
+            .copied()
+            .filter(|upstream| request.route.is_repeatable() || !upstream.is_doubtful())
+            .collect();
+        let sound = if certain.is_empty() { sound } else { certain };
         if sound.is_empty() && repeated {
             return Choice::Unplaced;
         }
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -39,9 +39,14 @@
 const PROMPT_TOKENS: u64 = 3;
 
 /// The rate at which requests of a line are sent when none has been sent lately, in requests a second.
-const MIN_SEND_RATE: f64 = 2.0;
-/// The shortest time after which a refused caller is asked to come back.
+const MIN_SEND_RATE: f64 = 1.0;
+/// The bounds of the time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(4_000);
+/// One in this many upstreams of a service is avoided at most because of what other hosts say.
+const MAX_DOUBT_PART: usize = 4;
+/// The time between two looks at whether waiting requests still have a chance.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(150);
 
 /// What requests that wait for the same upstreams have in common: the service and the model.
 type Line = (name::Name, Option<name::Name>);
@@ -79,6 +84,7 @@
     lines: collections::HashMap<Line, u32>,
     /// The requests sent in each line.
     sends: flow::Flow<Line>,
+    checked: clock::Instant,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
     budgets: collections::HashMap<name::Name, retry::Budget>,
     /// The requests that wait for tokens of their workspace, in order of arrival.
@@ -109,6 +115,7 @@
             waiting: collections::BTreeSet::new(),
             lines: collections::HashMap::new(),
             sends: flow::Flow::default(),
+            checked: clock::Instant::default(),
             allowances: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             borrowers: collections::VecDeque::new(),
@@ -328,7 +335,9 @@
             arrived: now,
             due: now + route.timeout.min(patience),
             patience: now + patience,
+            unplaced: false,
             attempt: 0,
+            arrivals: 0,
             runs: 0,
             tried: Vec::new(),
             rejected: 0,
@@ -453,9 +462,10 @@
         key: Key,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let Some(request) = self.requests.get(&id) else {
+        let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        request.unplaced = false;
         if request.attempt > 0 || self.waiting.contains(&key) {
             self.waiting.insert(key);
             return;
@@ -480,6 +490,10 @@
         key: Key,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.unplaced = true;
         let Some(request) = self.requests.get(&id) else {
             return;
         };
@@ -535,6 +549,7 @@
             budget.request(now);
         }
         request.attempt += 1;
+        request.arrivals += 1;
         request.tried.push(upstream.clone());
         request.place = pending::Place::At {
             upstream: upstream.clone(),
@@ -789,6 +804,8 @@
             entry.observe(now, true);
             if unreachable {
                 entry.avoid(now);
+            } else {
+                entry.broke(now);
             }
         }
         let Some(request) = self.requests.get_mut(&id) else {
@@ -796,6 +813,8 @@
         };
         if sent {
             request.runs += 1;
+        } else {
+            request.arrivals -= 1;
         }
         let detail = format!("attempt={attempt} sent={sent} unreachable={unreachable}");
         effects.push(record(
@@ -804,9 +823,19 @@
             Some(upstream),
             detail,
         ));
+        if !sent && now + MIN_REMAINING < self.due(id) {
+            // Nothing arrived anywhere, so that this takes nothing of the budget.
+            return self.seek(now, id, effects);
+        }
         self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
     }
 
+    fn due(&self, id: event::Id) -> clock::Instant {
+        self.requests
+            .get(&id)
+            .map_or_else(clock::Instant::default, |request| request.due)
+    }
+
     fn retry_or_refuse(
         &mut self,
         now: clock::Instant,
@@ -833,7 +862,7 @@
             return false;
         };
         let allowed = (request.runs == 0 || request.may_repeat())
-            && request.attempt < MAX_SENDS
+            && request.arrivals < MAX_SENDS
             && now + MIN_REMAINING < request.due;
         let budget = self.budgets.get_mut(&request.service);
         if !allowed || !budget.is_some_and(|budget| budget.take(now)) {
@@ -952,6 +981,51 @@
         }
         self.move_stalled(now, effects);
         self.serve_waiting(now, effects);
+        if now.since(self.checked) >= CHECK_INTERVAL {
+            self.checked = now;
+            self.refuse_hopeless(now, effects);
+        }
+    }
+
+    /// Refuses waiting requests whose turn comes after their callers have left.
+    fn refuse_hopeless(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let mut ahead = collections::HashMap::<Line, u32>::new();
+        let mut hopeless = Vec::new();
+        let (late, on_time) = self.turns(now);
+        for id in on_time.into_iter().chain(late) {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            if request.unplaced || request.attempt > 0 {
+                continue;
+            }
+            let line = (request.service.clone(), request.model.clone());
+            let position = ahead.entry(line.clone()).or_default();
+            *position += 1;
+            let sends = self.sends.rate(now, &line).max(MIN_SEND_RATE);
+            let wait = time::Duration::from_secs_f64(f64::from(*position) / sends);
+            if now + wait > request.abandoned() {
+                *position -= 1;
+                hopeless.push((id, wait));
+            }
+        }
+        for (id, wait) in hopeless {
+            let retry = Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+            self.refuse(now, id, refusal::Reason::NoUpstream, retry, effects);
+        }
+    }
+
+    /// Returns the waiting requests in the order of their turns: those that are late, and before them those that can
+    /// be on time, because each takes the same capacity.
+    fn turns(&self, now: clock::Instant) -> (Vec<event::Id>, Vec<event::Id>) {
+        self.waiting
+            .iter()
+            .take(MAX_SCAN)
+            .map(|(_, id)| *id)
+            .partition(|id| {
+                let request = self.requests.get(id);
+                request.is_none_or(|request| request.wanted() <= now)
+            })
     }
 
     /// Tries requests elsewhere whose upstream makes no progress.
@@ -996,7 +1070,7 @@
         }
         let may_move = request.route.is_repeatable()
             && request.runs + 1 < request.route.attempts
-            && request.attempt < MAX_SENDS
+            && request.arrivals < MAX_SENDS
             && now + MIN_REMAINING < request.due;
         let service = self
             .catalog
@@ -1033,16 +1107,7 @@
 
     /// Sends waiting requests to the upstreams that have room.
     fn serve_waiting(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        // A request that can still be on time goes before one that is late already: each takes the same capacity.
-        let (late, on_time): (Vec<_>, Vec<_>) = self
-            .waiting
-            .iter()
-            .take(MAX_SCAN)
-            .map(|(_, id)| *id)
-            .partition(|id| {
-                let request = self.requests.get(id);
-                request.is_none_or(|request| request.wanted() <= now)
-            });
+        let (late, on_time) = self.turns(now);
         self.lines.clear();
         for id in on_time.iter().chain(&late) {
             if let Some(request) = self.requests.get(id) {
@@ -1191,6 +1256,7 @@
         {
             std::mem::swap(&mut view.expected, &mut current.expected);
         }
+        self.doubt(now, &view.suspects);
         for placed in view.placed.drain(..) {
             if let Some(entry) = self.table.get_mut(&placed.upstream) {
                 entry.place(now, placed);
@@ -1202,6 +1268,27 @@
         self.serve_waiting(now, effects);
     }
 
+    /// Takes over the doubt of other hosts, as long as most upstreams of a service are left.
+    fn doubt(&mut self, now: clock::Instant, suspects: &[name::Name]) {
+        for suspect in suspects {
+            let Some(entry) = self.table.get(suspect) else {
+                continue;
+            };
+            let service = &entry.sighting.service;
+            let peers = || {
+                self.table
+                    .values()
+                    .filter(|peer| peer.sighting.service == *service)
+            };
+            let avoided = peers().filter(|peer| peer.is_avoided(now)).count();
+            if (avoided + 1) * MAX_DOUBT_PART <= peers().count()
+                && let Some(entry) = self.table.get_mut(suspect)
+            {
+                entry.doubt(now);
+            }
+        }
+    }
+
     fn set_hosts(&mut self, _now: clock::Instant, hosts: usize) {
         self.hosts = hosts.max(1);
     }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -21,6 +21,8 @@
 /// over as many answers as it has places.
 const FULL_PART: f64 = 0.8;
 const GROWTH: f64 = 2.0;
+/// The time since the last byte of an answer within which this host's own view goes before that of others.
+const DOUBT_PROGRESS: time::Duration = time::Duration::from_millis(400);
 /// How long an upstream that was full gets no further request.
 const FULL: time::Duration = time::Duration::from_millis(40);
 
@@ -46,6 +48,8 @@
     latency: Option<f64>,
     avoided_until: clock::Instant,
     strikes: u32,
+    /// The connections in a row that failed under a request.
+    breaks: u32,
     full_until: clock::Instant,
     missing: Vec<(name::Name, Option<name::Name>, clock::Instant)>,
 }
@@ -67,6 +71,7 @@
             latency: None,
             avoided_until: clock::Instant::default(),
             strikes: 0,
+            breaks: 0,
             full_until: clock::Instant::default(),
             missing: Vec::new(),
         }
@@ -198,6 +203,7 @@
         let slots = f64::from(self.sighting.slots.max(1));
         self.limit = (self.limit + GROWTH / self.limit).min(slots);
         self.strikes = 0;
+        self.breaks = 0;
         self.avoided_until = clock::Instant::default();
         let latency = latency.as_secs_f64();
         self.latency = Some(match self.latency {
@@ -224,6 +230,27 @@
         self.avoided_until = now + span.min(MAX_AVOIDANCE);
     }
 
+    /// Notes that a connection failed under a request. One failure may be chance, a second one is avoided.
+    pub(super) fn broke(&mut self, now: clock::Instant) {
+        self.breaks += 1;
+        if self.breaks > 1 {
+            self.avoid(now);
+        }
+    }
+
+    /// Returns whether the last connection failed under its request.
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.breaks > 0
+    }
+
+    /// Takes over the doubt of other hosts, unless it has answered here lately.
+    pub(super) fn doubt(&mut self, now: clock::Instant) {
+        if now.since(self.progress) > DOUBT_PROGRESS {
+            self.breaks = self.breaks.max(1);
+            self.avoid(now);
+        }
+    }
+
     /// Notes that it had no room.
     pub(super) fn was_full(&mut self, now: clock::Instant) {
         if now >= self.full_until {
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -34,6 +34,8 @@
     pub full: bool,
     /// The engines.
     pub placed: Vec<Placed>,
+    /// The upstreams that several hosts get no answers from.
+    pub suspects: Vec<name::Name>,
     /// The milliseconds until each model that is held nowhere can run, where it is known.
     pub expected: Vec<(name::Name, u64)>,
 }
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -104,6 +104,7 @@
         shares: vec![(relay_fake::name("designers"), 0.9)],
         full: true,
         placed: Vec::new(),
+        suspects: Vec::new(),
         expected: Vec::new(),
     };
     world.feed(relay::Event::Viewed(Box::new(view)));
@@ -144,6 +145,7 @@
         shares: vec![(relay_fake::name("designers"), 0.001)],
         full: true,
         placed: Vec::new(),
+        suspects: Vec::new(),
         expected: Vec::new(),
     }
 }
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -92,6 +92,7 @@
         shares: Vec::new(),
         full: true,
         placed: Vec::new(),
+        suspects: Vec::new(),
         expected,
     };
     let soon = vec![(relay_fake::name("rare"), 1_500)];
--- a/crates/carawaycleat/src/cli/explain.rs
+++ b/crates/carawaycleat/src/cli/explain.rs
@@ -46,7 +46,7 @@
     if output == super::Output::Json {
         let answer =
             serde_json::json!({ "events": path, "cause": cause(&path), "damaged": log.damaged });
-        return Ok(super::text::json(out, &answer)?);
+        return super::text::json(out, &answer);
     }
     for line in &path {
         writeln!(out, "{}", describe(line))?;
