--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/reducer/admit.rs
@@ -0,0 +1,184 @@
+//! Admission: route, key and tokens of a request that arrives.
+
+use std::time;
+
+use crate::clock;
+use crate::name;
+use crate::relay::allowance;
+use crate::relay::arrival;
+use crate::relay::catalog;
+use crate::relay::command;
+use crate::relay::effect;
+use crate::relay::event;
+use crate::relay::pending;
+use crate::relay::refusal;
+
+/// The time for which the coordinator is not asked again after it had no tokens.
+const DENIAL_TIME: time::Duration = time::Duration::from_millis(60);
+
+/// The prompt tokens that take an engine as long as one token of an answer.
+const PROMPT_TOKENS: u64 = 3;
+
+impl super::Reducer {
+    pub(super) fn arrive(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        arrival: arrival::Arrival,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let name = arrival.name.clone();
+        let workspace = self.workspace_of(&arrival);
+        let tokens = arrival.tokens.unwrap_or_default();
+        match self.admit(now, arrival) {
+            Ok(request) => {
+                let has_tokens = request.has_tokens;
+                self.requests.insert(id, request);
+                if has_tokens {
+                    self.seek(now, id, effects);
+                } else {
+                    self.borrowers.push_back(super::Borrower {
+                        request: id,
+                        since: now,
+                        report: None,
+                    });
+                    effects.push(effect::Effect::Report);
+                }
+            }
+            Err(refusal) => {
+                let detail = format!(
+                    "reason={} status={} workspace={} tokens={} config={} config_age_ms={}",
+                    refusal.reason.as_str(),
+                    refusal.status(),
+                    workspace.as_deref().unwrap_or("-"),
+                    tokens.0 + tokens.1,
+                    self.catalog.as_ref().map_or(0, catalog::Catalog::version),
+                    self.config_age(now).map_or(0, |age| age.as_millis())
+                );
+                effects.push(super::record("refused", name, None, detail));
+                effects.push(effect::Effect::Tell(id, command::Command::Refuse(refusal)));
+            }
+        }
+    }
+
+    /// Returns the workspace whose key came with a request.
+    pub(super) fn workspace_of(&self, arrival: &arrival::Arrival) -> Option<name::Name> {
+        let arrival::Credential::Key(digest) = &arrival.credential else {
+            return None;
+        };
+        let workspace = self.catalog.as_ref()?.workspace_of(digest)?;
+        Some(workspace.name.clone())
+    }
+
+    pub(super) fn admit(
+        &mut self,
+        now: clock::Instant,
+        arrival: arrival::Arrival,
+    ) -> Result<pending::Pending, refusal::Refusal> {
+        let stale = super::refuse(
+            refusal::Reason::ConfigurationStale,
+            // Another host may serve at once.
+            Some(time::Duration::from_millis(100)),
+        );
+        let Some(catalog) = &self.catalog else {
+            return Err(stale);
+        };
+        let can_deny = self.is_current(now, self.rules.max_denial_age);
+        let deny = |reason| {
+            if can_deny {
+                super::refuse(reason, None)
+            } else {
+                stale
+            }
+        };
+        let digest = match &arrival.credential {
+            arrival::Credential::Ambiguous => {
+                return Err(super::refuse(refusal::Reason::AmbiguousKey, None));
+            }
+            arrival::Credential::Absent => None,
+            arrival::Credential::Key(digest) => Some(digest),
+        };
+        let route = catalog
+            .route(&arrival.host, &arrival.path)
+            .ok_or_else(|| deny(refusal::Reason::UnknownRoute))?;
+        let keyed = catalog.needs_keys() && !route.public;
+        if keyed && !self.is_current(now, self.rules.max_config_age) {
+            return Err(stale);
+        }
+        let workspace = digest.and_then(|digest| catalog.workspace_of(digest));
+        if keyed && workspace.is_none() {
+            return Err(deny(refusal::Reason::UnknownKey));
+        }
+        let service = route
+            .service(arrival.seed)
+            .ok_or_else(|| deny(refusal::Reason::UnknownRoute))?;
+        let patience = arrival.patience.unwrap_or(route.timeout);
+        let mut cost = 0;
+        let mut has_tokens = true;
+        if let Some(workspace) = workspace {
+            cost = arrival.cost(workspace.plain_tokens);
+            *self.usage.entry(workspace.name.clone()).or_default() += cost;
+            let share = self.share(now, &workspace.name);
+            let allowance = self
+                .allowances
+                .entry(workspace.name.clone())
+                .or_insert_with(|| {
+                    allowance::Allowance::new(now, workspace.rate, workspace.burst, share)
+                });
+            allowance.set(now, workspace.rate, workspace.burst, share);
+            if let Err(wait) = allowance.take(now, cost) {
+                let denied = self.denied.get(&workspace.name);
+                let denied = denied.is_some_and(|at| now.since(*at) < DENIAL_TIME);
+                if !self.has_view(now) || denied {
+                    return Err(super::refuse(refusal::Reason::RateLimited, Some(wait)));
+                }
+                has_tokens = false;
+            }
+        }
+        if let Some(model) = &arrival.model {
+            let key = (service.clone(), model.clone(), arrival.adapter.clone());
+            let (prompt, output) = arrival.tokens.unwrap_or((0, 1));
+            *self.asks.entry(key).or_default() += output + prompt / PROMPT_TOKENS;
+        }
+        Ok(pending::Pending {
+            name: arrival.name,
+            service: service.clone(),
+            model: arrival.model,
+            adapter: arrival.adapter,
+            affinity: arrival.affinity,
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+            keyed,
+            priority: workspace
+                .and_then(|workspace| workspace.priority)
+                .unwrap_or(route.priority),
+            cost,
+            has_tokens,
+            arrived: now,
+            due: now + route.timeout.min(patience),
+            patience: now + patience,
+            unplaced: false,
+            attempt: 0,
+            arrivals: 0,
+            runs: 0,
+            tried: Vec::new(),
+            rejected: 0,
+            place: pending::Place::Waiting,
+            delivered: false,
+            after: None,
+            route: route.clone(),
+        })
+    }
+
+    /// Returns this host's part of a workspace's allowance.
+    pub(super) fn share(&self, now: clock::Instant, workspace: &name::Name) -> f64 {
+        let even = 1.0 / self.hosts.max(1) as f64;
+        match &self.view {
+            Some((at, view)) if now.since(*at) < super::VIEW_AGE => view
+                .shares
+                .iter()
+                .find(|(name, _)| name == workspace)
+                .map_or(even, |(_, share)| *share),
+            _ => even,
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -0,0 +1,289 @@
+//! The way of a request to an upstream, and its wait for one.
+
+use std::collections;
+use std::time;
+
+use crate::clock;
+use crate::name;
+use crate::relay::catalog;
+use crate::relay::command;
+use crate::relay::effect;
+use crate::relay::event;
+use crate::relay::pending;
+use crate::relay::pick;
+use crate::relay::refusal;
+use crate::retry;
+
+const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(4_000);
+
+/// The most waiting requests that are looked at in one step.
+const MAX_SCAN: usize = 512;
+
+/// The rate at which requests of a line are sent when none has been sent lately, in requests a second.
+const MIN_SEND_RATE: f64 = 1.0;
+
+impl super::Reducer {
+    /// Sends a request to an upstream, or lets it wait for one.
+    pub(super) fn seek(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let key = (request.urgency(), id);
+        let service = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.service(&request.service));
+        let Some(service) = service else {
+            return self.refuse(now, id, refusal::Reason::NoUpstream, None, effects);
+        };
+        if request.keyed && !self.is_current(now, self.rules.max_config_age) {
+            return self.refuse(now, id, refusal::Reason::ConfigurationStale, None, effects);
+        }
+        let context = pick::Context {
+            now,
+            zone: &self.zone,
+            service,
+            lapse: self.rules.lapse,
+        };
+        match context.pick(&self.table, request) {
+            pick::Choice::Upstream(upstream) => {
+                self.waiting.remove(&key);
+                self.send(now, id, &upstream, effects);
+            }
+            pick::Choice::Full => self.queue(now, id, key, effects),
+            pick::Choice::Unplaced => self.wait_for_placement(now, id, key, effects),
+        }
+    }
+
+    /// Lets a request wait for room, unless those that wait already leave it no chance.
+    pub(super) fn queue(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        key: super::Key,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.unplaced = false;
+        if request.attempt > 0 || self.waiting.contains(&key) {
+            self.waiting.insert(key);
+            return;
+        }
+        let line = (request.service.clone(), request.model.clone());
+        let ahead = self.lines.get(&line).copied().unwrap_or(0);
+        let rate = self.sends.rate(now, &line).max(MIN_SEND_RATE);
+        let wait = time::Duration::from_secs_f64(ahead as f64 / rate);
+        if now + wait > request.abandoned() {
+            let retry = wait - request.abandoned().since(now);
+            let retry = retry.max(super::MIN_RETRY_AFTER);
+            return self.refuse(now, id, refusal::Reason::NoUpstream, Some(retry), effects);
+        }
+        self.waiting.insert(key);
+    }
+
+    /// Lets a request wait for a model that no upstream holds, unless it cannot be loaded in time.
+    pub(super) fn wait_for_placement(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        key: super::Key,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.unplaced = true;
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let waited = now.since(request.arrived);
+        let expected = request
+            .model
+            .as_ref()
+            .and_then(|model| self.expected(now, model));
+        let hopeless = match expected {
+            Some(expected) => now + expected + super::MIN_REMAINING >= request.abandoned(),
+            None => waited >= self.rules.max_unplaced_wait,
+        };
+        if hopeless {
+            let retry = expected.unwrap_or(time::Duration::from_secs(1));
+            return self.refuse(now, id, refusal::Reason::NoUpstream, Some(retry), effects);
+        }
+        if self.waiting.insert(key) && request.model.is_some() {
+            effects.push(effect::Effect::Report);
+        }
+    }
+
+    /// Returns the time until an upstream will hold `model`, where the coordinator knows it.
+    pub(super) fn expected(
+        &self,
+        now: clock::Instant,
+        model: &name::Name,
+    ) -> Option<time::Duration> {
+        let (at, view) = self.view.as_ref()?;
+        let age = now.since(*at);
+        if age > super::VIEW_AGE {
+            return None;
+        }
+        let (_, millis) = view.expected.iter().find(|(name, _)| name == model)?;
+        Some(time::Duration::from_millis(*millis).saturating_sub(age))
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        upstream: &name::Name,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(entry) = self.table.get_mut(upstream) else {
+            return;
+        };
+        let slack = self.rules.retry_slack / self.hosts.max(1) as u64;
+        let budget = self
+            .budgets
+            .entry(request.service.clone())
+            .or_insert_with(|| retry::Budget::new(self.rules.retry_percent, slack));
+        budget.set_minimum(slack);
+        if request.attempt == 0 {
+            budget.request(now);
+        }
+        request.attempt += 1;
+        request.arrivals += 1;
+        request.tried.push(upstream.clone());
+        request.place = pending::Place::At {
+            upstream: upstream.clone(),
+            sent: now,
+            progress: now,
+            answered: false,
+        };
+        entry.running += 1;
+        let line = (request.service.clone(), request.model.clone());
+        self.sends.add(now, &line, 1.0);
+        let remaining = request.due.since(now);
+        let dispatch = command::Dispatch {
+            attempt: request.attempt,
+            upstream: upstream.clone(),
+            address: entry.sighting.address,
+            workspace: request.workspace.clone(),
+            priority: request.priority.min(9),
+            remaining,
+            patience: remaining,
+            repeatable: request.may_repeat(),
+            after: request.after,
+        };
+        let detail = format!(
+            "attempt={} workspace={} tokens={} model={} adapter={} zone={} load={}+{} waited_ms={} config={}",
+            request.attempt,
+            request.workspace.as_deref().unwrap_or("-"),
+            request.cost,
+            request.model.as_deref().unwrap_or("-"),
+            request.adapter.as_deref().unwrap_or("-"),
+            entry.sighting.zone,
+            entry.running,
+            entry.others,
+            now.since(request.arrived).as_millis(),
+            self.catalog.as_ref().map_or(0, catalog::Catalog::version),
+        );
+        effects.push(super::record(
+            "dispatched",
+            request.name.clone(),
+            Some(upstream.clone()),
+            detail,
+        ));
+        effects.push(effect::Effect::Tell(
+            id,
+            command::Command::Send(Box::new(dispatch)),
+        ));
+    }
+
+    /// Sends waiting requests to the upstreams that have room.
+    pub(super) fn serve_waiting(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let (late, on_time) = self.turns(now);
+        self.lines.clear();
+        for id in on_time.iter().chain(&late) {
+            if let Some(request) = self.requests.get(id) {
+                let line = (request.service.clone(), request.model.clone());
+                *self.lines.entry(line).or_default() += 1;
+            }
+        }
+        let mut unserved = collections::HashSet::new();
+        for id in on_time.into_iter().chain(late) {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            // What one request does not find, later ones that need the same do not find either.
+            let need = (
+                request.service.clone(),
+                request.model.clone(),
+                request.adapter.clone(),
+            );
+            if request.tried.is_empty() && unserved.contains(&need) {
+                continue;
+            }
+            self.seek(now, id, effects);
+            if self
+                .requests
+                .get(&id)
+                .is_some_and(pending::Pending::is_waiting)
+            {
+                unserved.insert(need);
+            }
+        }
+    }
+
+    /// Returns the waiting requests in the order of their turns: those that are late, and before them those that can
+    /// be on time, because each takes the same capacity.
+    pub(super) fn turns(&self, now: clock::Instant) -> (Vec<event::Id>, Vec<event::Id>) {
+        self.waiting
+            .iter()
+            .take(MAX_SCAN)
+            .map(|(_, id)| *id)
+            .partition(|id| {
+                let request = self.requests.get(id);
+                request.is_none_or(|request| request.wanted() <= now)
+            })
+    }
+
+    /// Refuses waiting requests whose turn comes after their callers have left.
+    pub(super) fn refuse_hopeless(
+        &mut self,
+        now: clock::Instant,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let mut ahead = collections::HashMap::<super::Line, u32>::new();
+        let mut hopeless = Vec::new();
+        let (late, on_time) = self.turns(now);
+        for id in on_time.into_iter().chain(late) {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            if request.unplaced || request.attempt > 0 {
+                continue;
+            }
+            let line = (request.service.clone(), request.model.clone());
+            let position = ahead.entry(line.clone()).or_default();
+            *position += 1;
+            let sends = self.sends.rate(now, &line).max(MIN_SEND_RATE);
+            let wait = time::Duration::from_secs_f64(f64::from(*position) / sends);
+            if now + wait > request.abandoned() {
+                *position -= 1;
+                hopeless.push((id, wait));
+            }
+        }
+        for (id, wait) in hopeless {
+            let retry = Some(wait.clamp(super::MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+            self.refuse(now, id, refusal::Reason::NoUpstream, retry, effects);
+        }
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -0,0 +1,145 @@
+//! What the passing of time brings: time limits and attempts without progress.
+
+use std::time;
+
+use crate::clock;
+use crate::relay::effect;
+use crate::relay::event;
+use crate::relay::pending;
+use crate::relay::pick;
+use crate::relay::refusal;
+
+/// The longest time that a request waits for tokens of its workspace: some round trips to the coordinator.
+const BORROW_TIME: time::Duration = time::Duration::from_millis(250);
+
+/// The time between two looks at whether waiting requests still have a chance.
+const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(150);
+
+/// The time before the end of a request's time at which a waiting one is refused, so that the answer arrives in time.
+const REFUSAL_LEAD: time::Duration = time::Duration::from_millis(40);
+
+impl super::Reducer {
+    pub(super) fn tick(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let gone = self.rules.lapse;
+        self.table.retain(|_, entry| {
+            entry.running > 0 || entry.removed.is_none_or(|at| now.since(at) < gone)
+        });
+        while let Some(borrower) = self.borrowers.front() {
+            if now.since(borrower.since) < BORROW_TIME {
+                break;
+            }
+            let id = borrower.request;
+            self.borrowers.pop_front();
+            self.refuse_tokens(now, id, effects);
+        }
+        let due: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| {
+                let lead = if request.is_waiting() {
+                    REFUSAL_LEAD
+                } else {
+                    time::Duration::ZERO
+                };
+                let due = if request.is_waiting() && !request.delivered {
+                    request.abandoned()
+                } else {
+                    request.due
+                };
+                now + lead >= due
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in due {
+            let retry = time::Duration::from_millis(500);
+            self.refuse(now, id, refusal::Reason::Timeout, Some(retry), effects);
+        }
+        let others = self.hosts.saturating_sub(1);
+        for entry in self.table.values_mut() {
+            entry.estimate_others(now, others);
+        }
+        self.move_stalled(now, effects);
+        self.serve_waiting(now, effects);
+        if now.since(self.checked) >= CHECK_INTERVAL {
+            self.checked = now;
+            self.refuse_hopeless(now, effects);
+        }
+    }
+
+    /// Tries requests elsewhere whose upstream makes no progress.
+    pub(super) fn move_stalled(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let stalled: Vec<_> = self
+            .requests
+            .iter()
+            .filter_map(|(id, request)| {
+                let pending::Place::At {
+                    upstream, progress, ..
+                } = &request.place
+                else {
+                    return None;
+                };
+                let silent = self.table.get(upstream).map_or(now, |entry| entry.progress);
+                let alone = time::Duration::max(request.route.objective * 3, self.rules.stall * 2);
+                let quiet = now.since(*progress.max(&silent)) > self.rules.stall;
+                let stuck = now.since(*progress) > alone;
+                (quiet || stuck).then_some((*id, quiet))
+            })
+            .collect();
+        for (id, quiet) in stalled {
+            self.move_elsewhere(now, id, quiet, effects);
+        }
+    }
+
+    pub(super) fn move_elsewhere(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        quiet: bool,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let pending::Place::At { upstream, .. } = &request.place else {
+            return;
+        };
+        if quiet && let Some(entry) = self.table.get_mut(upstream) {
+            entry.avoid(now);
+        }
+        let may_move = request.route.is_repeatable()
+            && request.runs + 1 < request.route.attempts
+            && request.arrivals < super::MAX_SENDS
+            && now + super::MIN_REMAINING < request.due;
+        let service = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.service(&request.service));
+        let Some(service) = service.filter(|_| may_move) else {
+            return;
+        };
+        let context = pick::Context {
+            now,
+            zone: &self.zone,
+            service,
+            lapse: self.rules.lapse,
+        };
+        let pick::Choice::Upstream(target) = context.pick(&self.table, request) else {
+            return;
+        };
+        let budget = self.budgets.get_mut(&request.service);
+        if request.tried.contains(&target) || !budget.is_some_and(|budget| budget.take(now)) {
+            return;
+        }
+        let detail = format!("cause=stalled attempt={}", request.attempt);
+        effects.push(super::record("retried", request.name.clone(), None, detail));
+        if let Some((upstream, _)) = self.release(id)
+            && let Some(entry) = self.table.get_mut(&upstream)
+        {
+            entry.observe(now, true);
+        }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.runs += 1;
+        }
+        self.send(now, id, &target, effects);
+    }
+}
--- a/crates/carawaycleat/src/cli/explain.rs
+++ b/crates/carawaycleat/src/cli/explain.rs
@@ -25,6 +25,10 @@
     output: super::Output,
     out: &mut dyn io::Write,
 ) -> super::Result<()> {
+    if id.is_empty() {
+        let text = "the identifier of a request must not be empty";
+        return Err(super::Error::Usage(text.to_owned()));
+    }
     let mut log = Log::default();
     if files.is_empty() {
         log.read(io::stdin().lock())?;
--- a/crates/carawaycleat/tests/suite/explain.rs
+++ b/crates/carawaycleat/tests/suite/explain.rs
@@ -69,6 +69,14 @@
     );
 }
 
+/// Guards against an empty id that matches all lines without a request.
+#[test]
+fn empty_id_is_an_error() {
+    let output = explain("explain-empty", "");
+    assert_eq!(output.code, 2);
+    assert!(output.err.contains("must not be empty"), "{}", output.err);
+}
+
 /// Guards against a file that cannot be read and is passed over.
 #[test]
 fn missing_file_is_an_error() {
