--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -133,12 +133,6 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
-    /// Returns when the configuration was confirmed last.
-    #[must_use]
-    pub fn confirmed(&self) -> Option<clock::Instant> {
-        self.confirmed
-    }
-
     /// Returns whether this host can serve callers.
     #[must_use]
     pub fn is_ready(&self, now: clock::Instant) -> bool {
--- a/crates/carawaycleat-core/src/relay/reducer/answer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/answer.rs
@@ -10,6 +10,9 @@
 use crate::relay::pending;
 use crate::relay::refusal;
 
+/// The status of an answer that streams.
+const STREAM_STATUS: u16 = 200;
+
 impl super::Reducer {
     /// Frees the slot of the attempt in progress and returns its upstream with the time that it took.
     pub(super) fn release(&mut self, id: event::Id) -> Option<(name::Name, clock::Instant)> {
@@ -68,14 +71,26 @@
         if !succeeded && self.try_again(now, id, "failed", effects) {
             return;
         }
+        self.finish(now, id, upstream, answer.status, effects);
+    }
+
+    /// Ends a request whose answer is complete.
+    fn finish(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        upstream: name::Name,
+        status: u16,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
         let detail = format!(
-            "status={} attempts={} ms={}",
-            answer.status,
+            "status={status} attempts={} ms={} last_event={}",
             request.attempt,
-            now.since(request.arrived).as_millis()
+            now.since(request.arrived).as_millis(),
+            request.after.unwrap_or(0)
         );
         effects.push(super::record(
             "answered",
@@ -152,23 +167,7 @@
         if let Some(entry) = self.table.get_mut(&upstream) {
             entry.observe(now, false);
         }
-        let Some(request) = self.requests.remove(&id) else {
-            return;
-        };
-        let detail = format!(
-            "status=200 attempts={} ms={} last_event={}",
-            request.attempt,
-            now.since(request.arrived).as_millis(),
-            request.after.unwrap_or(0)
-        );
-        effects.push(super::record(
-            "answered",
-            request.name,
-            Some(upstream),
-            detail,
-        ));
-        effects.push(effect::Effect::Tell(id, command::Command::Deliver));
-        self.serve_waiting(now, effects);
+        self.finish(now, id, upstream, STREAM_STATUS, effects);
     }
 
     /// Follows an upstream's statement that it did not run the request.
