--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -45,6 +45,7 @@
 pub struct Engine {
     pub(super) sighting: relay::Sighting,
     pub(super) models: collections::BTreeMap<name::Name, Held>,
+    /// The adapters, and when each arrived or was last found in use.
     pub(super) adapters: collections::BTreeMap<Adapter, clock::Instant>,
     /// The adapters in transit and when they were ordered.
     pub(super) coming: collections::BTreeMap<Adapter, clock::Instant>,
@@ -215,7 +216,8 @@
         }
     }
 
-    /// Returns whether an order may be sent.
+    /// Returns whether an order may be sent. Engines carry out one order at a time, and refuse orders about adapters too
+    /// while a model is being loaded or unloaded.
     pub(super) fn is_free(&self, now: clock::Instant) -> bool {
         self.sighting.state == relay::State::Ready
             && self.open.is_none()
@@ -225,19 +227,6 @@
             && now >= self.blocked_until
     }
 
-    /// Returns whether an order about an adapter may be sent.
-    pub(super) fn takes_adapters(&self, now: clock::Instant) -> bool {
-        let loading = self
-            .open
-            .as_ref()
-            .is_some_and(|open| open.state != OpenState::Accepted);
-        self.sighting.state == relay::State::Ready
-            && !loading
-            && self.adapter_orders.is_empty()
-            && self.sequence.is_some()
-            && now >= self.blocked_until
-    }
-
     /// Returns the model that is being loaded.
     pub(super) fn loading(&self) -> Option<(&name::Name, clock::Instant)> {
         let open = self.open.as_ref()?;
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -195,13 +195,22 @@
         receivers
             .into_iter()
             .filter(|model| {
-                let busy = model.demand > 0.0 && model.pressure() >= average * COPY_PRESSURE;
+                let busy = self.is_observed()
+                    && model.demand > 0.0
+                    && model.pressure() >= average * COPY_PRESSURE;
                 let lost = model.copies == 0 && !model.is_spare;
                 lost || busy
             })
             .find_map(|model| self.add_copy(model, average))
     }
 
+    /// Returns whether demand has been observed for long enough to tell busy models from others. The first requests
+    /// say little, and an engine that loads weights takes no other order for seconds.
+    fn is_observed(&self) -> bool {
+        let asked = self.state.asked;
+        asked.is_some_and(|asked| self.now.since(asked) >= self.state.rules.observation)
+    }
+
     fn add_copy(&self, model: &Model<'_>, average: f64) -> Option<Step> {
         let free: Vec<_> = self
             .engines()
@@ -234,11 +243,7 @@
                 from_store,
             });
         }
-        let observed = self
-            .state
-            .asked
-            .is_some_and(|asked| self.now.since(asked) >= self.state.rules.observation);
-        let pressed = observed
+        let pressed = self.is_observed()
             && model.pressure() >= average * MOVE_PRESSURE
             && model.load >= self.state.rules.loaded;
         if model.copies > 0 && !pressed {
@@ -331,7 +336,7 @@
         }
         let ready: Vec<_> = holders
             .into_iter()
-            .filter(|engine| engine.takes_adapters(self.now))
+            .filter(|engine| engine.is_free(self.now))
             .collect();
         let with_room = ready
             .iter()
@@ -375,9 +380,11 @@
         engines
             .iter()
             .filter(|engine| engine.adapters.len() + engine.coming.len() >= self.spec.adapter_slots)
-            .flat_map(|engine| engine.adapters.keys().map(|key| (*engine, key)))
-            .filter(|(_, key)| self.now.since(last(key)) >= ADAPTER_IDLE)
-            .min_by_key(|(_, key)| last(key))
+            .flat_map(|engine| engine.adapters.iter().map(|(key, at)| (*engine, key, *at)))
+            .map(|(engine, key, at)| (engine, key, at.max(last(key))))
+            .filter(|(_, _, used)| self.now.since(*used) >= ADAPTER_IDLE)
+            .min_by_key(|(_, _, used)| *used)
+            .map(|(engine, key, _)| (engine, key))
     }
 }
 
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -245,6 +245,11 @@
             (event::Outcome::Conflict, at) => {
                 if let Some(at) = at {
                     engine.adapter_orders.remove(at);
+                    // Engines keep an adapter that a request uses, so another one is tried next.
+                    let key = order.adapter.map(|adapter| (order.model, adapter));
+                    if let Some(used) = key.and_then(|key| engine.adapters.get_mut(&key)) {
+                        *used = now;
+                    }
                 } else {
                     engine.open = None;
                 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -281,6 +281,50 @@
     assert_eq!(holders.count(), 1);
 }
 
+/// Guards against adapters that are ordered from an engine that is loading a model: it refuses them for seconds, while
+/// another engine could have them at once.
+#[test]
+fn adapter_goes_to_an_engine_that_carries_out_no_order() {
+    let mut world = World::new(&["small", "rare"]);
+    world.engine("one", &["small"]);
+    world.engine("two", &["small"]);
+    let load = world.tick().remove(0);
+    assert_eq!(load.model.as_str(), "rare");
+    world.settle(&load, coordinator::Outcome::Accepted);
+    for adapter in ["a1", "a2"] {
+        world.ask("small", Some(adapter), 100, 1);
+        let order = world.tick().remove(0);
+        assert_eq!(order.adapter.as_deref(), Some(adapter));
+        assert_ne!(order.engine, load.engine);
+        world.settle(&order, coordinator::Outcome::Accepted);
+        world.pass(20);
+    }
+}
+
+/// Guards against an adapter in use that is to make way again and again, while another one could.
+#[test]
+fn adapter_in_use_is_not_chosen_again_to_make_way() {
+    let mut world = World::new(&["small"]);
+    world.engine("one", &["small"]);
+    for adapter in ["a1", "a2"] {
+        world.ask("small", Some(adapter), 100, 1);
+        let order = world.tick().remove(0);
+        world.settle(&order, coordinator::Outcome::Accepted);
+        world.pass(20);
+    }
+    assert!(world.tick().is_empty(), "both adapters have arrived");
+    world.pass(1_000);
+    world.ask("small", Some("a3"), 100, 1);
+    let first = world.tick().remove(0);
+    assert_eq!(first.operation, coordinator::Operation::Unload);
+    world.settle(&first, coordinator::Outcome::Conflict);
+    world.pass(200);
+    world.ask("small", Some("a3"), 100, 1);
+    let second = world.tick().remove(0);
+    assert_eq!(second.operation, coordinator::Operation::Unload);
+    assert_ne!(second.adapter, first.adapter);
+}
+
 /// Guards against orders of two coordinators close together where engines check no fences.
 #[test]
 fn term_leaves_a_gap_between_coordinators() {
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -35,6 +35,24 @@
     panic!("no copy has moved");
 }
 
+/// Pattern: the first requests of a day. Guards against copies of whatever is asked for first, which keep their engines
+/// from other orders for the time of a load.
+#[test]
+fn first_requests_cause_no_copies() {
+    let mut world = coordinator::World::new(&["first", "busy"]);
+    world.engine("one", &["first", "busy"]);
+    world.engine("two", &[]);
+    world.ask("first", None, 100, 0);
+    assert!(world.tick().is_empty());
+    for _ in 0..11 {
+        world.pass(100);
+        world.ask("busy", None, 5_000, 0);
+    }
+    let order = world.tick().remove(0);
+    assert_eq!(order.operation, core_coordinator::Operation::Load);
+    assert_eq!(order.model.as_str(), "busy");
+}
+
 /// Pattern: demand differs while the engines have room. Guards against moves that serve nobody better.
 #[test]
 fn copies_stay_where_engines_have_room() {
