--- a/crates/carawaycleat-core/src/coordinator/history.rs
+++ b/crates/carawaycleat-core/src/coordinator/history.rs
@@ -8,9 +8,8 @@
 /// use carawaycleat_core::coordinator;
 ///
 /// let mut history = coordinator::History::new(100);
-/// history.restart(10);
-/// history.record(11, "put", 3);
-/// history.pass(12);
+/// history.extend(10, []);
+/// history.extend(12, [(11, "put", 3)]);
 /// assert_eq!(history.since(10), Some(vec![&"put"]));
 /// assert_eq!(history.since(9), None);
 /// ```
@@ -37,40 +36,31 @@
         }
     }
 
-    /// Begins anew after everything was read at `revision`.
-    pub fn restart(&mut self, revision: u64) {
-        self.changes.clear();
-        self.size = 0;
-        self.from = revision;
-        self.through = revision;
-    }
-
-    /// Adds a change of `size` bytes. One that is known already is dropped.
-    pub fn record(&mut self, revision: u64, change: T, size: usize) {
-        if self
-            .changes
-            .back()
-            .is_some_and(|(last, ..)| *last >= revision)
-            || revision <= self.from
-        {
-            return;
+    /// Adds the changes up to `through` that are newer than those before, each with its revision and size in bytes.
+    ///
+    /// The first call begins the history: what it adds may miss removals, so it is not kept.
+    pub fn extend(&mut self, through: u64, changes: impl IntoIterator<Item = (u64, T, usize)>) {
+        if self.through == 0 {
+            self.from = through;
+        }
+        let known = self.through.max(self.from);
+        let newer = changes
+            .into_iter()
+            .filter(|(revision, ..)| (known + 1..=through).contains(revision));
+        for (revision, change, size) in newer {
+            self.size += size;
+            self.changes.push_back((revision, change, size));
         }
-        self.size += size;
-        self.changes.push_back((revision, change, size));
+        self.through = self.through.max(through);
         while self.size > self.limit {
             let Some((revision, _, size)) = self.changes.pop_front() else {
-                return;
+                break;
             };
             self.size -= size;
             self.from = revision;
         }
     }
 
-    /// Notes that all changes up to `revision` are recorded.
-    pub fn pass(&mut self, revision: u64) {
-        self.through = self.through.max(revision);
-    }
-
     /// Returns the revision up to which all changes are recorded.
     #[must_use]
     pub fn through(&self) -> u64 {
