feat: let an empty engine first load what is on its disk

A load from disk takes 0.7 to 1.2 s, and the engine then serves while it loads more. Ruled out: the ceiling of loads, of which a fifth was used.

--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -158,27 +158,54 @@
     /// Returns the load of a model whose place has been freed, if there is one.
     fn successor_step(&self) -> Option<Step> {
         self.engines().find_map(|engine| {
-            let name = engine.successor.as_ref()?;
-            let spec = self.spec.models.get(name)?;
-            let fits = engine.free_mb(self.spec) >= spec.weights_mb;
-            let (time, from_store) = engine.load_time(name, spec);
+            let model = self.models.get(engine.successor.as_ref()?)?;
+            let fits = engine.free_mb(self.spec) >= model.spec.weights_mb;
+            let step = self.load(engine, model);
             let allowed =
-                !from_store || self.state.loads_left(self.now, self.spec.loads_per_second);
-            (engine.is_free(self.now) && fits && allowed).then(|| Step {
-                engine: engine.sighting.id.clone(),
-                operation: order::Operation::Load,
-                model: name.clone(),
-                adapter: None,
-                successor: None,
-                time,
-                from_store,
-            })
+                !step.from_store || self.state.loads_left(self.now, self.spec.loads_per_second);
+            (engine.is_free(self.now) && fits && allowed).then_some(step)
         })
     }
 
+    /// Returns a load for an engine that holds nothing, as after a restart, of weights that are close to it. A load
+    /// from the weight store would leave the engine without work for several times as long.
+    fn refill_step(&self) -> Option<Step> {
+        let empty = self.engines().filter(|engine| {
+            engine.models.is_empty()
+                && engine.successor.is_none()
+                && engine.is_free(self.now)
+                && !self.state.is_suspect(&engine.sighting.id)
+        });
+        empty
+            .filter_map(|engine| {
+                let close = engine.in_memory.iter().chain(&engine.on_disk);
+                let model = close
+                    .filter_map(|name| self.models.get(name))
+                    .filter(|model| model.demand > 0.0 || model.waiting > 0)
+                    .filter(|model| engine.free_mb(self.spec) >= model.spec.weights_mb)
+                    .max_by(|one, other| one.pressure().total_cmp(&other.pressure()))?;
+                Some(self.load(engine, model))
+            })
+            .next()
+    }
+
+    /// Returns the load of a model at an engine that has room for it.
+    fn load(&self, engine: &engine::Engine, model: &Model<'_>) -> Step {
+        let (time, from_store) = engine.load_time(model.name, model.spec);
+        Step {
+            engine: engine.sighting.id.clone(),
+            operation: order::Operation::Load,
+            model: model.name.clone(),
+            adapter: None,
+            successor: None,
+            time,
+            from_store,
+        }
+    }
+
     /// Returns the next step for models, if one is worth it.
     pub(super) fn model_step(&self) -> Option<Step> {
-        if let Some(step) = self.successor_step() {
+        if let Some(step) = self.successor_step().or_else(|| self.refill_step()) {
             return Some(step);
         }
         let places: usize = self.models.values().map(|model| model.copies).sum();
@@ -232,16 +259,7 @@
             .filter(|engine| engine.free_mb(self.spec) >= model.spec.weights_mb && allowed(engine))
             .min_by_key(|engine| (load(engine).0, engine.running));
         if let Some(engine) = with_room {
-            let (time, from_store) = load(engine);
-            return Some(Step {
-                engine: engine.sighting.id.clone(),
-                operation: order::Operation::Load,
-                model: model.name.clone(),
-                adapter: None,
-                successor: None,
-                time,
-                from_store,
-            });
+            return Some(self.load(engine, model));
         }
         let pressed = self.is_observed()
             && model.pressure() >= average * MOVE_PRESSURE
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -53,6 +53,30 @@
     assert_eq!(order.model.as_str(), "busy");
 }
 
+/// Pattern: engines that crashed come back empty while a model is busy elsewhere. Guards against an engine that waits
+/// for weights from the weight store with others on its disk.
+#[test]
+fn empty_engine_first_loads_what_is_close() {
+    let mut world = coordinator::World::new(&["busy", "calm"]);
+    world.engine("one", &["busy", "calm"]);
+    for _ in 0..11 {
+        world.pass(100);
+        world.ask("busy", None, 5_000, 0);
+        world.ask("calm", None, 500, 0);
+    }
+    world.engine("back", &[]);
+    world.probe(
+        "back",
+        core_coordinator::Status {
+            on_disk: Some(vec![crate::relay_fake::name("calm")]),
+            ..coordinator::status(&[], 0)
+        },
+    );
+    let order = world.tick().remove(0);
+    assert_eq!(order.engine.as_str(), "back");
+    assert_eq!(order.model.as_str(), "calm");
+}
+
 /// Pattern: demand differs while the engines have room. Guards against moves that serve nobody better.
 #[test]
 fn copies_stay_where_engines_have_room() {
