feat: divide the free places of an engine among the hosts

Ruled out: the limit that shrinks with each rejection, which engines with a queue of their own do not cause. The view now tells each host how many further requests it may send, by its share of those in progress and waiting.

--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -11,6 +11,7 @@
 mod order;
 mod plan;
 mod reducer;
+mod room;
 mod rules;
 mod share;
 mod term;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -6,6 +6,7 @@
 use super::event;
 use super::order;
 use super::plan;
+use super::room;
 use super::rules;
 use super::share;
 use crate::clock;
@@ -528,28 +529,27 @@
 
     /// Returns what `host` is to know of the engines.
     fn placed(&self, now: clock::Instant, host: &name::Name) -> Vec<relay::Placed> {
-        let mut running = collections::HashMap::<&name::Name, u32>::new();
-        for other in self.hosts.values() {
-            if other.report.host != *host {
-                for (id, count) in &other.report.running {
-                    *running.entry(id).or_default() += count;
-                }
-            }
-        }
-        let placed = self.engines.iter().filter(|(_, engine)| {
-            self.services.contains_key(&engine.sighting.service) && engine.answered.is_some()
-        });
-        let placed = placed.map(|(id, engine)| relay::Placed {
-            upstream: id.clone(),
-            models: engine.models.keys().cloned().collect(),
-            loading: engine
-                .loading()
-                .map(|(model, ready)| (model.clone(), millis(now, ready)))
-                .into_iter()
-                .collect(),
-            unloading: engine.unloading().cloned().into_iter().collect(),
-            adapters: engine.adapters.keys().cloned().collect(),
-            running: running.get(id).copied().unwrap_or(0),
+        let rooms = room::Rooms::new(self.hosts.values().map(|host| &host.report), host);
+        let placed = self.engines.iter().filter_map(|(id, engine)| {
+            let spec = self.services.get(&engine.sighting.service)?;
+            engine.answered?;
+            let slots = match engine.sighting.slots {
+                0 => spec.slots,
+                slots => slots,
+            };
+            Some(relay::Placed {
+                upstream: id.clone(),
+                models: engine.models.keys().cloned().collect(),
+                loading: engine
+                    .loading()
+                    .map(|(model, ready)| (model.clone(), millis(now, ready)))
+                    .into_iter()
+                    .collect(),
+                unloading: engine.unloading().cloned().into_iter().collect(),
+                adapters: engine.adapters.keys().cloned().collect(),
+                running: rooms.others(id),
+                room: rooms.room(engine, slots),
+            })
         });
         placed.collect()
     }
--- a/crates/carawaycleat-core/src/relay/reducer/answer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/answer.rs
@@ -22,7 +22,7 @@
             return None;
         };
         if let Some(entry) = self.table.get_mut(&upstream) {
-            entry.running = entry.running.saturating_sub(1);
+            entry.ended();
         }
         Some((upstream, sent))
     }
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -167,7 +167,7 @@
             progress: now,
             answered: false,
         };
-        entry.running += 1;
+        entry.sent();
         let line = (request.service.clone(), request.model.clone());
         self.sends.add(now, &line, 1.0);
         let remaining = request.due.since(now);
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -37,6 +37,8 @@
     pub(super) running: u32,
     /// The requests of other hosts in progress there, as far as this host can tell.
     pub(super) others: u32,
+    /// The further requests that the coordinator lets this host send there.
+    room: u32,
     /// The requests that this host may have in progress there. It shrinks when the upstream had no room and grows with
     /// each answer, so that hosts which do not hear of each other still share an upstream.
     limit: f64,
@@ -64,6 +66,7 @@
             removed: None,
             running: 0,
             others: 0,
+            room: 0,
             progress: clock::Instant::default(),
             placed: None,
             failures: 0.0,
@@ -100,6 +103,7 @@
     /// Takes up what the coordinator knows of its weights.
     pub(super) fn place(&mut self, now: clock::Instant, placed: view::Placed) {
         self.others = placed.running;
+        self.room = placed.room;
         self.placed = Some((now, placed));
     }
 
@@ -160,19 +164,38 @@
 
     /// Estimates the requests of the other `hosts` where the coordinator has not told lately: as many each as here.
     pub(super) fn estimate_others(&mut self, now: clock::Instant, hosts: usize) {
-        let is_fresh = self
-            .placed
-            .as_ref()
-            .is_some_and(|(at, _)| now.since(*at) < VIEW_AGE);
-        if !is_fresh {
+        if !self.is_placed(now) {
             let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
             self.others = self.running.saturating_mul(hosts);
         }
     }
 
+    /// Returns the time since the coordinator last told of it.
+    pub(super) fn placed_age(&self, now: clock::Instant) -> Option<time::Duration> {
+        self.placed.as_ref().map(|(at, _)| now.since(*at))
+    }
+
+    /// Returns whether the coordinator has told of it lately.
+    fn is_placed(&self, now: clock::Instant) -> bool {
+        self.placed_age(now).is_some_and(|age| age < VIEW_AGE)
+    }
+
+    /// Notes that a request was sent there.
+    pub(super) fn sent(&mut self) {
+        self.running += 1;
+        self.room = self.room.saturating_sub(1);
+    }
+
+    /// Notes that a request sent there has ended. Its place stays with this host until the next view.
+    pub(super) fn ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.room += 1;
+    }
+
     /// Returns whether another request fits beside those in progress.
     pub(super) fn has_room(&self, now: clock::Instant, slots: u32) -> bool {
         now >= self.full_until
+            && (self.room > 0 || !self.is_placed(now))
             && self.running + self.others < slots
             && f64::from(self.running) < self.limit
     }
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -14,8 +14,10 @@
     pub unloading: Vec<name::Name>,
     /// The adapters that it holds, with their models.
     pub adapters: Vec<(name::Name, name::Name)>,
-    /// The requests of all hosts in progress there.
+    /// The requests of the other hosts in progress there.
     pub running: u32,
+    /// The further requests that this host may send there before the next view, beside one for each that ends.
+    pub room: u32,
 }
 
 /// What the coordinator tells an entry host.
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -70,22 +70,36 @@
     }
 
     pub(crate) fn ask(&mut self, model: &str, adapter: Option<&str>, tokens: u64, waiting: u32) {
+        let ask = relay::Ask {
+            service: relay_fake::name("models"),
+            model: relay_fake::name(model),
+            adapter: adapter.map(relay_fake::name),
+            tokens,
+            waiting,
+        };
+        let report = report("host-1", 1, ask);
+        self.feed(coordinator::Event::Reported(Box::new(report)));
+    }
+
+    /// Hears a report of `host` with requests that wait for `model` and requests in progress at an engine.
+    pub(crate) fn hear(
+        &mut self,
+        host: &str,
+        number: u64,
+        model: &str,
+        waiting: u32,
+        running: (&str, u32),
+    ) {
+        let ask = relay::Ask {
+            service: relay_fake::name("models"),
+            model: relay_fake::name(model),
+            adapter: None,
+            tokens: 0,
+            waiting,
+        };
         let report = relay::Report {
-            host: relay_fake::name("host-1"),
-            number: 1,
-            full: true,
-            wants: Vec::new(),
-            span_ms: 200,
-            asks: vec![relay::Ask {
-                service: relay_fake::name("models"),
-                model: relay_fake::name(model),
-                adapter: adapter.map(relay_fake::name),
-                tokens,
-                waiting,
-            }],
-            running: Vec::new(),
-            usage: Vec::new(),
-            suspects: Vec::new(),
+            running: vec![(relay_fake::name(running.0), running.1)],
+            ..report(host, number, ask)
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
     }
@@ -95,6 +109,20 @@
     }
 }
 
+fn report(host: &str, number: u64, ask: relay::Ask) -> relay::Report {
+    relay::Report {
+        host: relay_fake::name(host),
+        number,
+        full: true,
+        wants: Vec::new(),
+        span_ms: 200,
+        asks: vec![ask],
+        running: Vec::new(),
+        usage: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
 pub(crate) fn status(models: &[&str], sequence: u64) -> coordinator::Status {
     coordinator::Status {
         models: models
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -163,3 +163,50 @@
         assert_eq!(unloaded, on_disk);
     }
 }
+
+/// Pattern: many hosts wait for an engine with one free place. Guards against a place that all of them take at once, and
+/// against one that nobody takes.
+#[test]
+fn free_places_are_divided_among_the_hosts() {
+    let mut world = coordinator::World::new(&["small"]);
+    world.engine("one", &["small"]);
+    let hosts: Vec<_> = (0..30).map(|index| format!("host-{index}")).collect();
+    let (rounds, mut room) = (100, 0);
+    for round in 0..rounds {
+        world.pass(10);
+        for (index, host) in hosts.iter().enumerate() {
+            let running = if index < 3 { 1 } else { 0 };
+            world.hear(
+                host,
+                round * 30 + index as u64,
+                "small",
+                1,
+                ("one", running),
+            );
+        }
+        let rooms = hosts.iter().map(|host| {
+            let view = world
+                .reducer
+                .answer(world.now, &crate::relay_fake::name(host));
+            view.placed[0].room
+        });
+        room += rooms.sum::<u32>();
+    }
+    // One of four places is free.
+    let mean = f64::from(room) / f64::from(rounds as u32);
+    assert!((0.5..=1.5).contains(&mean), "{mean} places were given");
+}
+
+/// Pattern: a calm day. Guards against a host that has to ask before it can use an engine with many free places.
+#[test]
+fn each_host_may_use_an_engine_with_many_free_places() {
+    let mut world = coordinator::World::new(&["small"]);
+    world.engine("one", &["small"]);
+    for index in 0..30 {
+        let host = format!("host-{index}");
+        world.hear(&host, index, "small", 0, ("one", 0));
+        let host = crate::relay_fake::name(&host);
+        let view = world.reducer.answer(world.now, &host);
+        assert!(view.placed[0].room > 0);
+    }
+}
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -12,6 +12,19 @@
     world.arrive(arrival)
 }
 
+fn view(placed: Vec<relay::Placed>) -> relay::View {
+    relay::View {
+        epoch: 1,
+        number: 0,
+        grants: Vec::new(),
+        shares: Vec::new(),
+        full: true,
+        placed,
+        suspects: Vec::new(),
+        expected: Vec::new(),
+    }
+}
+
 fn finish(world: &mut relay_fake::World, id: relay::Id) {
     let attempt = world.begin(id);
     world.feed(relay::Event::Progress(id, attempt, Some(0)));
@@ -86,14 +99,8 @@
     let mut world = relay_fake::World::new();
     world.see(relay_fake::sighting("one", "models", &["small"]));
     let view = |expected| relay::View {
-        epoch: 1,
-        number: 0,
-        grants: Vec::new(),
-        shares: Vec::new(),
-        full: true,
-        placed: Vec::new(),
-        suspects: Vec::new(),
         expected,
+        ..view(Vec::new())
     };
     let soon = vec![(relay_fake::name("rare"), 1_500)];
     world.feed(relay::Event::Viewed(Box::new(view(soon))));
@@ -112,6 +119,40 @@
     );
 }
 
+/// Pattern: many hosts share a busy upstream. Guards against a host that takes places which the coordinator has left to
+/// others: what finds no place there makes no progress and is tried again elsewhere.
+#[test]
+fn host_sends_no_more_than_its_part_of_the_free_places() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let placed = |room| relay::Placed {
+        upstream: relay_fake::name("one"),
+        models: vec![relay_fake::name("small")],
+        loading: Vec::new(),
+        unloading: Vec::new(),
+        adapters: Vec::new(),
+        running: 1,
+        room,
+    };
+    world.feed(relay::Event::Viewed(Box::new(view(vec![placed(1)]))));
+    let ids: Vec<_> = (0..3).map(|_| live(&mut world, "small")).collect();
+    let sent =
+        |world: &relay_fake::World| ids.iter().map(|id| world.is_sent(*id)).collect::<Vec<_>>();
+    assert_eq!(sent(&world), [true, false, false]);
+    finish(&mut world, ids[0]);
+    assert_eq!(
+        sent(&world)[1..],
+        [true, false],
+        "the place of a request that ends stays"
+    );
+    let next = relay::View {
+        number: 1,
+        ..view(vec![placed(1)])
+    };
+    world.feed(relay::Event::Viewed(Box::new(next)));
+    assert!(sent(&world)[2]);
+}
+
 /// Pattern: two hosts that do not hear of each other share an upstream. Guards against a host that keeps sending to
 /// an upstream which others fill.
 #[test]
