--- a/crates/carawaycleat-core/src/coordinator/effect.rs
+++ b/crates/carawaycleat-core/src/coordinator/effect.rs
@@ -2,6 +2,7 @@
 
 use super::order;
 use crate::name;
+use crate::timeline;
 
 /// Something that the coordinator is to do.
 #[derive(Clone, Debug)]
@@ -11,12 +12,5 @@
     /// Ask an engine for its status.
     Probe(name::Name, net::SocketAddr),
     /// Log a decision about an engine.
-    Record {
-        /// What was decided.
-        event: &'static str,
-        /// The engine.
-        engine: name::Name,
-        /// What decided, in words of the field.
-        detail: String,
-    },
+    Record(timeline::Decision),
 }
--- a/crates/carawaycleat-core/src/coordinator/event.rs
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -37,6 +37,20 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Returns the text used in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Something that the coordinator learns.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/carawaycleat-core/src/coordinator/order.rs
+++ b/crates/carawaycleat-core/src/coordinator/order.rs
@@ -11,6 +11,17 @@
     Unload,
 }
 
+impl Operation {
+    /// Returns the text used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Order {
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -226,7 +226,7 @@
                     && model.demand > 0.0
                     && model.pressure() >= average * COPY_PRESSURE;
                 let lost = model.copies == 0 && !model.is_spare;
-                lost || busy
+                lost || (busy && self.state.rules.moves)
             })
             .find_map(|model| self.add_copy(model, average))
     }
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -13,6 +13,7 @@
 use crate::flow;
 use crate::name;
 use crate::relay;
+use crate::timeline;
 
 /// The most orders that one step sends.
 const MAX_STEPS: usize = 24;
@@ -191,17 +192,14 @@
                 _ => return,
             },
         };
-        effects.push(effect::Effect::Record {
-            event: "order_settled",
-            engine: id.clone(),
-            detail: format!(
-                "outcome={outcome:?} operation={:?} model={} adapter={} sequence={}",
-                order.operation,
-                order.model,
-                order.adapter.as_deref().unwrap_or("-"),
-                order.sequence
-            ),
-        });
+        let decision = timeline::Decision::new("order_settled")
+            .at(id.clone())
+            .with("outcome", outcome.as_str())
+            .with("operation", order.operation.as_str())
+            .with("model", &order.model)
+            .with_some("adapter", order.adapter.as_ref())
+            .with("sequence", order.sequence);
+        effects.push(effect::Effect::Record(decision));
         engine.last_order = now;
         if matches!(outcome, event::Outcome::Accepted | event::Outcome::Holds) {
             engine.conflicts = 0;
@@ -329,11 +327,10 @@
     fn log_placement(&self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         for (service, spec) in &self.services {
             let plan = plan::Plan::new(now, self, service, spec);
-            effects.push(effect::Effect::Record {
-                event: "placement",
-                engine: service.clone(),
-                detail: plan.summary(),
-            });
+            let decision = timeline::Decision::new("placement")
+                .at(service.clone())
+                .with("models", plan.summary());
+            effects.push(effect::Effect::Record(decision));
         }
     }
 
@@ -401,18 +398,15 @@
         if step.from_store {
             self.loads.push_back(now);
         }
-        effects.push(effect::Effect::Record {
-            event: "ordered",
-            engine: step.engine,
-            detail: format!(
-                "operation={:?} model={} adapter={} sequence={sequence} epoch={} from_store={}",
-                order.operation,
-                order.model,
-                order.adapter.as_deref().unwrap_or("-"),
-                self.epoch,
-                step.from_store
-            ),
-        });
+        let decision = timeline::Decision::new("ordered")
+            .at(step.engine)
+            .with("operation", order.operation.as_str())
+            .with("model", &order.model)
+            .with_some("adapter", order.adapter.as_ref())
+            .with("sequence", sequence)
+            .with("epoch", self.epoch)
+            .with("from_store", step.from_store);
+        effects.push(effect::Effect::Record(decision));
         effects.push(effect::Effect::Order(order));
     }
 
--- a/crates/carawaycleat-core/src/coordinator/rules.rs
+++ b/crates/carawaycleat-core/src/coordinator/rules.rs
@@ -23,6 +23,8 @@
     pub saturated: f64,
     /// The pause after an order that met another state than expected.
     pub conflict_pause: time::Duration,
+    /// Whether models are copied and moved as demand moves. Without that, only models that no engine holds are loaded.
+    pub moves: bool,
     /// The least time between the arrival of a copy and its removal.
     pub min_stay: time::Duration,
 }
@@ -40,6 +42,7 @@
             idle: time::Duration::from_millis(10_000),
             loaded: 0.35,
             saturated: 0.8,
+            moves: true,
             conflict_pause: time::Duration::from_millis(120),
             min_stay: time::Duration::from_millis(1_500),
         }
--- a/crates/carawaycleat-core/src/relay/allowance.rs
+++ b/crates/carawaycleat-core/src/relay/allowance.rs
@@ -107,6 +107,12 @@
         time::Duration::from_secs_f64(seconds.min(60.0))
     }
 
+    /// Returns the tokens that there are; negative after a large request.
+    pub fn level(&mut self, now: clock::Instant) -> f64 {
+        self.fill(now);
+        self.level
+    }
+
     /// Gives back the tokens of a request that did not run.
     pub fn give_back(&mut self, tokens: u64) {
         self.level = (self.level + tokens as f64).min(self.capacity());
--- a/crates/carawaycleat-core/src/relay/catalog.rs
+++ b/crates/carawaycleat-core/src/relay/catalog.rs
@@ -16,6 +16,18 @@
     Streaming,
 }
 
+impl Kind {
+    /// Returns the text used in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 /// A service that a route leads to, with its share of the requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
--- a/crates/carawaycleat-core/src/relay/effect.rs
+++ b/crates/carawaycleat-core/src/relay/effect.rs
@@ -1,4 +1,4 @@
-use crate::name;
+use crate::timeline;
 
 /// Something that an entry host is to do.
 #[derive(Clone, Debug)]
@@ -7,19 +7,8 @@
     Tell(super::Id, super::Command),
     /// Send a report to the coordinator at once.
     Report,
+    /// Measure a request that has ended.
+    Measure(super::Summary),
     /// Log a decision.
-    Record(Record),
-}
-
-/// A decision, for the log.
-#[derive(Clone, Debug)]
-pub struct Record {
-    /// What was decided.
-    pub event: &'static str,
-    /// The request's identifier as the caller gave it, empty where there is none.
-    pub request: String,
-    /// The upstream, workspace or other subject.
-    pub subject: Option<name::Name>,
-    /// What decided, in words of the field.
-    pub detail: String,
+    Record(timeline::Decision),
 }
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -2,6 +2,8 @@
 use std::time;
 
 use super::catalog;
+use super::policy;
+use super::summary;
 use crate::clock;
 use crate::name;
 
@@ -26,6 +28,9 @@
 const ABANDON_OBJECTIVES: u32 = 4;
 const ABANDON_GAPS: u32 = 8;
 
+/// How much later a waiting request is sent for each rank below the most urgent one.
+const HANDICAP: time::Duration = time::Duration::from_millis(300);
+
 /// A request that has no complete answer yet.
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
@@ -43,12 +48,18 @@
     /// Whether it has the tokens that it costs.
     pub(super) has_tokens: bool,
     pub(super) arrived: clock::Instant,
+    /// The order of waiting requests that it takes part in.
+    pub(super) queue: policy::Queue,
     /// When the final answer is due.
     pub(super) due: clock::Instant,
     /// When the caller stops waiting.
     pub(super) patience: clock::Instant,
     /// Whether it waits for a model or adapter that no upstream holds, and not for room.
     pub(super) unplaced: bool,
+    /// When it was first sent to an upstream.
+    pub(super) sent: Option<clock::Instant>,
+    /// When the first byte of an answer arrived.
+    pub(super) answered: Option<clock::Instant>,
     pub(super) attempt: u32,
     /// The attempts of which a byte may have left.
     pub(super) arrivals: u32,
@@ -75,7 +86,9 @@
     /// Returns the order in which waiting requests are sent: by the time at which the answer is wanted, with a
     /// handicap for each rank.
     pub(super) fn urgency(&self) -> clock::Instant {
-        const HANDICAP: time::Duration = time::Duration::from_millis(300);
+        if self.queue == policy::Queue::FirstIn {
+            return self.arrived;
+        }
         self.wanted() + HANDICAP * u32::from(self.priority)
     }
 
@@ -90,6 +103,22 @@
         self.due.min(self.arrived + patience)
     }
 
+    /// Returns its times at its end.
+    pub(super) fn summary(
+        &self,
+        now: clock::Instant,
+        outcome: summary::Outcome,
+    ) -> summary::Summary {
+        let since_arrival = |at: clock::Instant| at.since(self.arrived);
+        summary::Summary {
+            kind: self.route.kind,
+            outcome,
+            waited: since_arrival(self.sent.unwrap_or(now)),
+            first_byte: self.answered.map(since_arrival),
+            at_upstream: self.sent.map(|sent| now.since(sent)),
+        }
+    }
+
     pub(super) fn is_waiting(&self) -> bool {
         matches!(self.place, Place::Waiting)
     }
--- a/crates/carawaycleat-core/src/relay/pick.rs
+++ b/crates/carawaycleat-core/src/relay/pick.rs
@@ -6,6 +6,7 @@
 
 use super::catalog;
 use super::pending;
+use super::policy;
 use super::upstream;
 use crate::clock;
 use crate::name;
@@ -37,6 +38,9 @@
     pub(super) zone: &'a name::Name,
     pub(super) service: &'a catalog::Service,
     pub(super) lapse: std::time::Duration,
+    pub(super) policy: policy::Policy,
+    /// A number that grows with each choice.
+    pub(super) turn: u64,
 }
 
 impl Context<'_> {
@@ -99,10 +103,18 @@
             .iter()
             .filter_map(|upstream| upstream.latency())
             .fold(f64::INFINITY, f64::min);
-        let cheapest = open.iter().min_by(|one, other| {
-            let cost = |upstream| self.cost(upstream, request, fastest);
-            cost(one).total_cmp(&cost(other))
-        });
+        let by = |cost: &dyn Fn(&upstream::Upstream) -> f64| {
+            open.iter()
+                .min_by(|one, other| cost(one).total_cmp(&cost(other)))
+        };
+        let cheapest = match self.policy.routing {
+            policy::Routing::Cost => by(&|upstream| self.cost(upstream, request, fastest)),
+            policy::Routing::LeastLoad => by(&|upstream| upstream.load(self.slots(upstream))),
+            policy::Routing::RoundRobin => {
+                let turn = self.turn.checked_rem(open.len() as u64);
+                turn.and_then(|turn| open.get(usize::try_from(turn).unwrap_or(0)))
+            }
+        };
         cheapest.map_or(Choice::Full, |upstream| {
             Choice::Upstream(upstream.sighting.id.clone())
         })
@@ -130,6 +142,7 @@
         };
         let affinity = match request.affinity {
             0 => 0.0,
+            _ if !self.policy.affinity => 0.0,
             affinity => AFFINITY_GAIN * rank(affinity, &upstream.sighting.id),
         };
         // An upstream that has not answered yet is tried, but not by everything at once.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -14,6 +14,7 @@
 use super::effect;
 use super::event;
 use super::pending;
+use super::pick;
 use super::refusal;
 use super::rules;
 use super::upstream;
@@ -22,6 +23,7 @@
 use crate::flow;
 use crate::name;
 use crate::retry;
+use crate::timeline;
 
 /// The age up to which the coordinator's view is used.
 const VIEW_AGE: time::Duration = time::Duration::from_millis(2_500);
@@ -65,6 +67,8 @@
     lines: collections::HashMap<Line, u32>,
     /// The requests sent in each line.
     sends: flow::Flow<Line>,
+    /// The attempts that were sent.
+    dispatches: u64,
     checked: clock::Instant,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
     budgets: collections::HashMap<name::Name, retry::Budget>,
@@ -96,6 +100,7 @@
             waiting: collections::BTreeSet::new(),
             lines: collections::HashMap::new(),
             sends: flow::Flow::default(),
+            dispatches: 0,
             checked: clock::Instant::default(),
             allowances: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
@@ -127,12 +132,51 @@
         (self.requests.len(), self.waiting.len())
     }
 
+    /// Returns the fewest retries that are left for a service.
+    #[must_use]
+    pub fn retries_left(&self, now: clock::Instant) -> Option<u64> {
+        let budgets = self.budgets.values();
+        budgets.map(|budget| budget.left(now)).min()
+    }
+
+    /// Returns the tokens that each workspace may use at once without asking; negative after a large request.
+    pub fn allowances(&mut self, now: clock::Instant) -> impl Iterator<Item = (&name::Name, f64)> {
+        let allowances = self.allowances.iter_mut();
+        allowances.map(move |(name, allowance)| (name, allowance.level(now)))
+    }
+
     /// Returns the age of the confirmed configuration.
     #[must_use]
     pub fn config_age(&self, now: clock::Instant) -> Option<time::Duration> {
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
+    /// Returns what the choice of an upstream goes by.
+    fn context<'a>(
+        &'a self,
+        now: clock::Instant,
+        service: &'a catalog::Service,
+    ) -> pick::Context<'a> {
+        pick::Context {
+            now,
+            zone: &self.zone,
+            service,
+            lapse: self.rules.lapse,
+            policy: self.rules.policy,
+            turn: self.dispatches,
+        }
+    }
+
+    /// Returns the version of the configuration, 0 when there is none.
+    fn config_version(&self) -> u64 {
+        self.catalog.as_ref().map_or(0, catalog::Catalog::version)
+    }
+
+    /// Returns the age of the confirmed configuration as a field of a decision.
+    fn config_age_field(&self, now: clock::Instant) -> Option<timeline::Value> {
+        self.config_age(now).map(timeline::Value::millis)
+    }
+
     /// Returns whether this host can serve callers.
     #[must_use]
     pub fn is_ready(&self, now: clock::Instant) -> bool {
@@ -181,16 +225,6 @@
     }
 }
 
-fn record(
-    event: &'static str,
-    request: String,
-    subject: Option<name::Name>,
-    detail: String,
-) -> effect::Effect {
-    effect::Effect::Record(effect::Record {
-        event,
-        request,
-        subject,
-        detail,
-    })
+fn record(decision: timeline::Decision) -> effect::Effect {
+    effect::Effect::Record(decision)
 }
--- a/crates/carawaycleat-core/src/relay/reducer/admit.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admit.rs
@@ -6,12 +6,12 @@
 use crate::name;
 use crate::relay::allowance;
 use crate::relay::arrival;
-use crate::relay::catalog;
 use crate::relay::command;
 use crate::relay::effect;
 use crate::relay::event;
 use crate::relay::pending;
 use crate::relay::refusal;
+use crate::timeline;
 
 /// The time for which the coordinator is not asked again after it had no tokens.
 const DENIAL_TIME: time::Duration = time::Duration::from_millis(60);
@@ -46,16 +46,15 @@
                 }
             }
             Err(refusal) => {
-                let detail = format!(
-                    "reason={} status={} workspace={} tokens={} config={} config_age_ms={}",
-                    refusal.reason.as_str(),
-                    refusal.status(),
-                    workspace.as_deref().unwrap_or("-"),
-                    tokens.0 + tokens.1,
-                    self.catalog.as_ref().map_or(0, catalog::Catalog::version),
-                    self.config_age(now).map_or(0, |age| age.as_millis())
-                );
-                effects.push(super::record("refused", name, None, detail));
+                let decision = timeline::Decision::new("refused")
+                    .about(name)
+                    .with("reason", refusal.reason.as_str())
+                    .with("status", refusal.status())
+                    .with_some("workspace", workspace)
+                    .with("tokens", tokens.0 + tokens.1)
+                    .with("config", self.config_version())
+                    .with_some("config_age_ms", self.config_age_field(now));
+                effects.push(super::record(decision));
                 effects.push(effect::Effect::Tell(id, command::Command::Refuse(refusal)));
             }
         }
@@ -154,9 +153,12 @@
             cost,
             has_tokens,
             arrived: now,
+            queue: self.rules.policy.queue,
             due: now + route.timeout.min(patience),
             patience: now + patience,
             unplaced: false,
+            sent: None,
+            answered: None,
             attempt: 0,
             arrivals: 0,
             runs: 0,
--- a/crates/carawaycleat-core/src/relay/reducer/answer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/answer.rs
@@ -9,6 +9,8 @@
 use crate::relay::event;
 use crate::relay::pending;
 use crate::relay::refusal;
+use crate::relay::summary;
+use crate::timeline;
 
 /// The status of an answer that streams.
 const STREAM_STATUS: u16 = 200;
@@ -64,6 +66,7 @@
             return;
         };
         request.runs += 1;
+        request.answered.get_or_insert(now);
         if request.delivered {
             // A resumed stream was answered by something else.
             return self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
@@ -86,18 +89,20 @@
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
-        let detail = format!(
-            "status={status} attempts={} ms={} last_event={}",
-            request.attempt,
-            now.since(request.arrived).as_millis(),
-            request.after.unwrap_or(0)
-        );
-        effects.push(super::record(
-            "answered",
-            request.name,
-            Some(upstream),
-            detail,
-        ));
+        let outcome = if status < 500 {
+            summary::Outcome::Answered
+        } else {
+            summary::Outcome::Failed
+        };
+        effects.push(effect::Effect::Measure(request.summary(now, outcome)));
+        let decision = timeline::Decision::new("answered")
+            .about(request.name)
+            .at(upstream)
+            .with("status", status)
+            .with("attempts", request.attempt)
+            .with("ms", timeline::Value::millis(now.since(request.arrived)))
+            .with_some("last_event", request.after);
+        effects.push(super::record(decision));
         effects.push(effect::Effect::Tell(id, command::Command::Deliver));
         self.serve_waiting(now, effects);
     }
@@ -131,6 +136,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        request.answered.get_or_insert(now);
         request.after = after.or(request.after);
         let pending::Place::At {
             upstream,
@@ -193,18 +199,14 @@
                 (_, false) => entry.was_full(now),
             }
         }
-        let detail = format!(
-            "attempt={} misdirected={misdirected} model={} adapter={}",
-            request.attempt,
-            request.model.as_deref().unwrap_or("-"),
-            request.adapter.as_deref().unwrap_or("-")
-        );
-        effects.push(super::record(
-            "not_run",
-            request.name.clone(),
-            Some(upstream),
-            detail,
-        ));
+        let decision = timeline::Decision::new("not_run")
+            .about(request.name.as_str())
+            .at(upstream)
+            .with("attempt", request.attempt)
+            .with("misdirected", misdirected)
+            .with_some("model", request.model.as_ref())
+            .with_some("adapter", request.adapter.as_ref());
+        effects.push(super::record(decision));
         if !self.try_again(now, id, "rejected", effects) {
             let retry = time::Duration::from_millis(300);
             self.refuse(now, id, refusal::Reason::NoUpstream, Some(retry), effects);
@@ -243,13 +245,13 @@
         } else {
             request.arrivals -= 1;
         }
-        let detail = format!("attempt={attempt} sent={sent} unreachable={unreachable}");
-        effects.push(super::record(
-            "attempt_failed",
-            request.name.clone(),
-            Some(upstream),
-            detail,
-        ));
+        let decision = timeline::Decision::new("attempt_failed")
+            .about(request.name.as_str())
+            .at(upstream)
+            .with("attempt", attempt)
+            .with("sent", sent)
+            .with("unreachable", unreachable);
+        effects.push(super::record(decision));
         if !sent && now + super::MIN_REMAINING < self.due(id) {
             // Nothing arrived anywhere, so that this takes nothing of the budget.
             return self.seek(now, id, effects);
@@ -282,7 +284,7 @@
         &mut self,
         now: clock::Instant,
         id: event::Id,
-        cause: &str,
+        cause: &'static str,
         effects: &mut Vec<effect::Effect>,
     ) -> bool {
         let Some(request) = self.requests.get(&id) else {
@@ -295,8 +297,11 @@
         if !allowed || !budget.is_some_and(|budget| budget.take(now)) {
             return false;
         }
-        let detail = format!("cause={cause} attempt={}", request.attempt);
-        effects.push(super::record("retried", request.name.clone(), None, detail));
+        let decision = timeline::Decision::new("retried")
+            .about(request.name.as_str())
+            .with("cause", cause)
+            .with("attempt", request.attempt);
+        effects.push(super::record(decision));
         self.seek(now, id, effects);
         true
     }
@@ -324,21 +329,32 @@
             may_have_run,
             retry_after,
         };
-        let detail = format!(
-            "reason={} config_age_ms={} workspace={} tokens={} model={} adapter={} status={} attempts={} delivered={} ms={}",
-            reason.as_str(),
-            self.config_age(now).map_or(0, |age| age.as_millis()),
-            request.workspace.as_deref().unwrap_or("-"),
-            request.cost,
-            request.model.as_deref().unwrap_or("-"),
-            request.adapter.as_deref().unwrap_or("-"),
-            refusal.status(),
-            request.attempt,
-            request.delivered,
-            now.since(request.arrived).as_millis()
-        );
-        let upstream = in_progress.map(|(upstream, _)| upstream);
-        effects.push(super::record("refused", request.name, upstream, detail));
+        let outcome = if request.delivered {
+            summary::Outcome::Cut
+        } else {
+            summary::Outcome::Refused
+        };
+        effects.push(effect::Effect::Measure(request.summary(now, outcome)));
+        let decision = timeline::Decision::new("refused")
+            .about(request.name)
+            .at(in_progress.map(|(upstream, _)| upstream))
+            .with("reason", reason.as_str())
+            .with("status", refusal.status())
+            .with_some("workspace", request.workspace)
+            .with("tokens", request.cost)
+            .with_some("model", request.model)
+            .with_some("adapter", request.adapter)
+            .with("unplaced", request.unplaced)
+            .with("attempts", request.attempt)
+            .with("delivered", request.delivered)
+            .with("ms", timeline::Value::millis(now.since(request.arrived)))
+            .with_some(
+                "retry_after_ms",
+                refusal.retry_after.map(timeline::Value::millis),
+            )
+            .with("config", self.config_version())
+            .with_some("config_age_ms", self.config_age_field(now));
+        effects.push(super::record(decision));
         effects.push(effect::Effect::Tell(id, command::Command::Refuse(refusal)));
     }
 
@@ -353,13 +369,15 @@
             return;
         };
         self.waiting.remove(&(request.urgency(), id));
-        let detail = format!(
-            "attempts={} ms={}",
-            request.attempt,
-            now.since(request.arrived).as_millis()
-        );
-        let upstream = in_progress.map(|(upstream, _)| upstream);
-        effects.push(super::record("caller_gone", request.name, upstream, detail));
+        let outcome = summary::Outcome::CallerGone;
+        effects.push(effect::Effect::Measure(request.summary(now, outcome)));
+        let decision = timeline::Decision::new("caller_gone")
+            .about(request.name)
+            .at(in_progress.map(|(upstream, _)| upstream))
+            .with("attempts", request.attempt)
+            .with("delivered", request.delivered)
+            .with("ms", timeline::Value::millis(now.since(request.arrived)));
+        effects.push(super::record(decision));
         self.serve_waiting(now, effects);
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/belief.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/belief.rs
@@ -10,6 +10,7 @@
 use crate::relay::sighting;
 use crate::relay::upstream;
 use crate::relay::view;
+use crate::timeline;
 
 /// One in this many upstreams of a service is avoided at most because of what other hosts say.
 const MAX_DOUBT_PART: usize = 4;
@@ -31,8 +32,8 @@
         if current.is_some_and(|current| current >= catalog.version()) {
             return;
         }
-        let detail = format!("version={}", catalog.version());
-        effects.push(super::record("configured", String::new(), None, detail));
+        let decision = timeline::Decision::new("configured").with("version", catalog.version());
+        effects.push(super::record(decision));
         // Allowances fill from the moment at which they are known, not from the first request.
         for workspace in catalog.workspaces() {
             let share = self.share(now, &workspace.name);
@@ -63,8 +64,9 @@
         }
         if sent.since(before) > OUTAGE_GAP {
             self.regained = Some(now);
-            let detail = format!("gap_ms={}", sent.since(before).as_millis());
-            effects.push(super::record("store_regained", String::new(), None, detail));
+            let gap = timeline::Value::millis(sent.since(before));
+            let decision = timeline::Decision::new("store_regained").with("gap_ms", gap);
+            effects.push(super::record(decision));
         }
         self.confirmed = Some(sent);
     }
@@ -79,19 +81,19 @@
         match self.table.get_mut(&id) {
             Some(entry) => {
                 if entry.sighting.state != sighting.state || entry.removed.is_some() {
-                    let detail = format!("state={:?}", sighting.state);
-                    effects.push(super::record("upstream", String::new(), Some(id), detail));
+                    let decision = timeline::Decision::new("upstream")
+                        .at(id)
+                        .with("state", sighting.state.as_str());
+                    effects.push(super::record(decision));
                 }
                 entry.update(now, sighting);
             }
             None => {
-                let detail = format!("state={:?} service={}", sighting.state, sighting.service);
-                effects.push(super::record(
-                    "upstream",
-                    String::new(),
-                    Some(id.clone()),
-                    detail,
-                ));
+                let decision = timeline::Decision::new("upstream")
+                    .at(id.clone())
+                    .with("state", sighting.state.as_str())
+                    .with("service", &sighting.service);
+                effects.push(super::record(decision));
                 self.table.insert(id, upstream::Upstream::new(sighting));
             }
         }
@@ -123,13 +125,11 @@
         } else {
             clock::Instant::from_micros(now.as_micros().saturating_sub(lapse.as_micros() as u64))
         });
-        let detail = format!("removed=true after_outage={}", recent || away);
-        effects.push(super::record(
-            "upstream",
-            String::new(),
-            Some(id.clone()),
-            detail,
-        ));
+        let decision = timeline::Decision::new("upstream")
+            .at(id.clone())
+            .with("state", "removed")
+            .with("after_outage", recent || away);
+        effects.push(super::record(decision));
     }
 
     pub(super) fn look(
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -11,8 +11,10 @@
 use crate::relay::event;
 use crate::relay::pending;
 use crate::relay::pick;
+use crate::relay::policy;
 use crate::relay::refusal;
 use crate::retry;
+use crate::timeline;
 
 const MAX_RETRY_AFTER: time::Duration = time::Duration::from_millis(4_000);
 
@@ -44,12 +46,7 @@
         if request.keyed && !self.is_current(now, self.rules.max_config_age) {
             return self.refuse(now, id, refusal::Reason::ConfigurationStale, None, effects);
         }
-        let context = pick::Context {
-            now,
-            zone: &self.zone,
-            service,
-            lapse: self.rules.lapse,
-        };
+        let context = self.context(now, service);
         match context.pick(&self.table, request) {
             pick::Choice::Upstream(upstream) => {
                 self.waiting.remove(&key);
@@ -72,6 +69,7 @@
             return;
         };
         request.unplaced = false;
+        let is_divided = request.model.is_some();
         if request.attempt > 0 || self.waiting.contains(&key) {
             self.waiting.insert(key);
             return;
@@ -85,7 +83,10 @@
             let retry = retry.max(super::MIN_RETRY_AFTER);
             return self.refuse(now, id, refusal::Reason::NoUpstream, Some(retry), effects);
         }
-        self.waiting.insert(key);
+        // The coordinator divides the places of engines among the hosts that have requests waiting.
+        if self.waiting.insert(key) && is_divided {
+            effects.push(effect::Effect::Report);
+        }
     }
 
     /// Lets a request wait for a model that no upstream holds, unless it cannot be loaded in time.
@@ -158,6 +159,7 @@
         if request.attempt == 0 {
             budget.request(now);
         }
+        request.sent.get_or_insert(now);
         request.attempt += 1;
         request.arrivals += 1;
         request.tried.push(upstream.clone());
@@ -168,8 +170,10 @@
             answered: false,
         };
         entry.sent();
+        let config = self.catalog.as_ref().map_or(0, catalog::Catalog::version);
         let line = (request.service.clone(), request.model.clone());
         self.sends.add(now, &line, 1.0);
+        self.dispatches += 1;
         let remaining = request.due.since(now);
         let dispatch = command::Dispatch {
             attempt: request.attempt,
@@ -182,25 +186,27 @@
             repeatable: request.may_repeat(),
             after: request.after,
         };
-        let detail = format!(
-            "attempt={} workspace={} tokens={} model={} adapter={} zone={} load={}+{} waited_ms={} config={}",
-            request.attempt,
-            request.workspace.as_deref().unwrap_or("-"),
-            request.cost,
-            request.model.as_deref().unwrap_or("-"),
-            request.adapter.as_deref().unwrap_or("-"),
-            entry.sighting.zone,
-            entry.running,
-            entry.others,
-            now.since(request.arrived).as_millis(),
-            self.catalog.as_ref().map_or(0, catalog::Catalog::version),
-        );
-        effects.push(super::record(
-            "dispatched",
-            request.name.clone(),
-            Some(upstream.clone()),
-            detail,
-        ));
+        let decision = timeline::Decision::new("dispatched")
+            .about(request.name.as_str())
+            .at(upstream.clone())
+            .with("attempt", request.attempt)
+            .with_some("workspace", request.workspace.as_ref())
+            .with("tokens", request.cost)
+            .with_some("model", request.model.as_ref())
+            .with_some("adapter", request.adapter.as_ref())
+            .with("zone", &entry.sighting.zone)
+            .with("own_load", entry.running)
+            .with("other_load", entry.others)
+            .with_some(
+                "load_age_ms",
+                entry.placed_age(now).map(timeline::Value::millis),
+            )
+            .with(
+                "waited_ms",
+                timeline::Value::millis(now.since(request.arrived)),
+            )
+            .with("config", config);
+        effects.push(super::record(decision));
         effects.push(effect::Effect::Tell(
             id,
             command::Command::Send(Box::new(dispatch)),
@@ -250,6 +256,9 @@
             .take(MAX_SCAN)
             .map(|(_, id)| *id)
             .partition(|id| {
+                if self.rules.policy.queue == policy::Queue::FirstIn {
+                    return false;
+                }
                 let request = self.requests.get(id);
                 request.is_none_or(|request| request.wanted() <= now)
             })
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -8,6 +8,7 @@
 use crate::relay::pending;
 use crate::relay::pick;
 use crate::relay::refusal;
+use crate::timeline;
 
 /// The longest time that a request waits for tokens of its workspace: some round trips to the coordinator.
 const BORROW_TIME: time::Duration = time::Duration::from_millis(250);
@@ -117,12 +118,7 @@
         let Some(service) = service.filter(|_| may_move) else {
             return;
         };
-        let context = pick::Context {
-            now,
-            zone: &self.zone,
-            service,
-            lapse: self.rules.lapse,
-        };
+        let context = self.context(now, service);
         let pick::Choice::Upstream(target) = context.pick(&self.table, request) else {
             return;
         };
@@ -130,8 +126,11 @@
         if request.tried.contains(&target) || !budget.is_some_and(|budget| budget.take(now)) {
             return;
         }
-        let detail = format!("cause=stalled attempt={}", request.attempt);
-        effects.push(super::record("retried", request.name.clone(), None, detail));
+        let decision = timeline::Decision::new("retried")
+            .about(request.name.as_str())
+            .with("cause", "stalled")
+            .with("attempt", request.attempt);
+        effects.push(super::record(decision));
         if let Some((upstream, _)) = self.release(id)
             && let Some(entry) = self.table.get_mut(&upstream)
         {
--- a/crates/carawaycleat-core/src/relay/rules.rs
+++ b/crates/carawaycleat-core/src/relay/rules.rs
@@ -1,5 +1,7 @@
 use std::time;
 
+use super::policy;
+
 /// Bounds and thresholds of an entry host.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -15,6 +17,8 @@
     pub stall: time::Duration,
     /// The longest time that a request waits for a model that nothing loads.
     pub max_unplaced_wait: time::Duration,
+    /// The policies.
+    pub policy: policy::Policy,
     /// The time after which an upstream whose entry was removed while the store was away counts as gone.
     pub lapse: time::Duration,
 }
@@ -32,6 +36,7 @@
             // Four times the longest pause between events at the sites.
             stall: time::Duration::from_millis(600),
             max_unplaced_wait: time::Duration::from_millis(1_200),
+            policy: policy::Policy::default(),
             // The platform restores lapsed entries within two seconds of its return.
             lapse: time::Duration::from_millis(2_300),
         }
--- a/crates/carawaycleat-core/src/relay/sighting.rs
+++ b/crates/carawaycleat-core/src/relay/sighting.rs
@@ -13,6 +13,17 @@
     Draining,
 }
 
+impl State {
+    /// Returns the text used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+        }
+    }
+}
+
 /// What an upstream has said of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sighting {
--- a/crates/carawaycleat-core/src/retry/budget.rs
+++ b/crates/carawaycleat-core/src/retry/budget.rs
@@ -51,8 +51,9 @@
         self.slot(now).requests += 1;
     }
 
-    /// Takes one retry, and returns whether there was one left.
-    pub fn take(&mut self, now: clock::Instant) -> bool {
+    /// Returns the retries that are left.
+    #[must_use]
+    pub fn left(&self, now: clock::Instant) -> u64 {
         let second = now.as_micros() / SLOT_MICROS;
         let recent = self
             .slots
@@ -61,7 +62,12 @@
         let (requests, retries) = recent.fold((0, 0), |(requests, retries), slot| {
             (requests + slot.requests, retries + slot.retries)
         });
-        let is_left = retries < self.minimum + requests * self.percent / 100;
+        (self.minimum + requests * self.percent / 100).saturating_sub(retries)
+    }
+
+    /// Takes one retry, and returns whether there was one left.
+    pub fn take(&mut self, now: clock::Instant) -> bool {
+        let is_left = self.left(now) > 0;
         if is_left {
             self.slot(now).retries += 1;
         }
--- a/crates/carawaycleat-core/src/timeline.rs
+++ b/crates/carawaycleat-core/src/timeline.rs
@@ -3,17 +3,21 @@
 //! Each process keeps its latest events in a [`Ring`]. [`merge`] joins the events of several processes by their
 //! [`clock::Stamp`](crate::clock::Stamp).
 
+mod decision;
 mod event;
 mod filter;
 mod kind;
 mod merge;
 mod ring;
+mod value;
 
+pub use decision::Decision;
 pub use event::Event;
 pub use filter::Filter;
 pub use kind::Kind;
 pub use merge::merge;
 pub use ring::Ring;
+pub use value::Value;
 
 quick_error! {
     /// An error of [`Filter::parse`].
--- a/crates/carawaycleat-core/tests/suite/relay.rs
+++ b/crates/carawaycleat-core/tests/suite/relay.rs
@@ -216,3 +216,29 @@
     let next = world.arrive(relay_fake::arrival("/read/1"));
     assert_ne!(world.upstream(next), first);
 }
+
+/// Guards against times of a request that are counted from the wrong moment, or lost with the way in which it ends.
+#[test]
+fn times_of_a_request_are_told_at_its_end() {
+    let mut world = relay_fake::World::new();
+    let answered = world.arrive(relay_fake::arrival("/live/1"));
+    let gone = world.arrive(relay_fake::arrival("/live/1"));
+    world.pass(relay_fake::millis(200));
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    let attempt = world.begin(answered);
+    world.pass(relay_fake::millis(100));
+    world.feed(relay::Event::Progress(answered, attempt, Some(0)));
+    world.pass(relay_fake::millis(300));
+    world.feed(relay::Event::Ended(answered, attempt));
+    world.feed(relay::Event::CallerGone(gone));
+    let [first, second] = &world.summaries[..] else {
+        panic!("{:?}", world.summaries);
+    };
+    assert_eq!(first.outcome, relay::Outcome::Answered);
+    assert_eq!(first.kind, relay::Kind::Streaming);
+    assert_eq!(first.waited, relay_fake::millis(200));
+    assert_eq!(first.first_byte, Some(relay_fake::millis(300)));
+    assert_eq!(first.at_upstream, Some(relay_fake::millis(400)));
+    assert_eq!(second.outcome, relay::Outcome::CallerGone);
+    assert_eq!(second.first_byte, None);
+}
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -143,6 +143,8 @@
     pub(crate) commands: collections::HashMap<relay::Id, Vec<relay::Command>>,
     /// The events of log records in order.
     pub(crate) records: Vec<&'static str>,
+    /// The times of requests that have ended.
+    pub(crate) summaries: Vec<relay::Summary>,
 }
 
 impl World {
@@ -158,6 +160,7 @@
             next: 0,
             commands: collections::HashMap::new(),
             records: Vec::new(),
+            summaries: Vec::new(),
         };
         world.feed(relay::Event::Configured(Box::new(catalog(1, 1_000_000))));
         world.confirm();
@@ -176,6 +179,7 @@
                     self.commands.entry(id).or_default().push(command);
                 }
                 relay::Effect::Record(record) => self.records.push(record.event),
+                relay::Effect::Measure(summary) => self.summaries.push(summary),
                 relay::Effect::Report => {}
             }
         }
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -259,3 +259,26 @@
     assert_eq!(world.upstream(id), "two");
     assert_eq!(world.dispatch(id).after, Some(4));
 }
+
+/// Guards against a baseline that is not what its name says, so that a comparison with it means nothing.
+#[test]
+fn policies_differ_as_their_names_say() {
+    let spread = |routing| {
+        let policy = relay::Policy {
+            routing,
+            ..relay::Policy::default()
+        };
+        let mut world = relay_fake::World::with_rules(relay::Rules {
+            policy,
+            ..relay::Rules::default()
+        });
+        world.see(relay_fake::sighting("one", "models", &["small"]));
+        let busy: Vec<_> = (0..2).map(|_| live(&mut world, "small")).collect();
+        assert!(busy.iter().all(|id| world.is_sent(*id)));
+        world.see(relay_fake::sighting("two", "models", &["small"]));
+        let ids: Vec<_> = (0..2).map(|_| live(&mut world, "small")).collect();
+        ids.iter().map(|id| world.upstream(*id)).collect::<Vec<_>>()
+    };
+    assert_eq!(spread(relay::Routing::LeastLoad), ["two", "two"]);
+    assert_eq!(spread(relay::Routing::RoundRobin), ["one", "two"]);
+}
--- a/crates/carawaycleat/src/lib.rs
+++ b/crates/carawaycleat/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod api;
 pub mod cli;
 pub mod entry;
+pub mod explain;
 pub mod log;
 pub mod manifest;
 pub mod metric;
