--- a/crates/carawaycleat-core/src/relay/arrival.rs
+++ b/crates/carawaycleat-core/src/relay/arrival.rs
@@ -33,8 +33,6 @@
     pub adapter: Option<name::Name>,
     /// The prompt tokens and the most tokens of the answer.
     pub tokens: Option<(u64, u64)>,
-    /// A hash of the prompt parts that the request shares with others, 0 for none.
-    pub affinity: u64,
     /// A random number that decides between the targets of a route.
     pub seed: u64,
 }
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -39,7 +39,6 @@
     pub(super) service: name::Name,
     pub(super) model: Option<name::Name>,
     pub(super) adapter: Option<name::Name>,
-    pub(super) affinity: u64,
     pub(super) workspace: Option<name::Name>,
     pub(super) keyed: bool,
     pub(super) priority: u8,
--- a/crates/carawaycleat-core/src/relay/pick.rs
+++ b/crates/carawaycleat-core/src/relay/pick.rs
@@ -1,9 +1,5 @@
 //! The choice of an upstream.
 
-use std::hash;
-use std::hash::Hash as _;
-use std::hash::Hasher as _;
-
 use super::catalog;
 use super::pending;
 use super::policy;
@@ -24,8 +20,6 @@
 
 /// The cost of an upstream in another availability zone, in units of load.
 const ZONE_COST: f64 = 0.04;
-/// The advantage of the upstream that is likely to have the prompt in its cache, in units of load.
-const AFFINITY_GAIN: f64 = 0.12;
 /// The cost of a failure rate of one.
 const FAILURE_COST: f64 = 3.0;
 /// The most that latency counts against an upstream, relative to the fastest one.
@@ -108,7 +102,7 @@
                 .min_by(|one, other| cost(one).total_cmp(&cost(other)))
         };
         let cheapest = match self.policy.routing {
-            policy::Routing::Cost => by(&|upstream| self.cost(upstream, request, fastest)),
+            policy::Routing::Cost => by(&|upstream| self.cost(upstream, fastest)),
             policy::Routing::LeastLoad => by(&|upstream| upstream.load(self.slots(upstream))),
             policy::Routing::RoundRobin => {
                 let turn = self.turn.checked_rem(open.len() as u64);
@@ -130,7 +124,7 @@
                 .is_none_or(|model| upstream.holds(self.now, model, request.adapter.as_ref()))
     }
 
-    fn cost(&self, upstream: &upstream::Upstream, request: &pending::Pending, fastest: f64) -> f64 {
+    fn cost(&self, upstream: &upstream::Upstream, fastest: f64) -> f64 {
         let slots = self.slots(upstream);
         let pace = upstream.latency().map_or(1.0, |latency| {
             (latency / fastest.max(0.001)).clamp(1.0, MAX_PACE)
@@ -140,24 +134,10 @@
         } else {
             ZONE_COST
         };
-        let affinity = match request.affinity {
-            0 => 0.0,
-            _ if !self.policy.affinity => 0.0,
-            affinity => AFFINITY_GAIN * rank(affinity, &upstream.sighting.id),
-        };
         // An upstream that has not answered yet is tried, but not by everything at once.
-        upstream.load(slots) * pace.sqrt() + zone - affinity
+        upstream.load(slots) * pace.sqrt()
+            + zone
             + FAILURE_COST * upstream.failure_rate(self.now)
             + (pace - 1.0) * 0.1
     }
 }
-
-/// Returns a number from 0 to 1 that every host computes alike for a prompt and an upstream.
-fn rank(affinity: u64, upstream: &str) -> f64 {
-    let mut hasher = hash::DefaultHasher::new();
-    affinity.hash(&mut hasher);
-    upstream.hash(&mut hasher);
-    // The sharp power leaves one clear favourite.
-    let part = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
-    part.powi(8)
-}
--- a/crates/carawaycleat-core/src/relay/policy.rs
+++ b/crates/carawaycleat-core/src/relay/policy.rs
@@ -3,7 +3,7 @@
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Routing {
-    /// By load, speed, failures, zone and the likely content of the prompt cache.
+    /// By load, speed, failures and zone.
     #[default]
     Cost,
     /// By requests in progress alone.
@@ -20,29 +20,19 @@
     /// Those that can be on time before late ones, by when their answer is wanted.
     #[default]
     OnTimeFirst,
+    /// By when their answer is wanted.
+    EarliestWanted,
     /// First in, first out.
     FirstIn,
 }
 
 /// The policies of an entry host. Others than the default ones are baselines for measurements.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 #[derive(serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
     /// How an upstream is chosen.
     pub routing: Routing,
-    /// Whether a prompt prefers the upstream that is likely to have it in its cache.
-    pub affinity: bool,
     /// The order of waiting requests.
     pub queue: Queue,
 }
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            routing: Routing::default(),
-            affinity: true,
-            queue: Queue::default(),
-        }
-    }
-}
--- a/crates/carawaycleat-core/src/relay/reducer/admit.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admit.rs
@@ -144,7 +144,6 @@
             service: service.clone(),
             model: arrival.model,
             adapter: arrival.adapter,
-            affinity: arrival.affinity,
             workspace: workspace.map(|workspace| workspace.name.clone()),
             keyed,
             priority: workspace
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -256,7 +256,7 @@
             .take(MAX_SCAN)
             .map(|(_, id)| *id)
             .partition(|id| {
-                if self.rules.policy.queue == policy::Queue::FirstIn {
+                if self.rules.policy.queue != policy::Queue::OnTimeFirst {
                     return false;
                 }
                 let request = self.requests.get(id);
