fix: tell refused callers to return when the queue before them has drained

Cause: a caller that would have had to wait longer than it stays was told to return after the excess alone, most often 0.3 s, to the same queue, and was refused again. Ruled out: the estimate of the wait, which the refusals at ticks use in full already.

--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -79,9 +79,9 @@
         let rate = self.sends.rate(now, &line).max(MIN_SEND_RATE);
         let wait = time::Duration::from_secs_f64(ahead as f64 / rate);
         if now + wait > request.abandoned() {
-            let retry = wait - request.abandoned().since(now);
-            let retry = retry.max(super::MIN_RETRY_AFTER);
-            return self.refuse(now, id, refusal::Reason::NoUpstream, Some(retry), effects);
+            // Those that wait now have been served by then. An earlier return finds the same queue.
+            let retry = Some(wait.clamp(super::MIN_RETRY_AFTER, MAX_RETRY_AFTER));
+            return self.refuse(now, id, refusal::Reason::NoUpstream, retry, effects);
         }
         // The coordinator divides the places of engines among the hosts that have requests waiting.
         if self.waiting.insert(key) && is_divided {
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -82,6 +82,23 @@
     assert!(waiting < 30, "{waiting} wait");
 }
 
+/// Pattern: a queue longer than callers wait. Guards against callers who are told to come back to the same queue and are
+/// refused again.
+#[test]
+fn refused_caller_returns_when_the_queue_has_drained() {
+    let mut world = relay_fake::World::new();
+    world.see(relay_fake::sighting("one", "models", &["small"]));
+    for _ in 0..60 {
+        let id = live(&mut world, "small");
+        world.feed(relay::Event::Tick);
+        if let Some(relay::Command::Refuse(refusal)) = world.last(id) {
+            let retry = refusal.retry_after.expect("a time");
+            // Callers of this route leave after two seconds.
+            assert!(retry >= relay_fake::millis(2_000), "{retry:?}");
+        }
+    }
+}
+
 /// Pattern: a rare model that nothing holds. Guards against a caller who is held to the end of its time.
 #[test]
 fn request_for_an_unplaced_model_is_refused_after_a_bounded_wait() {
