--- a/crates/carawaycleat-core/src/relay/policy.rs
+++ b/crates/carawaycleat-core/src/relay/policy.rs
@@ -17,10 +17,8 @@
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Queue {
-    /// Those that can be on time before late ones, by when their answer is wanted.
-    #[default]
-    OnTimeFirst,
     /// By when their answer is wanted.
+    #[default]
     EarliestWanted,
     /// First in, first out.
     FirstIn,
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -11,7 +11,6 @@
 use crate::relay::event;
 use crate::relay::pending;
 use crate::relay::pick;
-use crate::relay::policy;
 use crate::relay::refusal;
 use crate::retry;
 use crate::timeline;
@@ -215,16 +214,16 @@
 
     /// Sends waiting requests to the upstreams that have room.
     pub(super) fn serve_waiting(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        let (late, on_time) = self.turns(now);
+        let turns = self.turns();
         self.lines.clear();
-        for id in on_time.iter().chain(&late) {
+        for id in &turns {
             if let Some(request) = self.requests.get(id) {
                 let line = (request.service.clone(), request.model.clone());
                 *self.lines.entry(line).or_default() += 1;
             }
         }
         let mut unserved = collections::HashSet::new();
-        for id in on_time.into_iter().chain(late) {
+        for id in turns {
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
@@ -248,20 +247,10 @@
         }
     }
 
-    /// Returns the waiting requests in the order of their turns: those that are late, and before them those that can
-    /// be on time, because each takes the same capacity.
-    pub(super) fn turns(&self, now: clock::Instant) -> (Vec<event::Id>, Vec<event::Id>) {
-        self.waiting
-            .iter()
-            .take(MAX_SCAN)
-            .map(|(_, id)| *id)
-            .partition(|id| {
-                if self.rules.policy.queue != policy::Queue::OnTimeFirst {
-                    return false;
-                }
-                let request = self.requests.get(id);
-                request.is_none_or(|request| request.wanted() <= now)
-            })
+    /// Returns the waiting requests in the order of their turns.
+    fn turns(&self) -> Vec<event::Id> {
+        let waiting = self.waiting.iter().take(MAX_SCAN);
+        waiting.map(|(_, id)| *id).collect()
     }
 
     /// Refuses waiting requests whose turn comes after their callers have left.
@@ -272,8 +261,7 @@
     ) {
         let mut ahead = collections::HashMap::<super::Line, u32>::new();
         let mut hopeless = Vec::new();
-        let (late, on_time) = self.turns(now);
-        for id in on_time.into_iter().chain(late) {
+        for id in self.turns() {
             let Some(request) = self.requests.get(&id) else {
                 continue;
             };
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -79,6 +79,7 @@
     booking.attempts = 1;
     let mut batch = route("/batch/", relay::Kind::Streaming, "models");
     batch.resumable = false;
+    batch.objective = millis(900);
     let routes = vec![
         route("/live/", relay::Kind::Streaming, "models"),
         batch,
