--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -170,23 +170,21 @@
     /// Returns a load for an engine that holds nothing, as after a restart, of weights that are close to it. A load
     /// from the weight store would leave the engine without work for several times as long.
     fn refill_step(&self) -> Option<Step> {
-        let empty = self.engines().filter(|engine| {
+        let mut empty = self.engines().filter(|engine| {
             engine.models.is_empty()
                 && engine.successor.is_none()
                 && engine.is_free(self.now)
                 && !self.state.is_suspect(&engine.sighting.id)
         });
-        empty
-            .filter_map(|engine| {
-                let close = engine.in_memory.iter().chain(&engine.on_disk);
-                let model = close
-                    .filter_map(|name| self.models.get(name))
-                    .filter(|model| model.demand > 0.0 || model.waiting > 0)
-                    .filter(|model| engine.free_mb(self.spec) >= model.spec.weights_mb)
-                    .max_by(|one, other| one.pressure().total_cmp(&other.pressure()))?;
-                Some(self.load(engine, model))
-            })
-            .next()
+        empty.find_map(|engine| {
+            let close = engine.in_memory.iter().chain(&engine.on_disk);
+            let model = close
+                .filter_map(|name| self.models.get(name))
+                .filter(|model| model.demand > 0.0 || model.waiting > 0)
+                .filter(|model| engine.free_mb(self.spec) >= model.spec.weights_mb)
+                .max_by(|one, other| one.pressure().total_cmp(&other.pressure()))?;
+            Some(self.load(engine, model))
+        })
     }
 
     /// Returns the load of a model at an engine that has room for it.
