fix: answer the requests that still wait when a stopping process ends

Cause: a request that waited for an upstream at SIGTERM went on waiting until the process ended, and its connection was closed without an answer.

Streams in progress go on.

Ruled out: a request in progress at an engine.

--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -51,6 +51,8 @@
     Viewed(Box<super::View>),
     /// The number of entry hosts is known.
     Hosts(usize),
+    /// The process is to stop; requests without an answer by this time get a final one.
+    Stopping(clock::Instant),
     /// Time has passed.
     Tick,
 }
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -35,6 +35,9 @@
 /// The bounds of the time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 
+/// The time after which a caller may try again whose request another host may serve at once.
+const OTHER_HOST_RETRY: time::Duration = time::Duration::from_millis(100);
+
 /// What requests that wait for the same upstreams have in common: the service and the model.
 type Line = (name::Name, Option<name::Name>);
 
@@ -82,6 +85,8 @@
     asks: collections::HashMap<(name::Name, name::Name, Option<name::Name>), u64>,
     usage: collections::HashMap<name::Name, u64>,
     reported: clock::Instant,
+    /// When requests without an answer get a final one, because the process is to stop.
+    end: Option<clock::Instant>,
 }
 
 impl Reducer {
@@ -112,6 +117,7 @@
             asks: collections::HashMap::new(),
             usage: collections::HashMap::new(),
             reported: clock::Instant::default(),
+            end: None,
         }
     }
 
@@ -206,6 +212,7 @@
             event::Event::Removed(id) => self.remove(now, &id, &mut effects),
             event::Event::Viewed(view) => self.look(now, *view, &mut effects),
             event::Event::Hosts(hosts) => self.set_hosts(now, hosts),
+            event::Event::Stopping(end) => self.end = Some(end),
             event::Event::Tick => self.tick(now, &mut effects),
         }
         effects
--- a/crates/carawaycleat-core/src/relay/reducer/admit.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admit.rs
@@ -76,8 +76,7 @@
     ) -> Result<pending::Pending, refusal::Refusal> {
         let stale = super::refuse(
             refusal::Reason::ConfigurationStale,
-            // Another host may serve at once.
-            Some(time::Duration::from_millis(100)),
+            Some(super::OTHER_HOST_RETRY),
         );
         let Some(catalog) = &self.catalog else {
             return Err(stale);
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -19,6 +19,9 @@
 /// The time before the end of a request's time at which a waiting one is refused, so that the answer arrives in time.
 const REFUSAL_LEAD: time::Duration = time::Duration::from_millis(40);
 
+/// The time after which a caller may try again whose request found no upstream in its time.
+const TIMEOUT_RETRY: time::Duration = time::Duration::from_millis(500);
+
 impl super::Reducer {
     pub(super) fn tick(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         let gone = self.rules.lapse;
@@ -33,28 +36,7 @@
             self.borrowers.pop_front();
             self.refuse_tokens(now, id, effects);
         }
-        let due: Vec<_> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| {
-                let lead = if request.is_waiting() {
-                    REFUSAL_LEAD
-                } else {
-                    time::Duration::ZERO
-                };
-                let due = if request.is_waiting() && !request.delivered {
-                    request.abandoned()
-                } else {
-                    request.due
-                };
-                now + lead >= due
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in due {
-            let retry = time::Duration::from_millis(500);
-            self.refuse(now, id, refusal::Reason::Timeout, Some(retry), effects);
-        }
+        self.refuse_due(now, effects);
         let others = self.hosts.saturating_sub(1);
         for entry in self.table.values_mut() {
             entry.estimate_others(now, others);
@@ -67,6 +49,43 @@
         }
     }
 
+    /// Ends the requests whose time is over, and those without an answer when the process ends.
+    fn refuse_due(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let is_due = |request: &pending::Pending| {
+            let lead = if request.is_waiting() {
+                REFUSAL_LEAD
+            } else {
+                time::Duration::ZERO
+            };
+            let due = if request.is_waiting() && !request.delivered {
+                request.abandoned()
+            } else {
+                request.due
+            };
+            now + lead >= due
+        };
+        let is_ended = |request: &pending::Pending| {
+            !request.delivered && self.end.is_some_and(|end| now + REFUSAL_LEAD >= end)
+        };
+        let reason = |request: &pending::Pending| {
+            if is_due(request) {
+                Some((refusal::Reason::Timeout, TIMEOUT_RETRY))
+            } else if is_ended(request) {
+                Some((refusal::Reason::Stopping, super::OTHER_HOST_RETRY))
+            } else {
+                None
+            }
+        };
+        let due: Vec<_> = self
+            .requests
+            .iter()
+            .filter_map(|(id, request)| Some((*id, reason(request)?)))
+            .collect();
+        for (id, (reason, retry)) in due {
+            self.refuse(now, id, reason, Some(retry), effects);
+        }
+    }
+
     /// Tries requests elsewhere whose upstream makes no progress.
     pub(super) fn move_stalled(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         let stalled: Vec<_> = self
--- a/crates/carawaycleat-core/src/relay/refusal.rs
+++ b/crates/carawaycleat-core/src/relay/refusal.rs
@@ -19,6 +19,8 @@
     Timeout,
     /// The upstream's answer failed after the request may have run.
     UpstreamFailed,
+    /// The process ends before an answer can be there.
+    Stopping,
 }
 
 impl Reason {
@@ -34,6 +36,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Timeout => "timeout",
             Self::UpstreamFailed => "upstream_failed",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -26,6 +26,7 @@
 mod relay_config;
 mod relay_fake;
 mod relay_load;
+mod relay_stop;
 mod relay_stream;
 mod resource;
 mod retry;
