fix: take a removed entry for a lapsed one only after a failed call to the store

Cause: a host whose coordinator has lost the store hears nothing for about 2 s and then watches by itself. The gap was taken for an outage, so an engine whose entry was removed in it got requests for 2.3 s more.

Change: a gap between confirmations counts as an outage only if a call of this host failed in it. An outage that lets entries lapse lasts for three heartbeats, and hosts ask the store by themselves long before.

Ruled out: late news from the coordinator and slow watches; the hosts had the removal at 26.1 to 26.5 s, 1.2 s after it.

The test of lapsed entries now plays the failed call that such an outage has.

--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -43,6 +43,8 @@
     Configured(Box<super::Catalog>),
     /// The configuration was confirmed as current by a call sent at this time.
     Confirmed(clock::Instant),
+    /// A call to the store failed.
+    StoreFailed,
     /// An upstream has been seen.
     Seen(Box<super::Sighting>),
     /// The entry of an upstream has been removed.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -60,7 +60,9 @@
     rules: rules::Rules,
     catalog: Option<catalog::Catalog>,
     confirmed: Option<clock::Instant>,
-    /// When the store was last reached again after a gap.
+    /// Whether a call to the store has failed since the last confirmation.
+    store_failed: bool,
+    /// When the store was last reached again after an outage.
     regained: Option<clock::Instant>,
     table: upstream::Table,
     requests: collections::HashMap<event::Id, pending::Pending>,
@@ -99,6 +101,7 @@
             rules,
             catalog: None,
             confirmed: None,
+            store_failed: false,
             regained: None,
             table: upstream::Table::new(),
             requests: collections::HashMap::new(),
@@ -208,6 +211,7 @@
             } => self.fail(now, request, attempt, sent, unreachable, &mut effects),
             event::Event::Configured(catalog) => self.configure(now, *catalog, &mut effects),
             event::Event::Confirmed(sent) => self.confirm(now, sent, &mut effects),
+            event::Event::StoreFailed => self.store_failed = true,
             event::Event::Seen(sighting) => self.see(now, *sighting, &mut effects),
             event::Event::Removed(id) => self.remove(now, &id, &mut effects),
             event::Event::Viewed(view) => self.look(now, *view, &mut effects),
--- a/crates/carawaycleat-core/src/relay/reducer/belief.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/belief.rs
@@ -15,7 +15,8 @@
 /// One in this many upstreams of a service is avoided at most because of what other hosts say.
 const MAX_DOUBT_PART: usize = 4;
 
-/// The gap between confirmations that counts as a loss of the store.
+/// The gap between confirmations that counts as a loss of the store, if a call failed in it. A host that heard nothing
+/// from the coordinator, or that was suspended, has a gap as well, but knows of no outage.
 const OUTAGE_GAP: time::Duration = time::Duration::from_millis(2_000);
 
 /// The longest time after a loss of the store in which a removed entry may come back.
@@ -62,12 +63,13 @@
         if sent <= before {
             return;
         }
-        if sent.since(before) > OUTAGE_GAP {
+        if self.store_failed && sent.since(before) > OUTAGE_GAP {
             self.regained = Some(now);
             let gap = timeline::Value::millis(sent.since(before));
             let decision = timeline::Decision::new("store_regained").with("gap_ms", gap);
             effects.push(super::record(decision));
         }
+        self.store_failed = false;
         self.confirmed = Some(sent);
     }
 
@@ -111,7 +113,7 @@
         let recent = self
             .regained
             .is_some_and(|regained| now.since(regained) < OUTAGE_MEMORY);
-        let away = !self.is_current(now, OUTAGE_GAP);
+        let away = self.store_failed && !self.is_current(now, OUTAGE_GAP);
         let lapse = self.rules.lapse;
         let Some(entry) = self.table.get_mut(id) else {
             return;
--- a/crates/carawaycleat-core/tests/suite/relay.rs
+++ b/crates/carawaycleat-core/tests/suite/relay.rs
@@ -181,6 +181,7 @@
     let mut world = plain_world();
     world.pass(relay_fake::millis(1_000));
     world.now = world.now + relay_fake::millis(3_000);
+    world.feed(relay::Event::StoreFailed);
     world.confirm();
     for id in ["one", "two"] {
         world.feed(relay::Event::Removed(relay_fake::name(id)));
@@ -192,6 +193,19 @@
     assert!(!world.is_sent(id), "what is still missing is gone");
 }
 
+/// Guards against work for an upstream that has left, at a host that heard nothing for a time although the store was in
+/// reach: the coordinator had lost the store, or the host was suspended.
+#[test]
+fn removal_after_a_gap_without_an_outage_takes_effect_at_once() {
+    let mut world = plain_world();
+    world.pass(relay_fake::millis(1_000));
+    world.now = world.now + relay_fake::millis(3_000);
+    world.feed(relay::Event::Removed(relay_fake::name("one")));
+    world.confirm();
+    let id = world.arrive(relay_fake::arrival("/read/1"));
+    assert_eq!(world.upstream(id), "two");
+}
+
 /// Guards against models of the process before at an upstream that started again under its identifier.
 #[test]
 fn restarted_upstream_holds_what_it_says_now() {
