feat: promise places of engines to requests that wait

Cause: the free places of an engine were divided in proportion to the requests that hosts had there, whether any waited or not.

Change: a host whose requests wait is promised a place for each, at the engine with the most free ones, until its next report. A place that was promised counts as taken for all others. A view that was asked for at once tells only about engines that hold what waits.

--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -227,6 +227,27 @@
             && now >= self.blocked_until
     }
 
+    /// Returns the places that it has.
+    pub(super) fn slots(&self, spec: &relay::Engine) -> u32 {
+        match self.sighting.slots {
+            0 => spec.slots,
+            slots => slots,
+        }
+    }
+
+    /// Returns whether it holds what the requests of an ask need.
+    pub(super) fn runs(&self, ask: &relay::Ask) -> bool {
+        let holds = |adapter: &name::Name| {
+            let key = (ask.model.clone(), adapter.clone());
+            self.adapters.contains_key(&key)
+        };
+        self.sighting.service == ask.service
+            && self.sighting.state == relay::State::Ready
+            && self.models.contains_key(&ask.model)
+            && self.unloading() != Some(&ask.model)
+            && ask.adapter.as_ref().is_none_or(holds)
+    }
+
     /// Returns the model that is being loaded.
     pub(super) fn loading(&self) -> Option<(&name::Name, clock::Instant)> {
         let open = self.open.as_ref()?;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -59,6 +59,7 @@
     pub(super) models: flow::Flow<(name::Name, name::Name)>,
     pub(super) adapters: flow::Flow<(name::Name, name::Name, name::Name)>,
     shares: share::Shares,
+    rooms: room::Rooms,
     suspects: collections::HashSet<name::Name>,
     /// When loads from the weight store were ordered.
     loads: collections::VecDeque<clock::Instant>,
@@ -82,6 +83,7 @@
             models: flow::Flow::default(),
             adapters: flow::Flow::default(),
             shares: share::Shares::default(),
+            rooms: room::Rooms::default(),
             suspects: collections::HashSet::new(),
             loads: collections::VecDeque::new(),
             orders: 0,
@@ -126,6 +128,7 @@
         self.epoch = epoch;
         self.elected = Some(now);
         self.hosts.clear();
+        self.rooms = room::Rooms::default();
         self.shares.restart(now);
         let sightings: Vec<_> = self
             .engines
@@ -167,6 +170,7 @@
             }
         }
         self.shares.record(now, &report.host, &report.usage);
+        self.rooms.hear(&report);
         let host = report.host.clone();
         self.hosts.insert(host, Host { report, at: now });
     }
@@ -284,6 +288,7 @@
     fn tick(&mut self, now: clock::Instant, may_order: bool, effects: &mut Vec<effect::Effect>) {
         let silence = self.rules.host_silence;
         self.hosts.retain(|_, host| now.since(host.at) < silence);
+        self.rooms.retain(|host| self.hosts.contains_key(host));
         self.models.forget(now, DEMAND_MEMORY);
         self.adapters.forget(now, DEMAND_MEMORY);
         let window = self.rules.load_window;
@@ -515,11 +520,9 @@
             None => (0, true, Vec::new()),
         };
         let grants = self.shares.grant(now, &wants, reporting.len());
-        let (placed, expected) = if full {
-            (self.placed(now, host), self.expected(now))
-        } else {
-            (Vec::new(), Vec::new())
-        };
+        self.promise(host);
+        let expected = self.expected(now);
+        let placed = self.placed(now, host, full);
         relay::View {
             epoch: self.epoch,
             number,
@@ -545,16 +548,47 @@
         expected.into_iter().collect()
     }
 
-    /// Returns what `host` is to know of the engines.
-    fn placed(&self, now: clock::Instant, host: &name::Name) -> Vec<relay::Placed> {
-        let rooms = room::Rooms::new(self.hosts.values().map(|host| &host.report), host);
+    /// Promises a place to each waiting request of `host` for which there is one, at the engine with the most free
+    /// places.
+    fn promise(&mut self, host: &name::Name) {
+        let Some(known) = self.hosts.get(host) else {
+            return;
+        };
+        for ask in known.report.asks.iter().filter(|ask| ask.waiting > 0) {
+            let Some(spec) = self.services.get(&ask.service) else {
+                continue;
+            };
+            for _ in 0..ask.waiting {
+                let holders = self.engines.iter().filter(|(_, engine)| engine.runs(ask));
+                let free = holders.map(|(id, engine)| {
+                    let slots = engine.slots(spec);
+                    (self.rooms.free(id, slots), id)
+                });
+                match free.max_by_key(|(free, _)| *free) {
+                    Some((1.., id)) => self.rooms.promise(host, id),
+                    _ => break,
+                }
+            }
+        }
+    }
+
+    /// Returns what `host` is to know of the engines; of those only that hold what its requests wait for, unless it
+    /// wants to know of all.
+    fn placed(&self, now: clock::Instant, host: &name::Name, full: bool) -> Vec<relay::Placed> {
+        let asks = self.hosts.get(host).map(|host| &host.report.asks);
+        let waiting: Vec<_> = asks
+            .into_iter()
+            .flatten()
+            .filter(|ask| ask.waiting > 0)
+            .collect();
+        let is_wanted = |engine: &engine::Engine| {
+            let holds = |ask: &&relay::Ask| engine.models.contains_key(&ask.model);
+            full || waiting.iter().any(holds)
+        };
         let placed = self.engines.iter().filter_map(|(id, engine)| {
             let spec = self.services.get(&engine.sighting.service)?;
-            engine.answered?;
-            let slots = match engine.sighting.slots {
-                0 => spec.slots,
-                slots => slots,
-            };
+            engine.answered.filter(|_| is_wanted(engine))?;
+            let room = self.rooms.room(host, id, engine.slots(spec));
             Some(relay::Placed {
                 upstream: id.clone(),
                 models: engine.models.keys().cloned().collect(),
@@ -565,8 +599,8 @@
                     .collect(),
                 unloading: engine.unloading().cloned().into_iter().collect(),
                 adapters: engine.adapters.keys().cloned().collect(),
-                running: rooms.others(id),
-                room: rooms.room(engine, slots),
+                running: room.others,
+                room: room.free,
             })
         });
         placed.collect()
--- a/crates/carawaycleat-core/src/relay/reducer/belief.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/belief.rs
@@ -147,11 +147,6 @@
         if is_older {
             return;
         }
-        if !view.full
-            && let Some((_, current)) = &mut self.view
-        {
-            std::mem::swap(&mut view.expected, &mut current.expected);
-        }
         self.doubt(now, &view.suspects);
         for placed in view.placed.drain(..) {
             if let Some(entry) = self.table.get_mut(&placed.upstream) {
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -7,7 +7,7 @@
 
 impl super::Reducer {
     /// Returns what the coordinator is to know, and starts the counts anew. With `full`, the answer is to tell about
-    /// engines.
+    /// all engines; otherwise about those that hold what requests wait for.
     pub fn report(&mut self, now: clock::Instant, full: bool) -> report::Report {
         self.reports += 1;
         let mut wants = Vec::new();
@@ -51,7 +51,7 @@
         report::Report {
             host: self.host.clone(),
             number: self.reports,
-            full: full || !waiting.is_empty(),
+            full,
             wants,
             span_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
             asks: asks.collect(),
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -24,7 +24,7 @@
     pub host: name::Name,
     /// The number of the report, counted by its host.
     pub number: u64,
-    /// Whether the answer is to tell about engines.
+    /// Whether the answer is to tell about all engines.
     pub full: bool,
     /// The tokens of each request that waits for tokens of its workspace.
     pub wants: Vec<(name::Name, u64)>,
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -32,7 +32,7 @@
     pub grants: Vec<(name::Name, u32)>,
     /// The part of each workspace's allowance that this host may use without asking.
     pub shares: Vec<(name::Name, f64)>,
-    /// Whether it tells about engines.
+    /// Whether it tells about all engines, and not only about those that hold what requests of the report wait for.
     pub full: bool,
     /// The engines.
     pub placed: Vec<Placed>,
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -210,3 +210,44 @@
         assert!(view.placed[0].room > 0);
     }
 }
+
+/// Pattern: one request waits for an engine that other hosts use. Guards against free places that go to hosts which need
+/// none, while the request waits for several views.
+#[test]
+fn waiting_request_gets_a_free_place_at_once() {
+    let mut world = coordinator::World::new(&["small"]);
+    world.engine("one", &["small"]);
+    let hosts: Vec<_> = (0..30).map(|index| format!("host-{index}")).collect();
+    for round in 0..20 {
+        for (index, host) in hosts.iter().enumerate() {
+            let (waiting, running) = match index {
+                0 | 1 => (0, 1),
+                9 => (1, 0),
+                _ => (0, 0),
+            };
+            world.hear(host, round, "small", waiting, ("one", running));
+        }
+        let host = crate::relay_fake::name("host-9");
+        let view = world.reducer.answer(world.now, &host);
+        assert!(view.placed[0].room > 0, "round {round}");
+    }
+}
+
+/// Pattern: several hosts wait for the last free places. Guards against a place that is promised twice: those that find
+/// it taken wait in the engine's queue, where nobody can send them elsewhere.
+#[test]
+fn promised_place_is_not_given_again() {
+    let mut world = coordinator::World::new(&["small"]);
+    world.engine("one", &["small"]);
+    world.engine("two", &["small"]);
+    world.hear("host-1", 1, "small", 5, ("one", 3));
+    world.hear("host-2", 1, "small", 5, ("two", 2));
+    let mut rooms = Vec::new();
+    for host in ["host-1", "host-2"] {
+        let host = crate::relay_fake::name(host);
+        let view = world.reducer.answer(world.now, &host);
+        rooms.extend(view.placed.iter().map(|placed| placed.room));
+    }
+    // One of four places is free at the first engine, and two at the second one.
+    assert_eq!(rooms, [1, 2, 0, 0]);
+}
