--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -37,6 +37,9 @@
 /// The hosts from which on a coordinator that hears less than half of them resigns. Of two hosts, neither can tell which
 /// one is cut off.
 const MIN_HOSTS: usize = 3;
+/// The engines up to which each view tells about all of them. In a larger fleet a view that is wanted at once tells only
+/// about the engines that hold what requests wait for.
+const FEW_ENGINES: usize = 16;
 /// The time for which reported demand counts without a newer report.
 const REPORT_AGE: time::Duration = time::Duration::from_millis(1_500);
 
@@ -583,7 +586,7 @@
             .collect();
         let is_wanted = |engine: &engine::Engine| {
             let holds = |ask: &&relay::Ask| engine.models.contains_key(&ask.model);
-            full || waiting.iter().any(holds)
+            full || self.engines.len() <= FEW_ENGINES || waiting.iter().any(holds)
         };
         let placed = self.engines.iter().filter_map(|(id, engine)| {
             let spec = self.services.get(&engine.sighting.service)?;
