feat: load adapters before requests wait for them

Cause: an engine that loads a model takes no order about an adapter for 4 to 6 s.

Change: engines that carry out no order get adapters of their models until one place is left, first those that no engine holds, then copies of those that are asked for most. The number of a model's adapters is read from the configuration, with a bound. An order for an adapter no longer hides one of the same name for another model.

--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -1,5 +1,7 @@
 //! Which engine should get or give up which weights.
 
+mod adapter;
+
 use std::collections;
 use std::time;
 
@@ -342,10 +344,9 @@
         let is_placed = holders.iter().any(|engine| {
             engine.adapters.contains_key(&key)
                 || engine.coming.contains_key(&key)
-                || engine
-                    .adapter_orders
-                    .iter()
-                    .any(|open| open.order.adapter.as_ref() == Some(adapter))
+                || engine.adapter_orders.iter().any(|open| {
+                    open.order.model == *model && open.order.adapter.as_ref() == Some(adapter)
+                })
         });
         if is_placed || spec.adapter_mb <= 0.0 {
             return None;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -17,6 +17,8 @@
 
 /// The most orders that one step sends.
 const MAX_STEPS: usize = 24;
+/// The time between two looks at which engines have places for adapters that nothing waits for.
+const FILL_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// How long demand for an adapter or model is remembered.
 const DEMAND_MEMORY: time::Duration = time::Duration::from_secs(60);
 /// The time from the expected end of a load until hosts know of it, in milliseconds.
@@ -69,6 +71,8 @@
     orders: u64,
     /// When demand was reported first.
     pub(super) asked: Option<clock::Instant>,
+    /// When engines were last given adapters that nothing waits for.
+    filled: clock::Instant,
     logged: clock::Instant,
 }
 
@@ -91,6 +95,7 @@
             loads: collections::VecDeque::new(),
             orders: 0,
             asked: None,
+            filled: clock::Instant::default(),
             logged: clock::Instant::default(),
         }
     }
@@ -388,10 +393,22 @@
                 plan.adapter_step().or_else(|| plan.model_step())
             });
             let Some(step) = step else {
-                return;
+                break;
             };
             self.send(now, step, effects);
         }
+        if now.since(self.filled) >= FILL_INTERVAL {
+            self.filled = now;
+            let services = self.services.iter();
+            let steps: Vec<_> = services
+                .flat_map(|(service, spec)| {
+                    plan::Plan::new(now, self, service, spec).spare_adapters()
+                })
+                .collect();
+            for step in steps {
+                self.send(now, step, effects);
+            }
+        }
     }
 
     fn send(&mut self, now: clock::Instant, step: plan::Step, effects: &mut Vec<effect::Effect>) {
--- a/crates/carawaycleat-core/src/relay/catalog.rs
+++ b/crates/carawaycleat-core/src/relay/catalog.rs
@@ -106,6 +106,8 @@
     pub disk_load: time::Duration,
     /// The size of an adapter in megabytes.
     pub adapter_mb: f64,
+    /// The adapters that there are for it.
+    pub adapters: Vec<name::Name>,
 }
 
 /// What the engines of a model service have.
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -20,17 +20,22 @@
             now: clock::Instant::from_millis(100_000),
             orders: Vec::new(),
         };
-        let services = vec![(relay_fake::name("models"), relay_fake::engine(models))];
-        world.feed(coordinator::Event::Configured {
-            services,
-            workspaces: vec![relay_fake::workspace(1_000)],
-        });
+        world.configure(relay_fake::engine(models));
         world.feed(coordinator::Event::Elected(41));
         // The loads that a predecessor may have ordered are forgotten after the window.
         world.now = world.now + relay_fake::millis(6_000);
         world
     }
 
+    /// Changes what the engines of the only service have.
+    pub(crate) fn configure(&mut self, engine: relay::Engine) {
+        let services = vec![(relay_fake::name("models"), engine)];
+        self.feed(coordinator::Event::Configured {
+            services,
+            workspaces: vec![relay_fake::workspace(1_000)],
+        });
+    }
+
     pub(crate) fn feed(&mut self, event: coordinator::Event) {
         for effect in self.reducer.step(self.now, event) {
             if let coordinator::Effect::Order(order) = effect {
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -251,3 +251,30 @@
     // One of four places is free at the first engine, and two at the second one.
     assert_eq!(rooms, [1, 2, 0, 0]);
 }
+
+/// Pattern: an engine loads weights for seconds and takes no adapters meanwhile. Guards against requests that wait for an
+/// adapter although there was a place for it before.
+#[test]
+fn adapters_are_loaded_before_requests_wait_for_them() {
+    let mut world = coordinator::World::new(&["small"]);
+    let mut engine = crate::relay_fake::engine(&["small"]);
+    let model = engine.models.values_mut().next().expect("a model");
+    model.adapters = ["a1", "a2", "a3"].map(crate::relay_fake::name).to_vec();
+    world.configure(engine);
+    world.engine("one", &["small"]);
+    world.engine("two", &["small"]);
+    let mut held = Vec::new();
+    for _ in 0..20 {
+        world.pass(100);
+        for order in world.tick() {
+            assert_eq!(order.operation, core_coordinator::Operation::Load);
+            world.settle(&order, core_coordinator::Outcome::Accepted);
+            held.push((order.engine, order.adapter.expect("an adapter")));
+        }
+    }
+    // Each engine keeps one of its two places for what requests wait for.
+    held.sort();
+    assert_eq!(held.len(), 2, "{held:?}");
+    assert_ne!(held[0].0, held[1].0);
+    assert_ne!(held[0].1, held[1].1);
+}
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -46,6 +46,7 @@
         warm_load: millis(600),
         disk_load: millis(1_200),
         adapter_mb: 60.0,
+        adapters: Vec::new(),
     }
 }
 
