feat: follow the demand with the parts of allowances that hosts use without a coordinator

Cause: a host that heard no coordinator went on with its local part for 2.5 s, a quarter of a small allowance over all hosts, and then with an even part.

Change: views carry a second part for the time without a coordinator. A host uses it when it has heard nothing for 0.8 s, and for a request whose wait for tokens nobody answered. The coordinator keeps it back for hosts that it has not heard for 1 s.

Ruled out: the limits themselves (asked 35,000 of 41,000 tokens a second).

--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -39,6 +39,8 @@
 /// The hosts from which on a coordinator that hears less than half of them resigns. Of two hosts, neither can tell which
 /// one is cut off.
 const MIN_HOSTS: usize = 3;
+/// The time without a report after which as much of the allowances is kept back as the host uses by itself.
+const ALONE_SILENCE: time::Duration = time::Duration::from_millis(1_000);
 /// The engines up to which each view tells about all of them. In a larger fleet a view that is wanted at once tells only
 /// about the engines that hold what requests wait for.
 const FEW_ENGINES: usize = 16;
@@ -525,11 +527,10 @@
 
     /// Returns the answer to the last report of `host`, and grants what it wants.
     pub fn answer(&mut self, now: clock::Instant, host: &name::Name) -> relay::View {
-        let silence = self.rules.host_silence;
         let reporting: Vec<_> = self
             .hosts
             .iter()
-            .filter(|(_, host)| now.since(host.at) < silence)
+            .filter(|(_, host)| now.since(host.at) < ALONE_SILENCE)
             .map(|(name, _)| name.clone())
             .collect();
         let (number, full, wants) = match self.hosts.get_mut(host) {
@@ -539,7 +540,7 @@
             }
             None => (0, true, Vec::new()),
         };
-        let grants = self.shares.grant(now, &wants, reporting.len());
+        let grants = self.shares.grant(now, &wants, &reporting);
         self.promise(host);
         let expected = self.expected(now);
         let placed = self.placed(now, host, full);
--- a/crates/carawaycleat-core/src/flow.rs
+++ b/crates/carawaycleat-core/src/flow.rs
@@ -6,12 +6,13 @@
 
 use crate::clock;
 
-/// The time over which a flow is averaged. Busy models change within a few seconds.
+/// The time over which a flow is averaged unless another one is asked for. Busy models change within a few seconds.
 const MEMORY: time::Duration = time::Duration::from_millis(1_800);
 
 /// Amounts in a second by key, averaged over a short time.
 #[derive(Clone, Debug)]
 pub(crate) struct Flow<K> {
+    memory: time::Duration,
     entries: collections::HashMap<K, Entry>,
 }
 
@@ -24,27 +25,36 @@
 
 impl<K> Default for Flow<K> {
     fn default() -> Self {
+        Self::over(MEMORY)
+    }
+}
+
+impl<K> Flow<K> {
+    /// Returns a flow that is averaged over `memory`.
+    pub(crate) fn over(memory: time::Duration) -> Self {
         Self {
+            memory,
             entries: collections::HashMap::new(),
         }
     }
 }
 
 impl Entry {
-    fn decayed(&self, now: clock::Instant) -> f64 {
-        let age = now.since(self.at).as_secs_f64() / MEMORY.as_secs_f64();
+    fn decayed(&self, now: clock::Instant, memory: time::Duration) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / memory.as_secs_f64();
         self.amount * (-age).exp()
     }
 }
 
 impl<K: Eq + hash::Hash + Clone> Flow<K> {
     pub(crate) fn add(&mut self, now: clock::Instant, key: &K, amount: f64) {
+        let memory = self.memory;
         let entry = self.entries.entry(key.clone()).or_insert(Entry {
             amount: 0.0,
             at: now,
             last: now,
         });
-        entry.amount = entry.decayed(now) + amount;
+        entry.amount = entry.decayed(now, memory) + amount;
         entry.at = now;
         if amount > 0.0 {
             entry.last = now;
@@ -56,8 +66,8 @@
         let amount = self
             .entries
             .get(key)
-            .map_or(0.0, |entry| entry.decayed(now));
-        amount / MEMORY.as_secs_f64()
+            .map_or(0.0, |entry| entry.decayed(now, self.memory));
+        amount / self.memory.as_secs_f64()
     }
 
     /// Returns when an amount was added last.
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -55,4 +55,5 @@
 pub use summary::Summary;
 pub use upstream::Upstream;
 pub use view::Placed;
+pub use view::Share;
 pub use view::View;
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -27,6 +27,9 @@
 
 /// The age up to which the coordinator's view is used.
 const VIEW_AGE: time::Duration = time::Duration::from_millis(2_500);
+/// The age of the coordinator's view from which a host uses its part of allowances without a coordinator: hosts hear from
+/// it each 0.4 s.
+const ALONE_AGE: time::Duration = time::Duration::from_millis(800);
 /// The most attempts that are sent for one request, those included that an upstream did not run.
 const MAX_SENDS: u32 = 4;
 /// The least time for which an attempt is worth sending.
--- a/crates/carawaycleat-core/src/relay/reducer/admit.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admit.rs
@@ -16,6 +16,10 @@
 /// The time for which the coordinator is not asked again after it had no tokens.
 const DENIAL_TIME: time::Duration = time::Duration::from_millis(60);
 
+/// The time for which a host goes by the part that the coordinator gave it for the time without one. Later it uses an even
+/// part, as hosts do that have never heard a coordinator.
+const MAX_ALONE_AGE: time::Duration = time::Duration::from_millis(12_000);
+
 /// The prompt tokens that take an engine as long as one token of an answer.
 const PROMPT_TOKENS: u64 = 3;
 
@@ -171,14 +175,28 @@
 
     /// Returns this host's part of a workspace's allowance.
     pub(super) fn share(&self, now: clock::Instant, workspace: &name::Name) -> f64 {
-        let even = 1.0 / self.hosts.max(1) as f64;
-        match &self.view {
-            Some((at, view)) if now.since(*at) < super::VIEW_AGE => view
-                .shares
-                .iter()
-                .find(|(name, _)| name == workspace)
-                .map_or(even, |(_, share)| *share),
-            _ => even,
+        self.share_at(self.view_age(now), workspace)
+    }
+
+    /// Returns this host's part of a workspace's allowance without a coordinator.
+    pub(super) fn share_alone(&self, now: clock::Instant, workspace: &name::Name) -> f64 {
+        let age = self.view_age(now).map(|age| age.max(super::ALONE_AGE));
+        self.share_at(age, workspace)
+    }
+
+    fn share_at(&self, view_age: Option<time::Duration>, workspace: &name::Name) -> f64 {
+        let shares = self.view.iter().flat_map(|(_, view)| &view.shares);
+        let share = shares
+            .into_iter()
+            .find(|share| share.workspace == *workspace);
+        match (view_age, share) {
+            (Some(age), Some(share)) if age < super::ALONE_AGE => share.local,
+            (Some(age), Some(share)) if age < MAX_ALONE_AGE => share.alone,
+            _ => 1.0 / self.hosts.max(1) as f64,
         }
     }
+
+    fn view_age(&self, now: clock::Instant) -> Option<time::Duration> {
+        self.view.as_ref().map(|(at, _)| now.since(*at))
+    }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/borrow.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/borrow.rs
@@ -12,7 +12,7 @@
 impl super::Reducer {
     pub(super) fn has_view(&self, now: clock::Instant) -> bool {
         let view = self.view.as_ref();
-        view.is_some_and(|(at, _)| now.since(*at) < super::VIEW_AGE)
+        view.is_some_and(|(at, _)| now.since(*at) < super::ALONE_AGE)
     }
 
     /// Gives the tokens that the coordinator granted to the requests that wait for them, and refuses the others that
@@ -52,6 +52,47 @@
         }
     }
 
+    /// Ends the wait of a request for tokens that the coordinator has not answered. It gets them if this host's part
+    /// without a coordinator has them.
+    pub(super) fn go_alone(
+        &mut self,
+        now: clock::Instant,
+        borrower: super::Borrower,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let id = borrower.request;
+        let unheard = self
+            .view
+            .as_ref()
+            .is_none_or(|(at, _)| *at < borrower.since);
+        let taken = unheard && self.take_alone(now, id);
+        match self.requests.get_mut(&id).filter(|_| taken) {
+            Some(request) => {
+                request.has_tokens = true;
+                self.seek(now, id, effects);
+            }
+            None => self.refuse_tokens(now, id, effects),
+        }
+    }
+
+    fn take_alone(&mut self, now: clock::Instant, id: event::Id) -> bool {
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
+        let (Some(name), Some(catalog)) = (&request.workspace, &self.catalog) else {
+            return false;
+        };
+        let (cost, share) = (request.cost, self.share_alone(now, name));
+        let Some(workspace) = catalog.workspace(name) else {
+            return false;
+        };
+        let Some(allowance) = self.allowances.get_mut(name) else {
+            return false;
+        };
+        allowance.set(now, workspace.rate, workspace.burst, share);
+        allowance.take(now, cost).is_ok()
+    }
+
     pub(super) fn refuse_tokens(
         &mut self,
         now: clock::Instant,
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -32,9 +32,9 @@
             if now.since(borrower.since) < BORROW_TIME {
                 break;
             }
-            let id = borrower.request;
+            let borrower = *borrower;
             self.borrowers.pop_front();
-            self.refuse_tokens(now, id, effects);
+            self.go_alone(now, borrower, effects);
         }
         self.refuse_due(now, effects);
         let others = self.hosts.saturating_sub(1);
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -20,6 +20,18 @@
     pub room: u32,
 }
 
+/// The part of a workspace's allowance that a host may use without asking.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Share {
+    /// The workspace.
+    pub workspace: name::Name,
+    /// The part while the coordinator answers, which grants the rest request by request.
+    pub local: f64,
+    /// The part while the coordinator does not answer. Those of all hosts add up to the whole.
+    pub alone: f64,
+}
+
 /// What the coordinator tells an entry host.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -31,7 +43,7 @@
     /// The requests of the report that get their tokens, by workspace, in the order of the report.
     pub grants: Vec<(name::Name, u32)>,
     /// The part of each workspace's allowance that this host may use without asking.
-    pub shares: Vec<(name::Name, f64)>,
+    pub shares: Vec<Share>,
     /// Whether it tells about all engines, and not only about those that hold what requests of the report wait for.
     pub full: bool,
     /// The engines.
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -60,10 +60,33 @@
         let view = self.reducer.answer(self.now, &name);
         assert_eq!(view.number, self.number);
         let granted = view.grants.first().map_or(0, |(_, count)| *count);
-        (view.shares[0].1, granted)
+        (view.shares[0].local, granted)
     }
 }
 
+/// Guards against hosts that exceed the allowance when all of them lose the coordinator at once, and against parts that
+/// leave most of it unused.
+#[test]
+fn parts_without_a_coordinator_add_up_to_the_whole() {
+    let mut world = World::new(10);
+    let name = relay_fake::name("designers");
+    let mut alone = [0.0; 10];
+    for _ in 0..50 {
+        world.now = world.now + relay_fake::millis(200);
+        for (host, part) in alone.iter_mut().enumerate() {
+            world.report(host, if host < 2 { 1_500 } else { 20 }, 0);
+            let view = world
+                .reducer
+                .answer(world.now, &relay_fake::name(&host_name(host)));
+            let share = view.shares.iter().find(|share| share.workspace == name);
+            *part = share.expect("a share").alone;
+        }
+    }
+    let sum: f64 = alone.iter().sum();
+    assert!((0.9..=1.05).contains(&sum), "{sum}");
+    assert!(alone[0] > 0.35 && alone[1] > 0.35, "{alone:?}");
+}
+
 fn host_name(host: usize) -> String {
     format!("host-{host}")
 }
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -101,7 +101,7 @@
         epoch: 1,
         number: 0,
         grants: Vec::new(),
-        shares: vec![(relay_fake::name("designers"), 0.9)],
+        shares: vec![share(0.9, 0.9)],
         full: true,
         placed: Vec::new(),
         suspects: Vec::new(),
@@ -109,10 +109,12 @@
     };
     world.feed(relay::Event::Viewed(Box::new(view)));
     let mut served = 0;
+    let mut open = Vec::new();
     for _ in 0..20 {
         world.pass(relay_fake::millis(100));
-        let id = world.arrive(relay_fake::arrival("/read/1"));
-        if world.is_sent(id) {
+        open.push(world.arrive(relay_fake::arrival("/read/1")));
+        let sent: Vec<_> = open.extract_if(.., |id| world.is_sent(*id)).collect();
+        for id in sent {
             served += 1;
             world.answer(id, 200, false);
         }
@@ -120,6 +122,14 @@
     assert!(served >= 16, "{served} of 20");
 }
 
+fn share(local: f64, alone: f64) -> relay::Share {
+    relay::Share {
+        workspace: relay_fake::name("designers"),
+        local,
+        alone,
+    }
+}
+
 /// Returns a host whose part of the allowance is smaller than one request, and which hears the coordinator.
 fn lender() -> relay_fake::World {
     let mut world = relay_fake::World::new();
@@ -142,7 +152,7 @@
         epoch: 1,
         number,
         grants: vec![(relay_fake::name("designers"), granted)],
-        shares: vec![(relay_fake::name("designers"), 0.001)],
+        shares: vec![share(0.001, 0.001)],
         full: true,
         placed: Vec::new(),
         suspects: Vec::new(),
@@ -198,3 +208,30 @@
         .collect();
     assert_eq!(world.refusal(ids[2]).status(), 429);
 }
+
+/// Pattern: most requests of a workspace come to one of many hosts, and the coordinator's machine is lost. Guards against
+/// refusals far within the allowance until there is another coordinator.
+#[test]
+fn host_without_a_coordinator_uses_the_part_that_follows_its_demand() {
+    let mut world = relay_fake::World::new();
+    world.feed(relay::Event::Hosts(100));
+    world.feed(relay::Event::Configured(Box::new(relay_fake::catalog(
+        2, 1_000,
+    ))));
+    world.see(relay_fake::sighting("one", "plain", &[]));
+    let mut last = view(0, 0);
+    last.shares = vec![share(0.001, 0.8)];
+    world.feed(relay::Event::Viewed(Box::new(last)));
+    let mut served = 0;
+    for _ in 0..20 {
+        world.pass(relay_fake::millis(150));
+        let id = world.arrive(relay_fake::arrival("/read/1"));
+        world.pass(relay_fake::millis(350));
+        if world.is_sent(id) {
+            served += 1;
+            world.answer(id, 200, false);
+        }
+    }
+    // Each request costs 100 tokens, and 200 a second are asked for.
+    assert!(served >= 18, "{served} of 20");
+}
