feat: let idle models make way the sooner, the more loads the weight store allows

Change: a model whose weights are close to an engine makes way for a saturated one after the time in which the weight store allows 14 loads, at least 3 s and at most 10 s. With 1.4 loads a second it stays at 10 s.

--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -137,7 +137,16 @@
     fn is_idle(&self, key: &(name::Name, name::Name)) -> bool {
         let observed = self.state.asked.unwrap_or(self.now);
         let last = self.state.models.last(key).unwrap_or(observed);
-        self.now.since(last.max(observed)) >= self.state.rules.idle
+        self.now.since(last.max(observed)) >= self.idle_time()
+    }
+
+    /// Returns the time without requests after which a model may make way.
+    fn idle_time(&self) -> time::Duration {
+        let rules = &self.state.rules;
+        let (least, most) = (*rules.idle.start(), *rules.idle.end());
+        let seconds = rules.idle_loads / self.spec.loads_per_second.max(f64::MIN_POSITIVE);
+        let seconds = seconds.clamp(least.as_secs_f64(), most.as_secs_f64());
+        time::Duration::from_secs_f64(seconds)
     }
 
     fn engines(&self) -> impl Iterator<Item = &'a engine::Engine> {
--- a/crates/carawaycleat-core/src/coordinator/rules.rs
+++ b/crates/carawaycleat-core/src/coordinator/rules.rs
@@ -15,8 +15,11 @@
     pub donor_pressure: f64,
     /// The time for which demand is observed before models are moved for it.
     pub observation: time::Duration,
-    /// The time without requests after which a model may be left on disk only, when others need its place.
-    pub idle: time::Duration,
+    /// The bounds of the time without requests after which a model may be left on disk only, when others need its place.
+    pub idle: std::ops::RangeInclusive<time::Duration>,
+    /// The loads that the weight store allows in this time. A model that has made way may have to come back from there,
+    /// so it makes way the later, the fewer loads there are.
+    pub idle_loads: f64,
     /// The part of the slots in use from which a model's engines count as loaded.
     pub loaded: f64,
     /// The part of the slots in use from which a model's engines count as saturated.
@@ -39,7 +42,8 @@
             host_silence: time::Duration::from_millis(2_000),
             donor_pressure: 0.5,
             observation: time::Duration::from_millis(1_000),
-            idle: time::Duration::from_millis(10_000),
+            idle: time::Duration::from_secs(3)..=time::Duration::from_secs(10),
+            idle_loads: 14.0,
             loaded: 0.35,
             saturated: 0.8,
             moves: true,
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -278,3 +278,36 @@
     assert_ne!(held[0].0, held[1].0);
     assert_ne!(held[0].1, held[1].1);
 }
+
+/// Pattern: many models are asked for now and then, and a few are saturated. Guards against rare models that keep the
+/// places of busy ones where the weight store could bring them back soon, and against models that go back and forth where
+/// it could not.
+#[test]
+fn idle_model_makes_way_the_sooner_the_more_loads_there_are() {
+    for (loads_per_second, is_soon) in [(9.0, true), (1.4, false)] {
+        let mut world = coordinator::World::new(&["idle", "new", "a", "b"]);
+        let mut engine = crate::relay_fake::engine(&["idle", "new", "a", "b"]);
+        engine.loads_per_second = loads_per_second;
+        world.configure(engine);
+        world.engine("one", &["idle", "a"]);
+        world.engine("two", &["new", "b"]);
+        let held = || core_coordinator::Status {
+            on_disk: Some(vec![crate::relay_fake::name("idle")]),
+            ..coordinator::status(&["idle", "a"], 0)
+        };
+        world.ask("idle", None, 100, 0);
+        let mut unloaded = false;
+        for _ in 0..60 {
+            world.pass(100);
+            world.ask("new", None, 5_000, 0);
+            for other in ["a", "b"] {
+                world.ask(other, None, 100, 0);
+            }
+            world.probe("two", busy(&["new", "b"], 4));
+            world.probe("one", held());
+            let orders = world.tick();
+            unloaded |= orders.iter().any(|order| order.model.as_str() == "idle");
+        }
+        assert_eq!(unloaded, is_soon, "{loads_per_second} loads a second");
+    }
+}
