feat: log the prompt parts and the progress of attempts that broke off

Cause: when an engine crashes, the request that crashed it looks like those that were cut beside it: the logs named neither the parts of its prompt nor how far its response had come, so the hypotheses of docs/incidents/crashing-prompt.md could not be told apart.

No decision changes.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -17,6 +17,8 @@
         upstream: name::Name,
         sent: clock::Instant,
         last_progress: clock::Instant,
+        /// Whether the head of a stream has arrived.
+        head_received: bool,
         /// Whether a byte of the response to this attempt has arrived.
         first_byte_received: bool,
     },
@@ -41,6 +43,8 @@
     pub(super) service: name::Name,
     pub(super) model: Option<name::Name>,
     pub(super) adapter: Option<name::Name>,
+    /// The shared parts of the prompt.
+    pub(super) prompt: Vec<name::Name>,
     pub(super) workspace: Option<name::Name>,
     /// Whether it was admitted by its key, so that it needs a recent configuration.
     pub(super) requires_key: bool,
@@ -129,6 +133,17 @@
         matches!(self.phase, Phase::Waiting)
     }
 
+    /// Returns whether the head of the response to the attempt in progress has arrived.
+    pub(super) fn is_head_received(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Sent {
+                head_received: true,
+                ..
+            }
+        )
+    }
+
     /// Returns whether another attempt may be sent after one that may have run.
     pub(super) fn may_repeat(&self) -> bool {
         self.route.is_repeatable() && self.possible_executions < self.route.max_attempts
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -158,6 +158,7 @@
             service: service.clone(),
             model: request.model,
             adapter: request.adapter,
+            prompt: request.prompt,
             workspace: workspace.map(|workspace| workspace.name.clone()),
             requires_key,
             priority: workspace
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -177,6 +177,7 @@
             upstream: upstream.clone(),
             sent: now,
             last_progress: now,
+            head_received: false,
             first_byte_received: false,
         };
         entry.record_send();
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -119,8 +119,14 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        if let pending::Phase::Sent { last_progress, .. } = &mut request.phase {
+        if let pending::Phase::Sent {
+            last_progress,
+            head_received,
+            ..
+        } = &mut request.phase
+        {
             *last_progress = now;
+            *head_received = true;
         }
         request.response_started = true;
         effects.push(effect::Effect::Command(id, command::Command::Deliver));
@@ -147,6 +153,7 @@
             sent,
             last_progress,
             first_byte_received,
+            ..
         } = &mut request.phase
         else {
             return;
@@ -240,7 +247,11 @@
         if !self.is_attempt(id, attempt) {
             return;
         }
-        let Some((upstream, _)) = self.release(id) else {
+        let head_received = self
+            .requests
+            .get(&id)
+            .is_some_and(pending::Pending::is_head_received);
+        let Some((upstream, sent_at)) = self.release(id) else {
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
@@ -264,7 +275,11 @@
             .with_subject(upstream)
             .with("attempt", attempt)
             .with("sent", sent)
-            .with("unreachable", unreachable);
+            .with("unreachable", unreachable)
+            .with("head", head_received)
+            .with_some("last_event", request.last_event)
+            .with("sent_ms", timeline::Value::millis(now.since(sent_at)))
+            .with("prompt", prompt_text(&request.prompt));
         effects.push(super::record(decision));
         if !sent && now + super::MIN_ATTEMPT_TIME < self.deadline(id) {
             // No upstream received anything, so another attempt adds no load and is not charged to the retry budget.
@@ -404,3 +419,9 @@
         self.dispatch_waiting(now, effects);
     }
 }
+
+/// Returns the shared parts of a prompt as a log field.
+fn prompt_text(parts: &[name::Name]) -> String {
+    let parts: Vec<_> = parts.iter().map(name::Name::as_str).collect();
+    parts.join(",")
+}
--- a/crates/carawaycleat-core/src/relay/request.rs
+++ b/crates/carawaycleat-core/src/relay/request.rs
@@ -31,6 +31,9 @@
     pub model: Option<name::Name>,
     /// The adapter; none for the model alone.
     pub adapter: Option<name::Name>,
+    /// The parts of the prompt that other requests may share, in order. The last part of a prompt, which belongs to the
+    /// request or its session, is left out.
+    pub prompt: Vec<name::Name>,
     /// The prompt tokens and the maximum of output tokens; none when the caller gives none.
     pub tokens: Option<(u64, u64)>,
     /// A random number that selects among the targets of a route.
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -130,6 +130,7 @@
         timeout: Some(millis(12_000)),
         model: path.starts_with("/live").then(|| name("small")),
         adapter: None,
+        prompt: Vec::new(),
         tokens: Some((60, 40)),
         seed: 7,
     }
