fix: quarantine parts of prompts that crash engines

Cause: a request that crashes the engine which begins to answer it was sent to the next engine, and so were all later requests with the same part of the prompt. Each host judged each request by its own attempts, and nothing related the crashes to what the requests had in common.

Change: quarantine::Registry infers the part from the crashes that all hosts observed. A stream that breaks off right after its head is a suspect; a probe on a new connection tells a crash from a broken connection; progress clears parts. Three crashes that one part explains quarantine it: requests with it are refused at once with 503 and the time that is left. Crashes are kept in the platform's store for ten minutes, where hosts that are restarted or lose the coordinator find them.

Ruled out: a ban by caller or by the beginning of prompts (refuses sound requests); counts on each host alone (three crashes at each); a list in the coordinator's memory (lost with it).

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod name;
 pub mod outcome;
 pub mod placement;
+pub mod quarantine;
 pub mod rate;
 pub mod relay;
 pub mod request;
--- a/crates/carawaycleat-core/src/relay/effect.rs
+++ b/crates/carawaycleat-core/src/relay/effect.rs
@@ -1,3 +1,7 @@
+use std::net;
+
+use crate::name;
+use crate::quarantine;
 use crate::timeline;
 
 /// An output of the [`Reducer`](super::Reducer), which the daemon carries out.
@@ -5,6 +9,10 @@
 pub enum Effect {
     /// Send a command to the task of a request.
     Command(super::Id, super::Command),
+    /// Find out whether the upstream at this address still responds.
+    Probe(name::Name, net::SocketAddr),
+    /// Tell all hosts about the crash of an upstream.
+    Publish(quarantine::Crash),
     /// Send a report to the coordinator at once.
     Report,
     /// Add a request that has ended to the metrics.
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -1,5 +1,6 @@
 use crate::clock;
 use crate::name;
+use crate::quarantine;
 
 /// Identifies a request within its entry host.
 pub type Id = u64;
@@ -49,6 +50,15 @@
     UpstreamUpdated(Box<super::Registration>),
     /// The registration of an upstream has been removed from the store.
     UpstreamRemoved(name::Name),
+    /// An upstream has been probed after responses from it broke off.
+    UpstreamProbed {
+        /// The upstream.
+        upstream: name::Name,
+        /// Whether it responded.
+        alive: bool,
+    },
+    /// A host has observed the crash of an upstream.
+    CrashReported(Box<quarantine::Crash>),
     /// The coordinator has responded to a report.
     ViewReceived(Box<super::View>),
     /// The number of entry hosts has changed.
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -144,6 +144,18 @@
         )
     }
 
+    /// Returns whether the response to the attempt in progress has begun, but nothing of its body has arrived.
+    pub(super) fn has_just_begun(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Sent {
+                head_received: true,
+                first_byte_received: false,
+                ..
+            }
+        )
+    }
+
     /// Returns whether another attempt may be sent after one that may have run.
     pub(super) fn may_repeat(&self) -> bool {
         self.route.is_repeatable() && self.possible_executions < self.route.max_attempts
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1,4 +1,5 @@
 mod admission;
+mod crash;
 mod dispatch;
 mod report;
 mod response;
@@ -22,6 +23,7 @@
 use crate::clock;
 use crate::meter;
 use crate::name;
+use crate::quarantine;
 use crate::retry;
 use crate::timeline;
 
@@ -95,6 +97,9 @@
     /// The tokens requested since the last report, by workspace.
     token_usage: collections::HashMap<name::Name, u64>,
     last_report: clock::Instant,
+    quarantine: quarantine::Registry,
+    /// The upstreams from which responses broke off, until it is known whether they crashed.
+    breakages: collections::BTreeMap<name::Name, crash::Breakage>,
     /// When the requests that are still without a response are refused because the process stops.
     stop_deadline: Option<clock::Instant>,
 }
@@ -128,6 +133,8 @@
             demands: collections::HashMap::new(),
             token_usage: collections::HashMap::new(),
             last_report: clock::Instant::default(),
+            quarantine: quarantine::Registry::default(),
+            breakages: collections::BTreeMap::new(),
             stop_deadline: None,
         }
     }
@@ -213,7 +220,7 @@
                 self.handle_response(now, id, attempt, response, &mut effects);
             }
             event::Event::StreamProgress(id, attempt, last_event) => {
-                self.handle_progress(now, id, attempt, last_event)
+                self.handle_progress(now, id, attempt, last_event, &mut effects)
             }
             event::Event::StreamEnded(id, attempt) => {
                 self.handle_stream_end(now, id, attempt, &mut effects)
@@ -231,6 +238,8 @@
                 self.update_upstream(now, *registration, &mut effects)
             }
             event::Event::UpstreamRemoved(id) => self.remove_upstream(now, &id, &mut effects),
+            event::Event::UpstreamProbed { upstream, alive } => self.handle_probe(&upstream, alive),
+            event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
             event::Event::ViewReceived(view) => self.update_view(now, *view, &mut effects),
             event::Event::HostsChanged(hosts) => self.set_hosts(now, hosts),
             event::Event::Stopping(deadline) => self.stop_deadline = Some(deadline),
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -121,6 +121,12 @@
         let service = route
             .select_service(request.seed)
             .ok_or_else(|| deny(refusal::Reason::UnknownRoute))?;
+        if let Some(end) = self.quarantine.quarantined_until(now, &request.prompt) {
+            return Err(super::refuse(
+                refusal::Reason::Quarantined,
+                Some(end.since(now)),
+            ));
+        }
         let timeout = request.timeout.unwrap_or(route.timeout);
         let mut cost = 0;
         let mut has_tokens = true;
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -46,6 +46,10 @@
         if request.requires_key && !self.is_current(now, self.options.max_config_age) {
             return self.refuse(now, id, refusal::Reason::ConfigurationStale, None, effects);
         }
+        if let Some(end) = self.quarantine.quarantined_until(now, &request.prompt) {
+            let retry_after = Some(end.since(now));
+            return self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
+        }
         let selector = self.selector(now, service);
         match selector.select(&self.upstreams, request) {
             selection::Selection::Upstream(upstream) => {
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -139,6 +139,7 @@
         id: event::Id,
         attempt: u32,
         last_event: Option<u64>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         if !self.is_attempt(id, attempt) {
             return;
@@ -165,7 +166,11 @@
                 entry.record_first_byte(now, now.since(*sent));
             }
         }
-        *first_byte_received = true;
+        let is_first = !std::mem::replace(first_byte_received, true);
+        if is_first {
+            let prompt = request.prompt.clone();
+            self.record_harmless(now, &prompt, effects);
+        }
     }
 
     /// Ends a request whose stream is complete.
@@ -247,10 +252,9 @@
         if !self.is_attempt(id, attempt) {
             return;
         }
-        let head_received = self
-            .requests
-            .get(&id)
-            .is_some_and(pending::Pending::is_head_received);
+        let request = self.requests.get(&id);
+        let head_received = request.is_some_and(pending::Pending::is_head_received);
+        let has_just_begun = request.is_some_and(pending::Pending::has_just_begun);
         let Some((upstream, sent_at)) = self.release(id) else {
             return;
         };
@@ -272,15 +276,27 @@
         }
         let decision = timeline::Decision::new("attempt_failed")
             .with_request(request.request_id.as_str())
-            .with_subject(upstream)
+            .with_subject(upstream.clone())
             .with("attempt", attempt)
             .with("sent", sent)
             .with("unreachable", unreachable)
             .with("head", head_received)
             .with_some("last_event", request.last_event)
             .with("sent_ms", timeline::Value::millis(now.since(sent_at)))
-            .with("prompt", prompt_text(&request.prompt));
+            .with("prompt", super::crash::prompt_text(&request.prompt));
+        let request_prompt = request.prompt.clone();
         effects.push(super::record(decision));
+        if unreachable {
+            self.confirm_crash(&upstream);
+        }
+        if has_just_begun && !request_prompt.is_empty() {
+            let is_suspect = self.quarantine.crash_count(now, &request_prompt) > 0;
+            self.record_breakage(now, &upstream, request_prompt, effects);
+            if is_suspect {
+                // It broke off like requests that crashed other upstreams, so it must not reach a further one.
+                return self.refuse(now, id, refusal::Reason::UpstreamFailed, None, effects);
+            }
+        }
         if !sent && now + super::MIN_ATTEMPT_TIME < self.deadline(id) {
             // No upstream received anything, so another attempt adds no load and is not charged to the retry budget.
             return self.dispatch_or_queue(now, id, effects);
@@ -419,9 +435,3 @@
         self.dispatch_waiting(now, effects);
     }
 }
-
-/// Returns the shared parts of a prompt as a log field.
-fn prompt_text(parts: &[name::Name]) -> String {
-    let parts: Vec<_> = parts.iter().map(name::Name::as_str).collect();
-    parts.join(",")
-}
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -37,6 +37,7 @@
             self.token_waiters.pop_front();
             self.end_token_wait(now, waiter, effects);
         }
+        self.report_crashes(now, effects);
         self.refuse_expired(now, effects);
         let others = self.host_count.saturating_sub(1);
         for entry in self.upstreams.values_mut() {
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -87,11 +87,15 @@
             Some(entry) => {
                 if entry.registration.state != registration.state || entry.removed.is_some() {
                     let decision = timeline::Decision::new("upstream")
-                        .with_subject(id)
+                        .with_subject(id.clone())
                         .with("state", registration.state.as_str());
                     effects.push(super::record(decision));
                 }
+                let restarted = registration.started > entry.registration.started;
                 entry.update(now, registration);
+                if restarted {
+                    self.confirm_crash(&id);
+                }
             }
             None => {
                 let decision = timeline::Decision::new("upstream")
@@ -139,6 +143,7 @@
             .with("state", "removed")
             .with("after_outage", after_outage || in_outage);
         effects.push(super::record(decision));
+        self.confirm_crash(id);
     }
 
     /// Applies a view of the coordinator, unless a later coordinator has sent one.
--- a/crates/carawaycleat-core/src/relay/refusal.rs
+++ b/crates/carawaycleat-core/src/relay/refusal.rs
@@ -19,6 +19,8 @@
     Timeout,
     /// An attempt failed, and the request cannot be retried.
     UpstreamFailed,
+    /// A part of the prompt crashes upstreams.
+    Quarantined,
     /// The process stops before a response has arrived.
     Stopping,
 }
@@ -36,6 +38,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Timeout => "timeout",
             Self::UpstreamFailed => "upstream_failed",
+            Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
         }
     }
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -0,0 +1,160 @@
+//! Load patterns: requests with a part of the prompt that crashes every upstream which begins a response.
+
+use carawaycleat_core::quarantine;
+use carawaycleat_core::relay;
+
+use crate::relay_fake;
+
+const FATAL_PROMPT: [&str; 2] = ["common", "fatal"];
+
+fn request(prompt: &[&str]) -> relay::Request {
+    let mut request = relay_fake::request("/live/1");
+    request.prompt = prompt.iter().map(|part| relay_fake::name(part)).collect();
+    request
+}
+
+/// Returns a host with upstreams that hold the model.
+fn harness(upstreams: usize) -> relay_fake::Harness {
+    let mut harness = relay_fake::Harness::new();
+    for index in 0..upstreams {
+        let id = format!("engine-{index}");
+        harness.register(relay_fake::registration(&id, "models", &["small"]));
+    }
+    harness
+}
+
+/// Lets the response to a request begin and break off.
+fn break_off(harness: &mut relay_fake::Harness, id: relay::Id) {
+    let attempt = harness.begin_stream(id);
+    harness.fail_attempt(id, attempt, true);
+}
+
+/// Responds to the last probe, and lets the host act on the result.
+fn answer_probe(harness: &mut relay_fake::Harness, alive: bool) {
+    let upstream = harness.probes.pop().expect("a probe");
+    harness.feed(relay::Event::UpstreamProbed { upstream, alive });
+    harness.advance(relay_fake::millis(25));
+}
+
+/// Sends requests with the part until an arriving one is refused, and lets each crash its upstream. Returns the number
+/// of upstreams that crashed.
+fn crash_until_refused(harness: &mut relay_fake::Harness) -> usize {
+    for crashes in 0..20 {
+        let id = harness.arrive(request(&FATAL_PROMPT));
+        if !harness.is_sent(id) {
+            assert_eq!(harness.refusal(id).reason, relay::Reason::Quarantined);
+            return crashes;
+        }
+        let upstream = relay_fake::name(&harness.upstream(id));
+        break_off(harness, id);
+        answer_probe(harness, false);
+        harness.feed(relay::Event::UpstreamRemoved(upstream));
+        harness.feed(relay::Event::CallerDisconnected(id));
+    }
+    panic!("requests with the part are never refused");
+}
+
+/// Pattern: new requests with the part go on arriving. Guards against upstreams that crash one after another, and
+/// against refusals of sound requests that share the other parts of the prompt.
+#[test]
+fn requests_with_the_part_are_refused_after_three_crashes() {
+    let mut harness = harness(8);
+    let sound = harness.arrive(request(&["common", "sound"]));
+    let attempt = harness.begin_stream(sound);
+    harness.feed(relay::Event::StreamProgress(sound, attempt, Some(1)));
+    assert_eq!(crash_until_refused(&mut harness), 3);
+    let refused = harness.arrive(request(&["other", "fatal", "more"]));
+    let refusal = harness.refusal(refused);
+    assert_eq!(refusal.status(), 503);
+    assert!(refusal.retry_after > Some(relay_fake::millis(590_000)));
+    let sound = harness.arrive(request(&["common", "sound"]));
+    assert!(harness.is_sent(sound));
+    assert_eq!(harness.crashes.len(), 3);
+    let published = &harness.crashes[0].prompts;
+    assert_eq!(*published, [[relay_fake::name("fatal")]]);
+}
+
+/// Pattern: a request whose response breaks off is retried. Guards against one request that crashes as many upstreams
+/// as its route allows attempts.
+#[test]
+fn request_that_breaks_off_like_an_earlier_crash_is_not_retried() {
+    let mut harness = harness(8);
+    let first = harness.arrive(request(&FATAL_PROMPT));
+    break_off(&mut harness, first);
+    assert!(harness.is_sent(first), "one crash may be chance");
+    answer_probe(&mut harness, false);
+    break_off(&mut harness, first);
+    assert_eq!(harness.refusal(first).status(), 502);
+}
+
+/// Pattern: connections are reset while upstreams run on. Guards against a quarantine of prompts whose responses broke
+/// off for another reason than a crash.
+#[test]
+fn responses_of_running_upstreams_that_break_off_do_not_count() {
+    let mut harness = harness(8);
+    for _ in 0..6 {
+        let id = harness.arrive(request(&FATAL_PROMPT));
+        break_off(&mut harness, id);
+        answer_probe(&mut harness, true);
+        harness.feed(relay::Event::CallerDisconnected(id));
+    }
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    assert!(harness.is_sent(id));
+    assert!(harness.crashes.is_empty());
+}
+
+/// Pattern: upstreams crash in the middle of many streams. Guards against probes and reports for streams that had made
+/// progress, which show that their prompts did not cause the crash.
+#[test]
+fn streams_in_progress_are_not_suspected() {
+    let mut harness = harness(8);
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    let attempt = harness.begin_stream(id);
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
+    harness.fail_attempt(id, attempt, true);
+    assert!(harness.is_sent(id));
+    assert!(harness.probes.is_empty());
+}
+
+/// Pattern: each host sees a part of the crashes. Guards against hosts that learn of the part only from their own.
+#[test]
+fn crashes_that_other_hosts_observed_count() {
+    let mut harness = harness(8);
+    let running = harness.arrive(request(&FATAL_PROMPT));
+    for upstream in ["engine-20", "engine-21", "engine-22"] {
+        let crash = quarantine::Crash {
+            upstream: relay_fake::name(upstream),
+            started: 1,
+            prompts: vec![vec![relay_fake::name("fatal")]],
+        };
+        harness.feed(relay::Event::CrashReported(Box::new(crash)));
+    }
+    let refusal = harness.refusal(running);
+    assert_eq!(refusal.reason, relay::Reason::Quarantined);
+    assert_eq!(refusal.status(), 502, "it may have begun to run");
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    assert_eq!(harness.refusal(id).status(), 503);
+}
+
+/// Pattern: requests with the part wait for a slot when it is recognized. Guards against waiting requests that crash
+/// the upstream on which a slot becomes free.
+#[test]
+fn waiting_requests_with_the_part_are_refused() {
+    let mut harness = harness(1);
+    for _ in 0..4 {
+        harness.arrive(request(&["common", "sound"]));
+    }
+    let waiting = harness.arrive(request(&FATAL_PROMPT));
+    assert!(harness.last_command(waiting).is_none());
+    for upstream in ["engine-20", "engine-21", "engine-22"] {
+        let crash = quarantine::Crash {
+            upstream: relay_fake::name(upstream),
+            started: 1,
+            prompts: vec![vec![relay_fake::name("fatal")]],
+        };
+        harness.feed(relay::Event::CrashReported(Box::new(crash)));
+    }
+    let refusal = harness.refusal(waiting);
+    assert_eq!(refusal.status(), 503);
+    assert!(refusal.retry_after.is_some());
+}
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -6,6 +6,7 @@
 use carawaycleat_core::clock;
 use carawaycleat_core::key;
 use carawaycleat_core::name;
+use carawaycleat_core::quarantine;
 use carawaycleat_core::relay;
 
 pub(crate) const HOST: &str = "shop.example";
@@ -145,6 +146,10 @@
     pub(crate) commands: collections::HashMap<relay::Id, Vec<relay::Command>>,
     /// The events of log records, in order.
     pub(crate) records: Vec<&'static str>,
+    /// The upstreams that are to be probed, in order.
+    pub(crate) probes: Vec<name::Name>,
+    /// The published crashes, in order.
+    pub(crate) crashes: Vec<quarantine::Crash>,
     /// The summaries of requests that have ended.
     pub(crate) summaries: Vec<relay::Summary>,
 }
@@ -162,6 +167,8 @@
             next: 0,
             commands: collections::HashMap::new(),
             records: Vec::new(),
+            probes: Vec::new(),
+            crashes: Vec::new(),
             summaries: Vec::new(),
         };
         harness.feed(relay::Event::Configured(Box::new(config(1, 1_000_000))));
@@ -182,6 +189,8 @@
                 }
                 relay::Effect::Record(record) => self.records.push(record.event),
                 relay::Effect::Measure(summary) => self.summaries.push(summary),
+                relay::Effect::Probe(upstream, _) => self.probes.push(upstream),
+                relay::Effect::Publish(crash) => self.crashes.push(crash),
                 relay::Effect::Report => {}
             }
         }
