--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -6,7 +6,7 @@
 pub type Id = u64;
 
 /// The head of an upstream's response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Response {
     /// The HTTP status.
     pub status: u16,
@@ -14,6 +14,8 @@
     pub not_run: bool,
     /// Whether a stream of events follows.
     pub is_stream: bool,
+    /// The requests per second that the upstream takes from all hosts together; none when it names no limit.
+    pub request_limit: Option<f64>,
 }
 
 /// An input of the [`Reducer`](super::Reducer).
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -48,6 +48,7 @@
         if !self.is_attempt(id, attempt) {
             return;
         }
+        self.record_limit(id, response.request_limit, effects);
         let misdirected = response.status == 421;
         if response.not_run || misdirected {
             return self.handle_rejection(now, id, misdirected, effects);
@@ -79,6 +80,28 @@
         self.finish(now, id, upstream, response.status, effects);
     }
 
+    /// Records the limit on requests that the response to the attempt in progress named.
+    fn record_limit(
+        &mut self,
+        id: event::Id,
+        limit: Option<f64>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let phase = self.requests.get(&id).map(|request| &request.phase);
+        let Some(pending::Phase::Sent { upstream, .. }) = phase else {
+            return;
+        };
+        let Some(entry) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        if entry.record_limit(limit) {
+            let decision = timeline::Decision::new("request_limit")
+                .with_subject(upstream.clone())
+                .with_some("per_second", limit.map(|limit| format!("{limit:.2}")));
+            effects.push(super::record(decision));
+        }
+    }
+
     /// Ends a request whose response is complete.
     fn finish(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -59,6 +59,8 @@
     /// The connections that failed during a request since the last response.
     connection_failures: u32,
     full_until: clock::Instant,
+    /// The requests per second that it takes from all hosts together, as its last response named it.
+    request_limit: Option<f64>,
     /// The models and adapters that it turned out not to hold, and when.
     missing: Vec<(name::Name, Option<name::Name>, clock::Instant)>,
 }
@@ -83,6 +85,7 @@
             ejections: 0,
             connection_failures: 0,
             full_until: clock::Instant::default(),
+            request_limit: None,
             missing: Vec::new(),
         }
     }
@@ -294,6 +297,11 @@
         }
     }
 
+    /// Records the limit on requests that a response named, and returns whether it has changed.
+    pub(super) fn record_limit(&mut self, limit: Option<f64>) -> bool {
+        std::mem::replace(&mut self.request_limit, limit) != limit
+    }
+
     /// Records that it rejected a request for lack of a slot.
     pub(super) fn record_full(&mut self, now: clock::Instant) {
         if now >= self.full_until {
--- a/crates/carawaycleat-core/tests/suite/relay.rs
+++ b/crates/carawaycleat-core/tests/suite/relay.rs
@@ -154,6 +154,7 @@
         status: 200,
         not_run: false,
         is_stream: false,
+        request_limit: None,
     };
     harness.feed(relay::Event::Responded(id, first, response));
     assert!(harness.is_sent(id));
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -253,6 +253,7 @@
             status,
             not_run,
             is_stream: false,
+            request_limit: None,
         };
         self.feed(relay::Event::Responded(id, attempt, response));
     }
@@ -264,6 +265,7 @@
             status: 200,
             not_run: false,
             is_stream: true,
+            request_limit: None,
         };
         self.feed(relay::Event::Responded(id, attempt, response));
         attempt
