fix: keep to the limit on requests that an engine names, over all hosts

Cause: the limit was read by no host. Hosts count free slots, each by itself; a rate for the whole fleet had no owner.

Change: hosts report the limit, as each response names or ends it, with the requests that they have sent. The coordinator keeps one account for each upstream with a limit and permits each host a number of requests with its view, first for the requests that wait there; what is not used comes back with the next report. Without a view for a second, a host uses an equal share.

Ruled out: an equal share for each host (wastes most of a small limit in a large fleet); shares by demand with a burst for each host (adds up to more than is allowed); a call to the coordinator for each request. Not the cause: repeats (one in 14 s), the host that starts again.

--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod event;
 mod history;
+mod limit;
 mod options;
 mod order;
 mod plan;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -4,6 +4,7 @@
 use super::effect;
 use super::engine;
 use super::event;
+use super::limit;
 use super::options;
 use super::order;
 use super::plan;
@@ -76,6 +77,7 @@
     pub(super) adapter_demand: meter::Meter<(name::Name, name::Name, name::Name)>,
     shares: share::Shares,
     reservations: reservation::Reservations,
+    limits: limit::Limits,
     /// The upstreams that all hosts should avoid because they do not respond.
     suspects: collections::HashSet<name::Name>,
     /// When each load from the weight store within the load window was ordered.
@@ -103,6 +105,7 @@
             adapter_demand: meter::Meter::default(),
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
+            limits: limit::Limits::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
             order_count: 0,
@@ -149,6 +152,7 @@
         self.elected_at = Some(now);
         self.hosts.clear();
         self.reservations = reservation::Reservations::default();
+        self.limits = limit::Limits::default();
         self.shares.restart(now);
         let registrations: Vec<_> = self
             .engines
@@ -193,6 +197,7 @@
         }
         self.shares.record_usage(now, &report.host, &report.usage);
         self.reservations.record_report(&report);
+        self.limits.record_report(now, &report);
         let host = report.host.clone();
         self.hosts.insert(
             host,
@@ -324,6 +329,8 @@
             .retain(|_, host| now.since(host.received_at) < timeout);
         self.reservations
             .retain_hosts(|host| self.hosts.contains_key(host));
+        self.limits
+            .retain(now, |host| self.hosts.contains_key(host));
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
         self.adapter_demand.remove_idle(now, DEMAND_RETENTION);
         let window = self.options.load_window;
@@ -342,6 +349,10 @@
         if now.since(self.placement_logged_at) >= PLACEMENT_LOG_INTERVAL {
             self.placement_logged_at = now;
             self.log_placement(now, effects);
+            if let Some(summary) = self.limits.summary() {
+                let decision = timeline::Decision::new("limits").with("upstreams", summary);
+                effects.push(effect::Effect::Record(decision));
+            }
         }
         if self.is_isolated(now) {
             self.elected_at = None;
@@ -585,6 +596,7 @@
         };
         let grants = self.shares.grant(now, &token_requests, &reporting);
         self.reserve_slots(host);
+        let permits = self.limits.permit(now, host, report_number);
         let ready_in_ms = self.ready_in_ms(now);
         let engines = self.engine_views(now, host, full);
         relay::View {
@@ -596,6 +608,7 @@
             shares: self.shares.update_shares(now, host, &reporting),
             engines,
             ready_in_ms,
+            permits,
         }
     }
 
@@ -634,10 +647,19 @@
                     .filter(|(_, engine)| engine.can_run(demand));
                 let free = holders.map(|(id, engine)| {
                     let slots = engine.slots(spec);
-                    (self.reservations.free_slots(id, slots), id)
+                    let free = self.reservations.free_slots(id, slots);
+                    (
+                        self.limits
+                            .available(id)
+                            .map_or(free, |limit| free.min(limit)),
+                        id,
+                    )
                 });
                 match free.max_by_key(|(free, _)| *free) {
-                    Some((1.., id)) => self.reservations.reserve(host, id),
+                    Some((1.., id)) => {
+                        self.reservations.reserve(host, id);
+                        self.limits.reserve(host, id);
+                    }
                     _ => break,
                 }
             }
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -87,8 +87,13 @@
             let retry_after = Some(wait.clamp(super::MIN_RETRY_AFTER, MAX_RETRY_AFTER));
             return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
         }
-        // The coordinator divides the slots of engines among the hosts that report waiting requests.
-        if self.waiting.insert(key) && needs_model {
+        let is_limited = self
+            .upstreams
+            .values()
+            .any(|entry| entry.limit.is_some() && entry.registration.service == request.service);
+        // The coordinator divides the slots of engines, and the requests under a limit, among the hosts that report
+        // waiting requests.
+        if self.waiting.insert(key) && (needs_model || is_limited) {
             effects.push(effect::Effect::Report);
         }
     }
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -3,7 +3,9 @@
 use std::collections;
 
 use crate::clock;
+use crate::name;
 use crate::relay::report;
+use crate::relay::upstream;
 
 impl super::Reducer {
     /// Returns the report to the coordinator and resets its counters. With `full`, the view sent in response covers all
@@ -35,6 +37,7 @@
                 self.demands.entry(key).or_default();
             }
         }
+        let limits = self.limits(now);
         let demands = self.demands.drain().map(|(key, tokens)| {
             let waiting = waiting.get(&key).copied().unwrap_or(0);
             let (service, model, adapter) = key;
@@ -68,6 +71,48 @@
                 .filter(|entry| entry.is_ejected(now))
                 .map(|entry| entry.registration.id.clone())
                 .collect(),
+            limits,
         }
     }
+
+    /// Returns the limits on requests that upstreams have named or ended.
+    fn limits(&self, now: clock::Instant) -> Vec<report::Limit> {
+        let mut limited = collections::HashMap::<&name::Name, u32>::new();
+        for entry in self.upstreams.values() {
+            if entry.limit.is_some() {
+                *limited.entry(&entry.registration.service).or_default() += 1;
+            }
+        }
+        let mut waiting = collections::HashMap::<&name::Name, u32>::new();
+        for (_, id) in self.waiting.iter().filter(|_| !limited.is_empty()) {
+            let request = self.requests.get(id);
+            if let Some(request) = request.filter(|request| request.model.is_none()) {
+                *waiting.entry(&request.service).or_default() += 1;
+            }
+        }
+        let limit = |entry: &upstream::Upstream| {
+            let id = entry.registration.id.clone();
+            let service = &entry.registration.service;
+            let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+            let waiting = waiting.get(service).copied().unwrap_or(0);
+            match (&entry.limit, entry.limit_ended) {
+                (Some(limit), _) => Some(report::Limit {
+                    upstream: id,
+                    rate: Some(limit.rate),
+                    age_ms: age_ms(limit.named_at),
+                    sent: limit.sent,
+                    waiting: waiting.div_ceil(limited.get(service).copied().unwrap_or(1)),
+                }),
+                (None, Some(ended)) => Some(report::Limit {
+                    upstream: id,
+                    rate: None,
+                    age_ms: age_ms(ended),
+                    sent: 0,
+                    waiting: 0,
+                }),
+                (None, None) => None,
+            }
+        };
+        self.upstreams.values().filter_map(limit).collect()
+    }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -48,7 +48,7 @@
         if !self.is_attempt(id, attempt) {
             return;
         }
-        self.record_limit(id, response.request_limit, effects);
+        self.record_limit(now, id, response.request_limit, effects);
         let misdirected = response.status == 421;
         if response.not_run || misdirected {
             return self.handle_rejection(now, id, misdirected, effects);
@@ -83,6 +83,7 @@
     /// Records the limit on requests that the response to the attempt in progress named.
     fn record_limit(
         &mut self,
+        now: clock::Instant,
         id: event::Id,
         limit: Option<f64>,
         effects: &mut Vec<effect::Effect>,
@@ -94,7 +95,7 @@
         let Some(entry) = self.upstreams.get_mut(upstream) else {
             return;
         };
-        if entry.record_limit(limit) {
+        if entry.record_limit(now, limit) {
             let decision = timeline::Decision::new("request_limit")
                 .with_subject(upstream.clone())
                 .with_some("per_second", limit.map(|limit| format!("{limit:.2}")));
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -42,6 +42,7 @@
         let others = self.host_count.saturating_sub(1);
         for entry in self.upstreams.values_mut() {
             entry.estimate_other_requests(now, others);
+            entry.refill_limit(now, self.host_count);
         }
         self.retry_stalled(now, effects);
         self.dispatch_waiting(now, effects);
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -166,6 +166,11 @@
                 entry.update_view(now, engine);
             }
         }
+        for permit in view.permits.drain(..) {
+            if let Some(entry) = self.upstreams.get_mut(&permit.upstream) {
+                entry.apply_permit(now, &permit);
+            }
+        }
         let (number, grants) = (view.report_number, std::mem::take(&mut view.grants));
         self.view = Some((now, view));
         self.apply_grants(now, number, grants, effects);
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -16,6 +16,23 @@
     pub waiting: u32,
 }
 
+/// The limit on requests of an upstream, as one host knows it.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Limit {
+    /// The upstream.
+    pub upstream: name::Name,
+    /// The requests per second of all hosts together; none when the last response named no limit any more.
+    pub rate: Option<f64>,
+    /// The milliseconds since the response that says so.
+    pub age_ms: u64,
+    /// The requests sent to it since the host learned of the limit.
+    pub sent: u64,
+    /// The requests of this host that wait for an upstream of a service without models, divided among those with a
+    /// limit.
+    pub waiting: u32,
+}
+
 /// The state of an entry host, as sent to the coordinator.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -38,4 +55,6 @@
     pub usage: Vec<(name::Name, u64)>,
     /// The upstreams that this host has ejected.
     pub suspects: Vec<name::Name>,
+    /// The limits on requests that upstreams have named.
+    pub limits: Vec<Limit>,
 }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -1,6 +1,7 @@
 use std::collections;
 use std::time;
 
+use super::limit;
 use super::registration;
 use super::view;
 use crate::clock;
@@ -59,8 +60,10 @@
     /// The connections that failed during a request since the last response.
     connection_failures: u32,
     full_until: clock::Instant,
-    /// The requests per second that it takes from all hosts together, as its last response named it.
-    request_limit: Option<f64>,
+    /// The limit on requests that it has named.
+    pub(super) limit: Option<limit::Limit>,
+    /// When a response that named no limit ended the last limit.
+    pub(super) limit_ended: Option<clock::Instant>,
     /// The models and adapters that it turned out not to hold, and when.
     missing: Vec<(name::Name, Option<name::Name>, clock::Instant)>,
 }
@@ -85,7 +88,8 @@
             ejections: 0,
             connection_failures: 0,
             full_until: clock::Instant::default(),
-            request_limit: None,
+            limit: None,
+            limit_ended: None,
             missing: Vec::new(),
         }
     }
@@ -204,6 +208,9 @@
     pub(super) fn record_send(&mut self) {
         self.own_requests += 1;
         self.usable_slots = self.usable_slots.saturating_sub(1);
+        if let Some(limit) = &mut self.limit {
+            limit.record_send();
+        }
     }
 
     /// Records that a request has ended. Its slot stays reserved for this host until the next view.
@@ -215,6 +222,7 @@
     /// Returns whether another request may be sent beside those in progress.
     pub(super) fn has_free_slot(&self, now: clock::Instant, slots: u32) -> bool {
         now >= self.full_until
+            && self.limit.as_ref().is_none_or(|limit| limit.may_send(now))
             && (self.usable_slots > 0 || !self.has_current_view(now))
             && self.own_requests + self.other_requests < slots
             && f64::from(self.own_requests) < self.concurrency_limit
@@ -298,8 +306,48 @@
     }
 
     /// Records the limit on requests that a response named, and returns whether it has changed.
-    pub(super) fn record_limit(&mut self, limit: Option<f64>) -> bool {
-        std::mem::replace(&mut self.request_limit, limit) != limit
+    pub(super) fn record_limit(&mut self, now: clock::Instant, rate: Option<f64>) -> bool {
+        let before = self.limit.as_ref().map(|limit| limit.rate);
+        match (rate, &mut self.limit) {
+            (Some(rate), Some(limit)) => {
+                limit.rate = rate;
+                limit.named_at = now;
+            }
+            (Some(rate), None) => self.limit = Some(limit::Limit::new(now, rate)),
+            (None, Some(_)) => {
+                self.limit = None;
+                self.limit_ended = Some(now);
+            }
+            (None, None) => {}
+        }
+        before != rate
+    }
+
+    /// Applies the coordinator's permit, unless a response here has ended the limit since it was named.
+    pub(super) fn apply_permit(&mut self, now: clock::Instant, permit: &view::Permit) {
+        let age = time::Duration::from_millis(permit.age_ms);
+        let named_at =
+            clock::Instant::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+        if self.limit_ended.is_some_and(|ended| ended >= named_at) {
+            return;
+        }
+        self.limit
+            .get_or_insert_with(|| limit::Limit::new(named_at, permit.rate))
+            .update(now, named_at, permit);
+    }
+
+    /// Does the periodic work on the limit, of which each of `hosts` hosts has an equal share without permits.
+    pub(super) fn refill_limit(&mut self, now: clock::Instant, hosts: usize) {
+        if let Some(limit) = &mut self.limit {
+            limit.refill(now, hosts);
+        }
+        if self
+            .limit
+            .as_ref()
+            .is_some_and(|limit| limit.is_expired(now))
+        {
+            self.limit = None;
+        }
     }
 
     /// Records that it rejected a request for lack of a slot.
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -32,6 +32,20 @@
     pub without_coordinator: f64,
 }
 
+/// The requests that a host may send to an upstream with a limit until the next view.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Permit {
+    /// The upstream.
+    pub upstream: name::Name,
+    /// The requests per second that it takes from all hosts together.
+    pub rate: f64,
+    /// The milliseconds since the latest response that named the limit.
+    pub age_ms: u64,
+    /// The requests that this host may send.
+    pub requests: u32,
+}
+
 /// The coordinator's state of the fleet, as sent to an entry host in response to a report.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -52,4 +66,6 @@
     pub suspects: Vec<name::Name>,
     /// The milliseconds until the models that are being loaded are ready.
     pub ready_in_ms: Vec<(name::Name, u64)>,
+    /// The requests that the host may send to upstreams with a limit.
+    pub permits: Vec<Permit>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -133,6 +133,7 @@
         running: Vec::new(),
         usage: Vec::new(),
         suspects: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -54,6 +54,7 @@
             running: Vec::new(),
             usage: vec![(workspace, usage)],
             suspects: Vec::new(),
+            limits: Vec::new(),
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
         let name = relay_fake::name(&host_name(host));
--- a/crates/carawaycleat-core/tests/suite/coordinator_term.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_term.rs
@@ -44,6 +44,7 @@
                     running: Vec::new(),
                     usage: Vec::new(),
                     suspects: Vec::new(),
+                    limits: Vec::new(),
                 };
                 self.feed(coordinator::Event::Reported(Box::new(report)));
             }
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -107,6 +107,7 @@
         engines: Vec::new(),
         suspects: Vec::new(),
         ready_in_ms: Vec::new(),
+        permits: Vec::new(),
     };
     harness.feed(relay::Event::ViewReceived(Box::new(view)));
     let mut served = 0;
@@ -157,6 +158,7 @@
         engines: Vec::new(),
         suspects: Vec::new(),
         ready_in_ms: Vec::new(),
+        permits: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -146,6 +146,8 @@
     pub(crate) commands: collections::HashMap<relay::Id, Vec<relay::Command>>,
     /// The events of log records, in order.
     pub(crate) records: Vec<&'static str>,
+    /// Whether a report to the coordinator was requested.
+    pub(crate) is_report_due: bool,
     /// The upstreams that are to be probed, in order.
     pub(crate) probes: Vec<name::Name>,
     /// The published crashes, in order.
@@ -161,12 +163,17 @@
     }
 
     pub(crate) fn with_options(options: relay::Options) -> Self {
+        Self::of_host("host-1", options)
+    }
+
+    pub(crate) fn of_host(host: &str, options: relay::Options) -> Self {
         let mut harness = Self {
-            reducer: relay::Reducer::new(name("host-1"), name("zone-a"), options),
+            reducer: relay::Reducer::new(name(host), name("zone-a"), options),
             now: clock::Instant::from_millis(100_000),
             next: 0,
             commands: collections::HashMap::new(),
             records: Vec::new(),
+            is_report_due: false,
             probes: Vec::new(),
             crashes: Vec::new(),
             summaries: Vec::new(),
@@ -191,7 +198,7 @@
                 relay::Effect::Measure(summary) => self.summaries.push(summary),
                 relay::Effect::Probe(upstream, _) => self.probes.push(upstream),
                 relay::Effect::Publish(crash) => self.crashes.push(crash),
-                relay::Effect::Report => {}
+                relay::Effect::Report => self.is_report_due = true,
             }
         }
     }
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -22,6 +22,7 @@
         engines,
         suspects: Vec::new(),
         ready_in_ms: Vec::new(),
+        permits: Vec::new(),
     }
 }
 
