fix: attribute a crash to the process of the upstream that crashed

Cause: the start of the process was read when the crash was confirmed, and the upstream may have started again under its identifier by then; its next crash then counted as the same one. A probe whose result was lost kept the upstream from being probed again.

Change: the start is kept from when the response broke off; a breakage that is not confirmed within two seconds is dropped.

The new tests are relay_crash::crashes_of_a_restarted_upstream_count_separately and relay_crash::upstream_is_probed_again_after_a_lost_probe.

--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -1,5 +1,7 @@
 //! Crashes of upstreams, and the quarantine of prompts that cause them.
 
+use std::time;
+
 use crate::clock;
 use crate::name;
 use crate::quarantine;
@@ -8,9 +10,16 @@
 use crate::relay::refusal;
 use crate::timeline;
 
+/// The time within which it must be known whether an upstream crashed, from a probe or from other requests.
+const CONFIRMATION_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// The responses that broke off at an upstream when they had just begun.
 #[derive(Clone, Debug)]
 pub(super) struct Breakage {
+    /// When the first one broke off.
+    at: clock::Instant,
+    /// The start of the upstream's process at that time.
+    started: u64,
     /// The prompts of the requests.
     prompts: Vec<Vec<name::Name>>,
     /// Whether the upstream has crashed.
@@ -38,6 +47,8 @@
             let address = entry.registration.address;
             effects.push(effect::Effect::Probe(upstream.clone(), address));
             Breakage {
+                at: now,
+                started: entry.registration.started,
                 prompts: Vec::new(),
                 is_crash: false,
             }
@@ -74,17 +85,15 @@
     ) {
         let is_crash = |_: &name::Name, breakage: &mut Breakage| breakage.is_crash;
         let confirmed: Vec<_> = self.breakages.extract_if(.., is_crash).collect();
+        self.breakages
+            .retain(|_, breakage| now.since(breakage.at) < CONFIRMATION_TIME);
         for (upstream, breakage) in confirmed {
-            let started = self
-                .upstreams
-                .get(&upstream)
-                .map_or(0, |entry| entry.registration.started);
             let crash = quarantine::Crash {
                 prompts: self
                     .quarantine
                     .without_harmless_parts(now, breakage.prompts),
                 upstream,
-                started,
+                started: breakage.started,
             };
             if crash.prompts.is_empty() {
                 continue;
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -158,3 +158,37 @@
     assert_eq!(refusal.status(), 503);
     assert!(refusal.retry_after.is_some());
 }
+
+/// Pattern: an upstream crashes and starts again under the same identifier. Guards against counting its crashes as one,
+/// and against a probe without a result that keeps later crashes of the upstream from being noticed.
+#[test]
+fn crashes_of_a_restarted_upstream_count_separately() {
+    let mut harness = harness(1);
+    for started in 2..5 {
+        let id = harness.arrive(request(&FATAL_PROMPT));
+        break_off(&mut harness, id);
+        harness.feed(relay::Event::CallerDisconnected(id));
+        let mut registration = relay_fake::registration("engine-0", "models", &["small"]);
+        registration.started = started;
+        harness.register(registration);
+        harness.advance(relay_fake::millis(25));
+    }
+    let started: Vec<_> = harness.crashes.iter().map(|crash| crash.started).collect();
+    assert_eq!(started, [1, 2, 3]);
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    assert_eq!(harness.refusal(id).reason, relay::Reason::Quarantined);
+}
+
+/// Pattern: a probe is lost. Guards against an upstream that is never probed again.
+#[test]
+fn upstream_is_probed_again_after_a_lost_probe() {
+    let mut harness = harness(1);
+    let first = harness.arrive(request(&FATAL_PROMPT));
+    break_off(&mut harness, first);
+    harness.feed(relay::Event::CallerDisconnected(first));
+    harness.probes.clear();
+    harness.advance(relay_fake::millis(2_500));
+    let second = harness.arrive(request(&FATAL_PROMPT));
+    break_off(&mut harness, second);
+    assert_eq!(harness.probes.len(), 1);
+}
