refactor: keep the lifetime of a limit in one place

Change: the constant stands in relay::limit alone, and the end of a limit is reported for as long as limits hold, not for as long as the upstream is known.

--- a/crates/carawaycleat-core/src/coordinator/limit.rs
+++ b/crates/carawaycleat-core/src/coordinator/limit.rs
@@ -4,9 +4,8 @@
 use crate::clock;
 use crate::name;
 use crate::relay;
+use crate::relay::limit;
 
-/// The time for which a limit holds after the last response that named it.
-const LIMIT_LIFETIME: time::Duration = time::Duration::from_secs(10);
 /// The time whose requests may be sent at once after a pause.
 const BURST_TIME: time::Duration = time::Duration::from_millis(500);
 /// The time whose requests are withheld at most after hosts sent more than they were permitted.
@@ -75,20 +74,20 @@
 impl Limits {
     /// Applies what a host has reported. Permits that it has not used are available again.
     pub(super) fn record_report(&mut self, now: clock::Instant, report: &relay::Report) {
-        for limit in &report.limits {
-            let age = time::Duration::from_millis(limit.age_ms);
+        for known in &report.limits {
+            let age = time::Duration::from_millis(known.age_ms);
             let named_at = before(now, age);
-            let Some(rate) = limit.rate else {
-                self.record_unlimited(named_at, &limit.upstream);
+            let Some(rate) = known.rate else {
+                self.record_unlimited(named_at, &known.upstream);
                 continue;
             };
-            let is_ended = self.unlimited.get(&limit.upstream);
-            if is_ended.is_some_and(|ended| *ended >= named_at) || age > LIMIT_LIFETIME {
+            let is_ended = self.unlimited.get(&known.upstream);
+            if is_ended.is_some_and(|ended| *ended >= named_at) || age > limit::LIMIT_LIFETIME {
                 continue;
             }
             let upstream = self
                 .upstreams
-                .entry(limit.upstream.clone())
+                .entry(known.upstream.clone())
                 .or_insert_with(|| Upstream {
                     rate,
                     named_at,
@@ -106,13 +105,13 @@
                 .hosts
                 .entry(report.host.clone())
                 .or_insert_with(|| Account {
-                    sent: limit.sent,
+                    sent: known.sent,
                     ..Account::default()
                 });
             // A host counts from zero again when it has forgotten the limit.
-            let sent = limit.sent.checked_sub(account.sent).unwrap_or(limit.sent);
-            account.sent = limit.sent;
-            account.waiting = limit.waiting;
+            let sent = known.sent.checked_sub(account.sent).unwrap_or(known.sent);
+            account.sent = known.sent;
+            account.waiting = known.waiting;
             account.weight += sent as f64;
             upstream.level += f64::from(std::mem::take(&mut account.permitted)) - sent as f64;
             let max_debt = (rate * MAX_DEBT_TIME.as_secs_f64()).max(1.0);
@@ -135,9 +134,9 @@
     /// Removes hosts for which `keep` returns false, and limits that have not been named for a long time.
     pub(super) fn retain(&mut self, now: clock::Instant, keep: impl Fn(&name::Name) -> bool) {
         self.upstreams
-            .retain(|_, upstream| now.since(upstream.named_at) <= LIMIT_LIFETIME);
+            .retain(|_, upstream| now.since(upstream.named_at) <= limit::LIMIT_LIFETIME);
         self.unlimited
-            .retain(|_, ended| now.since(*ended) <= LIMIT_LIFETIME);
+            .retain(|_, ended| now.since(*ended) <= limit::LIMIT_LIFETIME);
         for upstream in self.upstreams.values_mut() {
             upstream.hosts.retain(|host, _| keep(host));
         }
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -10,7 +10,7 @@
 mod config;
 mod effect;
 mod event;
-mod limit;
+pub(crate) mod limit;
 mod options;
 mod pending;
 mod policy;
--- a/crates/carawaycleat-core/src/relay/limit.rs
+++ b/crates/carawaycleat-core/src/relay/limit.rs
@@ -3,8 +3,9 @@
 use super::view;
 use crate::clock;
 
-/// The time for which a limit holds after the last response that named it, at any host.
-const LIMIT_LIFETIME: time::Duration = time::Duration::from_secs(10);
+/// The time for which a limit holds after the last response that named it, at any host, and for which its end is
+/// reported to the coordinator.
+pub(crate) const LIMIT_LIFETIME: time::Duration = time::Duration::from_secs(10);
 /// The time for which the permits of the coordinator are used. Later a host uses an equal share of the limit.
 const PERMIT_LIFETIME: time::Duration = time::Duration::from_millis(1_000);
 
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::name;
+use crate::relay::limit;
 use crate::relay::report;
 use crate::relay::upstream;
 
@@ -103,14 +104,16 @@
                     sent: limit.sent,
                     waiting: waiting.div_ceil(limited.get(service).copied().unwrap_or(1)),
                 }),
-                (None, Some(ended)) => Some(report::Limit {
-                    upstream: id,
-                    rate: None,
-                    age_ms: age_ms(ended),
-                    sent: 0,
-                    waiting: 0,
-                }),
-                (None, None) => None,
+                (None, Some(ended)) if now.since(ended) <= limit::LIMIT_LIFETIME => {
+                    Some(report::Limit {
+                        upstream: id,
+                        rate: None,
+                        age_ms: age_ms(ended),
+                        sent: 0,
+                        waiting: 0,
+                    })
+                }
+                (None, _) => None,
             }
         };
         self.upstreams.values().filter_map(limit).collect()
