--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -36,6 +36,18 @@
     harness.advance(relay_fake::millis(25));
 }
 
+/// Lets other hosts report three crashes that the part explains.
+fn report_crashes_of_other_hosts(harness: &mut relay_fake::Harness) {
+    for upstream in ["engine-20", "engine-21", "engine-22"] {
+        let crash = quarantine::Crash {
+            upstream: relay_fake::name(upstream),
+            started: 1,
+            prompts: vec![vec![relay_fake::name("fatal")]],
+        };
+        harness.feed(relay::Event::CrashReported(Box::new(crash)));
+    }
+}
+
 /// Sends requests with the part until an arriving one is refused, and lets each crash its upstream. Returns the number
 /// of upstreams that crashed.
 fn crash_until_refused(harness: &mut relay_fake::Harness) -> usize {
@@ -121,14 +133,7 @@
 fn crashes_that_other_hosts_observed_count() {
     let mut harness = harness(8);
     let running = harness.arrive(request(&FATAL_PROMPT));
-    for upstream in ["engine-20", "engine-21", "engine-22"] {
-        let crash = quarantine::Crash {
-            upstream: relay_fake::name(upstream),
-            started: 1,
-            prompts: vec![vec![relay_fake::name("fatal")]],
-        };
-        harness.feed(relay::Event::CrashReported(Box::new(crash)));
-    }
+    report_crashes_of_other_hosts(&mut harness);
     let refusal = harness.refusal(running);
     assert_eq!(refusal.reason, relay::Reason::Quarantined);
     assert_eq!(refusal.status(), 502, "it may have begun to run");
@@ -146,14 +151,7 @@
     }
     let waiting = harness.arrive(request(&FATAL_PROMPT));
     assert!(harness.last_command(waiting).is_none());
-    for upstream in ["engine-20", "engine-21", "engine-22"] {
-        let crash = quarantine::Crash {
-            upstream: relay_fake::name(upstream),
-            started: 1,
-            prompts: vec![vec![relay_fake::name("fatal")]],
-        };
-        harness.feed(relay::Event::CrashReported(Box::new(crash)));
-    }
+    report_crashes_of_other_hosts(&mut harness);
     let refusal = harness.refusal(waiting);
     assert_eq!(refusal.status(), 503);
     assert!(refusal.retry_after.is_some());
