fix: take only whole events for progress of a request

Cause: an engine that crashes may cut its stream in the middle of an event. The first bytes counted as progress, which cleared the part of the prompt that crashed the engine, and the request was no suspect.

Change: a stream has just begun until its first event is complete; only then are the parts of its prompt taken for harmless.

The new test relay_crash::part_of_an_event_is_no_progress failed before (no probe was sent) and passes.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -19,6 +19,8 @@
         last_progress: clock::Instant,
         /// Whether the head of a stream has arrived.
         head_received: bool,
+        /// Whether a whole event of a stream has arrived.
+        event_received: bool,
         /// Whether a byte of the response to this attempt has arrived.
         first_byte_received: bool,
     },
@@ -144,13 +146,13 @@
         )
     }
 
-    /// Returns whether the response to the attempt in progress has begun, but nothing of its body has arrived.
+    /// Returns whether the response to the attempt in progress has begun, but no event of it is complete.
     pub(super) fn has_just_begun(&self) -> bool {
         matches!(
             self.phase,
             Phase::Sent {
                 head_received: true,
-                first_byte_received: false,
+                event_received: false,
                 ..
             }
         )
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -187,6 +187,7 @@
             sent: now,
             last_progress: now,
             head_received: false,
+            event_received: false,
             first_byte_received: false,
         };
         entry.record_send();
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -178,6 +178,7 @@
             sent,
             last_progress,
             first_byte_received,
+            event_received,
             ..
         } = &mut request.phase
         else {
@@ -190,8 +191,8 @@
                 entry.record_first_byte(now, now.since(*sent));
             }
         }
-        let is_first = !std::mem::replace(first_byte_received, true);
-        if is_first {
+        *first_byte_received = true;
+        if last_event.is_some() && !std::mem::replace(event_received, true) {
             let prompt = request.prompt.clone();
             self.record_harmless(now, &prompt, effects);
         }
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -190,3 +190,20 @@
     break_off(&mut harness, second);
     assert_eq!(harness.probes.len(), 1);
 }
+
+/// Pattern: upstreams crash in the middle of the first event. Guards against taking a part of an event for progress, after
+/// which the part of the prompt would count as harmless.
+#[test]
+fn part_of_an_event_is_no_progress() {
+    let mut harness = harness(8);
+    for _ in 0..3 {
+        let id = harness.arrive(request(&FATAL_PROMPT));
+        let attempt = harness.begin_stream(id);
+        harness.feed(relay::Event::StreamProgress(id, attempt, None));
+        harness.fail_attempt(id, attempt, true);
+        answer_probe(&mut harness, false);
+        harness.feed(relay::Event::CallerDisconnected(id));
+    }
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    assert_eq!(harness.refusal(id).reason, relay::Reason::Quarantined);
+}
