fix: pass on no request whose caller left before it was read

Cause: the server started the handler of a request first and looked for a disconnect afterwards. A host that reads late finds the request and the end of its connection together, and passed the request on before it noticed the end. The class of fault: work is begun on old input without looking at what has happened since.

Change: the socket is looked at before the handler is started, and while the handler runs, a disconnect goes before its progress.

Evidence: with a host stopped by SIGSTOP while 20 callers send a request and leave, engines executed requests of theirs when the host went on; now none (faults::request_of_a_caller_that_left_before_it_was_read_is_not_passed_on). In the server alone: server::starts_no_handler_for_disconnected_caller. Both tests fail without the change.

Not known: why the hosts read late.

--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -3,6 +3,8 @@
 mod encoder;
 mod handle;
 mod incoming;
+mod observer;
+mod peek;
 mod refusal;
 mod state;
 
@@ -49,6 +51,7 @@
     address: net::SocketAddr,
     limits: limits::Limits,
     cancels_on_disconnect: bool,
+    abandonment_observer: Option<observer::Observer>,
 }
 
 impl Server {
@@ -65,6 +68,7 @@
             address,
             limits: limits::Limits::default(),
             cancels_on_disconnect: false,
+            abandonment_observer: None,
         })
     }
 
@@ -75,14 +79,24 @@
         self
     }
 
-    /// Drops the future of a handler whose caller disconnects before the response. By default, a handler runs to
-    /// completion.
+    /// Drops the future of a handler whose caller disconnects before the response, and starts no handler for a caller
+    /// that has disconnected by the time its request is read. By default, a handler runs to completion.
     #[must_use]
     pub fn cancel_on_disconnect(mut self) -> Self {
         self.cancels_on_disconnect = true;
         self
     }
 
+    /// Calls `observe` with each request for which [`Server::cancel_on_disconnect`] started no handler.
+    #[must_use]
+    pub fn observe_abandoned(
+        mut self,
+        observe: impl Fn(&request::Request) + Send + Sync + 'static,
+    ) -> Self {
+        self.abandonment_observer = Some(observer::Observer::new(observe));
+        self
+    }
+
     /// Returns the address that the listener is bound to.
     #[must_use]
     pub fn local_address(&self) -> net::SocketAddr {
@@ -99,7 +113,11 @@
         H: Fn(request::Request) -> F + Send + Sync + 'static,
         F: Future<Output = response::Response> + Send + 'static,
     {
-        let (state, signals) = state::State::new(self.limits, self.cancels_on_disconnect);
+        let (state, signals) = state::State::new(
+            self.limits,
+            self.cancels_on_disconnect,
+            self.abandonment_observer,
+        );
         let state = sync::Arc::new(state);
         let accept = accept(
             self.listener,
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -13,6 +13,7 @@
 use crate::scanner;
 use crate::server::encoder;
 use crate::server::incoming;
+use crate::server::peek;
 use crate::server::refusal;
 use crate::server::state;
 
@@ -100,21 +101,29 @@
             };
             let state = &self.guard.state;
             state.count_request();
-            let handled =
-                futures_lite::future::or(async { Some(handler(incoming.request).await) }, async {
-                    if !state.cancels_on_disconnect {
-                        return std::future::pending().await;
-                    }
-                    encoder::disconnected(&self.stream).await;
-                    None
-                });
+            if state.cancels_on_disconnect
+                && peek::Peek::new(&self.stream) == peek::Peek::Disconnected
+            {
+                return state.abandon(&incoming.request);
+            }
+            let disconnected = async {
+                if !state.cancels_on_disconnect {
+                    return std::future::pending().await;
+                }
+                encoder::disconnected(&self.stream).await;
+                None
+            };
+            // The disconnect goes first, so that a handler that could continue at the same time does not.
+            let handled = futures_lite::future::or(disconnected, async {
+                Some(handler(incoming.request).await)
+            });
             let Some(response) = handled.await else {
                 return;
             };
             // `async-h1` never reads a pipelined request; closing the connection tells the caller that it was not run.
             let close = incoming.close
                 || !self.buffer.is_empty()
-                || self.is_readable()
+                || peek::Peek::new(&self.stream) == peek::Peek::Sent
                 || state.is_stopping();
             let close = close || response.headers.has_token("connection", "close");
             let written = encoder::write(
@@ -134,11 +143,6 @@
         }
     }
 
-    /// Returns whether the socket has unread bytes, which do not belong to the request in progress.
-    fn is_readable(&self) -> bool {
-        matches!(self.stream.get_ref().peek(&mut [0]), Ok(length) if length > 0)
-    }
-
     async fn receive(&mut self) -> Result<Incoming, Stop> {
         self.wait_for_data().await?;
         let deadline = time::Instant::now() + self.guard.state.limits().idle_timeout;
--- a/crates/carawaycleat-net/src/server/encoder.rs
+++ b/crates/carawaycleat-net/src/server/encoder.rs
@@ -10,6 +10,7 @@
 
 use crate::body;
 use crate::response;
+use crate::server::peek;
 
 /// The initial size of the write buffer; it doubles when a response fills it.
 const INITIAL_BUFFER_BYTES: usize = 4 * 1024;
@@ -135,11 +136,11 @@
 pub(super) async fn disconnected(stream: &async_io::Async<net::TcpStream>) {
     loop {
         let readable = stream.readable().await;
-        match stream.get_ref().peek(&mut [0]) {
-            Ok(0) => return,
-            Ok(_) => return std::future::pending().await,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock && readable.is_ok() => {}
-            Err(_) => return,
+        match peek::Peek::new(stream) {
+            peek::Peek::Disconnected => return,
+            peek::Peek::Sent => return std::future::pending().await,
+            peek::Peek::Waiting if readable.is_ok() => {}
+            peek::Peek::Waiting => return,
         }
     }
 }
@@ -147,12 +148,9 @@
 /// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded, which is why the
 /// connection is closed after the response.
 async fn discard_until_disconnect(stream: &async_io::Async<net::TcpStream>) -> io::Result<()> {
-    let mut byte = [0];
     stream.readable().await?;
-    match stream.get_ref().peek(&mut byte) {
-        Ok(0) => return Err(io::ErrorKind::ConnectionReset.into()),
-        Err(error) if error.kind() != io::ErrorKind::WouldBlock => return Err(error),
-        _ => {}
+    if peek::Peek::new(stream) == peek::Peek::Disconnected {
+        return Err(io::ErrorKind::ConnectionReset.into());
     }
     let mut discard = [0; 512];
     let mut reader = stream;
--- a/crates/carawaycleat-net/src/server/state.rs
+++ b/crates/carawaycleat-net/src/server/state.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic;
 
 use crate::limits;
+use crate::request;
 use crate::server::counts;
+use crate::server::observer;
 
 /// The maximum number of refused connections that get an error response at the same time; others are closed without a
 /// response.
@@ -28,6 +30,8 @@
     limits: sync::Mutex<limits::Limits>,
     /// Whether a handler is dropped when its caller disconnects.
     pub(super) cancels_on_disconnect: bool,
+    /// Told of the requests whose caller disconnected before their handler was started.
+    abandonment_observer: Option<observer::Observer>,
     pub(super) stopping: atomic::AtomicBool,
     pub(super) malformed: atomic::AtomicU64,
     pub(super) close_idle: Signal,
@@ -46,13 +50,18 @@
 }
 
 impl State {
-    pub(super) fn new(limits: limits::Limits, cancels_on_disconnect: bool) -> (Self, Signals) {
+    pub(super) fn new(
+        limits: limits::Limits,
+        cancels_on_disconnect: bool,
+        abandonment_observer: Option<observer::Observer>,
+    ) -> (Self, Signals) {
         let (accepting_sender, accepting) = async_channel::bounded(1);
         let (close_idle_sender, close_idle) = async_channel::bounded(1);
         let (abort_sender, abort) = async_channel::bounded(1);
         let state = Self {
             limits: sync::Mutex::new(limits),
             cancels_on_disconnect,
+            abandonment_observer,
             stopping: atomic::AtomicBool::new(false),
             malformed: atomic::AtomicU64::new(0),
             close_idle,
@@ -141,6 +150,13 @@
     pub(super) fn count_request(&self) {
         self.requests.fetch_add(1, atomic::Ordering::Relaxed);
     }
+
+    /// Reports a request whose caller disconnected before its handler was started.
+    pub(super) fn abandon(&self, request: &request::Request) {
+        if let Some(observer) = &self.abandonment_observer {
+            observer.observe(request);
+        }
+    }
 }
 
 /// Increments `counter` unless it has reached `limit`.
