perf: count engines that limit their requests as a part of a replica

Cause: the placement counts an engine with a limit as a whole replica, and the slots that its limit leaves unused as free capacity, so that models held by such engines look idle.

Change: an engine with a limit counts as the fraction of its slots that the requests within the limit occupy, from the measured time of requests at such engines. While there are limits, further replicas go only to engines without one, or nearly so, that have free slots. Without limits nothing changes.

Tests: coordinator_load::model_at_limited_engines_gets_a_replica_at_another_one, which failed before, and coordinator_load::full_engine_gets_no_replica_beside_limited_engines.

--- a/crates/carawaycleat-core/src/coordinator/limit.rs
+++ b/crates/carawaycleat-core/src/coordinator/limit.rs
@@ -163,6 +163,15 @@
         Some(upstream.level.max(0.0).floor() as u32)
     }
 
+    /// Returns the requests per second that an upstream with a limit takes, and those that hosts sent to it lately.
+    pub(super) fn rates(&self, id: &name::Name) -> Option<(f64, f64)> {
+        let upstream = self.upstreams.get(id)?;
+        let weight: f64 = upstream.hosts.values().map(|account| account.weight).sum();
+        // The weight of a steady rate is the rate times the mean lifetime of a request's weight.
+        let lifetime = WEIGHT_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        Some((upstream.rate, weight / lifetime))
+    }
+
     /// Permits a host one request, for which a slot was reserved.
     pub(super) fn reserve(&mut self, host: &name::Name, id: &name::Name) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -32,6 +32,12 @@
 /// The demand per replica of a model, relative to the average, at or above which it gets another replica where memory
 /// is free.
 const REPLICA_DEMAND_RATIO: f64 = 0.7;
+/// The lowest capacity of an engine that limits its requests, relative to one without a limit.
+const MIN_CAPACITY: f64 = 0.05;
+/// The capacity from which an engine gets further replicas, relative to an engine without a limit on requests.
+const REPLICA_CAPACITY: f64 = 0.5;
+/// The fraction of slots in use up to which an engine gets further replicas while other engines limit their requests.
+const MAX_REPLICA_UTILIZATION: f64 = 0.8;
 /// The time since the last request after which an adapter may be evicted for another one.
 const ADAPTER_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
@@ -51,19 +57,25 @@
     utilization: f64,
     /// The number of engines that hold or load it.
     replicas: usize,
+    /// The sum of the capacities of these engines, relative to an engine without a limit on requests.
+    capacity: f64,
 }
 
 impl Model<'_> {
-    /// Returns the demand per replica, in tokens per second.
+    /// Returns the demand per replica at engines without a limit on requests, in tokens per second.
     fn demand_per_replica(&self) -> f64 {
-        self.demand / self.replicas.max(1) as f64
+        match self.replicas {
+            0 => self.demand,
+            _ => self.demand / self.capacity,
+        }
     }
 
-    /// Returns the demand per replica with one replica fewer, or infinity when none would remain.
-    fn demand_per_replica_after_eviction(&self) -> f64 {
+    /// Returns the demand per replica without a replica at an engine of the given capacity, or infinity when none would
+    /// remain.
+    fn demand_per_replica_after_eviction(&self, capacity: f64) -> f64 {
         match self.replicas {
             0 | 1 => f64::INFINITY,
-            replicas => self.demand / (replicas - 1) as f64,
+            _ => self.demand / (self.capacity - capacity).max(MIN_CAPACITY),
         }
     }
 }
@@ -77,6 +89,9 @@
     spec: &'a relay::EngineSpec,
     /// The engines of the service that take new work.
     engines: Vec<&'a engine::Engine>,
+    /// The average time for which a request occupies an engine with a limit on requests, in seconds; none without
+    /// requests at such engines.
+    limited_service_time: Option<f64>,
     models: collections::BTreeMap<&'a name::Name, Model<'a>>,
 }
 
@@ -97,33 +112,68 @@
             service,
             spec,
             engines: engines.collect(),
+            limited_service_time: None,
             models: collections::BTreeMap::new(),
         };
+        planner.limited_service_time = planner.measure_service_time();
         planner.models = planner.collect_models();
         planner
     }
 
+    /// Returns the value of [`Self::limited_service_time`].
+    fn measure_service_time(&self) -> Option<f64> {
+        let limited = self.engines.iter().filter_map(|engine| {
+            let (_, sent) = self.state.limits.rates(&engine.registration.id)?;
+            Some((f64::from(engine.requests), sent))
+        });
+        let (requests, sent) = limited.fold((0.0, 0.0), |sum, engine| {
+            (sum.0 + engine.0, sum.1 + engine.1)
+        });
+        (sent > 0.0).then(|| requests / sent)
+    }
+
+    /// Returns the capacity of an engine relative to one without a limit on requests: the fraction of its slots that
+    /// the requests within its limit occupy.
+    fn capacity(&self, engine: &engine::Engine) -> f64 {
+        let rates = self.state.limits.rates(&engine.registration.id);
+        let (Some((rate, _)), Some(service_time)) = (rates, self.limited_service_time) else {
+            return 1.0;
+        };
+        (rate * service_time / f64::from(self.spec.slots.max(1))).clamp(MIN_CAPACITY, 1.0)
+    }
+
+    /// Returns whether a further replica at an engine would get requests. Where some engines limit their requests, the
+    /// others fill up, and a replica at a full one only takes slots from the models that it holds.
+    fn has_capacity(&self, engine: &engine::Engine) -> bool {
+        let used = f64::from(engine.requests) / f64::from(self.spec.slots.max(1));
+        self.limited_service_time.is_none()
+            || (self.capacity(engine) >= REPLICA_CAPACITY && used < MAX_REPLICA_UTILIZATION)
+    }
+
     /// Returns the demand and placement of each model, from one pass over the engines.
     fn collect_models(&self) -> collections::BTreeMap<&'a name::Name, Model<'a>> {
         let waiting = self.state.waiting_by_model(self.now, self.service);
         let mut cached = collections::HashSet::new();
-        let mut holders = collections::HashMap::<&name::Name, (usize, u32)>::new();
+        let mut holders = collections::HashMap::<&name::Name, (usize, u32, f64)>::new();
         for engine in &self.engines {
             cached.extend(engine.in_memory.iter().chain(&engine.on_disk));
             if self.state.is_suspect(&engine.registration.id) {
                 continue;
             }
+            let engine_capacity = self.capacity(engine);
             for model in engine.served_models() {
-                let (replicas, requests) = holders.entry(model).or_default();
+                let (replicas, requests, capacity) = holders.entry(model).or_default();
                 *replicas += 1;
                 *requests += engine.requests;
+                *capacity += engine_capacity;
             }
         }
         let model = |(name, spec): (&'a name::Name, &'a relay::Model)| {
             let key = (self.service.clone(), name.clone());
             let waiting = waiting.get(name).copied().unwrap_or(0);
-            let (replicas, requests) = holders.get(name).copied().unwrap_or_default();
-            let slots = f64::from(self.spec.slots.max(1)) * replicas.max(1) as f64;
+            let (replicas, requests, capacity) = holders.get(name).copied().unwrap_or_default();
+            let capacity = if replicas == 0 { 1.0 } else { capacity };
+            let slots = f64::from(self.spec.slots.max(1)) * capacity;
             let model = Model {
                 name,
                 spec,
@@ -132,6 +182,7 @@
                 is_reclaimable: waiting == 0 && cached.contains(name) && self.is_idle(&key),
                 utilization: f64::from(requests) / slots,
                 replicas,
+                capacity,
             };
             (name, model)
         };
@@ -230,9 +281,10 @@
         if let Some(step) = self.replacement_step().or_else(|| self.refill_step()) {
             return Some(step);
         }
-        let replicas: usize = self.models.values().map(|model| model.replicas).sum();
+        let held = self.models.values().filter(|model| model.replicas > 0);
+        let capacity: f64 = held.map(|model| model.capacity).sum();
         let demand: f64 = self.models.values().map(|model| model.demand).sum();
-        let average = demand / replicas.max(1) as f64;
+        let average = demand / capacity.max(1.0);
         let mut candidates: Vec<_> = self.models.values().collect();
         // Models without a replica come first, those with waiting requests before the others, then models by descending
         // demand per replica.
@@ -280,6 +332,7 @@
                         .as_ref()
                         .is_none_or(|next| next == model.name)
                     && !engine.models.contains_key(model.name)
+                    && (model.replicas == 0 || self.has_capacity(engine))
                     && !self.state.is_suspect(&engine.registration.id)
             })
             .collect();
@@ -312,7 +365,7 @@
                 // A load of 3 s costs as much as an engine whose slots are all in use.
                 let cost = |engine: &engine::Engine, evicted: &Model<'_>| {
                     let demand_ratio =
-                        self.eviction_cost(evicted) / model.demand_per_replica().max(1.0);
+                        self.eviction_cost(engine, evicted) / model.demand_per_replica().max(1.0);
                     let utilization =
                         f64::from(engine.requests) / f64::from(self.spec.slots.max(1));
                     demand_ratio + load(engine).0.as_secs_f64() / 3.0 + utilization
@@ -355,25 +408,25 @@
                     }
                     (0, _) => true,
                     _ => {
-                        self.eviction_cost(model)
+                        self.eviction_cost(engine, model)
                             <= replacement.demand_per_replica() * options.max_evicted_demand_ratio
                     }
                 };
                 fits && is_worthwhile
             })
             .min_by(|one, other| {
-                self.eviction_cost(one)
-                    .total_cmp(&self.eviction_cost(other))
+                self.eviction_cost(engine, one)
+                    .total_cmp(&self.eviction_cost(engine, other))
             })
     }
 
-    /// Returns the demand per replica of a model after one of its replicas is evicted, or 0 when its last replica may
+    /// Returns the demand per replica of a model after its replica at `engine` is evicted, or 0 when its last replica may
     /// be evicted.
-    fn eviction_cost(&self, model: &Model<'_>) -> f64 {
+    fn eviction_cost(&self, engine: &engine::Engine, model: &Model<'_>) -> f64 {
         if model.is_reclaimable {
             return 0.0;
         }
-        model.demand_per_replica_after_eviction()
+        model.demand_per_replica_after_eviction(self.capacity(engine))
     }
 
     /// Returns the next step for an adapter that requests wait for, if one is needed.
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -77,7 +77,7 @@
     pub(super) adapter_demand: meter::Meter<(name::Name, name::Name, name::Name)>,
     shares: share::Shares,
     reservations: reservation::Reservations,
-    limits: limit::Limits,
+    pub(super) limits: limit::Limits,
     /// The upstreams that all hosts should avoid because they do not respond.
     suspects: collections::HashSet<name::Name>,
     /// When each load from the weight store within the load window was ordered.
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -94,6 +94,30 @@
         self.feed(coordinator::Event::Reported(Box::new(report)));
     }
 
+    /// Sends a report of `host-1` with demand for a model and with engines that limit their requests, each with its
+    /// limit in requests per second and the requests sent to it so far.
+    pub(crate) fn report_limits(&mut self, model: &str, tokens: u64, limits: &[(&str, f64, u64)]) {
+        let demand = relay::Demand {
+            service: relay_fake::name("models"),
+            model: relay_fake::name(model),
+            adapter: None,
+            tokens,
+            waiting: 0,
+        };
+        let limit = |(engine, rate, sent): &(&str, f64, u64)| relay::Limit {
+            upstream: relay_fake::name(engine),
+            rate: Some(*rate),
+            age_ms: 0,
+            sent: *sent,
+            waiting: 0,
+        };
+        let report = relay::Report {
+            limits: limits.iter().map(limit).collect(),
+            ..report("host-1", 1, demand)
+        };
+        self.feed(coordinator::Event::Reported(Box::new(report)));
+    }
+
     /// Sends a report of `host` with requests that wait for `model` and requests in progress at an engine.
     pub(crate) fn report_from(
         &mut self,
--- a/crates/carawaycleat-core/tests/suite/coordinator_load.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_load.rs
@@ -92,6 +92,45 @@
     }
 }
 
+/// Returns the first order while two engines that hold the model in demand limit their requests, so that a quarter of
+/// their slots is in use, and a third engine has `running` requests in progress.
+fn order_beside_limited_engines(running: u32) -> Option<core_coordinator::Order> {
+    let mut harness = coordinator::Harness::new(&["busy", "calm", "other"]);
+    harness.add_engine("limited-1", &["busy", "calm"]);
+    harness.add_engine("limited-2", &["busy", "calm"]);
+    harness.add_engine("free", &["calm", "other"]);
+    (1..=30).find_map(|step| {
+        harness.advance(100);
+        // Two requests per second, each of which takes half a second.
+        let sent = step / 5;
+        let limits = [("limited-1", 2.0, sent), ("limited-2", 2.0, sent)];
+        harness.report_limits("busy", 5_000, &limits);
+        harness.report_demand("calm", None, 100, 0);
+        harness.report_demand("other", None, 100, 0);
+        for engine in ["limited-1", "limited-2"] {
+            harness.probe(engine, busy(&["busy", "calm"], 1));
+        }
+        harness.probe("free", busy(&["calm", "other"], running));
+        harness.tick().into_iter().next()
+    })
+}
+
+/// All engines that hold a model in demand limit their requests. Guards against requests that wait for it while another
+/// engine has free slots, because the slots that the limits leave unused count as capacity.
+#[test]
+fn model_at_limited_engines_gets_a_replica_at_another_one() {
+    let order = order_beside_limited_engines(1).expect("an order");
+    assert_eq!(order.engine.as_str(), "free");
+    assert_eq!(order.operation, core_coordinator::Operation::Unload);
+    assert_eq!(order.model.as_str(), "calm");
+}
+
+/// The engines without a limit are full. Guards against replicas that take slots from the models they hold.
+#[test]
+fn full_engine_gets_no_replica_beside_limited_engines() {
+    assert!(order_beside_limited_engines(4).is_none());
+}
+
 /// Several models could be evicted for one other. Guards against the eviction of all of them for a single replica.
 #[test]
 fn each_eviction_has_its_replacement() {
