refactor: move the coordinator's responses to a module of their own

Change: the functions that answer reports, and their constants, are in reducer/view.rs; the code is the same. A comment of the planner is wrapped at 120 columns. All tests of carawaycleat-core pass.

--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -420,8 +420,8 @@
             })
     }
 
-    /// Returns the demand per replica of a model after its replica at `engine` is evicted, or 0 when its last replica may
-    /// be evicted.
+    /// Returns the demand per replica of a model after its replica at `engine` is evicted, or 0 when its last replica
+    /// may be evicted.
     fn eviction_cost(&self, engine: &engine::Engine, model: &Model<'_>) -> f64 {
         if model.is_reclaimable {
             return 0.0;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,3 +1,5 @@
+mod view;
+
 use std::collections;
 use std::time;
 
@@ -22,8 +24,6 @@
 const PRELOAD_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// The time without demand after which the demand for a model or adapter is removed.
 const DEMAND_RETENTION: time::Duration = time::Duration::from_secs(60);
-/// The time from the expected end of a load until hosts learn of it, in milliseconds.
-const READY_SLACK_MS: u64 = 50;
 /// The time between two probes of an engine whose order should be complete or whose state is not known.
 const PENDING_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// One in this many hosts must suspect an upstream before all hosts avoid it. A host suspects the upstreams that it has
@@ -42,12 +42,6 @@
 /// The minimum number of hosts for a coordinator to resign when less than half of them report to it. Of two hosts,
 /// neither can tell which one is partitioned from the rest.
 const MIN_HOSTS_TO_RESIGN: usize = 3;
-/// The time without a report after which a host is assumed to be without a coordinator. The share of each allowance
-/// that the host then uses is withheld from the other hosts.
-const FALLBACK_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
-/// The largest number of engines at which every view contains all of them. In a larger fleet, the response to a report
-/// that does not request all engines contains only those that hold the models that the host's requests wait for.
-const SMALL_FLEET_ENGINES: usize = 16;
 /// The age up to which a report's waiting requests and suspects count.
 const MAX_REPORT_AGE: time::Duration = time::Duration::from_millis(1_500);
 
@@ -577,136 +571,4 @@
             .filter_map(|demand| Some((demand.model.clone(), demand.adapter.clone()?)))
             .collect()
     }
-
-    /// Returns the response to the last report of `host`. Grants its token requests and reserves slots for its waiting
-    /// requests.
-    pub fn respond(&mut self, now: clock::Instant, host: &name::Name) -> relay::View {
-        let reporting: Vec<_> = self
-            .hosts
-            .iter()
-            .filter(|(_, host)| now.since(host.received_at) < FALLBACK_TIMEOUT)
-            .map(|(name, _)| name.clone())
-            .collect();
-        let (report_number, full, token_requests) = match self.hosts.get_mut(host) {
-            Some(host) => {
-                let token_requests = std::mem::take(&mut host.report.token_requests);
-                (host.report.number, host.report.full, token_requests)
-            }
-            None => (0, true, Vec::new()),
-        };
-        let grants = self.shares.grant(now, &token_requests, &reporting);
-        self.reserve_slots(host);
-        let permits = self.limits.permit(now, host, report_number);
-        let ready_in_ms = self.ready_in_ms(now);
-        let engines = self.engine_views(now, host, full);
-        relay::View {
-            epoch: self.epoch,
-            report_number,
-            grants,
-            full,
-            suspects: self.suspects.iter().cloned().collect(),
-            shares: self.shares.update_shares(now, host, &reporting),
-            engines,
-            ready_in_ms,
-            permits,
-        }
-    }
-
-    /// Returns the time until each model that is being loaded is ready at the first engine, in milliseconds.
-    fn ready_in_ms(&self, now: clock::Instant) -> Vec<(name::Name, u64)> {
-        let mut ready_in_ms = collections::BTreeMap::new();
-        for engine in self.engines.values() {
-            if let Some((model, ready_at)) = engine.loading() {
-                let remaining_ms = millis(now, ready_at) + READY_SLACK_MS;
-                let entry = ready_in_ms.entry(model.clone()).or_insert(remaining_ms);
-                *entry = remaining_ms.min(*entry);
-            }
-        }
-        ready_in_ms.into_iter().collect()
-    }
-
-    /// Reserves a slot for each waiting request of `host`, at the engine with the most free slots, as long as there are
-    /// any.
-    fn reserve_slots(&mut self, host: &name::Name) {
-        let Some(known) = self.hosts.get(host) else {
-            return;
-        };
-        for demand in known
-            .report
-            .demands
-            .iter()
-            .filter(|demand| demand.waiting > 0)
-        {
-            let Some(spec) = self.services.get(&demand.service) else {
-                continue;
-            };
-            for _ in 0..demand.waiting {
-                let holders = self
-                    .engines
-                    .iter()
-                    .filter(|(_, engine)| engine.can_run(demand));
-                let free = holders.map(|(id, engine)| {
-                    let slots = engine.slots(spec);
-                    let free = self.reservations.free_slots(id, slots);
-                    (
-                        self.limits
-                            .available(id)
-                            .map_or(free, |limit| free.min(limit)),
-                        id,
-                    )
-                });
-                match free.max_by_key(|(free, _)| *free) {
-                    Some((1.., id)) => {
-                        self.reservations.reserve(host, id);
-                        self.limits.reserve(host, id);
-                    }
-                    _ => break,
-                }
-            }
-        }
-    }
-
-    /// Returns the engines as `host` sees them: all of them when `full` or in a small fleet, and otherwise those that
-    /// hold the models that its requests wait for.
-    fn engine_views(
-        &self,
-        now: clock::Instant,
-        host: &name::Name,
-        full: bool,
-    ) -> Vec<relay::EngineView> {
-        let demands = self.hosts.get(host).map(|host| &host.report.demands);
-        let waiting: Vec<_> = demands
-            .into_iter()
-            .flatten()
-            .filter(|demand| demand.waiting > 0)
-            .collect();
-        let is_included = |engine: &engine::Engine| {
-            let holds = |demand: &&relay::Demand| engine.models.contains_key(&demand.model);
-            full || self.engines.len() <= SMALL_FLEET_ENGINES || waiting.iter().any(holds)
-        };
-        let views = self.engines.iter().filter_map(|(id, engine)| {
-            let spec = self.services.get(&engine.registration.service)?;
-            engine.status_at.filter(|_| is_included(engine))?;
-            let availability = self.reservations.availability(host, id, engine.slots(spec));
-            Some(relay::EngineView {
-                upstream: id.clone(),
-                models: engine.models.keys().cloned().collect(),
-                loading: engine
-                    .loading()
-                    .map(|(model, ready_at)| (model.clone(), millis(now, ready_at)))
-                    .into_iter()
-                    .collect(),
-                unloading: engine.unloading().cloned().into_iter().collect(),
-                adapters: engine.adapters.keys().cloned().collect(),
-                other_requests: availability.other_requests,
-                usable_slots: availability.usable_slots,
-            })
-        });
-        views.collect()
-    }
-}
-
-/// Returns the milliseconds from `now` until `until`, 0 if it has passed.
-fn millis(now: clock::Instant, until: clock::Instant) -> u64 {
-    u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX)
 }
