fix: follow the store into a new era after it is restored from an older copy

What callers saw: after the store had come back from a copy, requests on added routes went to the old service or got 404, withdrawn keys got 200, and engines that leave got requests, until the revisions had caught up or the hosts were restarted.

Cause: revisions were taken to grow for ever. The store gives them out again after a restoration, so that every change counted as old, while each read still confirmed the configuration. The same holds for what is derived from revisions: fencing tokens, the history that the coordinator passes on, conditions of writes, identifiers of leases.

Change: a revision is ordered by the era that the store names in its responses, then by its number; fencing tokens contain both. A new era is read anew. A read of the copy confirms the configuration only when it was written again, or after a second, and never for one older than hosts have had; hosts record that version in the store for those that start later. Upstreams that have left do not come back with the copy, those that are missing stay for the grace period, and hosts for the length of their lease. Leases of an earlier era are given up. The entry of the coordinator counts as an election only if it is later than the record of the era, and whoever is elected after a restoration pauses before its first order.

Ruled out: taking the store's configuration as it is (it came back older at a host that was started then); a lower revision without the era as the sign (the watch goes on without an error once the numbers have caught up).

Messages between hosts have new fields, so that hosts of this version and of earlier ones do not exchange reports.

--- a/crates/carawaycleat-core/src/coordinator/election.rs
+++ b/crates/carawaycleat-core/src/coordinator/election.rs
@@ -2,6 +2,7 @@
 
 use crate::clock;
 use crate::name;
+use crate::revision;
 
 /// Who holds the coordinator's lease, according to the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -21,6 +22,35 @@
         /// The revision of the entry.
         revision: u64,
     },
+    /// The entry may be from the copy that the store was restored from, so that other hosts may have been the
+    /// coordinator since it was written.
+    Restored {
+        /// The host that held the lease, unless it was released.
+        holder: Option<name::Name>,
+        /// The revision of the entry.
+        revision: u64,
+    },
+}
+
+impl Leadership {
+    /// Returns what an entry says that was written at `revision` and names `holder`, or no host when the lease was
+    /// released. `era_start` is the revision at which the entry hosts recorded the store's current era; an entry that is
+    /// not later may be from a copy.
+    #[must_use]
+    pub fn from_entry(
+        holder: Option<name::Name>,
+        revision: revision::Revision,
+        era_start: Option<revision::Revision>,
+    ) -> Self {
+        let is_current = revision.era == 0
+            || era_start.is_some_and(|start| start.era == revision.era && start < revision);
+        let revision = revision.number;
+        match holder {
+            Some(holder) if is_current => Self::Held { holder, revision },
+            None if is_current => Self::Released { revision },
+            holder => Self::Restored { holder, revision },
+        }
+    }
 }
 
 /// An attempt of this host to become the coordinator.
@@ -115,12 +145,30 @@
             self.was_last_holder = *holder == self.host;
             self.resumes &= self.was_last_holder;
             self.free_since = None;
+        } else if matches!(
+            &leadership,
+            Leadership::Restored {
+                holder: Some(_),
+                ..
+            }
+        ) {
+            // The lease of a host that is gone expires.
+            self.free_since = None;
         } else {
             self.free_since.get_or_insert(now);
         }
         self.leadership = leadership;
     }
 
+    /// Records that the store has been restored from an older copy. Another host may have been the coordinator since
+    /// this one was, even if no entry says so any more.
+    pub fn record_restoration(&mut self) {
+        self.is_first = false;
+        self.was_last_holder = false;
+        self.resumes = false;
+        self.free_since = None;
+    }
+
     /// Returns the candidacy to submit now, or none while this host must wait or another one holds the leadership.
     pub fn candidacy(&self, now: clock::Instant) -> Option<Candidacy> {
         let has_waited = self.free_since.is_some_and(|since| {
@@ -136,7 +184,17 @@
             Leadership::Vacant if self.is_first && has_waited => (0, time::Duration::ZERO),
             Leadership::Vacant if has_waited => (0, self.order_delay),
             Leadership::Released { revision } if has_waited => (*revision, RELEASE_ORDER_DELAY),
-            Leadership::Vacant | Leadership::Released { .. } => return None,
+            Leadership::Restored {
+                holder: None,
+                revision,
+            } if has_waited => (*revision, self.order_delay),
+            Leadership::Restored {
+                holder: Some(holder),
+                revision,
+            } if *holder == self.host => (*revision, self.order_delay),
+            Leadership::Vacant | Leadership::Released { .. } | Leadership::Restored { .. } => {
+                return None;
+            }
         };
         Some(Candidacy {
             revision,
--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -159,7 +159,7 @@
                 self.last_order_at = now;
             }
         }
-        self.registration = registration;
+        self.registration = registration.following(&self.registration);
         if !has_recent_status && self.model_order.is_none() {
             let registration = self.registration.clone();
             self.set_models(
--- a/crates/carawaycleat-core/src/coordinator/event.rs
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -60,6 +60,8 @@
     Resumed(u64),
     /// The configuration has changed.
     Configured {
+        /// The version of the configuration.
+        version: u64,
         /// The engine specification of each service that has models.
         services: Vec<(name::Name, relay::EngineSpec)>,
         /// All workspaces.
--- a/crates/carawaycleat-core/src/coordinator/history.rs
+++ b/crates/carawaycleat-core/src/coordinator/history.rs
@@ -1,27 +1,31 @@
 use std::collections;
 
+use crate::revision;
+
 /// The latest changes of the store, for hosts that receive them from the coordinator.
 ///
 /// # Examples
 ///
 /// ```
 /// use carawaycleat_core::coordinator;
+/// use carawaycleat_core::revision;
 ///
+/// let at = |number| revision::Revision::new(1, number);
 /// let mut history = coordinator::History::new(100);
-/// history.extend(10, []);
-/// history.extend(12, [(11, "put", 3)]);
-/// assert_eq!(history.since(10), Some(vec![&"put"]));
-/// assert_eq!(history.since(9), None);
+/// history.extend(at(10), []);
+/// history.extend(at(12), [(at(11), "put", 3)]);
+/// assert_eq!(history.since(at(10)), Some(vec![&"put"]));
+/// assert_eq!(history.since(at(9)), None);
 /// ```
 #[derive(Clone, Debug)]
 pub struct History<T> {
     max_bytes: usize,
     bytes: usize,
-    /// All changes after this revision are kept; 0 before the history begins.
-    base_revision: u64,
-    last_revision: u64,
+    /// All changes after this revision are kept; the lowest revision before the history begins.
+    base_revision: revision::Revision,
+    last_revision: revision::Revision,
     /// The changes, each with its revision and size in bytes.
-    changes: collections::VecDeque<(u64, T, usize)>,
+    changes: collections::VecDeque<(revision::Revision, T, usize)>,
 }
 
 impl<T> History<T> {
@@ -31,8 +35,8 @@
         Self {
             max_bytes,
             bytes: 0,
-            base_revision: 0,
-            last_revision: 0,
+            base_revision: revision::Revision::default(),
+            last_revision: revision::Revision::default(),
             changes: collections::VecDeque::new(),
         }
     }
@@ -40,15 +44,22 @@
     /// Adds the changes up to revision `through` that are newer than those recorded, each with its revision and size in
     /// bytes.
     ///
-    /// The first call only sets the base revision: its changes may miss removals, so they are not kept.
-    pub fn extend(&mut self, through: u64, changes: impl IntoIterator<Item = (u64, T, usize)>) {
-        if self.last_revision == 0 {
+    /// The first call, and the first one of a new era, only set the base revision: their changes may miss removals, so
+    /// they are not kept.
+    pub fn extend(
+        &mut self,
+        through: revision::Revision,
+        changes: impl IntoIterator<Item = (revision::Revision, T, usize)>,
+    ) {
+        if self.last_revision.number == 0 || through.era > self.last_revision.era {
+            self.changes.clear();
+            self.bytes = 0;
             self.base_revision = through;
         }
         let known = self.last_revision.max(self.base_revision);
         let newer = changes
             .into_iter()
-            .filter(|(revision, ..)| (known + 1..=through).contains(revision));
+            .filter(|(revision, ..)| known < *revision && *revision <= through);
         for (revision, change, size) in newer {
             self.bytes += size;
             self.changes.push_back((revision, change, size));
@@ -65,14 +76,14 @@
 
     /// Returns the revision up to which all changes are recorded.
     #[must_use]
-    pub fn last_revision(&self) -> u64 {
+    pub fn last_revision(&self) -> revision::Revision {
         self.last_revision
     }
 
     /// Returns the changes after `revision`, or none when some of them are no longer kept.
     #[must_use]
-    pub fn since(&self, revision: u64) -> Option<Vec<&T>> {
-        (revision >= self.base_revision && self.base_revision > 0).then(|| {
+    pub fn since(&self, revision: revision::Revision) -> Option<Vec<&T>> {
+        (revision >= self.base_revision && self.base_revision.number > 0).then(|| {
             let newer = self
                 .changes
                 .iter()
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -62,6 +62,7 @@
     epoch: u64,
     /// When this host was elected; none before that and after it has resigned.
     elected_at: Option<clock::Instant>,
+    config_version: u64,
     services: collections::BTreeMap<name::Name, relay::EngineSpec>,
     pub(super) engines: collections::BTreeMap<name::Name, engine::Engine>,
     hosts: collections::BTreeMap<name::Name, Host>,
@@ -92,6 +93,7 @@
             options,
             epoch: 0,
             elected_at: None,
+            config_version: 0,
             services: collections::BTreeMap::new(),
             engines: collections::BTreeMap::new(),
             hosts: collections::BTreeMap::new(),
@@ -116,11 +118,16 @@
             event::Event::Elected(epoch) => self.begin_term(now, epoch),
             event::Event::Resumed(epoch) => self.epoch = epoch,
             event::Event::Configured {
+                version,
                 services,
                 workspaces,
             } => {
-                self.services = services.into_iter().collect();
-                self.shares.configure(now, workspaces);
+                // A store that was restored from a copy may have an older configuration than this host.
+                if version >= self.config_version {
+                    self.config_version = version;
+                    self.services = services.into_iter().collect();
+                    self.shares.configure(now, workspaces);
+                }
             }
             event::Event::HostsChanged(hosts) => self.shares.set_hosts(hosts),
             event::Event::UpstreamUpdated(registration) => self.update_engine(now, *registration),
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod request;
 pub mod resource;
 pub mod retry;
+pub mod revision;
 pub mod routing;
 pub mod side;
 pub mod stream;
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -19,6 +19,7 @@
 mod registration;
 mod report;
 mod request;
+mod restoration;
 mod selection;
 mod summary;
 mod upstream;
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -1,6 +1,7 @@
 use crate::clock;
 use crate::name;
 use crate::quarantine;
+use crate::revision;
 
 /// Identifies a request within its entry host.
 pub type Id = u64;
@@ -42,9 +43,24 @@
         /// Whether the upstream did not accept a connection.
         unreachable: bool,
     },
+    /// The store was read in this era, and what was read follows.
+    StoreRead {
+        /// The number of times that the store has been restored from an older copy; 0 when it does not say.
+        era: u64,
+        /// The version of the configuration that hosts have recorded as the lowest one of the era; none if there is no
+        /// record.
+        required_version: Option<u64>,
+    },
+    /// The store has a configuration of this version.
+    ConfigStored {
+        /// The version.
+        version: u64,
+        /// The revision at which it was written.
+        revision: revision::Revision,
+    },
     /// A configuration has been read from the store.
     Configured(Box<super::Config>),
-    /// The configuration was confirmed as current by a call sent at this time.
+    /// All changes of the store were read by a call sent at this time.
     ConfigConfirmed(clock::Instant),
     /// A call to the store failed.
     StoreFailed,
--- a/crates/carawaycleat-core/src/relay/options.rs
+++ b/crates/carawaycleat-core/src/relay/options.rs
@@ -10,6 +10,8 @@
     /// The age of the configuration, since its last confirmation, up to which unknown routes and keys are denied for
     /// good.
     pub max_denial_age: time::Duration,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// The retry budget of the fleet as a percentage of the requests in its window.
     pub retry_percent: u64,
     /// The retries that the fleet may send in a window on top of the percentage.
@@ -31,6 +33,7 @@
             // second while keys are withdrawn; the rest covers requests in flight.
             max_config_age: time::Duration::from_millis(3_400),
             max_denial_age: time::Duration::from_millis(1_500),
+            is_first_start: false,
             // The platform allows 20%; the margin covers requests that never leave their caller.
             retry_percent: 16,
             retry_slack: 40,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -17,6 +17,7 @@
 use super::options;
 use super::pending;
 use super::refusal;
+use super::restoration;
 use super::selection;
 use super::upstream;
 use super::view;
@@ -71,6 +72,7 @@
     store_failed: bool,
     /// When the store was last reached again after an outage.
     store_regained: Option<clock::Instant>,
+    restoration: restoration::Restoration,
     upstreams: upstream::Table,
     requests: collections::HashMap<event::Id, pending::Pending>,
     /// The requests that wait for an upstream, the most urgent first.
@@ -116,6 +118,7 @@
             confirmed: None,
             store_failed: false,
             store_regained: None,
+            restoration: restoration::Restoration::default(),
             upstreams: upstream::Table::new(),
             requests: collections::HashMap::new(),
             waiting: collections::BTreeSet::new(),
@@ -231,6 +234,13 @@
                 sent,
                 unreachable,
             } => self.handle_failure(now, request, attempt, sent, unreachable, &mut effects),
+            event::Event::StoreRead {
+                era,
+                required_version,
+            } => self.record_store_read(now, era, required_version, &mut effects),
+            event::Event::ConfigStored { version, revision } => {
+                self.restoration.record_config(version, revision);
+            }
             event::Event::Configured(config) => self.configure(now, *config, &mut effects),
             event::Event::ConfigConfirmed(sent) => self.confirm(now, sent, &mut effects),
             event::Event::StoreFailed => self.store_failed = true,
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -31,7 +31,13 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let current = self.config.as_ref().map(config::Config::version);
-        if current.is_some_and(|current| current >= config.version()) {
+        if let Some(current) = current.filter(|current| *current >= config.version()) {
+            if config.version() < current {
+                let decision = timeline::Decision::new("config_ignored")
+                    .with("version", config.version())
+                    .with("current", current);
+                effects.push(super::record(decision));
+            }
             return;
         }
         let decision = timeline::Decision::new("configured").with("version", config.version());
@@ -51,13 +57,47 @@
         self.dispatch_waiting(now, effects);
     }
 
-    /// Records that a call sent at `sent` confirmed the configuration as current.
+    /// Records that the store was read in an era. After a restoration, the entries of live upstreams may be missing.
+    pub(super) fn record_store_read(
+        &mut self,
+        now: clock::Instant,
+        era: u64,
+        required_version: Option<u64>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let is_first_start = self.options.is_first_start;
+        let restored = self
+            .restoration
+            .record_read(now, era, required_version, is_first_start);
+        if restored {
+            self.store_regained = Some(now);
+            let decision = timeline::Decision::new("store_restored")
+                .with("era", era)
+                .with("config", self.config_version())
+                .with_some("config_age_ms", self.config_age_field(now))
+                .with_some("required", required_version);
+            effects.push(super::record(decision));
+        }
+    }
+
+    /// Records that all changes of the store were read by a call sent at `sent`, which confirms the configuration as
+    /// current unless the store may lack a later one.
     pub(super) fn confirm(
         &mut self,
         now: clock::Instant,
         sent: clock::Instant,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if !self.restoration.confirms(now, self.config_version()) {
+            let (stored, required) = self.restoration.versions();
+            let decision = timeline::Decision::new("config_unconfirmed")
+                .with("config", self.config_version())
+                .with("stored", stored)
+                .with("required", required)
+                .with_some("config_age_ms", self.config_age_field(now));
+            effects.push(super::record(decision));
+            return;
+        }
         let Some(before) = self.confirmed else {
             self.confirmed = Some(sent);
             return;
@@ -83,6 +123,8 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let id = registration.id.clone();
+        let started = registration.started;
+        let distrusted_until = self.restoration.distrusted_until(now, &id, started);
         match self.upstreams.get_mut(&id) {
             Some(entry) => {
                 if entry.registration.state != registration.state || entry.removed.is_some() {
@@ -104,9 +146,12 @@
                     .with("service", &registration.service);
                 effects.push(super::record(decision));
                 self.upstreams
-                    .insert(id, upstream::Upstream::new(registration));
+                    .insert(id.clone(), upstream::Upstream::new(registration));
             }
         }
+        if let Some(entry) = self.upstreams.get_mut(&id) {
+            entry.distrusted_until = distrusted_until;
+        }
         self.dispatch_waiting(now, effects);
     }
 
@@ -133,6 +178,8 @@
         entry.removed = Some(if after_outage || in_outage {
             now
         } else {
+            let started = entry.registration.started;
+            self.restoration.record_departure(id.clone(), started);
             clock::Instant::from_micros(
                 now.as_micros()
                     .saturating_sub(removal_grace.as_micros() as u64),
--- a/crates/carawaycleat-core/src/relay/registration.rs
+++ b/crates/carawaycleat-core/src/relay/registration.rs
@@ -51,3 +51,18 @@
     /// The models whose weights are on its disk.
     pub on_disk: Vec<name::Name>,
 }
+
+impl Registration {
+    /// Returns this registration as one that follows `previous`, which is of the same process. A process that has begun
+    /// to leave does not take new work again, whatever an entry from an older copy of the store says.
+    pub(crate) fn following(self, previous: &Self) -> Self {
+        if previous.state == State::Ready || self.started > previous.started {
+            return self;
+        }
+        Self {
+            state: previous.state,
+            remaining: self.remaining.or(previous.remaining),
+            ..self
+        }
+    }
+}
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -36,6 +36,8 @@
     pub registration: registration::Registration,
     /// When its registration was removed.
     pub(super) removed: Option<clock::Instant>,
+    /// Until when it gets no requests, because its registration may be from an older copy of the store.
+    pub(super) distrusted_until: Option<clock::Instant>,
     /// The requests of this host in progress.
     pub(super) own_requests: u32,
     /// The requests of other hosts in progress: from the coordinator, or estimated.
@@ -76,6 +78,7 @@
             concurrency_limit: f64::from(registration.slots.max(1)),
             registration,
             removed: None,
+            distrusted_until: None,
             own_requests: 0,
             other_requests: 0,
             usable_slots: 0,
@@ -114,7 +117,11 @@
                 self.view = None;
             }
         }
-        self.registration = registration;
+        self.registration = if self.removed.is_some() {
+            registration
+        } else {
+            registration.following(&self.registration)
+        };
         self.removed = None;
     }
 
@@ -134,7 +141,9 @@
         let is_present = self
             .removed
             .is_none_or(|removed| now.since(removed) < removal_grace);
-        is_present && self.registration.state == registration::State::Ready
+        is_present
+            && self.distrusted_until.is_none_or(|until| now >= until)
+            && self.registration.state == registration::State::Ready
     }
 
     /// Returns whether it holds the model and adapter of a request.
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -31,6 +31,7 @@
     pub(crate) fn configure(&mut self, engine: relay::EngineSpec) {
         let services = vec![(relay_fake::name("models"), engine)];
         self.feed(coordinator::Event::Configured {
+            version: 1,
             services,
             workspaces: vec![relay_fake::workspace(1_000)],
         });
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -23,6 +23,7 @@
             number: 0,
         };
         harness.feed(coordinator::Event::Configured {
+            version: 1,
             services: Vec::new(),
             workspaces: vec![relay_fake::workspace(RATE)],
         });
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -33,6 +33,7 @@
 mod relay_stop;
 mod relay_stream;
 mod resource;
+mod restoration;
 mod retry;
 mod routing;
 mod side;
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -167,7 +167,15 @@
     }
 
     pub(crate) fn of_host(host: &str, options: relay::Options) -> Self {
-        let mut harness = Self {
+        let mut harness = Self::unconfigured(host, options);
+        harness.feed(relay::Event::Configured(Box::new(config(1, 1_000_000))));
+        harness.confirm();
+        harness
+    }
+
+    /// Returns a host that has read nothing from the store.
+    pub(crate) fn unconfigured(host: &str, options: relay::Options) -> Self {
+        Self {
             reducer: relay::Reducer::new(name(host), name("zone-a"), options),
             now: clock::Instant::from_millis(100_000),
             next: 0,
@@ -177,10 +185,7 @@
             probes: Vec::new(),
             crashes: Vec::new(),
             summaries: Vec::new(),
-        };
-        harness.feed(relay::Event::Configured(Box::new(config(1, 1_000_000))));
-        harness.confirm();
-        harness
+        }
     }
 
     /// Confirms the configuration as of now.
