fix: count the grace for missing entries of engines from the end of the outage

What callers saw: requests reached an engine for longer than the operator allows after it had left, in the seconds after a host had lost the store or the store had been away.

Cause: an entry that is removed within 2.5 s after an outage may have lapsed in it, so that its engine stayed in use for 2.3 s. The time was counted from the removal, not from the end of the outage, by which a live engine is back. After a restoration the end was also dated late, at the first read that confirmed the configuration.

Change: the time is counted from the first read after the outage. Engines that were removed within it are remembered as gone when it is over, not before.

Ruled out: a shorter grace (entries are back within two seconds).

Evidence: restoration::upstream_removed_after_an_outage_gets_no_requests_after_the_grace_period failed before.

--- a/crates/carawaycleat-core/src/relay/options.rs
+++ b/crates/carawaycleat-core/src/relay/options.rs
@@ -22,7 +22,7 @@
     pub max_unplaced_wait: time::Duration,
     /// The routing and queueing policies.
     pub policy: policy::Policy,
-    /// The time for which an upstream stays in use after its registration was removed during an outage of the store.
+    /// The time after an outage of the store for which an upstream stays in use whose registration was removed.
     pub removal_grace: time::Duration,
 }
 
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -25,10 +25,7 @@
 impl super::Reducer {
     /// Does the work that is due at `now`.
     pub(super) fn tick(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        let removal_grace = self.options.removal_grace;
-        self.upstreams.retain(|_, entry| {
-            entry.own_requests > 0 || entry.removed.is_none_or(|at| now.since(at) < removal_grace)
-        });
+        self.record_departures(now);
         while let Some(waiter) = self.token_waiters.front() {
             if now.since(waiter.since) < MAX_TOKEN_WAIT {
                 break;
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -19,9 +19,6 @@
 /// a failed call means that the coordinator was silent or that this host was suspended.
 const OUTAGE_GAP: time::Duration = time::Duration::from_millis(2_000);
 
-/// The time after an outage of the store within which entries that lapsed in it may be written again.
-const REMOVAL_GRACE_AFTER_OUTAGE: time::Duration = time::Duration::from_millis(2_500);
-
 impl super::Reducer {
     /// Replaces the configuration, unless it is older than the current one.
     pub(super) fn configure(
@@ -71,6 +68,7 @@
             .record_read(now, era, required_version, is_first_start);
         if restored {
             self.store_regained = Some(now);
+            self.store_failed = false;
             let decision = timeline::Decision::new("store_restored")
                 .with("era", era)
                 .with("config", self.config_version())
@@ -124,6 +122,12 @@
     ) {
         let id = registration.id.clone();
         let started = registration.started;
+        if let Some(entry) = self.upstreams.get(&id)
+            && entry.has_left(now, self.options.removal_grace)
+        {
+            self.restoration
+                .record_departure(&id, entry.registration.started);
+        }
         let distrusted_until = self.restoration.distrusted_until(now, &id, started);
         match self.upstreams.get_mut(&id) {
             Some(entry) => {
@@ -155,19 +159,33 @@
         self.dispatch_waiting(now, effects);
     }
 
-    /// Marks an upstream as removed. During an outage of the store and shortly after, the entries of live upstreams may
-    /// have lapsed, so it stays in use for the removal grace period.
+    /// Remembers the upstreams that have left, and drops those without requests in progress.
+    pub(super) fn record_departures(&mut self, now: clock::Instant) {
+        let removal_grace = self.options.removal_grace;
+        self.upstreams.retain(|id, entry| {
+            let has_left = entry.has_left(now, removal_grace);
+            if has_left {
+                self.restoration
+                    .record_departure(id, entry.registration.started);
+            }
+            entry.own_requests > 0 || !has_left
+        });
+    }
+
+    /// Marks an upstream as removed. During an outage of the store, the entries of live upstreams may have lapsed, so it
+    /// stays in use until the removal grace period after the outage is over.
     pub(super) fn remove_upstream(
         &mut self,
         now: clock::Instant,
         id: &name::Name,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let after_outage = self
+        let removal_grace = self.options.removal_grace;
+        let regained = self
             .store_regained
-            .is_some_and(|regained| now.since(regained) < REMOVAL_GRACE_AFTER_OUTAGE);
+            .filter(|regained| now.since(*regained) < removal_grace);
         let in_outage = self.store_failed && !self.is_current(now, OUTAGE_GAP);
-        let removal_grace = self.options.removal_grace;
+        let outage_end = if in_outage { Some(now) } else { regained };
         let Some(entry) = self.upstreams.get_mut(id) else {
             return;
         };
@@ -175,20 +193,16 @@
             return;
         }
         // A removal without an outage takes effect at once: it is dated back by the grace period.
-        entry.removed = Some(if after_outage || in_outage {
-            now
-        } else {
-            let started = entry.registration.started;
-            self.restoration.record_departure(id.clone(), started);
+        entry.removed = Some(outage_end.unwrap_or_else(|| {
             clock::Instant::from_micros(
                 now.as_micros()
                     .saturating_sub(removal_grace.as_micros() as u64),
             )
-        });
+        }));
         let decision = timeline::Decision::new("upstream")
             .with_subject(id.clone())
             .with("state", "removed")
-            .with("after_outage", after_outage || in_outage);
+            .with("after_outage", outage_end.is_some());
         effects.push(super::record(decision));
         self.confirm_crash(id);
     }
--- a/crates/carawaycleat-core/src/relay/restoration.rs
+++ b/crates/carawaycleat-core/src/relay/restoration.rs
@@ -36,8 +36,8 @@
     stored_at: Option<revision::Revision>,
     /// The lowest version that hosts require of the store's configuration in that era.
     required_version: u64,
-    /// The upstreams that have left, the latest last, each with the start of its process.
-    departed: collections::VecDeque<(name::Name, u64)>,
+    /// The upstreams that have left, each with the start of its process.
+    departed: collections::HashMap<name::Name, u64>,
 }
 
 impl Restoration {
@@ -99,11 +99,13 @@
     }
 
     /// Records that an upstream has left.
-    pub(super) fn record_departure(&mut self, id: name::Name, started: u64) {
-        if self.departed.len() >= MAX_DEPARTED {
-            self.departed.pop_front();
+    pub(super) fn record_departure(&mut self, id: &name::Name, started: u64) {
+        if self.departed.len() >= MAX_DEPARTED
+            && let Some(other) = self.departed.keys().next().cloned()
+        {
+            self.departed.remove(&other);
         }
-        self.departed.push_back((id, started));
+        self.departed.insert(id.clone(), started);
     }
 
     /// Returns until when the entry of an upstream is not trusted, because the upstream had left before the store was
@@ -115,10 +117,7 @@
         started: u64,
     ) -> Option<clock::Instant> {
         let until = self.era_seen + STALE_ENTRY_TIME;
-        let before = self.departed.len();
-        self.departed
-            .retain(|departed| departed.0 != *id || departed.1 != started);
-        let has_departed = self.departed.len() < before;
+        let has_departed = self.departed.remove(id) == Some(started);
         (has_departed && self.may_be_recent && now < until).then_some(until)
     }
 }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -132,16 +132,19 @@
         self.view = Some((now, view));
     }
 
+    /// Returns whether its registration was removed and is not expected to be back.
+    pub(super) fn has_left(&self, now: clock::Instant, removal_grace: time::Duration) -> bool {
+        self.removed
+            .is_some_and(|removed| now.since(removed) >= removal_grace)
+    }
+
     /// Returns whether new requests may be sent to it.
     pub(super) fn accepts_requests(
         &self,
         now: clock::Instant,
         removal_grace: time::Duration,
     ) -> bool {
-        let is_present = self
-            .removed
-            .is_none_or(|removed| now.since(removed) < removal_grace);
-        is_present
+        !self.has_left(now, removal_grace)
             && self.distrusted_until.is_none_or(|until| now >= until)
             && self.registration.state == registration::State::Ready
     }
--- a/crates/carawaycleat-core/tests/suite/restoration.rs
+++ b/crates/carawaycleat-core/tests/suite/restoration.rs
@@ -318,3 +318,22 @@
     assert!(token(1, 8) > token(1, 7));
     assert_eq!(token(0, 7), 7, "stores that name no era");
 }
+
+/// Guards against requests to an engine that left some time after an outage of the store. Only the entries that lapsed in
+/// the outage may be missing, and those are back within the grace period after it.
+#[test]
+fn upstream_removed_after_an_outage_gets_no_requests_after_the_grace_period() {
+    let mut host = Host::new();
+    let entry = relay_fake::registration("one", "plain", &[]);
+    host.harness.register(entry);
+    assert!(host.is_confirmed());
+    host.harness.feed(relay::Event::StoreFailed);
+    host.advance(4_000);
+    assert!(host.sends());
+    host.advance(2_000);
+    let removed = relay::Event::UpstreamRemoved(relay_fake::name("one"));
+    host.harness.feed(removed);
+    assert!(host.sends(), "the entry may be back soon");
+    host.advance(400);
+    assert!(!host.sends());
+}
