--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -47,6 +47,8 @@
     pub(super) adapter: Option<name::Name>,
     /// The shared parts of the prompt.
     pub(super) prompt: Vec<name::Name>,
+    /// A digest of the target and the body.
+    pub(super) fingerprint: name::Name,
     pub(super) workspace: Option<name::Name>,
     /// Whether it was admitted by its key, so that it needs a recent configuration.
     pub(super) requires_key: bool,
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -165,6 +165,7 @@
             model: request.model,
             adapter: request.adapter,
             prompt: request.prompt,
+            fingerprint: request.fingerprint,
             workspace: workspace.map(|workspace| workspace.name.clone()),
             requires_key,
             priority: workspace
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -308,7 +308,8 @@
             .with("head", head_received)
             .with_some("last_event", request.last_event)
             .with("sent_ms", timeline::Value::millis(now.since(sent_at)))
-            .with("prompt", super::crash::prompt_text(&request.prompt));
+            .with("prompt", super::crash::prompt_text(&request.prompt))
+            .with("fingerprint", &request.fingerprint);
         let request_prompt = request.prompt.clone();
         effects.push(super::record(decision));
         if unreachable {
--- a/crates/carawaycleat-core/src/relay/request.rs
+++ b/crates/carawaycleat-core/src/relay/request.rs
@@ -34,6 +34,8 @@
     /// The parts of the prompt that other requests may share, in order. The last part of a prompt, which belongs to the
     /// request or its session, is left out.
     pub prompt: Vec<name::Name>,
+    /// A digest of the target and the body. A request that is sent again has the same one under another identifier.
+    pub fingerprint: name::Name,
     /// The prompt tokens and the maximum of output tokens; none when the caller gives none.
     pub tokens: Option<(u64, u64)>,
     /// A random number that selects among the targets of a route.
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -132,6 +132,7 @@
         model: path.starts_with("/live").then(|| name("small")),
         adapter: None,
         prompt: Vec::new(),
+        fingerprint: name("fingerprint"),
         tokens: Some((60, 40)),
         seed: 7,
     }
