fix: quarantine a request that crashes the upstreams which run it

What callers saw: one request, sent again and again with the same path, caller and body, crashed engine after engine; streams of others broke off with each, and where hosts saw a common part of prompts as the cause, they refused sound requests with it.

Cause: hosts infer parts of prompts. A request whose parts are those of sound ones is cleared by their progress, at one host and not at another, and one without a prompt is not recognized at all.

Change: each crash carries the fingerprints of the requests in progress there that had no event yet: a digest of the target and the body, with the workspace. A request that had just begun at two crashes, or was in progress at three, without progress in between, is quarantined, over all hosts. All crashes that one such request explains count once for the parts of its prompt. A request that was in progress at an earlier crash is not sent again by its host. Whole responses count as progress, as events do.

--- a/crates/carawaycleat-core/src/quarantine/crash.rs
+++ b/crates/carawaycleat-core/src/quarantine/crash.rs
@@ -1,3 +1,4 @@
+use super::suspect;
 use crate::name;
 
 /// The crash of an upstream, as one host observed it.
@@ -9,7 +10,6 @@
     /// The start of its process in milliseconds since the Unix epoch, which distinguishes it from a later process under
     /// the same identifier.
     pub started: u64,
-    /// The prompts of the host's requests whose response had just begun, each as its shared parts in order. Parts that
-    /// are known to be harmless are left out.
-    pub prompts: Vec<Vec<name::Name>>,
+    /// The host's requests in progress there that may have caused the crash.
+    pub suspects: Vec<suspect::Suspect>,
 }
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -47,7 +47,7 @@
     pub(super) adapter: Option<name::Name>,
     /// The shared parts of the prompt.
     pub(super) prompt: Vec<name::Name>,
-    /// A digest of the target and the body.
+    /// A digest of the target and the body, with the workspace.
     pub(super) fingerprint: name::Name,
     pub(super) workspace: Option<name::Name>,
     /// Whether it was admitted by its key, so that it needs a recent configuration.
@@ -160,6 +160,18 @@
         )
     }
 
+    /// Returns whether no event of the response to the attempt in progress is complete; for a response that is no stream,
+    /// whether it has not arrived.
+    pub(super) fn is_without_event(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Sent {
+                event_received: false,
+                ..
+            }
+        )
+    }
+
     /// Returns whether another attempt may be sent after one that may have run.
     pub(super) fn may_repeat(&self) -> bool {
         self.route.is_repeatable() && self.possible_executions < self.route.max_attempts
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -121,7 +121,12 @@
         let service = route
             .select_service(request.seed)
             .ok_or_else(|| deny(refusal::Reason::UnknownRoute))?;
-        if let Some(end) = self.quarantine.quarantined_until(now, &request.prompt) {
+        let workspace_name = workspace.map(|workspace| workspace.name.clone());
+        let fingerprint = request.fingerprint_in(workspace_name.as_ref());
+        let end = self
+            .quarantine
+            .quarantined_until(now, &request.prompt, &fingerprint);
+        if let Some(end) = end {
             return Err(super::refuse(
                 refusal::Reason::Quarantined,
                 Some(end.since(now)),
@@ -165,8 +170,8 @@
             model: request.model,
             adapter: request.adapter,
             prompt: request.prompt,
-            fingerprint: request.fingerprint,
-            workspace: workspace.map(|workspace| workspace.name.clone()),
+            fingerprint,
+            workspace: workspace_name,
             requires_key,
             priority: workspace
                 .and_then(|workspace| workspace.priority)
--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -1,4 +1,4 @@
-//! Crashes of upstreams, and the quarantine of prompts that cause them.
+//! Crashes of upstreams, and the quarantine of requests and parts of prompts that cause them.
 
 use std::time;
 
@@ -13,34 +13,34 @@
 /// The time within which it must be known whether an upstream crashed, from a probe or from other requests.
 const CONFIRMATION_TIME: time::Duration = time::Duration::from_secs(2);
 
-/// The responses that broke off at an upstream when they had just begun.
+/// The attempts that broke off at an upstream before the first event of their responses.
 #[derive(Clone, Debug)]
 pub(super) struct Breakage {
     /// When the first one broke off.
     at: clock::Instant,
     /// The start of the upstream's process at that time.
     started: u64,
-    /// The prompts of the requests.
-    prompts: Vec<Vec<name::Name>>,
+    /// The requests.
+    suspects: Vec<quarantine::Suspect>,
     /// Whether the upstream has crashed.
     is_crash: bool,
 }
 
 impl super::Reducer {
-    /// Records that a response to a request with this prompt broke off when it had just begun. Probes the upstream,
-    /// unless the parts of the prompt are known to be harmless.
+    /// Records that an attempt at a request broke off before the first event of its response. Probes the upstream, unless
+    /// the same request has made progress elsewhere.
     pub(super) fn record_breakage(
         &mut self,
         now: clock::Instant,
         upstream: &name::Name,
-        prompt: Vec<name::Name>,
+        suspect: quarantine::Suspect,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let prompts = self.quarantine.without_harmless_parts(now, vec![prompt]);
+        let suspects = self.quarantine.without_harmless(now, vec![suspect]);
         let Some(entry) = self.upstreams.get(upstream) else {
             return;
         };
-        if prompts.is_empty() {
+        if suspects.is_empty() {
             return;
         }
         let breakage = self.breakages.entry(upstream.clone()).or_insert_with(|| {
@@ -49,11 +49,11 @@
             Breakage {
                 at: now,
                 started: entry.registration.started,
-                prompts: Vec::new(),
+                suspects: Vec::new(),
                 is_crash: false,
             }
         });
-        breakage.prompts.extend(prompts);
+        breakage.suspects.extend(suspects);
     }
 
     /// Handles the result of a probe. An upstream that responds has not crashed.
@@ -89,31 +89,35 @@
             .retain(|_, breakage| now.since(breakage.at) < CONFIRMATION_TIME);
         for (upstream, breakage) in confirmed {
             let crash = quarantine::Crash {
-                prompts: self
-                    .quarantine
-                    .without_harmless_parts(now, breakage.prompts),
+                suspects: self.quarantine.without_harmless(now, breakage.suspects),
                 upstream,
                 started: breakage.started,
             };
-            if crash.prompts.is_empty() {
+            if crash.suspects.is_empty() {
                 continue;
             }
-            let prompts: Vec<_> = crash
-                .prompts
+            let prompts = crash
+                .suspects
                 .iter()
-                .map(|parts| prompt_text(parts))
-                .collect();
+                .map(|suspect| prompt_text(&suspect.parts));
+            let prompts: Vec<_> = prompts.collect();
+            let fingerprints = crash
+                .suspects
+                .iter()
+                .map(|suspect| suspect.fingerprint.as_str());
+            let fingerprints: Vec<_> = fingerprints.collect();
             let decision = timeline::Decision::new("upstream_crashed")
                 .with_subject(crash.upstream.clone())
-                .with("prompts", prompts.join(" "));
+                .with("prompts", prompts.join(" "))
+                .with("fingerprints", fingerprints.join(" "));
             effects.push(super::record(decision));
             self.apply_crash(now, crash.clone(), effects);
             effects.push(effect::Effect::Publish(crash));
         }
     }
 
-    /// Records a crash that this or another host observed, and refuses the requests with parts that are quarantined
-    /// because of it.
+    /// Records a crash that this or another host observed, and refuses the requests that are quarantined because of it,
+    /// or that have a part which is.
     pub(super) fn apply_crash(
         &mut self,
         now: clock::Instant,
@@ -127,33 +131,39 @@
         }
         let decision = timeline::Decision::new("quarantined")
             .with_subject(subject)
-            .with("parts", prompt_text(&added));
+            .with("causes", prompt_text(&added));
         effects.push(super::record(decision));
-        let quarantined: Vec<event::Id> = self
+        let quarantined: Vec<(event::Id, time::Duration)> = self
             .requests
             .iter()
             .filter(|(_, request)| !request.response_started || request.has_just_begun())
-            .filter(|(_, request)| request.prompt.iter().any(|part| added.contains(part)))
-            .map(|(id, _)| *id)
+            .filter_map(|(id, request)| {
+                let (parts, fingerprint) = (&request.prompt, &request.fingerprint);
+                let end = self.quarantine.quarantined_until(now, parts, fingerprint)?;
+                Some((*id, end.since(now)))
+            })
             .collect();
-        let end = self.quarantine.quarantined_until(now, &added);
-        let retry_after = end.map(|end| end.since(now));
-        for id in quarantined {
-            self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
+        for (id, retry_after) in quarantined {
+            let reason = refusal::Reason::Quarantined;
+            self.refuse(now, id, reason, Some(retry_after), effects);
         }
     }
 
-    /// Records that a request with this prompt has made progress.
+    /// Records that a request has made progress.
     pub(super) fn record_harmless(
         &mut self,
         now: clock::Instant,
-        prompt: &[name::Name],
+        id: event::Id,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let released = self.quarantine.record_progress(now, prompt);
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let (parts, fingerprint) = (&request.prompt, &request.fingerprint);
+        let released = self.quarantine.record_progress(now, parts, fingerprint);
         if !released.is_empty() {
             let decision =
-                timeline::Decision::new("quarantine_ended").with("parts", prompt_text(&released));
+                timeline::Decision::new("quarantine_ended").with("causes", prompt_text(&released));
             effects.push(super::record(decision));
         }
     }
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -46,7 +46,10 @@
         if request.requires_key && !self.is_current(now, self.options.max_config_age) {
             return self.refuse(now, id, refusal::Reason::ConfigurationStale, None, effects);
         }
-        if let Some(end) = self.quarantine.quarantined_until(now, &request.prompt) {
+        let end = self
+            .quarantine
+            .quarantined_until(now, &request.prompt, &request.fingerprint);
+        if let Some(end) = end {
             let retry_after = Some(end.since(now));
             return self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
         }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::name;
+use crate::quarantine;
 use crate::relay::command;
 use crate::relay::effect;
 use crate::relay::event;
@@ -58,6 +59,7 @@
             self.begin_stream(now, id, effects);
             return;
         }
+        self.record_harmless(now, id, effects);
         let Some((upstream, sent)) = self.release(id) else {
             return;
         };
@@ -193,8 +195,7 @@
         }
         *first_byte_received = true;
         if last_event.is_some() && !std::mem::replace(event_received, true) {
-            let prompt = request.prompt.clone();
-            self.record_harmless(now, &prompt, effects);
+            self.record_harmless(now, id, effects);
         }
     }
 
@@ -279,7 +280,7 @@
         }
         let request = self.requests.get(&id);
         let head_received = request.is_some_and(pending::Pending::is_head_received);
-        let has_just_begun = request.is_some_and(pending::Pending::has_just_begun);
+        let is_without_event = request.is_some_and(pending::Pending::is_without_event);
         let Some((upstream, sent_at)) = self.release(id) else {
             return;
         };
@@ -310,14 +311,18 @@
             .with("sent_ms", timeline::Value::millis(now.since(sent_at)))
             .with("prompt", super::crash::prompt_text(&request.prompt))
             .with("fingerprint", &request.fingerprint);
-        let request_prompt = request.prompt.clone();
+        let suspect = quarantine::Suspect {
+            parts: request.prompt.clone(),
+            fingerprint: request.fingerprint.clone(),
+            has_begun: head_received,
+        };
         effects.push(super::record(decision));
         if unreachable {
             self.confirm_crash(&upstream);
         }
-        if has_just_begun && !request_prompt.is_empty() {
-            let is_suspect = self.quarantine.crash_count(now, &request_prompt) > 0;
-            self.record_breakage(now, &upstream, request_prompt, effects);
+        if sent && is_without_event {
+            let is_suspect = self.quarantine.is_suspect(now, &suspect);
+            self.record_breakage(now, &upstream, suspect, effects);
             if is_suspect {
                 // It broke off like requests that crashed other upstreams, so it must not reach a further one.
                 return self.refuse(now, id, refusal::Reason::UpstreamFailed, None, effects);
--- a/crates/carawaycleat-core/src/relay/request.rs
+++ b/crates/carawaycleat-core/src/relay/request.rs
@@ -43,6 +43,17 @@
 }
 
 impl Request {
+    /// Returns the fingerprint of the request in a workspace, which differs from that of the same request in another one.
+    #[must_use]
+    pub fn fingerprint_in(&self, workspace: Option<&name::Name>) -> name::Name {
+        let Some(workspace) = workspace else {
+            return self.fingerprint.clone();
+        };
+        let combined = name::Name::parse(&format!("{}.{workspace}", self.fingerprint));
+        // Only a workspace with a very long name does not fit; its requests are told apart by the digest alone.
+        combined.unwrap_or_else(|_| self.fingerprint.clone())
+    }
+
     /// Returns the cost in tokens, or `default` for a request without a token count.
     #[must_use]
     pub fn cost(&self, default: u64) -> u64 {
--- a/crates/carawaycleat-core/tests/suite/quarantine.rs
+++ b/crates/carawaycleat-core/tests/suite/quarantine.rs
@@ -1,4 +1,4 @@
-//! Inference of the parts of prompts that crash upstreams.
+//! Inference of the requests and the parts of prompts that crash upstreams.
 
 use std::time;
 
@@ -13,11 +13,36 @@
         .collect()
 }
 
+fn name(text: &str) -> name::Name {
+    name::Name::parse(text).expect("a name")
+}
+
+/// Returns a crash at which a request with each prompt had begun. Each request is another one.
 fn crash(upstream: &str, prompts: &[&str]) -> quarantine::Crash {
+    let suspects = prompts.iter().enumerate();
+    let suspects = suspects.map(|(index, prompt)| quarantine::Suspect {
+        parts: parts(prompt),
+        fingerprint: name(&format!("{upstream}-{index}")),
+        has_begun: true,
+    });
+    quarantine::Crash {
+        upstream: name(upstream),
+        started: 1,
+        suspects: suspects.collect(),
+    }
+}
+
+/// Returns a crash at which requests with these fingerprints were in progress, which share a part of their prompts.
+fn crash_of(upstream: &str, fingerprints: &[&str], has_begun: bool) -> quarantine::Crash {
+    let suspects = fingerprints.iter().map(|fingerprint| quarantine::Suspect {
+        parts: parts("common"),
+        fingerprint: name(fingerprint),
+        has_begun,
+    });
     quarantine::Crash {
-        upstream: name::Name::parse(upstream).expect("a name"),
+        upstream: name(upstream),
         started: 1,
-        prompts: prompts.iter().map(|prompt| parts(prompt)).collect(),
+        suspects: suspects.collect(),
     }
 }
 
@@ -34,8 +59,16 @@
     registry
 }
 
+/// Returns whether a new request with this prompt is refused.
 fn is_quarantined(registry: &quarantine::Registry, prompt: &str) -> bool {
-    registry.quarantined_until(at(0), &parts(prompt)).is_some()
+    let end = registry.quarantined_until(at(0), &parts(prompt), &name("new"));
+    end.is_some()
+}
+
+/// Returns whether a request with this fingerprint, and a part that others share, is refused.
+fn is_request_quarantined(registry: &quarantine::Registry, fingerprint: &str) -> bool {
+    let end = registry.quarantined_until(at(0), &parts("common"), &name(fingerprint));
+    end.is_some()
 }
 
 /// Guards against a part that goes on crashing upstreams, and against refusals of prompts that share only harmless
@@ -65,6 +98,7 @@
     assert!(!is_quarantined(&registry, "fatal"));
     let restarted = quarantine::Crash {
         started: 2,
+        suspects: crash("again", &["fatal"]).suspects,
         ..crash("engine-1", &["fatal"])
     };
     registry.record_crash(at(0), restarted);
@@ -76,14 +110,14 @@
 #[test]
 fn progress_before_or_after_a_crash_shows_that_a_part_is_harmless() {
     let mut registry = quarantine::Registry::default();
-    registry.record_progress(at(0), &parts("common"));
+    registry.record_progress(at(0), &parts("common"), &name("sound"));
     for (index, upstream) in ["engine-1", "engine-2", "engine-3"].iter().enumerate() {
         let now = at(500 * index as u64);
         registry.record_crash(now, crash(upstream, &["common", "rare"]));
     }
     assert!(!is_quarantined(&registry, "common"));
     assert!(is_quarantined(&registry, "rare"));
-    let released = registry.record_progress(at(2_000), &parts("common,rare"));
+    let released = registry.record_progress(at(2_000), &parts("common,rare"), &name("other"));
     assert_eq!(released, parts("rare"));
     assert!(!is_quarantined(&registry, "rare"));
 }
@@ -129,10 +163,11 @@
 fn quarantine_ends() {
     let registry = registry(&["fatal", "fatal", "fatal"]);
     let end = registry
-        .quarantined_until(at(0), &parts("fatal"))
+        .quarantined_until(at(0), &parts("fatal"), &name("new"))
         .expect("quarantined");
     assert_eq!(end.since(at(0)), time::Duration::from_secs(600));
-    assert!(registry.quarantined_until(end, &parts("fatal")).is_none());
+    let later = registry.quarantined_until(end, &parts("fatal"), &name("new"));
+    assert!(later.is_none());
 }
 
 /// Guards against memory that grows with the number of crashes.
@@ -142,5 +177,97 @@
     for index in 0..1_000 {
         registry.record_crash(at(0), crash(&format!("engine-{index}"), &["fatal"]));
     }
-    assert_eq!(registry.crash_count(at(0), &parts("fatal")), 256);
+    let is_remembered = |index: usize| {
+        let suspect = quarantine::Suspect {
+            parts: Vec::new(),
+            fingerprint: name(&format!("engine-{index}-0")),
+            has_begun: true,
+        };
+        registry.is_suspect(at(0), &suspect)
+    };
+    assert!(!is_remembered(743));
+    assert!((744..1_000).all(is_remembered));
+}
+
+/// Guards against a request that comes back and crashes one upstream after another although the parts of its prompt are
+/// harmless, and against refusals of the sound requests that share them.
+#[test]
+fn request_that_begins_at_two_crashes_is_quarantined() {
+    let mut registry = quarantine::Registry::default();
+    registry.record_crash(at(0), crash_of("engine-1", &["sound", "fatal"], true));
+    assert!(!is_request_quarantined(&registry, "fatal"), "may be chance");
+    let added = registry.record_crash(at(100), crash_of("engine-2", &["fatal", "other"], true));
+    assert_eq!(added, parts("fatal"));
+    assert!(is_request_quarantined(&registry, "fatal"));
+    for sound in ["sound", "other", "new"] {
+        assert!(!is_request_quarantined(&registry, sound), "{sound}");
+    }
+    registry.record_crash(at(200), crash_of("engine-3", &["fatal"], true));
+    registry.record_crash(at(300), crash_of("engine-4", &["fatal", "third"], true));
+    assert!(
+        !is_quarantined(&registry, "common"),
+        "one request explains all"
+    );
+}
+
+/// Guards against a quarantine of requests that waited at upstreams which crashed for another reason, and against a
+/// request that crashes upstreams before its response begins.
+#[test]
+fn request_without_a_response_is_quarantined_after_three_crashes() {
+    let mut registry = quarantine::Registry::default();
+    registry.record_crash(at(0), crash_of("engine-1", &["fatal"], false));
+    registry.record_crash(at(100), crash_of("engine-2", &["fatal"], false));
+    assert!(!is_request_quarantined(&registry, "fatal"));
+    registry.record_crash(at(200), crash_of("engine-3", &["fatal"], true));
+    assert!(is_request_quarantined(&registry, "fatal"));
+}
+
+/// Guards against a quarantine of a request that was in progress at several crashes by chance, or is served again.
+#[test]
+fn progress_of_a_request_shows_that_it_is_harmless() {
+    let mut registry = quarantine::Registry::default();
+    registry.record_progress(at(0), &[], &name("popular"));
+    for (index, upstream) in ["engine-1", "engine-2", "engine-3"].iter().enumerate() {
+        let now = at(500 * index as u64);
+        registry.record_crash(now, crash_of(upstream, &["popular", "rare"], true));
+    }
+    assert!(!is_request_quarantined(&registry, "popular"));
+    assert!(is_request_quarantined(&registry, "rare"));
+    let released = registry.record_progress(at(2_000), &[], &name("rare"));
+    assert_eq!(released, parts("rare"));
+    assert!(!is_request_quarantined(&registry, "rare"));
+}
+
+/// Guards against a part that goes on crashing upstreams because each request with it is retried once, and so explains its
+/// own two crashes.
+#[test]
+fn part_of_requests_that_crash_twice_each_is_quarantined() {
+    let mut registry = quarantine::Registry::default();
+    for request in ["one", "two", "three"] {
+        assert!(!is_quarantined(&registry, "common"));
+        for attempt in 1..3 {
+            let upstream = format!("{request}-{attempt}");
+            registry.record_crash(at(0), crash_of(&upstream, &[request], true));
+        }
+    }
+    assert!(is_quarantined(&registry, "common"));
+}
+
+/// Guards against retries of sound requests that are refused because they share a part with a request which is known to
+/// be the cause of a crash, and against retries that crash a further upstream.
+#[test]
+fn suspects_are_requests_of_unexplained_crashes() {
+    let suspect = |fingerprint: &str, has_begun| quarantine::Suspect {
+        parts: parts("common"),
+        fingerprint: name(fingerprint),
+        has_begun,
+    };
+    let mut registry = quarantine::Registry::default();
+    registry.record_crash(at(0), crash_of("engine-1", &["fatal"], true));
+    assert!(registry.is_suspect(at(0), &suspect("other", true)));
+    assert!(!registry.is_suspect(at(0), &suspect("other", false)));
+    assert!(registry.is_suspect(at(0), &suspect("fatal", false)));
+    registry.record_crash(at(0), crash_of("engine-2", &["fatal"], true));
+    assert!(!registry.is_suspect(at(0), &suspect("other", true)));
+    assert!(registry.is_suspect(at(0), &suspect("fatal", true)));
 }
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -1,4 +1,4 @@
-//! Load patterns: requests with a part of the prompt that crashes every upstream which begins a response.
+//! Load patterns: requests, and parts of their prompts, that crash every upstream which begins a response.
 
 use carawaycleat_core::quarantine;
 use carawaycleat_core::relay;
@@ -42,7 +42,11 @@
         let crash = quarantine::Crash {
             upstream: relay_fake::name(upstream),
             started: 1,
-            prompts: vec![vec![relay_fake::name("fatal")]],
+            suspects: vec![quarantine::Suspect {
+                parts: vec![relay_fake::name("fatal")],
+                fingerprint: relay_fake::name(upstream),
+                has_begun: true,
+            }],
         };
         harness.feed(relay::Event::CrashReported(Box::new(crash)));
     }
@@ -82,8 +86,10 @@
     let sound = harness.arrive(request(&["common", "sound"]));
     assert!(harness.is_sent(sound));
     assert_eq!(harness.crashes.len(), 3);
-    let published = &harness.crashes[0].prompts;
-    assert_eq!(*published, [[relay_fake::name("fatal")]]);
+    let published = &harness.crashes[0].suspects;
+    assert_eq!(published.len(), 1);
+    assert_eq!(published[0].parts, [relay_fake::name("fatal")]);
+    assert!(published[0].has_begun);
 }
 
 /// Pattern: a request whose response breaks off is retried. Guards against one request that crashes as many upstreams
@@ -207,3 +213,102 @@
     let id = harness.arrive(request(&FATAL_PROMPT));
     assert_eq!(harness.refusal(id).reason, relay::Reason::Quarantined);
 }
+
+/// Returns a request that comes again and again, with parts of the prompt that sound requests share.
+fn copy(path: &str) -> relay::Request {
+    let mut request = relay_fake::request(path);
+    request.prompt = vec![relay_fake::name("common")];
+    request.fingerprint = relay_fake::name("copied");
+    request
+}
+
+/// Lets a sound request with the same part of the prompt make progress.
+fn serve_sound_request(harness: &mut relay_fake::Harness) {
+    let id = harness.arrive(request(&["common"]));
+    let attempt = harness.begin_stream(id);
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
+    harness.feed(relay::Event::StreamEnded(id, attempt));
+}
+
+/// Lets the attempt in progress break off because its upstream crashes.
+fn crash_upstream(harness: &mut relay_fake::Harness, id: relay::Id, has_begun: bool) {
+    let upstream = relay_fake::name(&harness.upstream(id));
+    let attempt = if has_begun {
+        harness.begin_stream(id)
+    } else {
+        harness.dispatch(id).attempt
+    };
+    harness.fail_attempt(id, attempt, true);
+    answer_probe(harness, false);
+    harness.feed(relay::Event::UpstreamRemoved(upstream));
+}
+
+/// Pattern: copies of one request arrive between sound ones that share its prompt. Guards against copies that crash one
+/// upstream after another, against a retry after the second crash, and against refusals of the sound requests.
+#[test]
+fn copies_of_a_request_are_refused_after_two_crashes() {
+    let mut harness = harness(8);
+    let first = harness.arrive(copy("/live/1"));
+    crash_upstream(&mut harness, first, true);
+    serve_sound_request(&mut harness);
+    assert!(harness.is_sent(first), "one crash may be chance");
+    crash_upstream(&mut harness, first, true);
+    assert_eq!(harness.refusal(first).status(), 502);
+    for _ in 0..5 {
+        let copy = harness.arrive(copy("/live/1"));
+        let refusal = harness.refusal(copy);
+        assert_eq!(refusal.reason, relay::Reason::Quarantined);
+        assert_eq!(refusal.status(), 503);
+        serve_sound_request(&mut harness);
+    }
+}
+
+/// Pattern: copies of a request to a service without models. Guards against copies that crash its upstreams, which have no
+/// prompt and whose responses do not begin before they are complete.
+#[test]
+fn copies_of_a_plain_request_are_refused_after_three_crashes() {
+    let mut harness = relay_fake::Harness::new();
+    for index in 0..8 {
+        let id = format!("service-{index}");
+        harness.register(relay_fake::registration(&id, "plain", &[]));
+    }
+    let mut crashes = 0;
+    for _ in 0..5 {
+        let id = harness.arrive(copy("/read/1"));
+        while harness.is_sent(id) {
+            crash_upstream(&mut harness, id, false);
+            crashes += 1;
+        }
+    }
+    assert_eq!(crashes, 3);
+    let other = harness.arrive(relay_fake::request("/read/1"));
+    assert!(harness.is_sent(other));
+}
+
+/// Pattern: the same look-up is sent all the time while upstreams crash for other reasons. Guards against a quarantine of
+/// requests that are served.
+#[test]
+fn request_that_is_served_elsewhere_is_not_quarantined() {
+    let mut harness = relay_fake::Harness::new();
+    for index in 0..8 {
+        let id = format!("service-{index}");
+        harness.register(relay_fake::registration(&id, "plain", &[]));
+    }
+    for _ in 0..4 {
+        let cut = harness.arrive(copy("/read/1"));
+        let served = harness.arrive(copy("/read/1"));
+        let attempt = harness.dispatch(cut).attempt;
+        harness.fail_attempt(cut, attempt, true);
+        harness.respond(served, 200, false);
+        if let Some(upstream) = harness.probes.pop() {
+            harness.feed(relay::Event::UpstreamProbed {
+                upstream,
+                alive: false,
+            });
+        }
+        harness.advance(relay_fake::millis(25));
+        harness.feed(relay::Event::CallerDisconnected(cut));
+    }
+    let id = harness.arrive(copy("/read/1"));
+    assert!(harness.is_sent(id));
+}
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -122,6 +122,9 @@
     }
 }
 
+/// The fingerprint of a request that gets its own when it arrives.
+const UNSET_FINGERPRINT: &str = "unset";
+
 pub(crate) fn request(path: &str) -> relay::Request {
     relay::Request {
         request_id: "request".to_owned(),
@@ -132,7 +135,7 @@
         model: path.starts_with("/live").then(|| name("small")),
         adapter: None,
         prompt: Vec::new(),
-        fingerprint: name("fingerprint"),
+        fingerprint: name(UNSET_FINGERPRINT),
         tokens: Some((60, 40)),
         seed: 7,
     }
@@ -223,8 +226,12 @@
         }
     }
 
-    pub(crate) fn arrive(&mut self, request: relay::Request) -> relay::Id {
+    /// Lets a request arrive. Gives it a fingerprint of its own, unless it has one.
+    pub(crate) fn arrive(&mut self, mut request: relay::Request) -> relay::Id {
         self.next += 1;
+        if request.fingerprint == name(UNSET_FINGERPRINT) {
+            request.fingerprint = name(&format!("fingerprint-{}", self.next));
+        }
         self.feed(relay::Event::Arrived(self.next, Box::new(request)));
         self.next
     }
--- a/crates/carawaycleat/src/explain.rs
+++ b/crates/carawaycleat/src/explain.rs
@@ -219,7 +219,7 @@
                     _ => format!("all upstreams that hold{needs} were full"),
                 }
             }
-            "quarantined" => "a part of its prompt has crashed several upstreams".to_owned(),
+            "quarantined" => "it or a part of its prompt has crashed upstreams".to_owned(),
             "timeout" => "the time for the request was over".to_owned(),
             "upstream_failed" => {
                 "the upstream broke off and the request may not be repeated".to_owned()
