fix: take a refusal only for the response to the request that it names

What callers saw (reported by other operators, shown here by a test): an engine that writes an earlier refusal once more on a kept connection. The next request there was taken for not run while the engine ran it, so that a booking ran at a second engine as well.

Cause: the identifier of a response was compared, but not that of a refusal. And a request that was sent to the same engine again could use the connection on which it had been refused before, where a copy names the right request.

Change: a refusal has to name the request, too; one without an identifier counts only as the first response on its connection. A further attempt at the same engine uses a new connection.

Ruled out: to look for bytes before a connection is used again (done already; a copy may arrive later).

Evidence: faulty_response::repeated_refusal_is_not_taken_for_the_next_response failed in its three cases before (booking-0 ran twice), and passes.

--- a/crates/carawaycleat-core/src/relay/command.rs
+++ b/crates/carawaycleat-core/src/relay/command.rs
@@ -21,6 +21,9 @@
     pub attempt: u32,
     /// The upstream.
     pub upstream: name::Name,
+    /// Whether an earlier attempt was sent to it. A connection that carried that attempt is not used again, because a
+    /// second copy of the response there looks like the response to this one.
+    pub was_tried: bool,
     /// Its address.
     pub address: net::SocketAddr,
     /// The workspace that the request runs for.
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -184,6 +184,7 @@
         request.first_sent_at.get_or_insert(now);
         request.attempt += 1;
         request.sent_attempts += 1;
+        let was_tried = request.tried.contains(upstream);
         request.tried.push(upstream.clone());
         request.phase = pending::Phase::Sent {
             upstream: upstream.clone(),
@@ -202,6 +203,7 @@
         let dispatch = command::Dispatch {
             attempt: request.attempt,
             upstream: upstream.clone(),
+            was_tried,
             address: entry.registration.address,
             workspace: request.workspace.clone(),
             priority: request.priority.min(9),
--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -100,15 +100,15 @@
     ) -> error::Result<Reply> {
         let head = exchange::encode(&request, address)?;
         let reused = self.idle.take(address, max_idle);
-        let mut retry = reused.is_some();
+        let mut is_first = reused.is_none();
         let mut stream = match reused {
             Some(stream) => stream,
             None => self.connect(address).await?,
         };
         let mut written = exchange::write(&stream, &head, &request.body, sent).await;
-        while written.is_err() && !*sent && retry {
+        while written.is_err() && !*sent && !is_first {
             // The server closed the idle connection between the check and the first write.
-            retry = false;
+            is_first = true;
             stream = self.connect(address).await?;
             written = exchange::write(&stream, &head, &request.body, sent).await;
         }
@@ -121,14 +121,17 @@
                     recycler,
                     is_head_request,
                     self.accepts_close_delimited,
+                    is_first,
                 )
                 .await
             }
             // The server may have responded early, for example because the body is too long.
-            Err(error) if *sent => match exchange::read(stream, recycler, false, false).await {
-                Ok(reply) => Ok(reply.without_reuse()),
-                Err(_) => Err(error.into()),
-            },
+            Err(error) if *sent => {
+                match exchange::read(stream, recycler, false, false, is_first).await {
+                    Ok(reply) => Ok(reply.without_reuse()),
+                    Err(_) => Err(error.into()),
+                }
+            }
             Err(error) => Err(error.into()),
         }
     }
--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -100,6 +100,7 @@
     mut recycler: idle::Recycler,
     is_head_request: bool,
     accepts_close_delimited: bool,
+    is_first: bool,
 ) -> error::Result<reply::Reply> {
     let mut bytes = Vec::new();
     let (head, length) = loop {
@@ -141,6 +142,7 @@
         status: head.status,
         headers: head.headers,
         body,
+        is_first,
     })
 }
 
--- a/crates/carawaycleat-net/src/pool/reply.rs
+++ b/crates/carawaycleat-net/src/pool/reply.rs
@@ -11,6 +11,8 @@
     pub headers: headers::Headers,
     /// The body.
     pub body: reader::Reader,
+    /// Whether it is the first response on its connection. A later one may be a copy of an earlier one.
+    pub is_first: bool,
 }
 
 impl Reply {
