--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -137,7 +137,9 @@
             Some(decoded.take_body().into_reader())
         }
     };
-    let body = reader::Reader::new(body, progress, stream, reusable.then_some(recycler));
+    let recycler = reusable.then_some(recycler);
+    let is_close_delimited = framing == scanner::Framing::Close;
+    let body = reader::Reader::new(body, progress, stream, recycler, is_close_delimited);
     Ok(reply::Reply {
         status: head.status,
         headers: head.headers,
--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -28,6 +28,7 @@
     connection: Option<idle::Connection>,
     recycler: Option<idle::Recycler>,
     failed: bool,
+    is_close_delimited: bool,
     /// The read buffer.
     piece: Vec<u8>,
 }
@@ -47,6 +48,7 @@
         progress: sync::Arc<source::Progress>,
         connection: idle::Connection,
         recycler: Option<idle::Recycler>,
+        is_close_delimited: bool,
     ) -> Self {
         let mut reader = Self {
             body,
@@ -54,6 +56,7 @@
             connection: Some(connection),
             recycler,
             failed: false,
+            is_close_delimited,
             piece: Vec::new(),
         };
         if reader.body.is_none() {
@@ -62,6 +65,12 @@
         reader
     }
 
+    /// Returns whether the body ends when the connection is closed, so that a part of it looks like the whole.
+    #[must_use]
+    pub fn is_close_delimited(&self) -> bool {
+        self.is_close_delimited
+    }
+
     /// Returns the next piece of the body as it arrives, or none at the end of the body.
     ///
     /// # Errors
