fix: end attempts at streams whose upstream sends bytes but no events

What callers saw (reported by other operators, shown here by a test): a stream that stalled and sent a byte now and then was kept until the time of its route was over.

Cause: each piece of a stream counted as progress of its request.

Evidence: relay_stream::bytes_without_an_event_do_not_keep_an_attempt_alive failed before and passes.

--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -186,7 +186,10 @@
         else {
             return;
         };
-        *last_progress = now;
+        // Bytes show that the upstream runs, but only whole events bring the stream nearer to its end.
+        if last_event.is_some() {
+            *last_progress = now;
+        }
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.last_progress = now;
             if !*first_byte_received {
--- a/crates/carawaycleat-core/tests/suite/relay_stream.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_stream.rs
@@ -79,3 +79,21 @@
     }
     assert_eq!(harness.refusal(id).status(), 504);
 }
+
+/// Guards against a stream that never ends because its upstream sends a byte now and then but completes no event.
+#[test]
+fn bytes_without_an_event_do_not_keep_an_attempt_alive() {
+    let mut harness = relay_fake::Harness::new();
+    for id in ["one", "two"] {
+        harness.register(relay_fake::registration(id, "models", &["small"]));
+    }
+    let id = harness.arrive(relay_fake::request("/live/1"));
+    let first = harness.upstream(id);
+    let attempt = harness.begin_stream(id);
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
+    for _ in 0..25 {
+        harness.advance(relay_fake::millis(100));
+        harness.feed(relay::Event::StreamProgress(id, attempt, None));
+    }
+    assert_ne!(harness.upstream(id), first);
+}
