feat: send nothing more to an engine that says in a response that it leaves

Engines now say in all their responses that they leave (Server-Leaving). Nothing read it: a host that had such a response went on sending until the store's entry said so, and with the store away it did not stop.

The upstream gets no further requests; streams that run there end as they would. It holds for the process, by its start time, whatever its entry says, and while the entry is missing. The report to the coordinator names it, and the coordinator's view to all hosts, so that models are placed elsewhere.

Ruled out: to close connections (the engine does); to use such engines for the rest of the allowed time when a model has no other (not built).

--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -16,6 +16,7 @@
 use crate::meter;
 use crate::name;
 use crate::relay;
+use crate::relay::departure;
 use crate::timeline;
 
 /// The maximum number of orders that one tick sends, not counting preloads of adapters and resent orders.
@@ -73,6 +74,8 @@
     shares: share::Shares,
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
+    /// The upstreams that have said to a host that they leave.
+    departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
     suspects: collections::HashSet<name::Name>,
     /// When each load from the weight store within the load window was ordered.
@@ -102,6 +105,7 @@
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
             limits: limit::Limits::default(),
+            departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
             order_count: 0,
@@ -171,8 +175,11 @@
         self.demand_since = None;
     }
 
-    fn update_engine(&mut self, now: clock::Instant, registration: relay::Registration) {
+    fn update_engine(&mut self, now: clock::Instant, mut registration: relay::Registration) {
         let id = registration.id.clone();
+        if self.departures.is_leaving(&id, registration.started) {
+            registration.state = relay::State::Draining;
+        }
         match self.engines.get_mut(&id) {
             Some(engine) => engine.update(now, registration),
             None => {
@@ -183,6 +190,14 @@
     }
 
     fn record_report(&mut self, now: clock::Instant, report: relay::Report) {
+        for (id, started) in &report.leaving {
+            if let Some(engine) = self.engines.get_mut(id)
+                && engine.registration.started == *started
+            {
+                self.departures.record(id, *started);
+                engine.registration.state = relay::State::Draining;
+            }
+        }
         if !report.demands.is_empty() {
             self.demand_since.get_or_insert(now);
         }
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -8,6 +8,7 @@
 mod allowance;
 mod command;
 mod config;
+pub(crate) mod departure;
 mod effect;
 mod event;
 pub(crate) mod limit;
--- a/crates/carawaycleat-core/src/relay/command.rs
+++ b/crates/carawaycleat-core/src/relay/command.rs
@@ -21,6 +21,8 @@
     pub attempt: u32,
     /// The upstream.
     pub upstream: name::Name,
+    /// The start of its process, as in [`super::Registration::started`].
+    pub started: u64,
     /// Whether an earlier attempt was sent to it. A connection that carried that attempt is not used again, because a
     /// second copy of the response there looks like the response to this one.
     pub was_tried: bool,
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -66,6 +66,13 @@
     StoreFailed,
     /// The registration of an upstream has been written.
     UpstreamUpdated(Box<super::Registration>),
+    /// An upstream has said in a response that it leaves.
+    UpstreamLeaving {
+        /// The upstream.
+        upstream: name::Name,
+        /// The start of its process when the request was sent; none when that is not known.
+        started: Option<u64>,
+    },
     /// The registration of an upstream has been removed from the store.
     UpstreamRemoved(name::Name),
     /// An upstream has been probed after responses from it broke off.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -12,6 +12,7 @@
 
 use super::allowance;
 use super::config;
+use super::departure;
 use super::effect;
 use super::event;
 use super::options;
@@ -73,6 +74,7 @@
     /// When the store was last reached again after an outage.
     store_regained: Option<clock::Instant>,
     restoration: restoration::Restoration,
+    departures: departure::Departures,
     upstreams: upstream::Table,
     requests: collections::HashMap<event::Id, pending::Pending>,
     /// The requests that wait for an upstream, the most urgent first.
@@ -119,6 +121,7 @@
             store_failed: false,
             store_regained: None,
             restoration: restoration::Restoration::default(),
+            departures: departure::Departures::default(),
             upstreams: upstream::Table::new(),
             requests: collections::HashMap::new(),
             waiting: collections::BTreeSet::new(),
@@ -247,6 +250,9 @@
             event::Event::UpstreamUpdated(registration) => {
                 self.update_upstream(now, *registration, &mut effects)
             }
+            event::Event::UpstreamLeaving { upstream, started } => {
+                self.record_leaving(now, &upstream, started, &mut effects);
+            }
             event::Event::UpstreamRemoved(id) => self.remove_upstream(now, &id, &mut effects),
             event::Event::UpstreamProbed { upstream, alive } => self.handle_probe(&upstream, alive),
             event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -203,6 +203,7 @@
         let dispatch = command::Dispatch {
             attempt: request.attempt,
             upstream: upstream.clone(),
+            started: entry.registration.started,
             was_tried,
             address: entry.registration.address,
             workspace: request.workspace.clone(),
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -117,11 +117,14 @@
     pub(super) fn update_upstream(
         &mut self,
         now: clock::Instant,
-        registration: registration::Registration,
+        mut registration: registration::Registration,
         effects: &mut Vec<effect::Effect>,
     ) {
         let id = registration.id.clone();
         let started = registration.started;
+        if self.departures.is_leaving(&id, started) {
+            registration.state = registration::State::Draining;
+        }
         if let Some(entry) = self.upstreams.get(&id)
             && entry.has_left(now, self.options.removal_grace)
         {
@@ -159,6 +162,34 @@
         self.dispatch_waiting(now, effects);
     }
 
+    /// Records that the process of an upstream that started at `started`, or the current one, leaves: it gets no further
+    /// requests, whatever its entry in the store says. The coordinator hears of it with the next report.
+    pub(super) fn record_leaving(
+        &mut self,
+        now: clock::Instant,
+        id: &name::Name,
+        started: Option<u64>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(entry) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        let current = entry.registration.started;
+        let is_earlier = started.is_some_and(|started| started != current);
+        if is_earlier || entry.registration.state == registration::State::Draining {
+            return;
+        }
+        self.departures.record(id, current);
+        entry.registration.state = registration::State::Draining;
+        let decision = timeline::Decision::new("upstream")
+            .with_subject(id.clone())
+            .with("state", "leaving")
+            .with("running", entry.own_requests);
+        effects.push(super::record(decision));
+        effects.push(effect::Effect::Report);
+        self.dispatch_waiting(now, effects);
+    }
+
     /// Remembers the upstreams that have left, and drops those without requests in progress.
     pub(super) fn record_departures(&mut self, now: clock::Instant) {
         let removal_grace = self.options.removal_grace;
@@ -222,6 +253,9 @@
             return;
         }
         self.apply_suspects(now, &view.suspects);
+        for (upstream, started) in view.leaving.drain(..) {
+            self.record_leaving(now, &upstream, Some(started), effects);
+        }
         for engine in view.engines.drain(..) {
             if let Some(entry) = self.upstreams.get_mut(&engine.upstream) {
                 entry.update_view(now, engine);
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -57,4 +57,6 @@
     pub suspects: Vec<name::Name>,
     /// The limits on requests that upstreams have named.
     pub limits: Vec<Limit>,
+    /// The upstreams that have said in a response that they leave, each with the start of its process.
+    pub leaving: Vec<(name::Name, u64)>,
 }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -117,7 +117,8 @@
                 self.view = None;
             }
         }
-        self.registration = if self.removed.is_some() {
+        // Without a start time, an upstream that comes back after a removal cannot be told from a new one.
+        self.registration = if self.removed.is_some() && registration.started == 0 {
             registration
         } else {
             registration.following(&self.registration)
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -68,4 +68,6 @@
     pub ready_in_ms: Vec<(name::Name, u64)>,
     /// The requests that the host may send to upstreams with a limit.
     pub permits: Vec<Permit>,
+    /// The upstreams that have said to a host that they leave, each with the start of its process.
+    pub leaving: Vec<(name::Name, u64)>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -159,6 +159,7 @@
         usage: Vec::new(),
         suspects: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -56,6 +56,7 @@
             usage: vec![(workspace, usage)],
             suspects: Vec::new(),
             limits: Vec::new(),
+            leaving: Vec::new(),
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
         let name = relay_fake::name(&host_name(host));
--- a/crates/carawaycleat-core/tests/suite/coordinator_term.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_term.rs
@@ -45,6 +45,7 @@
                     usage: Vec::new(),
                     suspects: Vec::new(),
                     limits: Vec::new(),
+                    leaving: Vec::new(),
                 };
                 self.feed(coordinator::Event::Reported(Box::new(report)));
             }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -28,6 +28,7 @@
 mod relay_config;
 mod relay_crash;
 mod relay_fake;
+mod relay_leaving;
 mod relay_limit;
 mod relay_load;
 mod relay_stop;
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -108,6 +108,7 @@
         suspects: Vec::new(),
         ready_in_ms: Vec::new(),
         permits: Vec::new(),
+        leaving: Vec::new(),
     };
     harness.feed(relay::Event::ViewReceived(Box::new(view)));
     let mut served = 0;
@@ -159,6 +160,7 @@
         suspects: Vec::new(),
         ready_in_ms: Vec::new(),
         permits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -23,6 +23,7 @@
         suspects: Vec::new(),
         ready_in_ms: Vec::new(),
         permits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
