feat: send nothing to an engine while the pause lasts that it asked for

Engines that turn a request away with 503 may add Retry-After: they want nothing from that host for so long. Nothing read it: a host tried again 40 ms later.

The host sends nothing there until the time is over, bounded to 60 s and at the latest of several ends; other hosts go on. Hosts add up to half a second, or a quarter of the pause, so that they do not come back at one moment, and begin with one request. A request that was turned away goes elsewhere as before; when all engines that hold its model pause for longer than its caller waits, it is refused at once with the earliest end. Reports of engines and orders are no requests and go on.

Ruled out: to count such an engine as a part of a replica in the placement (not built).

--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -13,6 +13,7 @@
 mod event;
 pub(crate) mod limit;
 mod options;
+mod pause;
 mod pending;
 mod policy;
 mod reducer;
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -1,3 +1,5 @@
+use std::time;
+
 use crate::clock;
 use crate::name;
 use crate::quarantine;
@@ -17,6 +19,8 @@
     pub is_stream: bool,
     /// The requests per second that the upstream takes from all hosts together; none when it names no limit.
     pub request_limit: Option<f64>,
+    /// The time for which the upstream wants no further request from this host; none when it names no time.
+    pub pause: Option<time::Duration>,
 }
 
 /// An input of the [`Reducer`](super::Reducer).
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -59,7 +59,18 @@
                 self.waiting.remove(&key);
                 self.send(now, id, &upstream, effects);
             }
-            selection::Selection::NoFreeSlot => self.enqueue(now, id, key, effects),
+            selection::Selection::NoFreeSlot => {
+                let pause_end = selector.pause_end(&self.upstreams, request);
+                let abandoned = request.abandonment_time();
+                match pause_end.filter(|end| *end + super::MIN_ATTEMPT_TIME >= abandoned) {
+                    Some(end) => {
+                        let retry_after = Some(end.since(now).max(super::MIN_RETRY_AFTER));
+                        let reason = refusal::Reason::NoUpstream;
+                        self.refuse(now, id, reason, retry_after, effects);
+                    }
+                    None => self.enqueue(now, id, key, effects),
+                }
+            }
             selection::Selection::Unplaced => self.wait_for_placement(now, id, key, effects),
         }
     }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -8,6 +8,7 @@
 use crate::relay::command;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::pause;
 use crate::relay::pending;
 use crate::relay::refusal;
 use crate::relay::summary;
@@ -50,6 +51,9 @@
             return;
         }
         self.record_limit(now, id, response.request_limit, effects);
+        if let Some(pause) = response.pause {
+            self.record_pause(now, id, pause, effects);
+        }
         let misdirected = response.status == 421;
         if response.not_run || misdirected {
             return self.handle_rejection(now, id, misdirected, effects);
@@ -82,6 +86,31 @@
         self.finish(now, id, upstream, response.status, effects);
     }
 
+    /// Records the pause that the response to the attempt in progress asked for.
+    fn record_pause(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        requested: time::Duration,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let phase = self.requests.get(&id).map(|request| &request.phase);
+        let Some(pending::Phase::Sent { upstream, .. }) = phase else {
+            return;
+        };
+        let Some(entry) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        let length = requested.min(pause::MAX_PAUSE);
+        let spread = pause::spread(&self.host, upstream, length);
+        entry.record_pause(now, length, spread);
+        let decision = timeline::Decision::new("upstream_paused")
+            .with_subject(upstream.clone())
+            .with("requested_ms", timeline::Value::millis(requested))
+            .with("ms", timeline::Value::millis(length + spread));
+        effects.push(super::record(decision));
+    }
+
     /// Records the limit on requests that the response to the attempt in progress named.
     fn record_limit(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -126,6 +126,21 @@
         })
     }
 
+    /// Returns when the first upstream takes requests again, if all that hold what the request needs have asked for a pause.
+    pub(super) fn pause_end(
+        &self,
+        upstreams: &upstream::Table,
+        request: &pending::Pending,
+    ) -> Option<clock::Instant> {
+        let mut holders = upstreams
+            .values()
+            .filter(|upstream| self.is_eligible(upstream, request));
+        let first = holders.next()?.paused_until(self.now)?;
+        holders.try_fold(first, |earliest, upstream| {
+            Some(earliest.min(upstream.paused_until(self.now)?))
+        })
+    }
+
     /// Returns whether an upstream accepts requests and holds the model and adapter of the request.
     fn is_eligible(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
         upstream.registration.service == request.service
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -62,6 +62,8 @@
     /// The connections that failed during a request since the last response.
     connection_failures: u32,
     full_until: clock::Instant,
+    /// Until when this host sends no request because it asked for a pause.
+    paused_until: clock::Instant,
     /// The limit on requests that it has named.
     pub(super) limit: Option<limit::Limit>,
     /// When a response that named no limit ended the last limit.
@@ -91,6 +93,7 @@
             ejections: 0,
             connection_failures: 0,
             full_until: clock::Instant::default(),
+            paused_until: clock::Instant::default(),
             limit: None,
             limit_ended: None,
             missing: Vec::new(),
@@ -235,6 +238,7 @@
     /// Returns whether another request may be sent beside those in progress.
     pub(super) fn has_free_slot(&self, now: clock::Instant, slots: u32) -> bool {
         now >= self.full_until
+            && self.paused_until(now).is_none()
             && self.limit.as_ref().is_none_or(|limit| limit.may_send(now))
             && (self.usable_slots > 0 || !self.has_current_view(now))
             && self.own_requests + self.other_requests < slots
@@ -363,6 +367,23 @@
         }
     }
 
+    /// Returns until when it gets no requests because it asked for a pause; none when it gets some now.
+    pub(super) fn paused_until(&self, now: clock::Instant) -> Option<clock::Instant> {
+        (now < self.paused_until).then_some(self.paused_until)
+    }
+
+    /// Records that it asked for a pause, which ends `spread` later here. The latest end holds. The first request after it
+    /// shows whether others may follow.
+    pub(super) fn record_pause(
+        &mut self,
+        now: clock::Instant,
+        pause: time::Duration,
+        spread: time::Duration,
+    ) {
+        self.paused_until = self.paused_until.max(now + pause + spread);
+        self.concurrency_limit = 1.0;
+    }
+
     /// Records that it rejected a request for lack of a slot.
     pub(super) fn record_full(&mut self, now: clock::Instant) {
         if now >= self.full_until {
--- a/crates/carawaycleat-core/tests/suite/relay.rs
+++ b/crates/carawaycleat-core/tests/suite/relay.rs
@@ -155,6 +155,7 @@
         not_run: false,
         is_stream: false,
         request_limit: None,
+        pause: None,
     };
     harness.feed(relay::Event::Responded(id, first, response));
     assert!(harness.is_sent(id));
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -274,6 +274,7 @@
             not_run,
             is_stream: false,
             request_limit: None,
+            pause: None,
         };
         self.feed(relay::Event::Responded(id, attempt, response));
     }
@@ -286,6 +287,7 @@
             not_run: false,
             is_stream: true,
             request_limit: None,
+            pause: None,
         };
         self.feed(relay::Event::Responded(id, attempt, response));
         attempt
--- a/crates/carawaycleat-core/tests/suite/relay_limit.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_limit.rs
@@ -138,6 +138,7 @@
                     not_run: false,
                     is_stream: true,
                     request_limit: (is_limited && self.names_limit).then_some(LIMIT),
+                    pause: None,
                 };
                 host.feed(relay::Event::Responded(id, dispatch.attempt, response));
                 let end = self.now + relay_fake::millis(RUN_TIME_MS);
