fix: promise that a request has not run only when its engine says so

What callers saw (shown by a test): a response of an engine with status 408, 429 or 503 without the header that says that it has not run the request was passed on, which promises to callers that it has not.

Such a response now counts as a failure: a request that may run again is sent elsewhere, any other gets 502.

--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -16,6 +16,8 @@
 
 /// The status of a response that streams events.
 const STREAM_STATUS: u16 = 200;
+/// The statuses that promise to a caller that its request has not run and will not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 impl super::Reducer {
     /// Ends the attempt in progress, if any, and returns its upstream and when it was sent.
@@ -80,6 +82,10 @@
             // The upstream did not resume the stream: its response cannot follow what the caller has received.
             return self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
         }
+        if NOT_RUN_STATUSES.contains(&response.status) {
+            // The upstream does not say that it has not run the request, so the caller must not be told so.
+            return self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
+        }
         if !succeeded && self.retry(now, id, "failed", effects) {
             return;
         }
--- a/crates/carawaycleat-core/tests/suite/relay.rs
+++ b/crates/carawaycleat-core/tests/suite/relay.rs
@@ -269,3 +269,21 @@
     assert_eq!(second.outcome, relay::Outcome::CallerDisconnected);
     assert_eq!(second.time_to_first_byte, None);
 }
+
+/// Guards against a response of an engine that reaches the caller as the promise that its request has not run, although the
+/// engine does not say so.
+#[yare::parameterized(
+    timeout = { 408 },
+    too_many = { 429 },
+    unavailable = { 503 },
+)]
+fn status_without_proof_does_not_promise_that_a_request_has_not_run(status: u16) {
+    let mut harness = plain_harness();
+    let booking = harness.arrive(relay_fake::request("/book/1"));
+    harness.respond(booking, status, false);
+    assert_eq!(harness.refusal(booking).status(), 502);
+    let lookup = harness.arrive(relay_fake::request("/read/1"));
+    let first = harness.upstream(lookup);
+    harness.respond(lookup, status, false);
+    assert_ne!(harness.upstream(lookup), first, "it may run again");
+}
