--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -49,19 +49,10 @@
             engines,
             ready_in_ms,
             permits,
-            leaving: self.leaving(),
+            leaving: self.departures.among(&self.engines),
         }
     }
 
-    /// Returns the engines with an entry in the store that have said that they leave.
-    fn leaving(&self) -> Vec<(name::Name, u64)> {
-        let leaving = self
-            .departures
-            .iter()
-            .filter(|(id, _)| self.engines.contains_key(*id));
-        leaving.map(|(id, started)| (id.clone(), started)).collect()
-    }
-
     /// Returns the time until each model that is being loaded is ready at the first engine, in milliseconds.
     fn ready_in_ms(&self, now: clock::Instant) -> Vec<(name::Name, u64)> {
         let mut ready_in_ms = collections::BTreeMap::new();
--- a/crates/carawaycleat-core/src/relay/departure.rs
+++ b/crates/carawaycleat-core/src/relay/departure.rs
@@ -31,8 +31,15 @@
         self.started.get(id) == Some(&started)
     }
 
-    /// Returns the upstreams, each with the start of its process.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&name::Name, u64)> {
-        self.started.iter().map(|(id, started)| (id, *started))
+    /// Returns the upstreams among `known`, each with the start of its process.
+    pub(crate) fn among<T>(
+        &self,
+        known: &collections::BTreeMap<name::Name, T>,
+    ) -> Vec<(name::Name, u64)> {
+        let leaving = self.started.iter();
+        leaving
+            .filter(|(id, _)| known.contains_key(*id))
+            .map(|(id, started)| (id.clone(), *started))
+            .collect()
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -73,19 +73,10 @@
                 .map(|entry| entry.registration.id.clone())
                 .collect(),
             limits,
-            leaving: self.leaving(),
+            leaving: self.departures.among(&self.upstreams),
         }
     }
 
-    /// Returns the upstreams with an entry in the store that have said that they leave.
-    fn leaving(&self) -> Vec<(name::Name, u64)> {
-        let leaving = self
-            .departures
-            .iter()
-            .filter(|(id, _)| self.upstreams.contains_key(*id));
-        leaving.map(|(id, started)| (id.clone(), started)).collect()
-    }
-
     /// Returns the limits on requests that upstreams have named or ended.
     fn limits(&self, now: clock::Instant) -> Vec<report::Limit> {
         let mut limited = collections::HashMap::<&name::Name, u32>::new();
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -12,6 +12,7 @@
 use crate::relay::pending;
 use crate::relay::refusal;
 use crate::relay::summary;
+use crate::relay::upstream;
 use crate::timeline;
 
 /// The status of a response that streams events.
@@ -92,6 +93,14 @@
         self.finish(now, id, upstream, response.status, effects);
     }
 
+    /// Returns the upstream of the attempt in progress.
+    fn attempted_upstream(&mut self, id: event::Id) -> Option<&mut upstream::Upstream> {
+        match &self.requests.get(&id)?.phase {
+            pending::Phase::Sent { upstream, .. } => self.upstreams.get_mut(upstream),
+            pending::Phase::Waiting => None,
+        }
+    }
+
     /// Records the pause that the response to the attempt in progress asked for.
     fn record_pause(
         &mut self,
@@ -100,18 +109,16 @@
         requested: time::Duration,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let phase = self.requests.get(&id).map(|request| &request.phase);
-        let Some(pending::Phase::Sent { upstream, .. }) = phase else {
-            return;
-        };
-        let Some(entry) = self.upstreams.get_mut(upstream) else {
+        let host = self.host.clone();
+        let Some(entry) = self.attempted_upstream(id) else {
             return;
         };
+        let upstream = entry.registration.id.clone();
         let length = requested.min(pause::MAX_PAUSE);
-        let spread = pause::spread(&self.host, upstream, length);
+        let spread = pause::spread(&host, &upstream, length);
         entry.record_pause(now, length, spread);
         let decision = timeline::Decision::new("upstream_paused")
-            .with_subject(upstream.clone())
+            .with_subject(upstream)
             .with("requested_ms", timeline::Value::millis(requested))
             .with("ms", timeline::Value::millis(length + spread));
         effects.push(super::record(decision));
@@ -125,16 +132,12 @@
         limit: Option<f64>,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let phase = self.requests.get(&id).map(|request| &request.phase);
-        let Some(pending::Phase::Sent { upstream, .. }) = phase else {
-            return;
-        };
-        let Some(entry) = self.upstreams.get_mut(upstream) else {
+        let Some(entry) = self.attempted_upstream(id) else {
             return;
         };
         if entry.record_limit(now, limit) {
             let decision = timeline::Decision::new("request_limit")
-                .with_subject(upstream.clone())
+                .with_subject(entry.registration.id.clone())
                 .with_some("per_second", limit.map(|limit| format!("{limit:.2}")));
             effects.push(super::record(decision));
         }
