feat: log how long an upstream was silent when its request is sent elsewhere

A line of event `retried` with the cause `stalled` now names the silent upstream, says for how long nothing had arrived for the request, whether the upstream was silent towards all requests of the host, and how far the response had come. With the reason and the configuration in `refused` this tells apart responses that were given up for another attempt and those that lost their rules.

--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -135,9 +135,15 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let pending::Phase::Sent { upstream, .. } = &request.phase else {
+        let pending::Phase::Sent {
+            upstream,
+            last_progress,
+            ..
+        } = &request.phase
+        else {
             return;
         };
+        let silence = now.since(*last_progress);
         if upstream_stalled && let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.eject(now);
         }
@@ -163,8 +169,13 @@
         }
         let decision = timeline::Decision::new("retried")
             .with_request(request.request_id.as_str())
+            .with_subject(upstream.clone())
             .with("cause", "stalled")
-            .with("attempt", request.attempt);
+            .with("attempt", request.attempt)
+            .with("silent_ms", timeline::Value::millis(silence))
+            .with("upstream_silent", upstream_stalled)
+            .with("head", request.is_head_received())
+            .with_some("last_event", request.last_event);
         effects.push(super::record(decision));
         if let Some((upstream, _)) = self.release(id)
             && let Some(entry) = self.upstreams.get_mut(&upstream)
