--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -32,6 +32,8 @@
 mod relay_limit;
 mod relay_load;
 mod relay_pause;
+mod relay_reconfiguration;
+mod relay_silence;
 mod relay_stop;
 mod relay_stream;
 mod resource;
