fix: end a silent attempt only when another one has brought an answer

Callers saw streams that were cut in the middle, and reads that got 500 or 502, although the engine that worked on them was only silent for a second and would have gone on.

Cause: once nothing had arrived for 0.6 s, the request was sent to a second upstream and the connection to the first was closed at that moment, before it was known whether the second could take the request. When it was full, lacked the model, failed or broke off, nothing was left to go on with.

The silent attempt now goes on beside the second one. The first of the two that brings an event, the head of a stream or a response that can be delivered ends the other; one that is rejected or breaks off leaves the other in place. Two attempts at a stream run side by side for at most 0.3 s, because the platform allows 0.4 s: then the earlier one ends. Attempts at a request that is no stream both go on. Both count towards the attempts that the route allows, and both end with their caller.

The harness of the core's tests looks past the new command that ends one of two attempts when it asks for the last command.

--- a/crates/carawaycleat-core/src/relay/command.rs
+++ b/crates/carawaycleat-core/src/relay/command.rs
@@ -6,8 +6,11 @@
 /// A command to the task that serves a request.
 #[derive(Clone, Debug)]
 pub enum Command {
-    /// Send the request to an upstream, in place of the attempt in progress.
+    /// Send the request to an upstream, beside the attempt in progress if [`Dispatch::keeps_previous`] is set, or in place
+    /// of it.
     Send(Box<Dispatch>),
+    /// End the attempt with this number; the other one goes on.
+    End(u32),
     /// Pass the upstream's response on to the caller.
     Deliver,
     /// Respond with a refusal, or cut the response if a part of it has been passed on.
@@ -36,6 +39,8 @@
     pub remaining: time::Duration,
     /// The time limit for the head of the response.
     pub response_timeout: time::Duration,
+    /// Whether the attempt in progress goes on beside this one.
+    pub keeps_previous: bool,
     /// Whether the request may run again. Then it may use a connection that the upstream may have closed meanwhile.
     pub repeatable: bool,
     /// The identifier of the last event that the caller has received; none when the stream starts from its beginning.
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -14,6 +14,8 @@
     Waiting,
     /// An attempt has been sent.
     Sent {
+        /// The number of the attempt.
+        attempt: u32,
         upstream: name::Name,
         sent: clock::Instant,
         last_progress: clock::Instant,
@@ -26,6 +28,24 @@
     },
 }
 
+impl Phase {
+    /// Returns the number of the attempt in progress.
+    pub(super) fn attempt(&self) -> Option<u32> {
+        match self {
+            Self::Waiting => None,
+            Self::Sent { attempt, .. } => Some(*attempt),
+        }
+    }
+
+    /// Returns when the attempt in progress was sent.
+    pub(super) fn sent_at(&self) -> Option<clock::Instant> {
+        match self {
+            Self::Waiting => None,
+            Self::Sent { sent, .. } => Some(*sent),
+        }
+    }
+}
+
 /// The shortest time without a response after which callers of streams disconnect. The time is the longest of this one
 /// and of multiples of the latency objective and of the gap objective.
 const MIN_ABANDONMENT_TIME: time::Duration = time::Duration::from_millis(2_000);
@@ -82,6 +102,8 @@
     /// The attempts that an upstream rejected without running them.
     pub(super) rejections: u32,
     pub(super) phase: Phase,
+    /// Another attempt in progress, which goes on when the one in [`Self::phase`] ends without an answer.
+    pub(super) standby: Option<Phase>,
     /// Whether a part of the response has been passed on.
     pub(super) response_started: bool,
     /// The identifier of the last event of the stream that has been passed on.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -3,6 +3,7 @@
 mod dispatch;
 mod report;
 mod response;
+mod standby;
 mod tick;
 mod token;
 mod update;
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -191,6 +191,7 @@
             tried: Vec::new(),
             rejections: 0,
             phase: pending::Phase::Waiting,
+            standby: None,
             response_started: false,
             last_event: None,
             route: route.clone(),
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -198,6 +198,7 @@
         let was_tried = request.tried.contains(upstream);
         request.tried.push(upstream.clone());
         request.phase = pending::Phase::Sent {
+            attempt: request.attempt,
             upstream: upstream.clone(),
             sent: now,
             last_progress: now,
@@ -221,6 +222,7 @@
             priority: request.priority.min(9),
             remaining,
             response_timeout: remaining,
+            keeps_previous: request.standby.is_some(),
             repeatable: request.may_repeat(),
             last_event: request.last_event,
         };
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -38,7 +38,7 @@
     pub(super) fn is_attempt(&self, id: event::Id, attempt: u32) -> bool {
         self.requests
             .get(&id)
-            .is_some_and(|request| request.attempt == attempt && !request.is_waiting())
+            .is_some_and(|request| request.phase.attempt() == Some(attempt))
     }
 
     /// Handles the head of a response; the whole response, unless it is a stream.
@@ -50,6 +50,7 @@
         response: event::Response,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.focus(id, attempt);
         if !self.is_attempt(id, attempt) {
             return;
         }
@@ -63,10 +64,18 @@
         }
         let succeeded = response.status < 500;
         if succeeded && response.is_stream {
+            self.end_standby(now, id, effects);
             self.begin_stream(now, id, effects);
             return;
         }
         self.record_harmless(now, id, effects);
+        let may_follow = |request: &pending::Pending| !request.response_started;
+        if succeeded
+            && !NOT_RUN_STATUSES.contains(&response.status)
+            && self.requests.get(&id).is_some_and(may_follow)
+        {
+            self.end_standby(now, id, effects);
+        }
         let Some((upstream, sent)) = self.release(id) else {
             return;
         };
@@ -205,9 +214,15 @@
         last_event: Option<u64>,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if last_event.is_some() {
+            self.focus(id, attempt);
+        }
         if !self.is_attempt(id, attempt) {
             return;
         }
+        if last_event.is_some() {
+            self.end_standby(now, id, effects);
+        }
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -248,9 +263,11 @@
         attempt: u32,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.focus(id, attempt);
         if !self.is_attempt(id, attempt) {
             return;
         }
+        self.end_standby(now, id, effects);
         let Some((upstream, _)) = self.release(id) else {
             return;
         };
@@ -316,6 +333,7 @@
         unreachable: bool,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.focus(id, attempt);
         if !self.is_attempt(id, attempt) {
             return;
         }
@@ -364,11 +382,17 @@
         if sent && is_without_event {
             let is_suspect = self.quarantine.is_suspect(now, &suspect);
             self.record_breakage(now, &upstream, suspect, effects);
+            if self.resume_standby(now, id, effects) {
+                return;
+            }
             if is_suspect {
                 // It broke off like requests that crashed other upstreams, so it must not reach a further one.
                 return self.refuse(now, id, refusal::Reason::UpstreamFailed, None, effects);
             }
         }
+        if self.resume_standby(now, id, effects) {
+            return;
+        }
         if !sent && now + super::MIN_ATTEMPT_TIME < self.deadline(id) {
             // No upstream received anything, so another attempt adds no load and is not charged to the retry budget.
             return self.dispatch_or_queue(now, id, effects);
@@ -401,7 +425,8 @@
         }
     }
 
-    /// Dispatches a request again, where the route, the budget and the time left allow it. Returns whether it did.
+    /// Goes on with the standby, or dispatches a request again where the route, the budget and the time left allow it.
+    /// Returns whether it did.
     pub(super) fn retry(
         &mut self,
         now: clock::Instant,
@@ -409,6 +434,9 @@
         cause: &'static str,
         effects: &mut Vec<effect::Effect>,
     ) -> bool {
+        if self.resume_standby(now, id, effects) {
+            return true;
+        }
         let Some(request) = self.requests.get(&id) else {
             return false;
         };
@@ -437,6 +465,7 @@
         retry_after: Option<time::Duration>,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.end_standby(now, id, effects);
         let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
@@ -490,6 +519,7 @@
         id: event::Id,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.end_standby(now, id, effects);
         let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -0,0 +1,116 @@
+//! Two attempts at one request at a time: one whose upstream is silent, and the one that is to take its place.
+
+use std::time;
+
+use crate::clock;
+use crate::relay::command;
+use crate::relay::config;
+use crate::relay::effect;
+use crate::relay::event;
+use crate::relay::pending;
+use crate::timeline;
+
+/// The longest time for which two upstreams work on one stream. The platform allows 400 ms.
+const MAX_OVERLAP: time::Duration = time::Duration::from_millis(300);
+
+impl super::Reducer {
+    /// Keeps the attempt in progress beside the next one.
+    pub(super) fn set_aside(&mut self, id: event::Id) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            let phase = std::mem::replace(&mut request.phase, pending::Phase::Waiting);
+            request.standby = Some(phase);
+        }
+    }
+
+    /// Makes `attempt` the attempt in progress, and the other one the standby, if it is the standby.
+    pub(super) fn focus(&mut self, id: event::Id, attempt: u32) {
+        if let Some(request) = self.requests.get_mut(&id)
+            && let Some(standby) = &mut request.standby
+            && standby.attempt() == Some(attempt)
+        {
+            std::mem::swap(&mut request.phase, standby);
+        }
+    }
+
+    /// Goes on with the standby after the attempt in progress has ended without an answer. Returns whether there is one.
+    pub(super) fn resume_standby(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        effects: &mut Vec<effect::Effect>,
+    ) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let Some(standby) = request.standby.take() else {
+            return false;
+        };
+        let decision = timeline::Decision::new("attempt_kept")
+            .with_request(request.request_id.as_str())
+            .with_some("attempt", standby.attempt())
+            .with_some("last_event", request.last_event);
+        effects.push(super::record(decision));
+        request.phase = standby;
+        if let pending::Phase::Sent { last_progress, .. } = &mut request.phase {
+            *last_progress = now;
+        }
+        true
+    }
+
+    /// Ends the standby, because the attempt in progress has brought an answer or has to go on alone.
+    pub(super) fn end_standby(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(pending::Phase::Sent {
+            attempt,
+            upstream,
+            sent,
+            ..
+        }) = request.standby.take()
+        else {
+            return;
+        };
+        request.possible_executions += 1;
+        let was_replaced = request.phase.sent_at().is_some_and(|other| sent < other);
+        if let Some(entry) = self.upstreams.get_mut(&upstream) {
+            entry.record_end();
+            if was_replaced {
+                entry.record_outcome(now, true);
+            }
+        }
+        let decision = timeline::Decision::new("attempt_ended")
+            .with_request(request.request_id.as_str())
+            .with_subject(upstream)
+            .with("attempt", attempt)
+            .with("replaced", was_replaced)
+            .with("sent_ms", timeline::Value::millis(now.since(sent)));
+        effects.push(super::record(decision));
+        effects.push(effect::Effect::Command(id, command::Command::End(attempt)));
+    }
+
+    /// Ends the earlier one of two attempts at a stream that have run side by side for long enough.
+    pub(super) fn end_overlaps(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let is_over = |request: &pending::Pending| {
+            let standby = request.standby.as_ref().and_then(pending::Phase::sent_at);
+            request.route.kind == config::Kind::Streaming
+                && standby
+                    .max(request.phase.sent_at())
+                    .is_some_and(|sent| now.since(sent) >= MAX_OVERLAP)
+        };
+        let over: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.standby.is_some() && is_over(request))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.end_standby(now, id, effects);
+        }
+    }
+}
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -41,6 +41,7 @@
             entry.estimate_other_requests(now, others);
             entry.refill_limit(now, self.host_count);
         }
+        self.end_overlaps(now, effects);
         self.retry_stalled(now, effects);
         self.dispatch_waiting(now, effects);
         if now.since(self.last_queue_check) >= QUEUE_CHECK_INTERVAL {
@@ -123,8 +124,8 @@
         }
     }
 
-    /// Replaces the attempt in progress by one at another upstream, where the route, the time and the budget allow it.
-    /// Ejects the upstream when nothing at all has arrived from it.
+    /// Sends another attempt to another upstream, where the route, the time and the budget allow it. The attempt in progress
+    /// goes on until one of them has brought an answer. Ejects the upstream when nothing at all has arrived from it.
     pub(super) fn retry_elsewhere(
         &mut self,
         now: clock::Instant,
@@ -147,8 +148,9 @@
         if upstream_stalled && let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.eject(now);
         }
+        let in_progress = 1 + u32::from(request.standby.is_some());
         let may_retry = request.route.is_repeatable()
-            && request.possible_executions + 1 < request.route.max_attempts
+            && request.possible_executions + in_progress < request.route.max_attempts
             && request.sent_attempts < super::MAX_SENT_ATTEMPTS
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
         let service = self
@@ -177,14 +179,8 @@
             .with("head", request.is_head_received())
             .with_some("last_event", request.last_event);
         effects.push(super::record(decision));
-        if let Some((upstream, _)) = self.release(id)
-            && let Some(entry) = self.upstreams.get_mut(&upstream)
-        {
-            entry.record_outcome(now, true);
-        }
-        if let Some(request) = self.requests.get_mut(&id) {
-            request.possible_executions += 1;
-        }
+        self.end_standby(now, id, effects);
+        self.set_aside(id);
         self.send(now, id, &target, effects);
     }
 }
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -236,9 +236,13 @@
         self.next
     }
 
-    /// Returns the last command of a request.
+    /// Returns the last command of a request, other than those that end one of two attempts.
     pub(crate) fn last_command(&self, id: relay::Id) -> Option<&relay::Command> {
-        self.commands.get(&id)?.last()
+        let is_end = |command: &relay::Command| matches!(command, relay::Command::End(_));
+        self.commands
+            .get(&id)?
+            .iter()
+            .rfind(|command| !is_end(command))
     }
 
     /// Returns the last attempt of a request, which must be in progress.
