--- a/crates/carawaycleat-core/src/relay/config.rs
+++ b/crates/carawaycleat-core/src/relay/config.rs
@@ -171,7 +171,7 @@
 pub struct Config {
     version: u64,
     routes: collections::HashMap<sync::Arc<str>, Prefixes>,
-    services: collections::BTreeMap<name::Name, Service>,
+    services: collections::BTreeMap<name::Name, sync::Arc<Service>>,
     workspaces: collections::HashMap<name::Name, Workspace>,
     keys: key::Index,
     limits: Option<Limits>,
@@ -208,7 +208,10 @@
         Self {
             version,
             routes: hosts,
-            services,
+            services: services
+                .into_iter()
+                .map(|(name, service)| (name, sync::Arc::new(service)))
+                .collect(),
             keys,
             workspaces: workspaces
                 .into_iter()
@@ -247,13 +250,15 @@
 
     /// Returns the service `name`.
     #[must_use]
-    pub fn service(&self, name: &str) -> Option<&Service> {
+    pub fn service(&self, name: &str) -> Option<&sync::Arc<Service>> {
         self.services.get(name)
     }
 
     /// Returns the services by name.
     pub fn services(&self) -> impl Iterator<Item = (&name::Name, &Service)> {
-        self.services.iter()
+        self.services
+            .iter()
+            .map(|(name, service)| (name, &**service))
     }
 
     /// Returns whether requests need keys on routes that are not public.
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -63,6 +63,8 @@
     pub(super) request_id: String,
     pub(super) route: sync::Arc<config::Route>,
     pub(super) service: name::Name,
+    /// The service as it was when the request was admitted; none if the configuration did not have it.
+    pub(super) admitted_service: Option<sync::Arc<config::Service>>,
     pub(super) model: Option<name::Name>,
     pub(super) adapter: Option<name::Name>,
     /// The shared parts of the prompt.
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -167,6 +167,7 @@
         Ok(pending::Pending {
             request_id: request.request_id,
             service: service.clone(),
+            admitted_service: config.service(service).cloned(),
             model: request.model,
             adapter: request.adapter,
             prompt: request.prompt,
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatch of requests to upstreams, and the queue of those that wait for one.
 
 use std::collections;
+use std::sync;
 use std::time;
 
 use crate::clock;
@@ -36,14 +37,11 @@
             return;
         };
         let key = (request.queue_key(), id);
-        let service = self
-            .config
-            .as_ref()
-            .and_then(|config| config.service(&request.service));
-        let Some(service) = service else {
+        let Some(service) = self.service_of(request) else {
             return self.refuse(now, id, refusal::Reason::NoUpstream, None, effects);
         };
-        if request.requires_key && !self.is_current(now, self.options.max_config_age) {
+        let is_first = request.attempt == 0;
+        if is_first && request.requires_key && !self.is_current(now, self.options.max_config_age) {
             return self.refuse(now, id, refusal::Reason::ConfigurationStale, None, effects);
         }
         let end = self
@@ -53,7 +51,7 @@
             let retry_after = Some(end.since(now));
             return self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
         }
-        let selector = self.selector(now, service);
+        let selector = self.selector(now, &service);
         match selector.select(&self.upstreams, request) {
             selection::Selection::Upstream(upstream) => {
                 self.waiting.remove(&key);
@@ -75,6 +73,16 @@
         }
     }
 
+    /// Returns the service of a request; as it was at the admission, if a later configuration does not have it.
+    pub(super) fn service_of(
+        &self,
+        request: &pending::Pending,
+    ) -> Option<sync::Arc<config::Service>> {
+        let config = self.config.as_ref();
+        let current = config.and_then(|config| config.service(&request.service));
+        current.or(request.admitted_service.as_ref()).cloned()
+    }
+
     /// Queues a request until a slot is free. Refuses it when the queue is so long that its caller would be gone first.
     pub(super) fn enqueue(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -153,14 +153,10 @@
             && request.possible_executions + in_progress < request.route.max_attempts
             && request.sent_attempts < super::MAX_SENT_ATTEMPTS
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
-        let service = self
-            .config
-            .as_ref()
-            .and_then(|config| config.service(&request.service));
-        let Some(service) = service.filter(|_| may_retry) else {
+        let Some(service) = self.service_of(request).filter(|_| may_retry) else {
             return;
         };
-        let selector = self.selector(now, service);
+        let selector = self.selector(now, &service);
         let selection::Selection::Upstream(target) = selector.select(&self.upstreams, request)
         else {
             return;
