feat: decode the software versions of engines and the streams that callers take up

Registration has the version of the upstream's software, and Request the stream that the caller goes on with. The types of the records of streams and of the versions in service are there too; nothing is decided by them yet.

--- a/crates/carawaycleat-core/src/relay/effect.rs
+++ b/crates/carawaycleat-core/src/relay/effect.rs
@@ -15,6 +15,12 @@
     Publish(quarantine::Crash),
     /// Send a report to the coordinator at once.
     Report,
+    /// Write records of streams to the store for other hosts.
+    StoreStreams(Vec<super::StreamRecord>),
+    /// Read the records of streams of all hosts, which [`Event::StreamsRead`](super::Event::StreamsRead) returns.
+    ReadStreams,
+    /// Replace the store's record of the software versions in service. Only the coordinator's host writes it.
+    StoreVersions(Vec<super::Origin>),
     /// Add a request that has ended to the metrics.
     Measure(super::Summary),
     /// Log a decision.
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -90,6 +90,10 @@
     CrashReported(Box<quarantine::Crash>),
     /// The coordinator has responded to a report.
     ViewReceived(Box<super::View>),
+    /// The records of streams of all hosts; none when the store could not be read.
+    StreamsRead(Option<Vec<super::StreamRecord>>),
+    /// The store's record of the software versions in service; empty when there is none.
+    VersionsStored(Vec<super::Origin>),
     /// The number of entry hosts has changed.
     HostsChanged(usize),
     /// The process stops: requests without a response by this time are refused.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -258,6 +258,7 @@
             event::Event::UpstreamProbed { upstream, alive } => self.handle_probe(&upstream, alive),
             event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
             event::Event::ViewReceived(view) => self.update_view(now, *view, &mut effects),
+            event::Event::StreamsRead(_) | event::Event::VersionsStored(_) => (),
             event::Event::HostsChanged(hosts) => self.set_hosts(now, hosts),
             event::Event::Stopping(deadline) => self.stop_deadline = Some(deadline),
             event::Event::Tick => self.tick(now, &mut effects),
--- a/crates/carawaycleat-core/src/relay/registration.rs
+++ b/crates/carawaycleat-core/src/relay/registration.rs
@@ -34,6 +34,8 @@
     pub started: u64,
     /// The service.
     pub service: name::Name,
+    /// The version of its software; none when the entry gives none.
+    pub version: Option<name::Name>,
     /// The address that accepts requests.
     pub address: net::SocketAddr,
     /// The availability zone.
--- a/crates/carawaycleat-core/src/relay/request.rs
+++ b/crates/carawaycleat-core/src/relay/request.rs
@@ -2,6 +2,7 @@
 
 use crate::key;
 use crate::name;
+use crate::relay::origin;
 
 /// The API key of a request.
 #[derive(Clone, Debug)]
@@ -38,6 +39,8 @@
     pub fingerprint: name::Name,
     /// The prompt tokens and the maximum of output tokens; none when the caller gives none.
     pub tokens: Option<(u64, u64)>,
+    /// The stream that the caller goes on with; none for a new request.
+    pub resumption: Option<origin::Resumption>,
     /// A random number that selects among the targets of a route.
     pub seed: u64,
 }
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -111,6 +111,7 @@
         id: name(id),
         started: 1,
         service: name(service),
+        version: None,
         address: ([10, 0, 0, 1], 8_000).into(),
         zone: name("zone-a"),
         slots: 4,
@@ -137,6 +138,7 @@
         prompt: Vec::new(),
         fingerprint: name(UNSET_FINGERPRINT),
         tokens: Some((60, 40)),
+        resumption: None,
         seed: 7,
     }
 }
@@ -156,6 +158,12 @@
     pub(crate) probes: Vec<name::Name>,
     /// The published crashes, in order.
     pub(crate) crashes: Vec<quarantine::Crash>,
+    /// The records of streams that were written to the store, in order.
+    pub(crate) stored_streams: Vec<relay::StreamRecord>,
+    /// How often the records of streams were read from the store.
+    pub(crate) stream_reads: usize,
+    /// The software versions in service that were written to the store, in order.
+    pub(crate) stored_versions: Vec<Vec<relay::Origin>>,
     /// The summaries of requests that have ended.
     pub(crate) summaries: Vec<relay::Summary>,
 }
@@ -188,6 +196,9 @@
             is_report_due: false,
             probes: Vec::new(),
             crashes: Vec::new(),
+            stored_streams: Vec::new(),
+            stream_reads: 0,
+            stored_versions: Vec::new(),
             summaries: Vec::new(),
         }
     }
@@ -208,6 +219,9 @@
                 relay::Effect::Probe(upstream, _) => self.probes.push(upstream),
                 relay::Effect::Publish(crash) => self.crashes.push(crash),
                 relay::Effect::Report => self.is_report_due = true,
+                relay::Effect::StoreStreams(records) => self.stored_streams.extend(records),
+                relay::Effect::ReadStreams => self.stream_reads += 1,
+                relay::Effect::StoreVersions(origins) => self.stored_versions.push(origins),
             }
         }
     }
