--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -272,6 +272,16 @@
         self.dispatch(id).upstream.as_str().to_owned()
     }
 
+    /// Returns the upstream that a request was last sent to.
+    pub(crate) fn upstream_of(&self, id: relay::Id) -> String {
+        let commands = self.commands.get(&id).into_iter().flatten().rev();
+        let upstream = commands.into_iter().find_map(|command| match command {
+            relay::Command::Send(dispatch) => Some(dispatch.upstream.as_str().to_owned()),
+            _ => None,
+        });
+        upstream.expect("sent")
+    }
+
     pub(crate) fn is_sent(&self, id: relay::Id) -> bool {
         matches!(self.last_command(id), Some(relay::Command::Send(_)))
     }
