fix: let streams go on only at the software version that began them

Callers saw streams joined from two software versions of a service: a stream that broke off went on at any upstream that holds the model, within one response and when its caller took it up at the same host, at another one, or after a restart of all hosts. Nothing remembered which version had begun a stream.

The version is now taken from the registration under which an attempt was sent, and bound to the request when the stream begins, before anything of it is passed on. The selection of upstreams keeps to it, and a request for whose version no upstream accepts requests is refused, or its response cut, at once. If an entry shows a process of another version while an attempt to the earlier one is in progress, the origin counts as unknown. An entry from an older copy of the store does not change the version of a later process.

A take-up gets its origin from, in this order: the streams that this host has passed on; the versions that are or were in service within the lifetime of streams, if there is only one and the entries are current; the records of all hosts in the store, read once, within 400 ms. Otherwise it is refused as not run. Records are given out in batches and only for services of streaming routes whose streams may have several origins, so a service with one version writes and reads nothing. After a restoration of the store all go out again.

--- a/crates/carawaycleat-core/src/relay/config.rs
+++ b/crates/carawaycleat-core/src/relay/config.rs
@@ -248,6 +248,12 @@
             .find_map(|prefix| prefixes.get(prefix))
     }
 
+    /// Returns the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        let prefixes = self.routes.values();
+        prefixes.flat_map(|prefixes| prefixes.values().map(|route| &**route))
+    }
+
     /// Returns the service `name`.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&sync::Arc<Service>> {
--- a/crates/carawaycleat-core/src/relay/origin.rs
+++ b/crates/carawaycleat-core/src/relay/origin.rs
@@ -1,9 +1,20 @@
 //! The software versions that began streams.
 
+mod pin;
+mod registry;
+mod versions;
+
 use sha2::Digest as _;
 
 use crate::name;
 
+pub(crate) use pin::Life;
+pub(crate) use pin::Pin;
+pub(crate) use pin::Stream;
+pub(crate) use registry::Knowledge;
+pub(crate) use registry::Registry;
+pub(crate) use versions::Versions;
+
 /// The service and the software version of the upstream that began a stream.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(serde::Deserialize, serde::Serialize)]
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -2,6 +2,7 @@
 use std::time;
 
 use super::config;
+use super::origin;
 use super::policy;
 use super::summary;
 use crate::clock;
@@ -25,6 +26,8 @@
         event_received: bool,
         /// Whether a byte of the response to this attempt has arrived.
         first_byte_received: bool,
+        /// The process that it was sent to.
+        life: origin::Life,
     },
 }
 
@@ -110,6 +113,7 @@
     pub(super) response_started: bool,
     /// The identifier of the last event of the stream that has been passed on.
     pub(super) last_event: Option<u64>,
+    pub(super) stream: origin::Stream,
 }
 
 impl Pending {
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1,6 +1,7 @@
 mod admission;
 mod crash;
 mod dispatch;
+mod origin;
 mod report;
 mod response;
 mod standby;
@@ -105,6 +106,7 @@
     quarantine: quarantine::Registry,
     /// The upstreams from which responses broke off, until it is known whether they crashed.
     breakages: collections::BTreeMap<name::Name, crash::Breakage>,
+    origins: origin::Origins,
     /// When the requests that are still without a response are refused because the process stops.
     stop_deadline: Option<clock::Instant>,
 }
@@ -142,6 +144,7 @@
             last_report: clock::Instant::default(),
             quarantine: quarantine::Registry::default(),
             breakages: collections::BTreeMap::new(),
+            origins: origin::Origins::default(),
             stop_deadline: None,
         }
     }
@@ -258,7 +261,12 @@
             event::Event::UpstreamProbed { upstream, alive } => self.handle_probe(&upstream, alive),
             event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
             event::Event::ViewReceived(view) => self.update_view(now, *view, &mut effects),
-            event::Event::StreamsRead(_) | event::Event::VersionsStored(_) => (),
+            event::Event::StreamsRead(records) => {
+                self.handle_streams(now, records.as_deref(), &mut effects);
+            }
+            event::Event::VersionsStored(origins) => {
+                self.record_stored_versions(now, origins, &mut effects);
+            }
             event::Event::HostsChanged(hosts) => self.set_hosts(now, hosts),
             event::Event::Stopping(deadline) => self.stop_deadline = Some(deadline),
             event::Event::Tick => self.tick(now, &mut effects),
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -6,8 +6,10 @@
 use crate::name;
 use crate::relay::allowance;
 use crate::relay::command;
+use crate::relay::config;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::origin;
 use crate::relay::pending;
 use crate::relay::refusal;
 use crate::relay::request;
@@ -39,6 +41,9 @@
             Ok(request) => {
                 let has_tokens = request.has_tokens;
                 self.requests.insert(id, request);
+                if self.find_origin(now, id, effects).is_break() {
+                    return;
+                }
                 if has_tokens {
                     self.dispatch_or_queue(now, id, effects);
                 } else {
@@ -195,6 +200,11 @@
             standby: None,
             response_started: false,
             last_event: None,
+            stream: origin::Stream::new(
+                request
+                    .resumption
+                    .filter(|_| route.kind == config::Kind::Streaming),
+            ),
             route: route.clone(),
         })
     }
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::relay::config;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::origin;
 use crate::relay::pending;
 use crate::relay::refusal;
 use crate::relay::selection;
@@ -36,6 +37,9 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        if request.stream.sought_since.is_some() {
+            return;
+        }
         let key = (request.queue_key(), id);
         let Some(service) = self.service_of(request) else {
             return self.refuse(now, id, refusal::Reason::NoUpstream, None, effects);
@@ -129,6 +133,10 @@
         key: super::WaitingKey,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if self.is_version_gone(now, id) {
+            let retry_after = Some(super::MIN_RETRY_AFTER);
+            return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
+        }
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -213,6 +221,10 @@
             head_received: false,
             event_received: false,
             first_byte_received: false,
+            life: origin::Life {
+                origin: entry.registration.origin(),
+                other: None,
+            },
         };
         entry.record_send();
         let config = self.config.as_ref().map_or(0, config::Config::version);
@@ -242,6 +254,7 @@
             .with("tokens", request.cost)
             .with_some("model", request.model.as_ref())
             .with_some("adapter", request.adapter.as_ref())
+            .with_some("version", entry.registration.version.as_ref())
             .with("zone", &entry.registration.zone)
             .with("own_load", entry.own_requests)
             .with("other_load", entry.other_requests)
@@ -285,6 +298,7 @@
                 request.service.clone(),
                 request.model.clone(),
                 request.adapter.clone(),
+                request.stream.pin.clone(),
             );
             if request.tried.is_empty() && unserved.contains(&needs) {
                 continue;
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -189,6 +189,13 @@
         id: event::Id,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if !self.pin_stream(now, id) {
+            self.release(id);
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.possible_executions += 1;
+            }
+            return self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
+        }
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -268,6 +275,7 @@
             return;
         }
         self.end_standby(now, id, effects);
+        self.forget_stream(id);
         let Some((upstream, _)) = self.release(id) else {
             return;
         };
@@ -340,6 +348,7 @@
         let request = self.requests.get(&id);
         let head_received = request.is_some_and(pending::Pending::is_head_received);
         let is_without_event = request.is_some_and(pending::Pending::is_without_event);
+        self.unpin_without_event(id);
         let Some((upstream, sent_at)) = self.release(id) else {
             return;
         };
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -35,6 +35,7 @@
             self.end_token_wait(now, waiter, effects);
         }
         self.report_crashes(now, effects);
+        self.tick_origins(now, effects);
         self.refuse_expired(now, effects);
         let others = self.host_count.saturating_sub(1);
         for entry in self.upstreams.values_mut() {
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -50,7 +50,9 @@
         }
         self.allowances
             .retain(|name, _| config.workspace(name).is_some());
+        self.set_lifetime(&config);
         self.config = Some(config);
+        self.update_recorded();
         self.dispatch_waiting(now, effects);
     }
 
@@ -63,6 +65,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let is_first_start = self.options.is_first_start;
+        self.origins.record_read(now, era, self.restoration.era());
         let restored = self
             .restoration
             .record_read(now, era, required_version, is_first_start);
@@ -159,6 +162,7 @@
         if let Some(entry) = self.upstreams.get_mut(&id) {
             entry.distrusted_until = distrusted_until;
         }
+        self.record_origin(now, &id, effects);
         self.dispatch_waiting(now, effects);
     }
 
--- a/crates/carawaycleat-core/src/relay/refusal.rs
+++ b/crates/carawaycleat-core/src/relay/refusal.rs
@@ -21,6 +21,8 @@
     UpstreamFailed,
     /// A part of the prompt crashes upstreams.
     Quarantined,
+    /// It is not known which software version began the stream that the caller goes on with.
+    UnknownOrigin,
     /// The process stops before a response has arrived.
     Stopping,
 }
@@ -39,6 +41,7 @@
             Self::Timeout => "timeout",
             Self::UpstreamFailed => "upstream_failed",
             Self::Quarantined => "quarantined",
+            Self::UnknownOrigin => "unknown_origin",
             Self::Stopping => "stopping",
         }
     }
--- a/crates/carawaycleat-core/src/relay/registration.rs
+++ b/crates/carawaycleat-core/src/relay/registration.rs
@@ -57,7 +57,11 @@
 impl Registration {
     /// Returns this registration as one that follows `previous`, which is of the same process. A process that has begun
     /// to leave does not take new work again, whatever an entry from an older copy of the store says.
-    pub(crate) fn following(self, previous: &Self) -> Self {
+    pub(crate) fn following(mut self, previous: &Self) -> Self {
+        if self.started < previous.started {
+            // An entry from an older copy of the store is of an earlier process under the same identifier.
+            self.version = previous.version.clone();
+        }
         if previous.state == State::Ready || self.started > previous.started {
             return self;
         }
--- a/crates/carawaycleat-core/src/relay/restoration.rs
+++ b/crates/carawaycleat-core/src/relay/restoration.rs
@@ -65,6 +65,11 @@
         known.is_some_and(|known| known != era)
     }
 
+    /// Returns the store's era; none before the first read.
+    pub(super) fn era(&self) -> Option<u64> {
+        self.era
+    }
+
     /// Records that the store has the configuration `version`, written at `revision`.
     pub(super) fn record_config(&mut self, version: u64, revision: revision::Revision) {
         if let Some(known) = self.stored_at {
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -145,6 +145,7 @@
     fn is_eligible(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
         upstream.registration.service == request.service
             && upstream.accepts_requests(self.now, self.removal_grace)
+            && request.stream.permits(&upstream.registration)
             && request
                 .model
                 .as_ref()
--- a/crates/carawaycleat-core/tests/suite/relay_origin.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_origin.rs
@@ -465,7 +465,8 @@
     harness.register(registration(NEW, NEW));
     harness.advance(relay_fake::millis(100));
     let both = vec![origin(OLD), origin(NEW)];
-    assert_eq!(harness.stored_versions[1..], [both.clone()]);
+    assert_eq!(harness.stored_versions.last(), Some(&both));
+    assert_eq!(harness.stored_versions.len(), 2);
     harness.feed(relay::Event::VersionsStored(both));
     remove(&mut harness, OLD);
     harness.advance(time::Duration::from_secs(30));
