--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -134,7 +134,7 @@
 }
 
 /// Returns a host with a coordinator whose share of the allowance is smaller than one request, and is used up.
-fn host_without_tokens() -> relay_fake::Harness {
+pub(crate) fn host_without_tokens() -> relay_fake::Harness {
     let mut harness = relay_fake::Harness::new();
     harness.feed(relay::Event::HostsChanged(100));
     harness.feed(relay::Event::Configured(Box::new(relay_fake::config(
@@ -149,7 +149,7 @@
     harness
 }
 
-fn view(report_number: u64, granted: u32) -> relay::View {
+pub(crate) fn view(report_number: u64, granted: u32) -> relay::View {
     relay::View {
         epoch: 1,
         report_number,
--- a/crates/carawaycleat-core/tests/suite/relay_origin.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_origin.rs
@@ -5,6 +5,7 @@
 use carawaycleat_core::relay;
 use carawaycleat_core::revision;
 
+use crate::relay_allowance;
 use crate::relay_fake;
 
 const OLD: &str = "v1";
@@ -484,3 +485,46 @@
         assert_eq!(harness.upstream(id), version);
     }
 }
+
+/// Guards against a take-up that is never sent, or sent too early, when it waits for its tokens and for its record.
+#[yare::parameterized(tokens_first = { true }, record_first = { false })]
+fn take_up_waits_for_tokens_and_its_record(has_tokens_first: bool) {
+    let mut harness = relay_allowance::host_without_tokens();
+    for version in [OLD, NEW] {
+        harness.register(registration(version, version));
+    }
+    let id = harness.arrive(take_up(Some("first")));
+    let report = harness.reducer.report(harness.now, false);
+    let requested = u32::try_from(report.token_requests.len()).expect("a small number");
+    let grant = relay_allowance::view(report.number, requested);
+    let mut events = [
+        relay::Event::ViewReceived(Box::new(grant)),
+        relay::Event::StreamsRead(Some(vec![record("first", NEW)])),
+    ];
+    if !has_tokens_first {
+        events.reverse();
+    }
+    let [first, second] = events;
+    harness.feed(first);
+    assert!(harness.last_command(id).is_none());
+    harness.feed(second);
+    assert_eq!(harness.upstream(id), NEW);
+}
+
+/// Guards against streams that fill the memory, and against a forgotten one that goes on at any version.
+#[test]
+fn number_of_remembered_streams_is_bounded() {
+    let mut harness = harness(&[OLD, NEW]);
+    let config = relay_fake::config(2, 100_000_000);
+    harness.feed(relay::Event::Configured(Box::new(config)));
+    harness.advance(relay_fake::millis(1_000));
+    for n in 0..=65_536 {
+        let (id, _) = begin(&mut harness, &format!("stream-{n}"));
+        harness.feed(relay::Event::CallerDisconnected(id));
+    }
+    let latest = harness.arrive(take_up(Some("stream-65536")));
+    assert!(harness.is_sent(latest));
+    let first = harness.arrive(take_up(Some("stream-0")));
+    assert!(harness.last_command(first).is_none());
+    assert_eq!(harness.stream_reads, 1);
+}
