fix: look up a stream's version while the store has no record of versions

Callers got joined streams when all hosts were killed right after the first start of the system: a host that has just started saw the entries of one version only, and concluded that it had begun the stream. The record of versions, which names those that have left, did not exist yet, because the hosts were killed before one of them was the coordinator. Class: a missing record was taken for evidence.

--- a/crates/carawaycleat-core/src/relay/origin/versions.rs
+++ b/crates/carawaycleat-core/src/relay/origin/versions.rs
@@ -59,6 +59,11 @@
         services
     }
 
+    /// Returns whether the store's record has the version.
+    pub(crate) fn is_stored(&self, origin: &Origin) -> bool {
+        self.stored.contains(origin)
+    }
+
     /// Returns the versions of a service.
     pub(crate) fn of<'a>(&'a self, service: &'a name::Name) -> impl Iterator<Item = &'a Origin> {
         let first = Origin {
--- a/crates/carawaycleat-core/src/relay/reducer/origin.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/origin.rs
@@ -49,6 +49,8 @@
     read: Option<(clock::Instant, bool)>,
     /// Until when the known versions may lack one that the store has lost.
     doubted_until: clock::Instant,
+    /// When the first upstream became known.
+    first_seen: Option<clock::Instant>,
 }
 
 impl Origins {
@@ -66,12 +68,21 @@
         self.lifetime.max(self.previous_lifetime)
     }
 
-    /// Returns the only origin that a stream of a route may have; none when there are several, or none at all.
-    fn only_origin<'a>(&'a self, route: &'a config::Route) -> Option<&'a origin::Origin> {
+    /// Returns the only origin that a stream of a route may have; none when there are several, or none at all, or when
+    /// this host may have missed one because it started only recently and the store has no record of the versions.
+    fn only_origin<'a>(
+        &'a self,
+        now: clock::Instant,
+        route: &'a config::Route,
+    ) -> Option<&'a origin::Origin> {
+        let is_new = self
+            .first_seen
+            .is_none_or(|first_seen| now.since(first_seen) < self.lifetime());
         let targets = route.targets.iter();
         let mut origins = targets.flat_map(|target| self.versions.of(&target.service));
         let first = origins.next()?;
-        origins.all(|other| other == first).then_some(first)
+        let is_only = origins.all(|other| other == first);
+        (is_only && (!is_new || self.versions.is_stored(first))).then_some(first)
     }
 }
 
@@ -123,7 +134,7 @@
             origin::Knowledge::Known(origin) => self.pin_to(now, id, origin, Source::Own, effects),
             origin::Knowledge::Ambiguous => self.refuse_unknown(now, id, effects),
             origin::Knowledge::Absent => {
-                let only = self.origins.only_origin(&request.route);
+                let only = self.origins.only_origin(now, &request.route);
                 if let Some(origin) = only.filter(|_| may_conclude).cloned() {
                     return self.pin_to(now, id, origin, Source::Single, effects);
                 }
@@ -335,6 +346,7 @@
             self.dispute_attempts(id, &current);
         }
         let service = current.service.clone();
+        self.origins.first_seen.get_or_insert(now);
         if self.origins.versions.record(now, current) {
             self.log_versions(&service, effects);
             self.update_recorded();
--- a/crates/carawaycleat-core/tests/suite/relay_origin.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_origin.rs
@@ -313,10 +313,23 @@
     assert_eq!(harness.stored_streams, expected);
 }
 
+/// Guards against a take-up that goes on at another version because the host has just started and the store has no record
+/// of the versions yet.
+#[test]
+fn host_that_has_just_started_does_not_conclude_without_a_record() {
+    let mut harness = harness(&[NEW]);
+    let id = harness.arrive(take_up(Some("first")));
+    harness.feed(relay::Event::StreamsRead(Some(vec![record("first", OLD)])));
+    assert!(!harness.is_sent(id));
+    let unnamed = harness.arrive(take_up(None));
+    assert_refused(&harness, unnamed, "unknown_origin");
+}
+
 /// Guards against a host that trusts the versions in an older copy of the store, which may lack one.
 #[test]
 fn versions_of_a_restored_store_are_not_trusted_at_once() {
     let mut harness = harness(&[OLD]);
+    harness.feed(relay::Event::VersionsStored(vec![origin(OLD)]));
     harness.feed(relay::Event::StoreRead {
         era: 1,
         required_version: Some(1),
