fix: accept no request while stopping that cannot end in time

Callers whose requests came late in a planned stop got 502 at its end, after the requests had been passed on: among them requests that may not be repeated.

Cause: until the very end a stopping host admitted and dispatched each request as usual, whatever time was left. Only at the end of the grace period were those without a response ended as possibly run. With a grace period below 2.6 s, connections were even accepted after that.

Evidence: before, with a grace period of 3 s and bookings of 1 s that come every 100 ms, stop::late_request_is_answered_or_has_not_run failed over real processes with status 502 for a booking sent during the grace period. In the reducer, without the new check, four tests of relay_stop fail (request_is_accepted_only_if_it_can_end_in_time, both cases, request_of_an_unknown_kind_needs_its_time_limit, waiting_request_is_not_sent_too_late). All pass now.

While the host stops, an attempt is sent only if the request can end by then: by its time limit, or by what requests of the same service and route have taken until now (the longest of the latest ones, with a margin; the number of kinds is bounded). A stream in progress still goes on, also at another upstream.

--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -5,6 +5,7 @@
 mod report;
 mod response;
 mod standby;
+mod stop;
 mod tick;
 mod token;
 mod update;
@@ -109,6 +110,8 @@
     origins: origin::Origins,
     /// When the requests that are still without a response are refused because the process stops.
     stop_deadline: Option<clock::Instant>,
+    /// How long requests take.
+    durations: stop::Durations,
 }
 
 impl Reducer {
@@ -146,6 +149,7 @@
             breakages: collections::BTreeMap::new(),
             origins: origin::Origins::default(),
             stop_deadline: None,
+            durations: stop::Durations::default(),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -41,6 +41,9 @@
             Ok(request) => {
                 let has_tokens = request.has_tokens;
                 self.requests.insert(id, request);
+                if self.refuse_unfinishable(now, id, effects) {
+                    return;
+                }
                 if self.find_origin(now, id, effects).is_break() {
                     return;
                 }
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -34,6 +34,9 @@
         id: event::Id,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if self.refuse_unfinishable(now, id, effects) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else {
             return;
         };
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -164,6 +164,9 @@
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
+        if let Some(sent) = request.first_sent_at.filter(|_| status < 300) {
+            self.durations.record(&request, now.since(sent));
+        }
         let outcome = if status < 500 {
             summary::Outcome::Completed
         } else {
