fix: keep sums of numbers that other processes send within their types

A process that follows a number at the limit of its type ended: a rate of loads of 1e300 in the configuration ended each host that was elected coordinator ("capacity overflow"), in every build. Sums over the counts of engines and hosts, the number of an engine's orders and the tokens that callers name overflowed: that ends a build with overflow checks, and gives wrong sums, not an end, in one without.

Evidence: before, all six cases of coordinator_extreme and the test relay_extreme failed, with "capacity overflow" or "attempt to add with overflow". They pass now.

The sums saturate, and a new coordinator assumes a bounded number of earlier loads.

--- a/crates/carawaycleat-core/src/coordinator/engine.rs
+++ b/crates/carawaycleat-core/src/coordinator/engine.rs
@@ -153,7 +153,7 @@
                     self.models.remove(&model);
                     self.adapters.retain(|(name, _), _| *name != model);
                 }
-                self.sequence = Some(order_sequence + 1);
+                self.sequence = Some(order_sequence.saturating_add(1));
                 self.busy = false;
                 self.model_order = None;
                 self.last_order_at = now;
@@ -180,7 +180,7 @@
         lag: time::Duration,
     ) {
         self.status_at = Some(now);
-        self.requests = status.running + status.queued;
+        self.requests = status.running.saturating_add(status.queued);
         if let Some(in_memory) = status.in_memory {
             self.in_memory = in_memory;
         }
--- a/crates/carawaycleat-core/src/coordinator/limit.rs
+++ b/crates/carawaycleat-core/src/coordinator/limit.rs
@@ -148,7 +148,10 @@
         let describe = |(id, upstream): (&name::Name, &Upstream)| {
             let accounts = upstream.hosts.values();
             let sums = accounts.fold((0, 0), |(permitted, waiting), account| {
-                (permitted + account.permitted, waiting + account.waiting)
+                (
+                    u64::from(account.permitted) + permitted,
+                    u64::from(account.waiting) + waiting,
+                )
             });
             let (rate, level, (permitted, waiting)) = (upstream.rate, upstream.level, sums);
             format!("{id}={rate:.1}/{level:.1}/{permitted}/{waiting}")
@@ -177,7 +180,7 @@
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.level -= 1.0;
             let account = upstream.hosts.entry(host.clone()).or_default();
-            account.permitted += 1;
+            account.permitted = account.permitted.saturating_add(1);
         }
     }
 
@@ -197,7 +200,7 @@
             let account = upstream.hosts.entry(host.clone()).or_default();
             let more = share.max(f64::from(account.waiting)).min(available.floor());
             upstream.level -= more;
-            account.permitted += more as u32;
+            account.permitted = account.permitted.saturating_add(more as u32);
             let age = now.since(upstream.named_at).as_millis();
             relay::Permit {
                 upstream: id.clone(),
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -164,7 +164,7 @@
             for model in engine.served_models() {
                 let (replicas, requests, capacity) = holders.entry(model).or_default();
                 *replicas += 1;
-                *requests += engine.requests;
+                *requests = requests.saturating_add(engine.requests);
                 *capacity += engine_capacity;
             }
         }
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -21,6 +21,8 @@
 
 /// The maximum number of orders that one tick sends, not counting preloads of adapters and resent orders.
 const MAX_ORDERS_PER_TICK: usize = 24;
+/// The maximum number of loads that a new coordinator assumes of its predecessor.
+const MAX_STORE_LOADS: usize = 10_000;
 /// The interval at which engines with free slots get adapters that no request waits for.
 const PRELOAD_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// The time without demand after which the demand for a model or adapter is removed.
@@ -171,7 +173,8 @@
         let per_second = self.services.values().map(|spec| spec.loads_per_second);
         let per_second = per_second.fold(0.0, f64::max);
         let half = (per_second * self.options.load_window.as_secs_f64() / 2.0).ceil();
-        self.store_loads = std::iter::repeat_n(now, half as usize).collect();
+        let half = (half as usize).min(MAX_STORE_LOADS);
+        self.store_loads = std::iter::repeat_n(now, half).collect();
         self.demand_since = None;
     }
 
@@ -281,7 +284,7 @@
             }
             (event::Outcome::Accepted | event::Outcome::Completed, Some(index)) => {
                 engine.adapter_orders.remove(index);
-                engine.sequence = Some(order.sequence + 1);
+                engine.sequence = Some(order.sequence.saturating_add(1));
                 if let Some(adapter) = order.adapter {
                     let key = (order.model, adapter);
                     match order.operation {
@@ -295,7 +298,7 @@
                 }
             }
             (event::Outcome::Accepted, None) => {
-                engine.sequence = Some(order.sequence + 1);
+                engine.sequence = Some(order.sequence.saturating_add(1));
                 engine.busy = true;
                 if let Some(pending) = &mut engine.model_order {
                     pending.delivery = engine::Delivery::Accepted;
@@ -577,7 +580,8 @@
             .waiting(now)
             .filter(|demand| demand.service == *service)
         {
-            *waiting.entry(demand.model.clone()).or_default() += demand.waiting;
+            let count: &mut u32 = waiting.entry(demand.model.clone()).or_default();
+            *count = count.saturating_add(demand.waiting);
         }
         waiting
     }
--- a/crates/carawaycleat-core/src/coordinator/reservation.rs
+++ b/crates/carawaycleat-core/src/coordinator/reservation.rs
@@ -49,7 +49,8 @@
         self.remove_host(&report.host);
         let running: collections::HashMap<_, _> = report.running.iter().cloned().collect();
         for (engine, count) in &running {
-            *self.taken.entry(engine.clone()).or_default() += count;
+            let taken = self.taken.entry(engine.clone()).or_default();
+            *taken = taken.saturating_add(*count);
         }
         let host = Host {
             report_number: report.number,
@@ -93,7 +94,8 @@
     pub(super) fn reserve(&mut self, host: &name::Name, engine: &name::Name) {
         if let Some(host) = self.hosts.get_mut(host) {
             *host.reserved.entry(engine.clone()).or_default() += 1;
-            *self.taken.entry(engine.clone()).or_default() += 1;
+            let taken = self.taken.entry(engine.clone()).or_default();
+            *taken = taken.saturating_add(1);
         }
     }
 
@@ -111,11 +113,11 @@
         let count = |counts: &collections::HashMap<_, u32>| counts.get(engine).copied();
         let own = known.and_then(|host| count(&host.running)).unwrap_or(0);
         let reserved = known.and_then(|host| count(&host.reserved)).unwrap_or(0);
-        let others = taken.saturating_sub(own + reserved);
+        let others = taken.saturating_sub(own.saturating_add(reserved));
         // The free slots are divided roughly in proportion to the requests in progress. One more request is divided
         // equally, so that a host without requests at the engine gets a share too.
         let equal_share = 1.0 / self.hosts.len().max(1) as f64;
-        let share = (f64::from(own) + equal_share) / (f64::from(own + others) + 1.0);
+        let share = (f64::from(own) + equal_share) / (f64::from(own) + f64::from(others) + 1.0);
         let offset = known.map_or(0.0, |host| {
             (host.report_number as f64 * ROUNDING_OFFSET_STEP).fract()
         });
@@ -127,7 +129,7 @@
         };
         Availability {
             other_requests: others,
-            usable_slots: reserved + share_slots,
+            usable_slots: reserved.saturating_add(share_slots),
         }
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -64,7 +64,7 @@
                     .with("reason", refusal.reason.as_str())
                     .with("status", refusal.status())
                     .with_some("workspace", workspace)
-                    .with("tokens", tokens.0 + tokens.1)
+                    .with("tokens", tokens.0.saturating_add(tokens.1))
                     .with("config", self.config_version())
                     .with_some("config_age_ms", self.config_age_field(now));
                 effects.push(super::record(decision));
@@ -145,7 +145,8 @@
         let mut has_tokens = true;
         if let Some(workspace) = workspace {
             cost = request.cost(workspace.default_cost);
-            *self.token_usage.entry(workspace.name.clone()).or_default() += cost;
+            let usage = self.token_usage.entry(workspace.name.clone()).or_default();
+            *usage = usage.saturating_add(cost);
             let share = self.share(now, &workspace.name);
             let allowance = self
                 .allowances
@@ -169,8 +170,9 @@
         if let Some(model) = &request.model {
             let key = (service.clone(), model.clone(), request.adapter.clone());
             let (prompt, output) = request.tokens.unwrap_or((0, 1));
-            *self.demands.entry(key).or_default() +=
-                output + prompt / PROMPT_TOKENS_PER_OUTPUT_TOKEN;
+            let demand = self.demands.entry(key).or_default();
+            let tokens = output.saturating_add(prompt / PROMPT_TOKENS_PER_OUTPUT_TOKEN);
+            *demand = demand.saturating_add(tokens);
         }
         Ok(pending::Pending {
             request_id: request.request_id,
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -232,7 +232,7 @@
     /// Records that a request has ended. Its slot stays reserved for this host until the next view.
     pub(super) fn record_end(&mut self) {
         self.own_requests = self.own_requests.saturating_sub(1);
-        self.usable_slots += 1;
+        self.usable_slots = self.usable_slots.saturating_add(1);
     }
 
     /// Returns whether another request may be sent beside those in progress.
@@ -241,7 +241,7 @@
             && self.paused_until(now).is_none()
             && self.limit.as_ref().is_none_or(|limit| limit.may_send(now))
             && (self.usable_slots > 0 || !self.has_current_view(now))
-            && self.own_requests + self.other_requests < slots
+            && self.own_requests.saturating_add(self.other_requests) < slots
             && f64::from(self.own_requests) < self.concurrency_limit
     }
 
@@ -252,7 +252,8 @@
 
     /// Returns the fraction of the slots that would be in use with one more request.
     pub(super) fn load(&self, slots: u32) -> f64 {
-        f64::from(self.own_requests + self.other_requests + 1) / f64::from(slots.max(1))
+        (f64::from(self.own_requests) + f64::from(self.other_requests) + 1.0)
+            / f64::from(slots.max(1))
     }
 
     /// Returns the fraction of recent requests that failed.
