feat: log refusals of suspects of crashes with a reason of their own

A request that breaks off as at an earlier crash is refused and not retried. The line `refused` had the reason `upstream_failed`, as for requests without attempts or retry budget left, so that the two could not be told apart.

--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -399,7 +399,7 @@
             }
             if is_suspect {
                 // It broke off like requests that crashed other upstreams, so it must not reach a further one.
-                return self.refuse(now, id, refusal::Reason::UpstreamFailed, None, effects);
+                return self.refuse(now, id, refusal::Reason::CrashSuspected, None, effects);
             }
         }
         if self.resume_standby(now, id, effects) {
--- a/crates/carawaycleat-core/src/relay/refusal.rs
+++ b/crates/carawaycleat-core/src/relay/refusal.rs
@@ -19,6 +19,8 @@
     Timeout,
     /// An attempt failed, and the request cannot be retried.
     UpstreamFailed,
+    /// An attempt broke off as at an earlier crash of an upstream, so another one may crash a further upstream.
+    CrashSuspected,
     /// A part of the prompt crashes upstreams.
     Quarantined,
     /// It is not known which software version began the stream that the caller goes on with.
@@ -40,6 +42,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Timeout => "timeout",
             Self::UpstreamFailed => "upstream_failed",
+            Self::CrashSuspected => "crash_suspected",
             Self::Quarantined => "quarantined",
             Self::UnknownOrigin => "unknown_origin",
             Self::Stopping => "stopping",
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -102,7 +102,9 @@
     assert!(harness.is_sent(first), "one crash may be chance");
     answer_probe(&mut harness, false);
     break_off(&mut harness, first);
-    assert_eq!(harness.refusal(first).status(), 502);
+    let refusal = harness.refusal(first);
+    assert_eq!(refusal.status(), 502);
+    assert_eq!(refusal.reason, relay::Reason::CrashSuspected);
 }
 
 /// Pattern: connections are reset while upstreams run on. Guards against a quarantine of prompts whose responses broke
--- a/crates/carawaycleat/src/explain.rs
+++ b/crates/carawaycleat/src/explain.rs
@@ -220,6 +220,7 @@
                 }
             }
             "quarantined" => "it or a part of its prompt has crashed upstreams".to_owned(),
+            "crash_suspected" => "it broke off as at an earlier crash of an upstream".to_owned(),
             "timeout" => "the time for the request was over".to_owned(),
             "upstream_failed" => {
                 "the upstream broke off and the request may not be repeated".to_owned()
