fix: close a connection whose next request arrived during a streamed response

A caller that sent its next request while the response before it was being streamed got neither a response nor a refusal, nor a closed connection: the bytes were discarded, and the connection was kept because that was decided before the response was written. Of a request that arrived in part, the rest would have been read as a new request.

The connection is now closed after the response if bytes were discarded, so that the caller sees that its request was not read. closes_after_request_that_arrives_during_a_stream failed in both cases with a timeout of the read before.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -137,8 +137,8 @@
             drop(incoming.active);
             match written {
                 Err(_) => return,
-                Ok(()) if close => return linger(&self.stream).await,
-                Ok(()) => {}
+                Ok(is_reusable) if close || !is_reusable => return linger(&self.stream).await,
+                Ok(_) => {}
             }
         }
     }
--- a/crates/carawaycleat-net/src/server/encoder.rs
+++ b/crates/carawaycleat-net/src/server/encoder.rs
@@ -19,7 +19,8 @@
 /// its framing.
 const MIN_SPACE_BYTES: usize = 512;
 
-/// Writes a response.
+/// Writes a response. Returns whether the connection can carry another request: not when the caller sent bytes during a
+/// streamed response, because they were discarded.
 ///
 /// Fails if one write of the buffer, at most [`MAX_BUFFER_BYTES`], takes longer than `idle_timeout`, or if the caller
 /// closes its sending side during a streamed response.
@@ -29,15 +30,18 @@
     method: http_types::Method,
     close: bool,
     idle_timeout: time::Duration,
-) -> io::Result<()> {
+) -> io::Result<bool> {
     let streamed = matches!(response.body, body::Body::Stream(_));
     let encoder = async_h1::server::Encoder::new(convert(response, close), method);
     let copy = copy(stream, encoder, idle_timeout);
+    let mut discarded = 0;
     if streamed {
-        futures_lite::future::or(copy, discard_until_disconnect(stream)).await
+        let disconnected = discard_until_disconnect(stream, &mut discarded);
+        futures_lite::future::or(copy, disconnected).await?;
     } else {
-        copy.await
+        copy.await?;
     }
+    Ok(discarded == 0)
 }
 
 /// Converts a response. One that cannot be represented is replaced by status 500, because `http-types` panics on header
@@ -145,15 +149,21 @@
     }
 }
 
-/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded, which is why the
-/// connection is closed after the response.
-async fn discard_until_disconnect(stream: &async_io::Async<net::TcpStream>) -> io::Result<()> {
+/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded and counted.
+async fn discard_until_disconnect(
+    stream: &async_io::Async<net::TcpStream>,
+    discarded: &mut usize,
+) -> io::Result<()> {
     stream.readable().await?;
     if peek::Peek::new(stream) == peek::Peek::Disconnected {
         return Err(io::ErrorKind::ConnectionReset.into());
     }
     let mut discard = [0; 512];
     let mut reader = stream;
-    while reader.read(&mut discard).await? > 0 {}
-    Err(io::ErrorKind::ConnectionReset.into())
+    loop {
+        match reader.read(&mut discard).await? {
+            0 => return Err(io::ErrorKind::ConnectionReset.into()),
+            length => *discarded += length,
+        }
+    }
 }
--- a/crates/carawaycleat-net/tests/suite/stream.rs
+++ b/crates/carawaycleat-net/tests/suite/stream.rs
@@ -1,7 +1,10 @@
 //! Streamed responses.
 
+use std::io::Write as _;
 use std::net;
 use std::sync;
+use std::thread;
+use std::time;
 
 use carawaycleat_net as http;
 
@@ -120,6 +123,26 @@
     assert!(matches!(writer.try_send("late"), Err(http::Error::Closed)));
 }
 
+/// Guards against a request that gets neither a response nor a closed connection, because it arrived while the response
+/// before it was being streamed.
+#[yare::parameterized(
+    whole = { "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n" },
+    part = { "GET /2 HTTP" },
+)]
+fn closes_after_request_that_arrives_during_a_stream(second: &str) {
+    let (handle, writers) = streaming();
+    let first = b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n";
+    let stream = peer::connect(handle.local_address(), first);
+    let writer = writers.recv_blocking().expect("a writer");
+    peer::read_until(&stream, "\r\n\r\n");
+    (&stream).write_all(second.as_bytes()).expect("sent");
+    // Lets the server read the bytes before the response ends.
+    thread::sleep(time::Duration::from_millis(200));
+    writer.finish();
+    assert_eq!(peer::read_all(&stream), "0\r\n\r\n");
+    assert_eq!(handle.counts().requests, 1);
+}
+
 /// Guards against an unbounded queue of chunks.
 #[test]
 fn stream_is_bounded() {
