fix: apply a longer idle timeout to connections that are idle already

A connection was closed after the idle timeout that was in force when it became idle. After a change of the configuration to a longer one, callers may use it for longer, and a request that crosses the close gets neither a response nor a refusal.

The timer now looks at the current limit when it expires and goes on if that is longer; a shorter one takes effect with the next idle period, as before. longer_idle_timeout_holds_for_idle_connections failed before: the request got nothing.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -170,11 +170,8 @@
     async fn wait_for_data(&mut self) -> Result<(), Stop> {
         let state = self.guard.state.clone();
         let idle = async {
-            let timer = async_io::Timer::after(state.limits().idle_timeout);
-            futures_lite::future::or(state::signalled(&state.close_idle), async {
-                timer.await;
-            })
-            .await;
+            futures_lite::future::or(state::signalled(&state.close_idle), idle_timeout(&state))
+                .await;
             Ok(0)
         };
         match futures_lite::future::or(read(&self.stream, &mut self.buffer), idle).await? {
@@ -272,6 +269,20 @@
     }
 }
 
+/// Waits until a connection that has just become idle is idle for longer than the limit, which may change meanwhile.
+async fn idle_timeout(state: &state::State) {
+    let since = time::Instant::now();
+    let mut limit = state.limits().idle_timeout;
+    loop {
+        async_io::Timer::at(since + limit).await;
+        let current = state.limits().idle_timeout;
+        if current <= limit {
+            return;
+        }
+        limit = current;
+    }
+}
+
 /// Refuses a connection over the limit with an error response and closes it.
 pub(super) async fn refuse(stream: async_io::Async<net::TcpStream>, guard: state::ConnectionGuard) {
     let abort = guard.state.abort.clone();
--- a/crates/carawaycleat-net/tests/suite/guard.rs
+++ b/crates/carawaycleat-net/tests/suite/guard.rs
@@ -199,3 +199,22 @@
     check(&peer::read_all(&second), 503, "queue_full");
     assert_eq!((handle.counts().accepted, handle.counts().refused), (1, 1));
 }
+
+/// Guards against a request that is lost because its connection was closed after an idle timeout that is not in force any
+/// more.
+#[test]
+fn longer_idle_timeout_holds_for_idle_connections() {
+    let short = time::Duration::from_millis(300);
+    let handle = peer::echo(http::Limits::default().idle_timeout(short));
+    let stream = peer::connect(handle.local_address(), b"");
+    // The connection is accepted and idle before the limits change.
+    while handle.counts().accepted == 0 {
+        thread::yield_now();
+    }
+    handle.set_limits(http::Limits::default().idle_timeout(peer::TIMEOUT));
+    thread::sleep(short * 2);
+    (&stream)
+        .write_all(b"GET /late HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .expect("sent");
+    assert!(peer::read_all(&stream).ends_with("GET /late "));
+}
