--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -172,9 +172,8 @@
         }
         let per_second = self.services.values().map(|spec| spec.loads_per_second);
         let per_second = per_second.fold(0.0, f64::max);
-        let half = (per_second * self.options.load_window.as_secs_f64() / 2.0).ceil();
-        let half = (half as usize).min(MAX_STORE_LOADS);
-        self.store_loads = std::iter::repeat_n(now, half).collect();
+        let half = (per_second * self.options.load_window.as_secs_f64() / 2.0).ceil() as usize;
+        self.store_loads = std::iter::repeat_n(now, half.min(MAX_STORE_LOADS)).collect();
         self.demand_since = None;
     }
 
