--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -250,13 +250,18 @@
         self.next
     }
 
-    /// Returns the last command of a request, other than those that end one of two attempts.
+    /// Returns the last command of a request, other than those that end the earlier one of two attempts.
     pub(crate) fn last_command(&self, id: relay::Id) -> Option<&relay::Command> {
+        let commands = self.commands.get(&id)?;
         let is_end = |command: &relay::Command| matches!(command, relay::Command::End(_));
-        self.commands
-            .get(&id)?
-            .iter()
-            .rfind(|command| !is_end(command))
+        let last = commands.iter().rfind(|command| !is_end(command))?;
+        let ended = commands.iter().rfind(|command| match (last, command) {
+            (relay::Command::Send(dispatch), relay::Command::End(attempt)) => {
+                dispatch.attempt == *attempt
+            }
+            _ => false,
+        });
+        Some(ended.unwrap_or(last))
     }
 
     /// Returns the last attempt of a request, which must be in progress.
