--- a/crates/carawaycleat-core/src/quarantine/registry.rs
+++ b/crates/carawaycleat-core/src/quarantine/registry.rs
@@ -44,6 +44,12 @@
         let mut suspects = self.crash.suspects.iter();
         suspects.any(|suspect| suspect.fingerprint == *fingerprint)
     }
+
+    /// Returns the first of these requests that may have caused the crash.
+    fn find_request<'a>(&'a self, fingerprints: &Causes) -> Option<&'a name::Name> {
+        let mut suspects = self.crash.suspects.iter().map(|s| &s.fingerprint);
+        suspects.find(|fingerprint| fingerprints.contains_key(*fingerprint))
+    }
 }
 
 /// Causes of crashes, each with the end of its quarantine.
@@ -173,40 +179,20 @@
     }
 
     /// Returns whether a request whose response broke off before its first event may have caused an earlier crash: it was
-    /// in progress there, or its response had begun and a part of its prompt was in progress there. Where a quarantined
-    /// request or part explains the crash, only requests that are, or that have it, may have caused it.
+    /// in progress there, or its response had begun and a part of its prompt was in progress there, and no quarantined
+    /// request explains that crash.
     #[must_use]
     pub fn is_suspect(&self, now: clock::Instant, suspect: &suspect::Suspect) -> bool {
-        if self.is_quarantined(suspect) {
-            return true;
-        }
         let is_recent = |record: &&Record| now.since(record.at) < CRASH_LIFETIME;
         let mut recent = self.records.iter().filter(is_recent);
         recent.any(|record| {
-            let suspects = &record.crash.suspects;
-            let mut causes = suspects.iter().filter(|other| self.is_quarantined(other));
-            match causes.next() {
-                Some(first) => {
-                    let is_same =
-                        |cause: &suspect::Suspect| cause.fingerprint == suspect.fingerprint;
-                    is_same(first) || causes.any(is_same)
-                }
-                None => {
-                    record.has_request(&suspect.fingerprint)
-                        || suspect.has_begun
-                            && suspect.parts.iter().any(|part| record.has_part(part))
-                }
-            }
+            let is_explained = record.find_request(&self.requests).is_some();
+            let has_part = suspect.parts.iter().any(|part| record.has_part(part));
+            record.has_request(&suspect.fingerprint)
+                || suspect.has_begun && has_part && !is_explained
         })
     }
 
-    /// Returns whether a request is quarantined, or a part of its prompt.
-    fn is_quarantined(&self, suspect: &suspect::Suspect) -> bool {
-        let mut parts = suspect.parts.iter();
-        self.requests.contains_key(&suspect.fingerprint)
-            || parts.any(|part| self.parts.contains_key(part))
-    }
-
     /// Returns the suspects that have not made progress recently, without the parts of requests that have.
     #[must_use]
     pub fn without_harmless(
--- a/crates/carawaycleat-core/tests/suite/quarantine.rs
+++ b/crates/carawaycleat-core/tests/suite/quarantine.rs
@@ -304,24 +304,3 @@
     assert!(!registry.is_suspect(at(0), &suspect("other", true)));
     assert!(registry.is_suspect(at(0), &suspect("fatal", true)));
 }
-
-/// Guards against refusals of sound requests whose upstream crashes for the second time, or that share a part with a request
-/// which crashed one, after the cause of the crashes is known.
-#[test]
-fn quarantined_part_clears_the_other_requests_of_its_crashes() {
-    let suspect = |prompt: &str, fingerprint: &str| quarantine::Suspect {
-        parts: parts(prompt),
-        fingerprint: name(fingerprint),
-        has_begun: true,
-    };
-    let sound = suspect("common", "engine-0-1");
-    let mut registry = quarantine::Registry::default();
-    registry.record_crash(at(0), crash("engine-0", &["common,fatal", "common"]));
-    registry.record_crash(at(100), crash("engine-1", &["common,fatal"]));
-    assert!(registry.is_suspect(at(100), &sound));
-    registry.record_crash(at(200), crash("engine-2", &["fatal"]));
-    assert!(!registry.is_suspect(at(200), &sound));
-    assert!(!registry.is_suspect(at(200), &suspect("common", "new")));
-    assert!(registry.is_suspect(at(200), &suspect("common,fatal", "new")));
-    assert!(registry.is_suspect(at(200), &suspect("common,fatal", "engine-0-0")));
-}
