--- a/crates/carawaycleat-core/src/quarantine/registry.rs
+++ b/crates/carawaycleat-core/src/quarantine/registry.rs
@@ -11,9 +11,6 @@
 const MIN_CRASHES: usize = 3;
 /// The number of crashes right after the beginning of its response for which a request is quarantined.
 const MIN_CRASHES_AT_BEGINNING: usize = 2;
-/// The largest share, as a fraction, of the crashes of a quarantined part at which the same request had just begun. A
-/// request with a larger share is the more likely cause; one that was sent again has caused two crashes.
-const MAX_REQUEST_SHARE: (usize, usize) = (2, 3);
 /// The time for which a crash is remembered, and for which a cause is quarantined after the last crash that it explains.
 const CRASH_LIFETIME: time::Duration = time::Duration::from_secs(600);
 /// The time for which progress of a request shows that neither it nor the parts of its prompt caused a crash. A crash
@@ -224,90 +221,76 @@
             }
             self.records.pop_front();
         }
-        let mut unexplained: Vec<_> = self.records.iter().collect();
-        self.parts = infer_parts(&mut unexplained);
-        self.requests = infer_requests(&unexplained);
+        self.infer_requests();
+        self.infer_parts(now);
     }
-}
 
-/// Removes the crashes that parts of prompts explain, and returns these parts: the one that explains the most crashes,
-/// then the one that explains the most of the others, as long as it explains enough. Among equals the part furthest from
-/// the beginning of a prompt is taken, because fewer sound prompts share it.
-fn infer_parts(unexplained: &mut Vec<&Record>) -> Causes {
-    let mut causes = Causes::new();
-    while let Some(part) = find_part(unexplained) {
-        let explained = unexplained.iter().filter(|record| record.has_part(&part));
-        if let Some(last) = explained.map(|record| record.at).max() {
-            causes.insert(part.clone(), last + CRASH_LIFETIME);
+    /// Determines the quarantined requests: those that were in progress at enough crashes.
+    fn infer_requests(&mut self) {
+        self.requests.clear();
+        /// The crashes at which a request was in progress.
+        #[derive(Default)]
+        struct Count {
+            all: usize,
+            at_beginning: usize,
+            last: clock::Instant,
         }
-        unexplained.retain(|record| !record.has_part(&part));
-    }
-    causes
-}
-
-/// Returns the part that explains the most crashes, and enough of them.
-fn find_part(records: &[&Record]) -> Option<name::Name> {
-    let mut counts = collections::HashMap::<&name::Name, (usize, usize)>::new();
-    for record in records {
-        let parts: collections::HashMap<_, _> = record.parts().collect();
-        for (part, position) in parts {
-            let (count, furthest) = counts.entry(part).or_default();
-            *count += 1;
-            *furthest = position.max(*furthest);
+        let mut counts = collections::HashMap::<&name::Name, Count>::new();
+        for record in &self.records {
+            let mut seen = collections::HashMap::<&name::Name, bool>::new();
+            for suspect in &record.crash.suspects {
+                *seen.entry(&suspect.fingerprint).or_default() |= suspect.has_begun;
+            }
+            for (fingerprint, has_begun) in seen {
+                let count = counts.entry(fingerprint).or_default();
+                count.all += 1;
+                count.at_beginning += usize::from(has_begun);
+                count.last = count.last.max(record.at);
+            }
+        }
+        for (fingerprint, count) in counts {
+            if count.all >= MIN_CRASHES || count.at_beginning >= MIN_CRASHES_AT_BEGINNING {
+                self.requests
+                    .insert(fingerprint.clone(), count.last + CRASH_LIFETIME);
+            }
         }
     }
-    let counts = counts.into_iter().map(|(part, rank)| (rank, part));
-    let enough = counts.filter(|((count, _), part)| {
-        *count >= MIN_CRASHES && explains_more_than_requests(records, part, *count)
-    });
-    enough.max().map(|(_, part)| part.clone())
-}
 
-/// Returns whether a part explains its `count` crashes better than one of the requests that have it does.
-fn explains_more_than_requests(records: &[&Record], part: &name::Name, count: usize) -> bool {
-    let counts = count_crashes(records, |suspect| suspect.parts.contains(part));
-    counts.values().all(|request| {
-        request.all < count
-            && request.at_beginning * MAX_REQUEST_SHARE.1 <= count * MAX_REQUEST_SHARE.0
-    })
-}
-
-/// The crashes at which a request was in progress.
-#[derive(Default)]
-struct Count {
-    all: usize,
-    at_beginning: usize,
-    last: clock::Instant,
-}
-
-/// Counts the crashes of each request by its fingerprint, without the suspects that `is_counted` excludes.
-fn count_crashes<'a>(
-    records: &[&'a Record],
-    is_counted: impl Fn(&suspect::Suspect) -> bool,
-) -> collections::HashMap<&'a name::Name, Count> {
-    let mut counts = collections::HashMap::<_, Count>::new();
-    for record in records {
-        let mut seen = collections::HashMap::<_, bool>::new();
-        for suspect in record.crash.suspects.iter().filter(|s| is_counted(s)) {
-            *seen.entry(&suspect.fingerprint).or_default() |= suspect.has_begun;
+    /// Determines the quarantined parts: the part that explains the most crashes, then the one that explains the most of
+    /// the others, as long as it explains enough. All crashes that one quarantined request explains count as one, because
+    /// that request alone may be the cause. Among equals the part furthest from the beginning of a prompt is taken,
+    /// because fewer sound prompts share it.
+    fn infer_parts(&mut self, now: clock::Instant) {
+        self.parts.clear();
+        let mut explained_requests = collections::HashSet::new();
+        let mut unexplained = Vec::new();
+        for record in &self.records {
+            let request = record.find_request(&self.requests);
+            if request.is_none_or(|request| explained_requests.insert(request)) {
+                unexplained.push(record);
+            }
         }
-        for (fingerprint, has_begun) in seen {
-            let count = counts.entry(fingerprint).or_default();
-            count.all += 1;
-            count.at_beginning += usize::from(has_begun);
-            count.last = count.last.max(record.at);
+        loop {
+            let mut counts = collections::HashMap::<&name::Name, (usize, usize)>::new();
+            for record in &unexplained {
+                let parts: collections::HashMap<_, _> = record.parts().collect();
+                for (part, position) in parts {
+                    let (count, furthest) = counts.entry(part).or_default();
+                    *count += 1;
+                    *furthest = position.max(*furthest);
+                }
+            }
+            let best = counts.into_iter().map(|(part, rank)| (rank, part)).max();
+            let Some(((count, _), part)) = best else {
+                return;
+            };
+            if count < MIN_CRASHES {
+                return;
+            }
+            let explained = unexplained.iter().filter(|record| record.has_part(part));
+            let last = explained.map(|record| record.at).max().unwrap_or(now);
+            self.parts.insert(part.clone(), last + CRASH_LIFETIME);
+            unexplained.retain(|record| !record.has_part(part));
         }
     }
-    counts
-}
-
-/// Returns the requests that were in progress at enough crashes.
-fn infer_requests(records: &[&Record]) -> Causes {
-    let counts = count_crashes(records, |_| true).into_iter();
-    let enough = counts.filter(|(_, count)| {
-        count.all >= MIN_CRASHES || count.at_beginning >= MIN_CRASHES_AT_BEGINNING
-    });
-    let causes =
-        enough.map(|(fingerprint, count)| (fingerprint.clone(), count.last + CRASH_LIFETIME));
-    causes.collect()
 }
