Review: each script reads TROUBLE itself

The shared stand-ins read the variable before; now run.sh of each case does and passes it on. What a run does is unchanged.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -1007,9 +1007,9 @@
     }
 }
 
-/// Whether the disruption is to happen.
+/// Returns whether the disruption is to happen: unless the second argument, which the script takes from `TROUBLE`, is 0.
 pub fn with_trouble() -> bool {
-    std::env::var("TROUBLE").as_deref() != Ok("0")
+    std::env::args().nth(2).as_deref() != Some("0")
 }
 
 /// Returns the folder of the case, the first argument, and a new temporary folder.
