fix: end responses whose interim responses never end

Cause: the client skipped interim responses in a loop without a limit. Its reads were ready at once, so the loop never returned to the executor, whose only thread then ran no other task and no timer. The reader of bodies had the same loop over small chunks, which arrive faster than they are decoded.

Change: at most 16 interim responses precede a response, and every loop of the client over a socket yields after 64 KiB.

--- a/crates/carawaycleat-net/src/lib.rs
+++ b/crates/carawaycleat-net/src/lib.rs
@@ -8,6 +8,7 @@
 extern crate quick_error;
 
 mod body;
+mod budget;
 mod error;
 mod head;
 mod headers;
--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -6,6 +6,7 @@
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
 
+use crate::budget;
 use crate::error;
 use crate::head;
 use crate::limits;
@@ -19,6 +20,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// The maximum length of a body that is sent in one write with the head.
 const MAX_JOINED_BODY_BYTES: usize = 64 * 1024;
+/// The maximum number of interim responses, each with a head of at most [`limits::MAX_HEAD_BYTES`], before a response.
+const MAX_INTERIM_RESPONSES: usize = 16;
 
 /// Encodes the head of a request.
 ///
@@ -81,13 +84,16 @@
     } else {
         body
     };
+    let mut budget = budget::Budget::default();
     for mut part in [head, body] {
         while !part.is_empty() {
+            budget.turn().await;
             let length = stream.write(part).await?;
             if length == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
             *sent = true;
+            budget.spend(length);
             part = &part[length..];
         }
     }
@@ -102,17 +108,7 @@
     accepts_close_delimited: bool,
     is_first: bool,
 ) -> error::Result<reply::Reply> {
-    let mut bytes = Vec::new();
-    let (head, length) = loop {
-        match parse(&bytes)? {
-            Some((head, length)) if head.status >= 200 => break (head, length),
-            // An interim response, for example `100 Continue`.
-            Some((_, length)) => {
-                bytes.drain(..length);
-            }
-            None => receive(&stream, &mut bytes).await?,
-        }
-    };
+    let (head, length, bytes) = receive_head(&stream).await?;
     let no_body = is_head_request || matches!(head.status, 204 | 304);
     let framing = match head::framing(&head.headers).map_err(error::Error::malformed)? {
         _ if no_body => scanner::Framing::None,
@@ -148,6 +144,28 @@
     })
 }
 
+/// Receives until the head of the response is complete and skips interim responses, for example `100 Continue`. Returns
+/// the head, its length, and all bytes from its start on.
+async fn receive_head(
+    stream: &async_io::Async<net::TcpStream>,
+) -> error::Result<(Head, usize, Vec<u8>)> {
+    let mut bytes = Vec::new();
+    let mut interim_responses = 0;
+    loop {
+        match parse(&bytes)? {
+            Some((head, length)) if head.status >= 200 => return Ok((head, length, bytes)),
+            Some(_) if interim_responses == MAX_INTERIM_RESPONSES => {
+                return Err(error::Error::malformed("too many interim responses"));
+            }
+            Some((_, length)) => {
+                interim_responses += 1;
+                bytes.drain(..length);
+            }
+            None => receive(stream, &mut bytes).await?,
+        }
+    }
+}
+
 /// Returns how long the server keeps an idle connection, if the `keep-alive` header says so.
 fn keep_alive(headers: &crate::Headers) -> Option<time::Duration> {
     let value = headers.get("keep-alive")?;
--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -7,6 +7,7 @@
 
 use futures_lite::AsyncRead as _;
 
+use crate::budget;
 use crate::error;
 use crate::pool::idle;
 use crate::pool::source;
@@ -31,6 +32,7 @@
     is_close_delimited: bool,
     /// The read buffer.
     piece: Vec<u8>,
+    budget: budget::Budget,
 }
 
 impl fmt::Debug for Reader {
@@ -58,6 +60,7 @@
             failed: false,
             is_close_delimited,
             piece: Vec::new(),
+            budget: budget::Budget::default(),
         };
         if reader.body.is_none() {
             reader.end();
@@ -84,6 +87,7 @@
         let Some(body) = &mut self.body else {
             return Ok(None);
         };
+        self.budget.turn().await;
         if self.piece.is_empty() {
             self.piece.resize(INITIAL_PIECE_BYTES, 0);
         }
@@ -95,6 +99,7 @@
             }
             Ok(0) => Err(self.fail(io::ErrorKind::UnexpectedEof.into())),
             Ok(length) => {
+                self.budget.spend(length);
                 // An allocation of the exact size, because large numbers of pieces may wait in queues.
                 let bytes = self.piece[..length].to_vec();
                 if length == self.piece.len() && length < MAX_PIECE_BYTES {
--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -334,3 +334,46 @@
         assert_eq!(reply.expect("a response").status, 413);
     });
 }
+
+/// Guards against a server that sends without end and keeps the client's thread from everything else, its timeout too.
+#[yare::parameterized(
+    interim_responses = { b"", b"HTTP/1.1 100 C\r\n\r\n" },
+    head = { b"HTTP/1.1 200 OK\r\n", b"a: b\r\n" },
+    length = { b"HTTP/1.1 200 OK\r\ncontent-length: 999999999999\r\n\r\n", b"a" },
+    close_delimited = { b"HTTP/1.1 200 OK\r\n\r\n", b"a" },
+    small_chunks = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", b"1\r\na\r\n" },
+    trailers = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n" },
+)]
+fn endless_response_stops_no_other_task(start: &'static [u8], repeated: &'static [u8]) {
+    const TIMEOUT: time::Duration = time::Duration::from_millis(500);
+    let address = peer::endless(start, repeated);
+    let pause = peer::run(async |_| {
+        peer::longest_pause(async {
+            let pool = http::Pool::default().accept_close_delimited();
+            let request = http::Request::new("GET", "/");
+            let Ok(mut reply) = pool.send(address, request, TIMEOUT).await else {
+                return;
+            };
+            let read = async { while let Ok(Some(_)) = reply.body.next().await {} };
+            let expired = async {
+                async_io::Timer::after(TIMEOUT).await;
+            };
+            futures_lite::future::or(read, expired).await;
+        })
+        .await
+    });
+    assert!(pause < peer::ENDLESS / 2, "paused for {pause:?}");
+}
+
+/// Guards against a few interim responses that are taken for a server which never responds.
+#[test]
+fn reads_response_after_interim_responses() {
+    let interim = vec![b"HTTP/1.1 103 Early Hints\r\n\r\n".as_slice(); 16];
+    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc".as_slice();
+    peer::run(async |_| {
+        let address = peer::responding(vec![[interim, vec![response]].concat()]);
+        let reply = get(&http::Pool::default(), address).await;
+        let body = reply.expect("a response").bytes(10).await;
+        assert_eq!(body.expect("a body"), b"abc");
+    });
+}
--- a/crates/carawaycleat-net/tests/suite/peer.rs
+++ b/crates/carawaycleat-net/tests/suite/peer.rs
@@ -83,3 +83,41 @@
     });
     address
 }
+
+/// How long an endless peer sends.
+pub(crate) const ENDLESS: time::Duration = time::Duration::from_secs(3);
+
+/// Sends `repeated` until the other side closes the connection, for at most [`ENDLESS`].
+pub(crate) fn send_endlessly(mut stream: &net::TcpStream, repeated: &[u8]) {
+    let block = repeated.repeat(1 + 64 * 1024 / repeated.len());
+    let started = time::Instant::now();
+    while started.elapsed() < ENDLESS && stream.write_all(&block).is_ok() {}
+}
+
+/// Starts a peer that responds to one request with `start` and then with `repeated` without end.
+pub(crate) fn endless(start: &'static [u8], repeated: &'static [u8]) -> net::SocketAddr {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_until(&stream, "\r\n\r\n");
+        stream.write_all(start).expect("sent");
+        send_endlessly(&stream, repeated);
+    });
+    address
+}
+
+/// Runs `task` beside a timer on one thread, and returns the longest pause between two ticks of the timer.
+pub(crate) async fn longest_pause(task: impl Future<Output = ()>) -> time::Duration {
+    let mut last = time::Instant::now();
+    let mut longest = time::Duration::ZERO;
+    let ticks = async {
+        loop {
+            async_io::Timer::after(time::Duration::from_millis(5)).await;
+            longest = longest.max(last.elapsed());
+            last = time::Instant::now();
+        }
+    };
+    futures_lite::future::or(task, ticks).await;
+    longest.max(last.elapsed())
+}
