fix: yield while a caller sends without end

A caller that sends a body in chunks of one byte kept the server's only thread from all other callers, for as long as its max_body_bytes allow and it sends fast.

Cause: the same as for responses: a read that is ready at once does not yield. The loops over what is received, what is written, and what is discarded during and after a response had no budget, and the bytes that a caller sends during a streamed response were discarded without a limit.

Change: these loops yield after 64 KiB; at most 1 MiB is discarded during a streamed response.

server::endless_caller_stops_no_other_task failed before for small chunks (no other task for 3.1 s, as long as the caller sent) and passes now; its other four cases passed before as well.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -7,6 +7,7 @@
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
 
+use crate::budget;
 use crate::limits;
 use crate::request;
 use crate::response;
@@ -60,6 +61,7 @@
     guard: state::ConnectionGuard,
     /// Received bytes that no request has consumed yet.
     buffer: Vec<u8>,
+    budget: budget::Budget,
 }
 
 impl Connection {
@@ -75,6 +77,7 @@
             peer,
             guard,
             buffer: Vec::new(),
+            budget: budget::Budget::default(),
         }
     }
 
@@ -174,12 +177,22 @@
                 .await;
             Ok(0)
         };
-        match futures_lite::future::or(read(&self.stream, &mut self.buffer), idle).await? {
+        match futures_lite::future::or(self.read(), idle).await? {
             0 => Err(Stop::Close),
             _ => Ok(()),
         }
     }
 
+    /// Reads from the socket and appends to the buffer. Returns the number of bytes, 0 at the end of the connection.
+    async fn read(&mut self) -> io::Result<usize> {
+        self.budget.turn().await;
+        let mut bytes = [0; READ_BYTES];
+        let length = (&self.stream).read(&mut bytes).await?;
+        self.budget.spend(length);
+        self.buffer.extend_from_slice(&bytes[..length]);
+        Ok(length)
+    }
+
     async fn read_request(&mut self) -> Result<Incoming, Stop> {
         let limits = self.guard.state.limits();
         let head = futures_lite::future::or(self.read_head(&limits), async {
@@ -213,7 +226,7 @@
                 return Ok(head);
             }
             from = self.buffer.len();
-            if read(&self.stream, &mut self.buffer).await? == 0 {
+            if self.read().await? == 0 {
                 return Err(Stop::Close);
             }
         }
@@ -245,7 +258,7 @@
             if scanner.is_done() {
                 break;
             }
-            if read(&self.stream, &mut self.buffer).await? == 0 {
+            if self.read().await? == 0 {
                 return Err(Stop::Close);
             }
         }
@@ -316,10 +329,15 @@
     }
     let drain = async {
         let mut discard = [0; READ_BYTES];
+        let mut budget = budget::Budget::default();
         let mut total = 0;
         while total < MAX_LINGER_BYTES {
+            budget.turn().await;
             match stream.read(&mut discard).await {
-                Ok(length) if length > 0 => total += length,
+                Ok(length) if length > 0 => {
+                    budget.spend(length);
+                    total += length;
+                }
                 _ => return,
             }
         }
@@ -329,14 +347,3 @@
     };
     futures_lite::future::or(drain, timeout).await;
 }
-
-/// Reads from the socket and appends to `buffer`. Returns the number of bytes, 0 at the end of the connection.
-async fn read(
-    mut stream: &async_io::Async<net::TcpStream>,
-    buffer: &mut Vec<u8>,
-) -> io::Result<usize> {
-    let mut bytes = [0; READ_BYTES];
-    let length = stream.read(&mut bytes).await?;
-    buffer.extend_from_slice(&bytes[..length]);
-    Ok(length)
-}
--- a/crates/carawaycleat-net/src/server/encoder.rs
+++ b/crates/carawaycleat-net/src/server/encoder.rs
@@ -9,6 +9,7 @@
 use futures_lite::AsyncWriteExt as _;
 
 use crate::body;
+use crate::budget;
 use crate::response;
 use crate::server::peek;
 
@@ -18,6 +19,8 @@
 /// The minimum free buffer space for a read from the encoder, which returns the head of the response or one chunk with
 /// its framing.
 const MIN_SPACE_BYTES: usize = 512;
+/// How many bytes that a caller sends during a streamed response are read.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 
 /// Writes a response. Returns whether the connection can carry another request: not when the caller sent bytes during a
 /// streamed response, because they were discarded.
@@ -93,7 +96,9 @@
     idle_timeout: time::Duration,
 ) -> io::Result<()> {
     let mut buffer = vec![0; INITIAL_BUFFER_BYTES];
+    let mut budget = budget::Budget::default();
     loop {
+        budget.turn().await;
         let (filled, ended) =
             futures_lite::future::poll_fn(|context| fill(&mut encoder, &mut buffer, context))
                 .await?;
@@ -104,6 +109,7 @@
                 Err(io::ErrorKind::TimedOut.into())
             };
             futures_lite::future::or(write, timeout).await?;
+            budget.spend(filled);
         }
         if ended {
             return Ok(());
@@ -149,7 +155,8 @@
     }
 }
 
-/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded and counted.
+/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded and counted; after
+/// [`MAX_DISCARDED_BYTES`], nothing more is read, and a disconnect is no longer detected.
 async fn discard_until_disconnect(
     stream: &async_io::Async<net::TcpStream>,
     discarded: &mut usize,
@@ -160,10 +167,16 @@
     }
     let mut discard = [0; 512];
     let mut reader = stream;
-    loop {
+    let mut budget = budget::Budget::default();
+    while *discarded < MAX_DISCARDED_BYTES {
+        budget.turn().await;
         match reader.read(&mut discard).await? {
             0 => return Err(io::ErrorKind::ConnectionReset.into()),
-            length => *discarded += length,
+            length => {
+                budget.spend(length);
+                *discarded += length;
+            }
         }
     }
+    std::future::pending().await
 }
--- a/crates/carawaycleat-net/tests/suite/server.rs
+++ b/crates/carawaycleat-net/tests/suite/server.rs
@@ -3,6 +3,7 @@
 use std::io::Write as _;
 use std::net;
 use std::sync;
+use std::thread;
 
 use carawaycleat_net as http;
 
@@ -138,12 +139,12 @@
     let head = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\n";
     let stream = peer::connect(handle.local_address(), head);
     while handle.active_requests() == 0 {
-        std::thread::yield_now();
+        thread::yield_now();
     }
     let draining = handle.clone();
-    let drain = std::thread::spawn(move || futures_lite::future::block_on(draining.drain()));
+    let drain = thread::spawn(move || futures_lite::future::block_on(draining.drain()));
     while net::TcpStream::connect(handle.local_address()).is_ok() {
-        std::thread::yield_now();
+        thread::yield_now();
     }
     (&stream).write_all(b"abc").expect("sent");
     assert!(peer::read_all(&stream).ends_with("POST /x abc"));
@@ -174,11 +175,11 @@
     handle.abort();
     assert_eq!(peer::read_all(&busy), "");
     while handle.active_requests() > 0 {
-        std::thread::yield_now();
+        thread::yield_now();
     }
     drop(release);
     while net::TcpStream::connect(handle.local_address()).is_ok() {
-        std::thread::yield_now();
+        thread::yield_now();
     }
 }
 
@@ -213,3 +214,31 @@
         assert!(entries.is_empty(), "the handler was started");
     });
 }
+
+/// Guards against a caller that sends without end and keeps the server's thread from everything else.
+#[yare::parameterized(
+    during_stream = { b"GET /stream HTTP/1.1\r\nhost: a\r\n\r\n", b"a" },
+    head = { b"GET / HTTP/1.1\r\n", b"a: b\r\n" },
+    body = { b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 999999999999\r\n\r\n", b"a" },
+    small_chunks = { b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n", b"1\r\na\r\n" },
+    requests = { b"", b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" },
+)]
+fn endless_caller_stops_no_other_task(start: &'static [u8], repeated: &'static [u8]) {
+    let pause = peer::run(async |executor| {
+        let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+        let limits = http::Limits::default().max_body_bytes(1 << 30);
+        let handle = server.limits(limits).start(executor, |_| async {
+            let (writer, stream) = http::stream();
+            // The response does not end before its caller is gone.
+            std::mem::forget(writer);
+            http::Response::new(200).stream(stream)
+        });
+        let stream = peer::connect(handle.local_address(), start);
+        thread::spawn(move || peer::send_endlessly(&stream, repeated));
+        peer::longest_pause(async {
+            async_io::Timer::after(peer::ENDLESS / 3).await;
+        })
+        .await
+    });
+    assert!(pause < peer::ENDLESS / 2, "paused for {pause:?}");
+}
