fix: read the store's values at the pace of the link

Cause: the client of the store gave the whole body of a response 900 ms, however much of it had arrived. 0.84 MB of a configuration take that long in base64 at 10 Mbit/s, so that each read failed and began anew at the same point.

--- a/crates/carawaycleat-net/src/pool/reader.rs
+++ b/crates/carawaycleat-net/src/pool/reader.rs
@@ -9,6 +9,7 @@
 
 use crate::budget;
 use crate::error;
+use crate::pace;
 use crate::pool::idle;
 use crate::pool::source;
 
@@ -132,18 +133,29 @@
     pub async fn bytes(&mut self, limit: usize) -> error::Result<Vec<u8>> {
         let mut bytes = Vec::new();
         while let Some(piece) = self.next().await? {
-            if bytes.len() + piece.len() > limit {
-                return Err(error::Error::TooLong(limit));
-            }
-            if bytes.is_empty() {
-                bytes = piece;
-            } else {
-                bytes.extend_from_slice(&piece);
-            }
+            append(&mut bytes, piece, limit)?;
         }
         Ok(bytes)
     }
 
+    /// Returns the rest of the body, which must not arrive more slowly than `pace`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`error::Error::Timeout`] if the body arrives too slowly, and the errors of [`Reader::bytes`].
+    pub async fn bytes_at(&mut self, limit: usize, pace: pace::Pace) -> error::Result<Vec<u8>> {
+        let started = time::Instant::now();
+        let mut bytes = Vec::new();
+        loop {
+            let patience = pace.patience(started.elapsed(), bytes.len());
+            let patience = patience.ok_or(error::Error::Timeout)?;
+            match self.next_within(patience).await? {
+                Some(piece) => append(&mut bytes, piece, limit)?,
+                None => return Ok(bytes),
+            }
+        }
+    }
+
     pub(super) fn disable_reuse(&mut self) {
         self.recycler = None;
     }
@@ -173,6 +185,19 @@
     }
 }
 
+/// Appends a piece to a body that may have at most `limit` bytes.
+fn append(bytes: &mut Vec<u8>, piece: Vec<u8>, limit: usize) -> error::Result<()> {
+    if bytes.len() + piece.len() > limit {
+        return Err(error::Error::TooLong(limit));
+    }
+    if bytes.is_empty() {
+        *bytes = piece;
+    } else {
+        bytes.extend_from_slice(&piece);
+    }
+    Ok(())
+}
+
 /// Fills the buffer with the bytes that are available without waiting.
 fn fill(
     body: &mut Body,
--- a/crates/carawaycleat-net/src/pool/reply.rs
+++ b/crates/carawaycleat-net/src/pool/reply.rs
@@ -1,5 +1,6 @@
 use crate::error;
 use crate::headers;
+use crate::pace;
 use crate::pool::reader;
 
 /// A response received by a [`Pool`](crate::Pool).
@@ -26,6 +27,15 @@
         self.body.bytes(limit).await
     }
 
+    /// Returns the whole body, which must not arrive more slowly than `pace`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`reader::Reader::bytes_at`].
+    pub async fn bytes_at(mut self, limit: usize, pace: pace::Pace) -> error::Result<Vec<u8>> {
+        self.body.bytes_at(limit, pace).await
+    }
+
     /// Makes the connection close after this response.
     pub(super) fn without_reuse(mut self) -> Self {
         self.body.disable_reuse();
--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -377,3 +377,41 @@
         assert_eq!(body.expect("a body"), b"abc");
     });
 }
+
+/// Guards against a large body on a slow link that never arrives whole, and against a body that is waited for although it
+/// stands still or arrives a few bytes at a time. Each case has the pause between its pieces, their size and their number.
+#[yare::parameterized(
+    steady = { 20, 1_000, 60, true },
+    silent = { 400, 1_000, 2, false },
+    trickle = { 20, 1, 60, false },
+)]
+fn body_is_judged_by_its_pace(pause_ms: u64, bytes: usize, count: usize, arrives: bool) {
+    let pace = http::Pace {
+        max_silence: time::Duration::from_millis(300),
+        min_rate: 1_000,
+    };
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        peer::read_until(&stream, "\r\n\r\n");
+        let length = bytes * count;
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n"
+        )
+        .expect("sent");
+        for _ in 0..count {
+            thread::sleep(time::Duration::from_millis(pause_ms));
+            let _ = stream.write_all(&vec![b'a'; bytes]);
+        }
+    });
+    peer::run(async |_| {
+        let reply = get(&http::Pool::default(), address).await.expect("a head");
+        let body = reply.bytes_at(1 << 20, pace).await;
+        match body {
+            Ok(body) => assert!(arrives && body.len() == bytes * count),
+            Err(error) => assert!(!arrives && matches!(error, http::Error::Timeout), "{error}"),
+        }
+    });
+}
