fix: read responses of the product's store at the pace of the link

Change: the timeout applies to each pause in the body, which also has to arrive at 128 KiB a second.

outcome::a_large_listing_on_a_slow_link_is_read failed before (Unavailable(true, Timeout), 400 KB at about 0.8 MB a second, timeout of 300 ms) and passes now.

--- a/crates/carawaycleat-store/src/client.rs
+++ b/crates/carawaycleat-store/src/client.rs
@@ -10,6 +10,8 @@
 
 /// The maximum length of a response in bytes; a single value of the store has at most 1 MB.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
+/// The lowest rate of a body in bytes per second.
+const MIN_RATE: u32 = 128 * 1024;
 
 /// A client of the store.
 ///
@@ -27,8 +29,8 @@
 impl Client {
     /// Returns a client of the store at `endpoints`.
     ///
-    /// `timeout` limits connecting, sending and receiving the head of a response at each endpoint, and separately
-    /// receiving the body. The messages of a watch are not limited by it.
+    /// `timeout` limits connecting, sending and receiving the head of a response at each endpoint, and separately each
+    /// pause in the body, which also has to arrive at 128 KiB a second. The messages of a watch are not limited by it.
     ///
     /// # Panics
     ///
@@ -185,11 +187,11 @@
     }
 
     async fn read(&self, reply: net::Reply) -> crate::Result<Vec<u8>> {
-        let expired = async {
-            async_io::Timer::after(self.timeout).await;
-            Err(net::Error::Timeout)
+        let pace = net::Pace {
+            max_silence: self.timeout,
+            min_rate: MIN_RATE,
         };
-        let bytes = futures_lite::future::or(reply.bytes(MAX_RESPONSE_BYTES), expired).await;
+        let bytes = reply.bytes_at(MAX_RESPONSE_BYTES, pace).await;
         bytes.map_err(|error| crate::Error::Unavailable(true, error))
     }
 
--- a/crates/carawaycleat-store/tests/suite/fake.rs
+++ b/crates/carawaycleat-store/tests/suite/fake.rs
@@ -21,6 +21,8 @@
     Hang,
     /// Closes the connection in the middle of the response.
     Disconnect,
+    /// Sends the body in pieces of 16 KiB, with a pause of 20 ms before each.
+    Slow(Vec<u8>),
 }
 
 /// A running fake store.
@@ -56,6 +58,17 @@
                     writer.send(b"{".to_vec()).await.ok();
                     net::Response::new(200).stream(stream)
                 }
+                Behavior::Slow(body) => {
+                    let (writer, stream) = net::stream();
+                    thread::spawn(move || {
+                        for piece in body.chunks(16 * 1024) {
+                            thread::sleep(time::Duration::from_millis(20));
+                            futures_lite::future::block_on(writer.send(piece.to_vec())).ok();
+                        }
+                        writer.finish();
+                    });
+                    net::Response::new(200).stream(stream)
+                }
             }
         }
     });
--- a/crates/carawaycleat-store/tests/suite/outcome.rs
+++ b/crates/carawaycleat-store/tests/suite/outcome.rs
@@ -95,3 +95,15 @@
     };
     assert_eq!(listing, expected);
 }
+
+/// Guards against a large listing that fails whenever its transfer takes longer than a call may.
+#[test]
+fn a_large_listing_on_a_slow_link_is_read() {
+    let value = "YWFh".repeat(100_000);
+    let pair = format!(r#"{{"key":"YQ==","value":"{value}","mod_revision":"7","version":"1"}}"#);
+    let listing = format!(r#"{{"header":{{"revision":"7"}},"kvs":[{pair}]}}"#);
+    let fake = fake::start(move |_| fake::Behavior::Slow(listing.clone().into_bytes()));
+    let client = fake::client(&[fake.address]);
+    let found = future::block_on(client.list("/")).expect("a listing");
+    assert_eq!(found.pairs[0].value.len(), 300_000);
+}
