--- a/crates/carawaycleat-net/src/pace.rs
+++ b/crates/carawaycleat-net/src/pace.rs
@@ -1,5 +1,8 @@
 use std::time;
 
+/// The default of the lowest rate in bytes per second. A large body takes seconds on a slow link that requests share.
+const DEFAULT_MIN_RATE: u32 = 128 * 1024;
+
 /// How slowly a body may arrive.
 ///
 /// A limit on the time of the whole body would be a limit on its length, which depends on the rate of the link.
@@ -26,6 +29,15 @@
 }
 
 impl Pace {
+    /// Returns a pace with a lowest rate of 128 KiB a second.
+    #[must_use]
+    pub fn new(max_silence: time::Duration) -> Self {
+        Self {
+            max_silence,
+            min_rate: DEFAULT_MIN_RATE,
+        }
+    }
+
     /// Returns how long to wait for the next bytes when `received` bytes have arrived within `elapsed`; none if the body
     /// arrives too slowly.
     #[must_use]
--- a/crates/carawaycleat-store/src/client.rs
+++ b/crates/carawaycleat-store/src/client.rs
@@ -10,8 +10,6 @@
 
 /// The maximum length of a response in bytes; a single value of the store has at most 1 MB.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
-/// The lowest rate of a body in bytes per second.
-const MIN_RATE: u32 = 128 * 1024;
 
 /// A client of the store.
 ///
@@ -187,10 +185,7 @@
     }
 
     async fn read(&self, reply: net::Reply) -> crate::Result<Vec<u8>> {
-        let pace = net::Pace {
-            max_silence: self.timeout,
-            min_rate: MIN_RATE,
-        };
+        let pace = net::Pace::new(self.timeout);
         let bytes = reply.bytes_at(MAX_RESPONSE_BYTES, pace).await;
         bytes.map_err(|error| crate::Error::Unavailable(true, error))
     }
