fix: keep large changes off the coordinator's link

A coordinator passed changes of up to 512 KiB to all hosts over its own link: with 30 hosts 15 MB, 12 s at 10 Mbit/s, in which views and allowances wait too. Since responses of the coordinator have to arrive at a pace, such a transfer would also have failed and begun anew.

restoration::history_keeps_no_large_change tests the new limit.

--- a/crates/carawaycleat-core/src/coordinator/history.rs
+++ b/crates/carawaycleat-core/src/coordinator/history.rs
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug)]
 pub struct History<T> {
     max_bytes: usize,
+    max_change_bytes: usize,
     bytes: usize,
     /// All changes after this revision are kept; the lowest revision before the history begins.
     base_revision: revision::Revision,
@@ -34,6 +35,7 @@
     pub fn new(max_bytes: usize) -> Self {
         Self {
             max_bytes,
+            max_change_bytes: max_bytes,
             bytes: 0,
             base_revision: revision::Revision::default(),
             last_revision: revision::Revision::default(),
@@ -41,6 +43,14 @@
         }
     }
 
+    /// Keeps no change of more than `max_change_bytes`, nor any before it. Hosts that lack such a change read the store,
+    /// because passing it to all of them would take the coordinator's link for seconds.
+    #[must_use]
+    pub fn max_change_bytes(mut self, max_change_bytes: usize) -> Self {
+        self.max_change_bytes = max_change_bytes;
+        self
+    }
+
     /// Adds the changes up to revision `through` that are newer than those recorded, each with its revision and size in
     /// bytes.
     ///
@@ -61,6 +71,12 @@
             .into_iter()
             .filter(|(revision, ..)| known < *revision && *revision <= through);
         for (revision, change, size) in newer {
+            if size > self.max_change_bytes {
+                self.changes.clear();
+                self.bytes = 0;
+                self.base_revision = revision;
+                continue;
+            }
             self.bytes += size;
             self.changes.push_back((revision, change, size));
         }
--- a/crates/carawaycleat-core/tests/suite/restoration.rs
+++ b/crates/carawaycleat-core/tests/suite/restoration.rs
@@ -310,6 +310,23 @@
     assert_eq!(history.last_revision(), at(2, 108));
 }
 
+/// Guards against a coordinator that passes a value of a megabyte to all hosts over its own link, and against hosts that go
+/// on without a change that was not passed on.
+#[test]
+fn history_keeps_no_large_change() {
+    let at = |number| revision::Revision::new(1, number);
+    let mut history = coordinator::History::new(1_000).max_change_bytes(100);
+    history.extend(at(10), []);
+    history.extend(
+        at(13),
+        [(at(11), "a", 3), (at(12), "large", 101), (at(13), "b", 100)],
+    );
+    assert_eq!(history.last_revision(), at(13));
+    assert_eq!(history.since(at(11)), None, "the large change is missing");
+    assert_eq!(history.since(at(12)), Some(vec![&"b"]));
+    assert_eq!(history.since(at(13)), Some(Vec::new()));
+}
+
 /// Guards against a fencing token below that of an earlier coordinator.
 #[test]
 fn fencing_tokens_rise_across_eras() {
