fix: conclude the version of a stream only from a later read

A host that was out of step for a few seconds (cut off, standing still, or just later than the others) while upstreams of a new software version joined took up their streams at the only version it knew of, as other operators reported: the response held events of two versions.

Cause: a host took its copy of the entries for complete when it was confirmed within 1.5 s. What joined since, and began streams through other hosts, is not in that copy.

Change: a take-up that this host does not know reads the store's record of versions, and those of streams, after it arrived; only then is a single version concluded. So that the record is complete, streams begin at a version once it is recorded. A host waits for that at most 3 s, and not where the service has no record at all.

Failed before: relay_origin::host_that_is_out_of_step_does_not_conclude_from_what_it_knew (two cases, sent to the old version at once) and streams_begin_at_a_version_once_it_is_recorded (two cases); they pass now.

--- a/crates/carawaycleat-core/src/relay/effect.rs
+++ b/crates/carawaycleat-core/src/relay/effect.rs
@@ -17,7 +17,8 @@
     Report,
     /// Write records of streams to the store for other hosts.
     StoreStreams(Vec<super::StreamRecord>),
-    /// Read the records of streams of all hosts, which [`Event::StreamsRead`](super::Event::StreamsRead) returns.
+    /// Read the record of versions, and then the records of streams of all hosts, which
+    /// [`Event::StreamsRead`](super::Event::StreamsRead) returns.
     ReadStreams,
     /// Replace the store's record of the software versions in service. Only the coordinator's host writes it.
     StoreVersions(Vec<super::Origin>),
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -90,7 +90,8 @@
     CrashReported(Box<quarantine::Crash>),
     /// The coordinator has responded to a report.
     ViewReceived(Box<super::View>),
-    /// The records of streams of all hosts; none when the store could not be read.
+    /// The records of streams of all hosts; none when the store could not be read. The store's record of versions has been
+    /// read for the same request, and was passed on before as [`Event::VersionsStored`].
     StreamsRead(Option<Vec<super::StreamRecord>>),
     /// The store's record of the software versions in service; empty when there is none.
     VersionsStored(Vec<super::Origin>),
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -190,10 +190,11 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
-    /// Returns a selector over the upstreams of `service`.
+    /// Returns a selector over the upstreams of `service`, whose name is `name`.
     fn selector<'a>(
         &'a self,
         now: clock::Instant,
+        name: &name::Name,
         service: &'a config::Service,
     ) -> selection::Selector<'a> {
         selection::Selector {
@@ -203,6 +204,7 @@
             removal_grace: self.options.removal_grace,
             policy: self.options.policy,
             sequence: self.dispatches,
+            unrecorded: self.origins.unrecorded(now, name),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -58,7 +58,7 @@
             let retry_after = Some(end.since(now));
             return self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
         }
-        let selector = self.selector(now, &service);
+        let selector = self.selector(now, &request.service, &service);
         match selector.select(&self.upstreams, request) {
             selection::Selection::Upstream(upstream) => {
                 self.waiting.remove(&key);
--- a/crates/carawaycleat-core/src/relay/reducer/origin.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/origin.rs
@@ -28,10 +28,6 @@
 const MAX_READ_TIME: time::Duration = time::Duration::from_secs(2);
 /// The time after its first read for which a host does not rely on the versions in a store that was restored.
 const RESTORATION_DOUBT: time::Duration = time::Duration::from_secs(5);
-/// The age of the last confirmed read of the store up to which no other version than the known ones can have begun a
-/// stream.
-const MAX_VERSIONS_AGE: time::Duration = time::Duration::from_millis(1_500);
-
 /// What a host knows about the origins of streams.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Origins {
@@ -49,8 +45,6 @@
     read: Option<(clock::Instant, bool)>,
     /// Until when the known versions may lack one that the store has lost.
     doubted_until: clock::Instant,
-    /// When the first upstream became known.
-    first_seen: Option<clock::Instant>,
 }
 
 impl Origins {
@@ -68,21 +62,23 @@
         self.lifetime.max(self.previous_lifetime)
     }
 
-    /// Returns the only origin that a stream of a route may have; none when there are several, or none at all, or when
-    /// this host may have missed one because it started only recently and the store has no record of the versions.
-    fn only_origin<'a>(
-        &'a self,
+    /// Returns the versions of a service at which no stream may begin yet.
+    pub(super) fn unrecorded(
+        &self,
         now: clock::Instant,
-        route: &'a config::Route,
-    ) -> Option<&'a origin::Origin> {
-        let is_new = self
-            .first_seen
-            .is_none_or(|first_seen| now.since(first_seen) < self.lifetime());
+        service: &name::Name,
+    ) -> Vec<origin::Origin> {
+        self.versions.unrecorded(now, service)
+    }
+
+    /// Returns the only origin that a stream of a route may have; none when there are several, or when the store has no
+    /// record of one.
+    fn only_origin<'a>(&'a self, route: &'a config::Route) -> Option<&'a origin::Origin> {
         let targets = route.targets.iter();
         let mut origins = targets.flat_map(|target| self.versions.of(&target.service));
         let first = origins.next()?;
         let is_only = origins.all(|other| other == first);
-        (is_only && (!is_new || self.versions.is_stored(first))).then_some(first)
+        (is_only && self.versions.is_stored(first)).then_some(first)
     }
 }
 
@@ -108,8 +104,8 @@
 }
 
 impl super::Reducer {
-    /// Binds a take-up to the version that began its stream, or looks that up in the store, which delays its dispatch.
-    /// Breaks when the request is refused because the origin cannot be found.
+    /// Binds a take-up to the version that began its stream, or looks that up in the store, which delays its dispatch: what
+    /// this host has read before may be older than the stream. Breaks when the request is refused because the origin cannot be found.
     pub(super) fn find_origin(
         &mut self,
         now: clock::Instant,
@@ -126,21 +122,10 @@
         let own = stream.map_or(origin::Knowledge::Absent, |stream| {
             self.origins.registry.find(stream)
         });
-        let is_current = self
-            .confirmed
-            .is_some_and(|confirmed| now.since(confirmed) <= MAX_VERSIONS_AGE);
-        let may_conclude = is_current && now >= self.origins.doubted_until;
         match own {
             origin::Knowledge::Known(origin) => self.pin_to(now, id, origin, Source::Own, effects),
             origin::Knowledge::Ambiguous => self.refuse_unknown(now, id, effects),
             origin::Knowledge::Absent => {
-                let only = self.origins.only_origin(now, &request.route);
-                if let Some(origin) = only.filter(|_| may_conclude).cloned() {
-                    return self.pin_to(now, id, origin, Source::Single, effects);
-                }
-                if stream.is_none() {
-                    return self.refuse_unknown(now, id, effects);
-                }
                 request.stream.sought_since = Some(now);
                 self.origins.lookups.push(id);
                 self.read_streams(now, effects);
@@ -149,6 +134,14 @@
         }
     }
 
+    /// Returns the origin of a stream without a record, if there is only one that a stream of its route may have. The
+    /// record of versions must have been read after the take-up arrived.
+    fn single_origin(&self, now: clock::Instant, id: event::Id) -> Option<origin::Origin> {
+        let route = &self.requests.get(&id)?.route;
+        let only = self.origins.only_origin(route);
+        only.filter(|_| now >= self.origins.doubted_until).cloned()
+    }
+
     /// Binds a take-up to the version that began its stream. Refuses it and breaks if its route does not lead to the
     /// service any more.
     fn pin_to(
@@ -228,8 +221,10 @@
             .iter()
             .filter_map(|id| Some((*id, self.sought_stream(*id)?)))
             .collect();
+        let is_read = records.is_some();
         let mut found = collections::HashMap::<u64, Vec<&origin::Origin>>::new();
-        let streams: collections::HashSet<_> = sought.values().map(|(stream, _)| *stream).collect();
+        let streams = sought.values().filter_map(|(stream, _)| *stream);
+        let streams: collections::HashSet<_> = streams.collect();
         for record in records.unwrap_or_default() {
             if streams.contains(&record.stream) {
                 let origins = found.entry(record.stream).or_default();
@@ -242,16 +237,19 @@
             let Some((stream, since)) = sought.get(&id) else {
                 continue;
             };
-            match found.get(stream).map(Vec::as_slice) {
+            let origins = stream.and_then(|stream| found.get(&stream));
+            match origins.map(Vec::as_slice) {
                 Some([origin]) => {
                     let origin = (*origin).clone();
-                    let pinned = self.pin_to(now, id, origin, Source::Store, effects);
-                    if pinned.is_continue() && self.requests.get(&id).is_some_and(|r| r.has_tokens)
-                    {
-                        self.dispatch_or_queue(now, id, effects);
-                    }
+                    self.end_lookup(now, id, origin, Source::Store, effects);
                 }
                 None if *since > sent => self.origins.lookups.push(id),
+                None if is_read => match self.single_origin(now, id) {
+                    Some(origin) => self.end_lookup(now, id, origin, Source::Single, effects),
+                    None => {
+                        let _ = self.refuse_unknown(now, id, effects);
+                    }
+                },
                 Some(_) | None => {
                     let _ = self.refuse_unknown(now, id, effects);
                 }
@@ -260,10 +258,25 @@
         self.read_streams(now, effects);
     }
 
-    /// Returns the stream whose origin a request waits for, and since when.
-    fn sought_stream(&self, id: event::Id) -> Option<(u64, clock::Instant)> {
+    /// Binds a take-up to the version that a look-up found, and sends it if it has its tokens.
+    fn end_lookup(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        origin: origin::Origin,
+        source: Source,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let pinned = self.pin_to(now, id, origin, source, effects);
+        if pinned.is_continue() && self.requests.get(&id).is_some_and(|r| r.has_tokens) {
+            self.dispatch_or_queue(now, id, effects);
+        }
+    }
+
+    /// Returns the stream whose origin a request waits for, none when it does not name the stream, and since when.
+    fn sought_stream(&self, id: event::Id) -> Option<(Option<u64>, clock::Instant)> {
         let request = self.requests.get(&id)?;
-        let stream = request.stream.digest(&request.request_id)?;
+        let stream = request.stream.digest(&request.request_id);
         Some((stream, request.stream.sought_since?))
     }
 
@@ -346,7 +359,6 @@
             self.dispute_attempts(id, &current);
         }
         let service = current.service.clone();
-        self.origins.first_seen.get_or_insert(now);
         if self.origins.versions.record(now, current) {
             self.log_versions(&service, effects);
             self.update_recorded();
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -157,7 +157,7 @@
         let Some(service) = self.service_of(request).filter(|_| may_retry) else {
             return;
         };
-        let selector = self.selector(now, &service);
+        let selector = self.selector(now, &request.service, &service);
         let selection::Selection::Upstream(target) = selector.select(&self.upstreams, request)
         else {
             return;
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -1,6 +1,7 @@
 //! Selection of the upstream for a request.
 
 use super::config;
+use super::origin;
 use super::pending;
 use super::policy;
 use super::upstream;
@@ -35,6 +36,8 @@
     pub(super) policy: policy::Policy,
     /// A number that grows with each attempt sent; the position for [`policy::Routing::RoundRobin`].
     pub(super) sequence: u64,
+    /// The versions of the service at which no stream may begin.
+    pub(super) unrecorded: Vec<origin::Origin>,
 }
 
 impl Selector<'_> {
@@ -146,6 +149,7 @@
         upstream.registration.service == request.service
             && upstream.accepts_requests(self.now, self.removal_grace)
             && request.stream.permits(&upstream.registration)
+            && !self.is_unrecorded(upstream, request)
             && request
                 .model
                 .as_ref()
@@ -153,6 +157,16 @@
                 .is_none_or(|model| upstream.can_serve(self.now, model, request.adapter.as_ref()))
     }
 
+    /// Returns whether a request would begin a stream at a version at which none may begin yet.
+    fn is_unrecorded(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
+        let registration = &upstream.registration;
+        request.route.kind == config::Kind::Streaming
+            && request.stream.pin == origin::Pin::Free
+            && self.unrecorded.iter().any(|origin| {
+                origin.version == registration.version && origin.service == registration.service
+            })
+    }
+
     /// Returns the cost of sending a request to an upstream. `fastest` is the lowest mean latency in seconds.
     fn cost(&self, upstream: &upstream::Upstream, fastest: f64) -> f64 {
         let slots = self.slots(upstream);
--- a/crates/carawaycleat-core/tests/suite/relay_origin.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_origin.rs
@@ -256,7 +256,7 @@
     }
 }
 
-/// Guards against a take-up that is delayed or refused, and against records that are written, where there is one version.
+/// Guards against a take-up that is refused, and against records that are written, where there is one version.
 #[yare::parameterized(named = { Some("first") }, unnamed = { None })]
 fn service_with_one_version_needs_no_records(stream: Option<&str>) {
     let mut harness = harness(&[OLD]);
@@ -264,9 +264,82 @@
     harness.feed(relay::Event::VersionsStored(vec![origin(OLD)]));
     begin(&mut harness, "running");
     let id = harness.arrive(take_up(stream));
+    feed_read(&mut harness, &[OLD], Vec::new());
     assert!(harness.is_sent(id));
     harness.advance(relay_fake::millis(300));
-    assert_eq!((harness.stream_reads, harness.stored_streams.len()), (0, 0));
+    assert_eq!((harness.stream_reads, harness.stored_streams.len()), (1, 0));
+}
+
+/// Feeds what a host reads from the store for a take-up.
+fn feed_read(
+    harness: &mut relay_fake::Harness,
+    versions: &[&str],
+    records: Vec<relay::StreamRecord>,
+) {
+    let versions = versions.iter().map(|version| origin(version)).collect();
+    harness.feed(relay::Event::VersionsStored(versions));
+    harness.feed(relay::Event::StreamsRead(Some(records)));
+}
+
+/// Guards against a host that was out of step while upstreams of a new version joined, and that goes on with their streams
+/// at the only version it knows of.
+#[yare::parameterized(
+    with_record = { vec![record("first", NEW)], "no_upstream" },
+    without_record = { Vec::new(), "unknown_origin" },
+)]
+fn host_that_is_out_of_step_does_not_conclude_from_what_it_knew(
+    records: Vec<relay::StreamRecord>,
+    reason: &str,
+) {
+    let mut harness = harness(&[OLD]);
+    harness.feed(relay::Event::VersionsStored(vec![origin(OLD)]));
+    let id = harness.arrive(take_up(Some("first")));
+    assert!(harness.last_command(id).is_none());
+    feed_read(&mut harness, &[OLD, NEW], records);
+    harness.advance(relay_fake::millis(25));
+    assert_refused(&harness, id, reason);
+}
+
+/// Guards against streams that begin at a version of which the store has no record, so that a host that is out of step takes
+/// them for streams of another version, and against waiting for such a record for ever.
+#[yare::parameterized(recorded = { true }, never_recorded = { false })]
+fn streams_begin_at_a_version_once_it_is_recorded(is_recorded: bool) {
+    let mut harness = harness(&[OLD]);
+    harness.feed(relay::Event::VersionsStored(vec![origin(OLD)]));
+    harness.register(registration(NEW, NEW));
+    let begins_at = |harness: &mut relay_fake::Harness, version: &str| {
+        let ids: Vec<_> = (0..3)
+            .map(|n| harness.arrive(request(&format!("{version}-{n}"))))
+            .collect();
+        let found = ids.iter().any(|id| harness.upstream(*id) == version);
+        for id in ids {
+            harness.feed(relay::Event::CallerDisconnected(id));
+        }
+        found
+    };
+    assert!(!begins_at(&mut harness, NEW));
+    if is_recorded {
+        harness.feed(relay::Event::VersionsStored(vec![origin(OLD), origin(NEW)]));
+    } else {
+        harness.advance(time::Duration::from_secs(3));
+    }
+    assert!(begins_at(&mut harness, NEW));
+}
+
+/// Guards against requests that are no streams and wait for a record of a version.
+#[test]
+fn other_requests_do_not_wait_for_a_record() {
+    let mut harness = relay_fake::Harness::new();
+    harness.feed(relay::Event::VersionsStored(vec![relay::Origin {
+        service: relay_fake::name("plain"),
+        version: Some(relay_fake::name(OLD)),
+    }]));
+    harness.register(relay::Registration {
+        version: Some(relay_fake::name(NEW)),
+        ..relay_fake::registration("one", "plain", &[])
+    });
+    let id = harness.arrive(relay_fake::request("/read/1"));
+    assert!(harness.is_sent(id));
 }
 
 /// Guards against a version that counts as in service long after all of its streams have ended, or too short.
@@ -279,6 +352,7 @@
     assert!(harness.last_command(early).is_none());
     harness.advance(time::Duration::from_secs(30));
     let late = harness.arrive(take_up(Some("first")));
+    feed_read(&mut harness, &[NEW], Vec::new());
     assert_eq!(harness.upstream(late), NEW);
 }
 
@@ -322,6 +396,7 @@
     harness.feed(relay::Event::StreamsRead(Some(vec![record("first", OLD)])));
     assert!(!harness.is_sent(id));
     let unnamed = harness.arrive(take_up(None));
+    feed_read(&mut harness, &[], Vec::new());
     assert_refused(&harness, unnamed, "unknown_origin");
 }
 
@@ -343,6 +418,7 @@
     assert_refused(&harness, early, "unknown_origin");
     harness.advance(relay_fake::millis(5_100));
     let late = harness.arrive(take_up(Some("first")));
+    feed_read(&mut harness, &[OLD], Vec::new());
     assert!(harness.is_sent(late));
 }
 
