fix: accept announced idle times of any length

A `Keep-Alive` time of 19 digits made the task of a request panic, and its caller got no answer.

Cause: the time was multiplied before it was limited, which overflows a duration.

Change: it is limited first. client::survives_a_long_keep_alive_time failed before (both cases: overflow when multiplying duration by scalar) and passes now.

--- a/crates/carawaycleat-net/src/pool/idle.rs
+++ b/crates/carawaycleat-net/src/pool/idle.rs
@@ -27,7 +27,7 @@
     fn is_usable(&self, max_idle: time::Duration) -> bool {
         let usable = self
             .keep_alive
-            .map(|keep_alive| keep_alive * KEEP_ALIVE_PERCENT / 100);
+            .map(|keep_alive| keep_alive.min(MAX_IDLE_TIME * 100) * KEEP_ALIVE_PERCENT / 100);
         let limit = usable.map_or(max_idle, |usable| usable.min(max_idle));
         self.since.elapsed() < limit && is_open(&self.connection)
     }
--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -415,3 +415,21 @@
         }
     });
 }
+
+/// Guards against a panic on an announced idle time that is longer than a duration can be.
+#[yare::parameterized(
+    nineteen_digits = { b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=9999999999999999999\r\ncontent-length: 1\r\n\r\na" },
+    largest = { b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=18446744073709551615\r\ncontent-length: 1\r\n\r\na" },
+)]
+fn survives_a_long_keep_alive_time(response: &'static [u8]) {
+    peer::run(async |_| {
+        let address = peer::responding(vec![vec![response]; 2]);
+        let pool = http::Pool::default();
+        for _ in 0..2 {
+            let reply = get(&pool, address).await.expect("a response");
+            assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
+            // The peer closes the connection a short time after its response.
+            async_io::Timer::after(time::Duration::from_millis(100)).await;
+        }
+    });
+}
