fix: close idle connections to servers that have left

Cause: the pool looked at idle connections only when a request was sent to the same address, which no request is once its engine has left.

Change: the pool closes idle connections that cannot be used any more at all addresses, every 5 s.

--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -16,6 +16,9 @@
 pub use reader::Reader;
 pub use reply::Reply;
 
+/// The default time between two searches for idle connections that cannot be used any more.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
 /// An HTTP client with a connection pool. Clones share the pool.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -39,10 +42,23 @@
         Self {
             connect_timeout,
             accepts_close_delimited: false,
-            idle: sync::Arc::new(idle::Idle::new(max_idle_connections)),
+            idle: sync::Arc::new(idle::Idle::new(max_idle_connections, SWEEP_INTERVAL)),
         }
     }
 
+    /// Sets how often idle connections that cannot be used any more are closed, 5 s by default.
+    #[must_use]
+    pub fn sweep_interval(mut self, interval: time::Duration) -> Self {
+        self.idle = sync::Arc::new(idle::Idle::new(self.idle.max_per_address(), interval));
+        self
+    }
+
+    /// Returns the number of idle connections, which are open descriptors.
+    #[must_use]
+    pub fn idle_connections(&self) -> usize {
+        self.idle.len()
+    }
+
     /// Accepts responses without a length, whose body ends when the connection is closed. An orderly close ends such a
     /// body; a connection reset makes it fail.
     #[must_use]
--- a/crates/carawaycleat-net/src/pool/idle.rs
+++ b/crates/carawaycleat-net/src/pool/idle.rs
@@ -37,17 +37,38 @@
 #[derive(Debug)]
 pub(super) struct Idle {
     max_per_address: usize,
-    connections: sync::Mutex<Connections>,
+    sweep_interval: time::Duration,
+    state: sync::Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    connections: Connections,
+    /// When unusable connections were last searched for.
+    swept_at: time::Instant,
 }
 
 impl Idle {
-    pub(super) fn new(max_per_address: usize) -> Self {
+    pub(super) fn new(max_per_address: usize, sweep_interval: time::Duration) -> Self {
+        let state = State {
+            connections: Connections::new(),
+            swept_at: time::Instant::now(),
+        };
         Self {
             max_per_address,
-            connections: sync::Mutex::default(),
+            sweep_interval,
+            state: sync::Mutex::new(state),
         }
     }
 
+    pub(super) fn max_per_address(&self) -> usize {
+        self.max_per_address
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.lock().connections.values().map(Vec::len).sum()
+    }
+
     /// Removes and returns the most recently used connection that the server has not closed and that was idle for less
     /// than `max_idle`.
     pub(super) fn take(
@@ -55,7 +76,7 @@
         address: net::SocketAddr,
         max_idle: time::Duration,
     ) -> Option<Connection> {
-        let mut connections = self.lock();
+        let connections = &mut self.lock().connections;
         let entries = connections.get_mut(&address)?;
         let max_idle = max_idle.min(MAX_IDLE_TIME);
         let mut taken = None;
@@ -82,24 +103,39 @@
         keep_alive: Option<time::Duration>,
         connection: Connection,
     ) {
-        let mut connections = self.lock();
-        let entries = connections.entry(address).or_default();
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        if now.duration_since(state.swept_at) >= self.sweep_interval {
+            state.swept_at = now;
+            state.sweep();
+        }
+        let entries = state.connections.entry(address).or_default();
         if entries.len() < self.max_per_address {
             entries.push(Entry {
-                since: time::Instant::now(),
+                since: now,
                 keep_alive,
                 connection,
             });
         }
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, Connections> {
-        self.connections
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
+impl State {
+    /// Closes the connections that cannot be used any more. No request finds those to a server that has left.
+    fn sweep(&mut self) {
+        self.connections.retain(|_, entries| {
+            entries.retain(|entry| entry.is_usable(MAX_IDLE_TIME));
+            !entries.is_empty()
+        });
+    }
+}
+
 /// Returns whether the server has neither closed the connection nor sent unsolicited bytes.
 fn is_open(connection: &Connection) -> bool {
     matches!(connection.get_ref().peek(&mut [0]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -433,3 +433,21 @@
         }
     });
 }
+
+/// Guards against connections to servers that have left, which stay open for ever and use up the descriptors.
+#[test]
+fn closes_idle_connections_to_servers_that_have_left() {
+    let response: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+    peer::run(async |_| {
+        let pool = http::Pool::default().sweep_interval(time::Duration::ZERO);
+        for _ in 0..50 {
+            let address = peer::responding(vec![vec![response]]);
+            let reply = get(&pool, address).await.expect("a response");
+            assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
+            // The peer closes the connection a short time after its response.
+            async_io::Timer::after(time::Duration::from_millis(30)).await;
+        }
+        let idle = pool.idle_connections();
+        assert!(idle < 5, "{idle} connections are idle");
+    });
+}
