fix: take in bodies only where the memory has room

58 callers with bodies of 4 MB, within max_body_bytes, took a host over its 260 MB.

Cause: the number of requests and the length of each body had limits, but not their product.

Change: bodies of requests share the account of memory with those of responses. Twice the length is reserved before a body is read; where too little is left the request is refused at once with 503 as not run.

--- a/crates/carawaycleat-net/src/limits.rs
+++ b/crates/carawaycleat-net/src/limits.rs
@@ -1,5 +1,7 @@
 use std::time;
 
+use crate::memory;
+
 /// The default maximum length of a request head in bytes, and the longest response head that `async-h1` decodes.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
@@ -21,6 +23,7 @@
     pub(crate) max_requests: usize,
     pub(crate) idle_timeout: time::Duration,
     pub(crate) header_timeout: time::Duration,
+    pub(crate) memory: Option<memory::Memory>,
 }
 
 impl Default for Limits {
@@ -32,6 +35,7 @@
             max_requests: 2048,
             idle_timeout: time::Duration::from_secs(60),
             header_timeout: time::Duration::from_secs(60),
+            memory: None,
         }
     }
 }
@@ -80,4 +84,13 @@
         self.header_timeout = timeout;
         self
     }
+
+    /// Sets the account of memory for the bodies of requests, from their arrival until their responses are written. A
+    /// request for which it has too little left is refused with status 503. Twice the length of a body is reserved, for
+    /// the body and for a copy that is passed on.
+    #[must_use]
+    pub fn memory(mut self, memory: memory::Memory) -> Self {
+        self.memory = Some(memory);
+        self
+    }
 }
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -205,11 +205,16 @@
             return Err(refusal::Refusal::BODY_TOO_LARGE.into());
         }
         // The request is counted before its body is read, so that the limit also bounds the memory used by bodies.
-        let Some(active) = state::RequestGuard::new(&self.guard.state) else {
+        let Some(mut active) = state::RequestGuard::new(&self.guard.state) else {
             return Err(refusal::Refusal::TOO_MANY_REQUESTS.into());
         };
         let (method, close) = (head.method, head.close);
-        let mut request = self.read_body(head).await?;
+        if let scanner::Framing::Length(length) = head.framing
+            && !active.reserve(usize::try_from(length).unwrap_or(usize::MAX))
+        {
+            return Err(refusal::Refusal::NO_MEMORY.into());
+        }
+        let mut request = self.read_body(head, &mut active).await?;
         request.peer = Some(self.peer);
         Ok(Incoming {
             request,
@@ -232,7 +237,11 @@
         }
     }
 
-    async fn read_body(&mut self, head: incoming::Head) -> Result<request::Request, Stop> {
+    async fn read_body(
+        &mut self,
+        head: incoming::Head,
+        active: &mut state::RequestGuard,
+    ) -> Result<request::Request, Stop> {
         let limits = self.guard.state.limits();
         let mut scanner = scanner::Scanner::new(head.framing);
         let mut end = head.length;
@@ -252,6 +261,10 @@
                 trailers
             };
             end += scan.consumed;
+            // The framing of chunks is kept with the body.
+            if head.framing == scanner::Framing::Chunked && !active.reserve(scan.consumed) {
+                return Err(refusal::Refusal::NO_MEMORY.into());
+            }
             if scanner.body_bytes > limits.max_body_bytes as u64 {
                 return Err(refusal::Refusal::BODY_TOO_LARGE.into());
             }
--- a/crates/carawaycleat-net/src/server/refusal.rs
+++ b/crates/carawaycleat-net/src/server/refusal.rs
@@ -17,6 +17,8 @@
         Self::new(503, "queue_full", "too many connections");
     pub(super) const TOO_MANY_REQUESTS: Self =
         Self::new(503, "queue_full", "too many requests in progress");
+    pub(super) const NO_MEMORY: Self =
+        Self::new(503, "queue_full", "no memory is left for the body");
     pub(super) const TOO_SLOW: Self =
         Self::new(408, "invalid_request", "the request arrived too slowly");
 
--- a/crates/carawaycleat-net/src/server/state.rs
+++ b/crates/carawaycleat-net/src/server/state.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic;
 
 use crate::limits;
+use crate::memory;
 use crate::request;
 use crate::server::counts;
 use crate::server::observer;
@@ -11,6 +12,9 @@
 /// response.
 const MAX_REFUSALS: usize = 256;
 
+/// The memory that a request takes in terms of its body: the body and a copy that is passed on.
+const BODY_COPIES: usize = 2;
+
 /// A channel without messages; it is closed to give the signal.
 pub(super) type Signal = async_channel::Receiver<convert::Infallible>;
 
@@ -210,7 +214,11 @@
 
 /// Counts a request as in progress until it is dropped.
 #[derive(Debug)]
-pub(super) struct RequestGuard(sync::Arc<State>);
+pub(super) struct RequestGuard {
+    state: sync::Arc<State>,
+    /// The memory of the body.
+    reservation: Option<memory::Reservation>,
+}
 
 impl RequestGuard {
     /// Counts a request; returns none if too many are in progress.
@@ -219,12 +227,30 @@
             state.queue_full.fetch_add(1, atomic::Ordering::Relaxed);
             return None;
         }
-        Some(Self(state.clone()))
+        let memory = state.limits().memory;
+        Some(Self {
+            state: state.clone(),
+            reservation: memory.map(|memory| memory.reservation()),
+        })
+    }
+
+    /// Reserves memory for further bytes of the body and for their copy. Returns false if too little is left.
+    pub(super) fn reserve(&mut self, bytes: usize) -> bool {
+        let Some(reservation) = &mut self.reservation else {
+            return true;
+        };
+        let is_reserved = reservation.grow(bytes.saturating_mul(BODY_COPIES));
+        if !is_reserved {
+            self.state
+                .queue_full
+                .fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        is_reserved
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.release(&self.0.active);
+        self.state.release(&self.state.active);
     }
 }
