fix: keep the pause of an engine whose entry lapses

Cause: a host dropped the pause with the entry, although it belongs to the process.

Change: a host remembers the pause of a process whose entry is gone until it is over.

relay_pause::pause_outlives_the_entry_of_its_process failed before (same_process) and passes now.

--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -19,6 +19,7 @@
 use super::effect;
 use super::event;
 use super::options;
+use super::pause;
 use super::pending;
 use super::refusal;
 use super::restoration;
@@ -78,6 +79,8 @@
     store_regained: Option<clock::Instant>,
     restoration: restoration::Restoration,
     departures: departure::Departures,
+    /// The pauses of upstreams whose entries are gone.
+    pauses: pause::Pauses,
     upstreams: upstream::Table,
     requests: collections::HashMap<event::Id, pending::Pending>,
     /// The requests that wait for an upstream, the most urgent first.
@@ -128,6 +131,7 @@
             store_regained: None,
             restoration: restoration::Restoration::default(),
             departures: departure::Departures::default(),
+            pauses: pause::Pauses::default(),
             upstreams: upstream::Table::new(),
             requests: collections::HashMap::new(),
             waiting: collections::BTreeSet::new(),
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -155,8 +155,11 @@
                     .with("state", registration.state.as_str())
                     .with("service", &registration.service);
                 effects.push(super::record(decision));
-                self.upstreams
-                    .insert(id.clone(), upstream::Upstream::new(registration));
+                let mut entry = upstream::Upstream::new(registration);
+                if let Some(until) = self.pauses.take(&id, started) {
+                    entry.pause_until(until);
+                }
+                self.upstreams.insert(id.clone(), entry);
             }
         }
         if let Some(entry) = self.upstreams.get_mut(&id) {
@@ -197,13 +200,18 @@
     /// Remembers the upstreams that have left, and drops those without requests in progress.
     pub(super) fn record_departures(&mut self, now: clock::Instant) {
         let removal_grace = self.options.removal_grace;
+        self.pauses.forget(now);
         self.upstreams.retain(|id, entry| {
             let has_left = entry.has_left(now, removal_grace);
             if has_left {
                 self.restoration
                     .record_departure(id, entry.registration.started);
             }
-            entry.own_requests > 0 || !has_left
+            let is_kept = entry.own_requests > 0 || !has_left;
+            if let Some(until) = entry.paused_until(now).filter(|_| !is_kept) {
+                self.pauses.record(id, entry.registration.started, until);
+            }
+            is_kept
         });
     }
 
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -373,15 +373,19 @@
         (now < self.paused_until).then_some(self.paused_until)
     }
 
-    /// Records that it asked for a pause, which ends `spread` later here. The latest end holds. The first request after it
-    /// shows whether others may follow.
+    /// Records that it asked for a pause, which ends `spread` later here.
     pub(super) fn record_pause(
         &mut self,
         now: clock::Instant,
         pause: time::Duration,
         spread: time::Duration,
     ) {
-        self.paused_until = self.paused_until.max(now + pause + spread);
+        self.pause_until(now + pause + spread);
+    }
+
+    /// Sends nothing until `until`, or the end of a longer pause. The first request after it shows whether others may follow.
+    pub(super) fn pause_until(&mut self, until: clock::Instant) {
+        self.paused_until = self.paused_until.max(until);
         self.concurrency_limit = 1.0;
     }
 
--- a/crates/carawaycleat-core/tests/suite/relay_pause.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_pause.rs
@@ -140,3 +140,27 @@
     assert!(retry_after >= relay_fake::millis(20_000), "{retry_after:?}");
     assert!(retry_after <= relay_fake::millis(20_500), "{retry_after:?}");
 }
+
+/// Guards against a host that forgets a pause when the entry of the upstream lapses and comes back, and against a later
+/// process that has to keep to the pause of an earlier one.
+#[yare::parameterized(
+    same_process = { 1, true },
+    later_process = { 2, false },
+)]
+fn pause_outlives_the_entry_of_its_process(started: u64, is_kept: bool) {
+    let entry = |started| relay::Registration {
+        started,
+        ..relay_fake::registration("one", "models", &["small"])
+    };
+    let mut harness = harness("host-1", &[]);
+    harness.register(entry(1));
+    let id = harness.arrive(relay_fake::request("/live/1"));
+    turn_away(&mut harness, id, relay_fake::millis(10_000));
+    harness.feed(relay::Event::CallerDisconnected(id));
+    let removed = relay_fake::registration("one", "models", &[]).id;
+    harness.feed(relay::Event::UpstreamRemoved(removed));
+    harness.advance(relay_fake::millis(2_000));
+    harness.register(entry(started));
+    let waited = time_until_sent_to(&mut harness, "one");
+    assert_eq!(waited >= relay_fake::millis(8_000), is_kept, "{waited:?}");
+}
