--- a/crates/carawaycleat-core/src/relay/reducer/origin.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/origin.rs
@@ -105,7 +105,8 @@
 
 impl super::Reducer {
     /// Binds a take-up to the version that began its stream, or looks that up in the store, which delays its dispatch: what
-    /// this host has read before may be older than the stream. Breaks when the request is refused because the origin cannot be found.
+    /// this host has read before may be older than the stream. Breaks when the request is refused because the origin cannot
+    /// be found.
     pub(super) fn find_origin(
         &mut self,
         now: clock::Instant,
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -383,7 +383,8 @@
         self.pause_until(now + pause + spread);
     }
 
-    /// Sends nothing until `until`, or the end of a longer pause. The first request after it shows whether others may follow.
+    /// Sends nothing until `until`, or the end of a longer pause. The first request after it shows whether others may
+    /// follow.
     pub(super) fn pause_until(&mut self, until: clock::Instant) {
         self.paused_until = self.paused_until.max(until);
         self.concurrency_limit = 1.0;
