--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -381,13 +381,13 @@
 /// Guards against a large body on a slow link that never arrives whole, and against a body that is waited for although it
 /// stands still or arrives a few bytes at a time. Each case has the pause between its pieces, their size and their number.
 #[yare::parameterized(
-    steady = { 20, 1_000, 60, true },
-    silent = { 400, 1_000, 2, false },
-    trickle = { 20, 1, 60, false },
+    steady = { 20, 1_000, 150, true },
+    silent = { 4_000, 1_000, 2, false },
+    trickle = { 20, 1, 300, false },
 )]
 fn body_is_judged_by_its_pace(pause_ms: u64, bytes: usize, count: usize, arrives: bool) {
     let pace = http::Pace {
-        max_silence: time::Duration::from_millis(300),
+        max_silence: time::Duration::from_secs(2),
         min_rate: 1_000,
     };
     let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
@@ -422,14 +422,20 @@
     largest = { b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=18446744073709551615\r\ncontent-length: 1\r\n\r\na" },
 )]
 fn survives_a_long_keep_alive_time(response: &'static [u8]) {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        for _ in 0..2 {
+            peer::read_until(&stream, "\r\n\r\n");
+            stream.write_all(response).expect("sent");
+        }
+    });
     peer::run(async |_| {
-        let address = peer::responding(vec![vec![response]; 2]);
         let pool = http::Pool::default();
         for _ in 0..2 {
             let reply = get(&pool, address).await.expect("a response");
             assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
-            // The peer closes the connection a short time after its response.
-            async_io::Timer::after(time::Duration::from_millis(100)).await;
         }
     });
 }
@@ -437,17 +443,25 @@
 /// Guards against connections to servers that have left, which stay open for ever and use up the descriptors.
 #[test]
 fn closes_idle_connections_to_servers_that_have_left() {
+    const SERVERS: usize = 50;
     let response: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
     peer::run(async |_| {
         let pool = http::Pool::default().sweep_interval(time::Duration::ZERO);
-        for _ in 0..50 {
+        let begun = time::Instant::now();
+        for server in 0.. {
             let address = peer::responding(vec![vec![response]]);
             let reply = get(&pool, address).await.expect("a response");
             assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
-            // The peer closes the connection a short time after its response.
+            // The peers close their connections a short time after their responses.
             async_io::Timer::after(time::Duration::from_millis(30)).await;
+            let idle = pool.idle_connections();
+            if server >= SERVERS && idle < 5 {
+                break;
+            }
+            assert!(
+                begun.elapsed() < peer::TIMEOUT,
+                "{idle} of {server} are idle"
+            );
         }
-        let idle = pool.idle_connections();
-        assert!(idle < 5, "{idle} connections are idle");
     });
 }
--- a/crates/carawaycleat-store/tests/suite/outcome.rs
+++ b/crates/carawaycleat-store/tests/suite/outcome.rs
@@ -1,7 +1,9 @@
 //! Errors say correctly whether a write may have run, and calls fail over between endpoints accordingly.
 
 use std::sync::atomic;
+use std::time;
 
+use carawaycleat_net as net;
 use carawaycleat_store as store;
 use futures_lite::future;
 
@@ -99,11 +101,12 @@
 /// Guards against a large listing that fails whenever its transfer takes longer than a call may.
 #[test]
 fn a_large_listing_on_a_slow_link_is_read() {
-    let value = "YWFh".repeat(100_000);
+    let timeout = time::Duration::from_secs(1);
+    let value = "YWFh".repeat(500_000);
     let pair = format!(r#"{{"key":"YQ==","value":"{value}","mod_revision":"7","version":"1"}}"#);
     let listing = format!(r#"{{"header":{{"revision":"7"}},"kvs":[{pair}]}}"#);
     let fake = fake::start(move |_| fake::Behavior::Slow(listing.clone().into_bytes()));
-    let client = fake::client(&[fake.address]);
+    let client = store::Client::new(net::Pool::default(), &[fake.address], timeout);
     let found = future::block_on(client.list("/")).expect("a listing");
-    assert_eq!(found.pairs[0].value.len(), 300_000);
+    assert_eq!(found.pairs[0].value.len(), 1_500_000);
 }
