fix(relay): let streams that callers take up precede all new requests of their kind

What callers saw: after a loss of all hosts, streams that they took up again were refused more often than need be, because new requests that had arrived up to half a second before stood in front of them at full engines; the events that they had were lost.

Cause: in the queue a take-up stood as if its objective were its arrival, which is half a second before a new request for an objective of 0.5 s, while requests wait for up to 2 s.

Change: a take-up precedes the new requests of its kind that still have a caller (2 s).

Evidence: relay_take_up, take_up_goes_before_new_requests, case that_arrived_long_before, failed before.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -125,8 +125,8 @@
     }
 
     /// Returns the key by which waiting requests are ordered: the target time plus a delay for each priority level, or
-    /// the arrival under [`policy::Queue::FirstIn`]. A take-up precedes new requests of its kind and age, because the events
-    /// that its caller has would be lost with it.
+    /// the arrival under [`policy::Queue::FirstIn`]. A take-up precedes the new requests of its kind that still have a caller,
+    /// because the events that its caller has would be lost with it.
     pub(super) fn queue_key(&self) -> clock::Instant {
         if self.queue == policy::Queue::FirstIn {
             return self.arrived_at;
@@ -134,7 +134,7 @@
         let wanted_at = if self.is_take_up() {
             self.arrived_at
         } else {
-            self.target_time()
+            self.target_time() + MIN_ABANDONMENT_TIME
         };
         wanted_at + PRIORITY_DELAY * u32::from(self.priority)
     }
--- a/crates/carawaycleat-core/tests/suite/relay_take_up.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_take_up.rs
@@ -46,13 +46,24 @@
     }
 }
 
-/// Guards against a stream that waits behind new requests of its kind and age, so that the events which its caller has are
-/// lost.
-#[test]
-fn take_up_goes_before_new_requests() {
+/// Lets time pass while a stream makes progress, so that its upstream is not taken for silent.
+fn pass_time(harness: &mut relay_fake::Harness, running: relay::Id, millis: u64) {
+    let attempt = harness.begin_stream(running);
+    for event in 1..=millis / 50 {
+        harness.advance(relay_fake::millis(50));
+        harness.feed(relay::Event::StreamProgress(running, attempt, Some(event)));
+    }
+}
+
+/// Guards against a stream that waits behind new requests of its kind, so that the events which its caller has are lost.
+#[yare::parameterized(
+    of_the_same_age = { 50 },
+    that_arrived_long_before = { 1_200 },
+)]
+fn take_up_goes_before_new_requests(later_ms: u64) {
     let (mut harness, running) = full_host();
     let new = harness.arrive(request("new", None));
-    harness.advance(relay_fake::millis(50));
+    pass_time(&mut harness, running[0], later_ms);
     let resumed = take_up(&mut harness, "broken");
     assert!(!harness.is_sent(new) && !harness.is_sent(resumed));
     harness.feed(relay::Event::CallerDisconnected(running[0]));
