fix(net): keep the bytes that arrive during a streamed response

A caller that sent its next request before a streamed response had ended, on a connection whose head promised to be kept, got neither a response nor a refusal for it: the server read its bytes to notice a disconnect, discarded them, and closed the connection after the stream.

The bytes now stay in the connection's buffer for the next request, up to 16 KiB. Beyond that, nothing more is read, and the rest of the request stays in the socket. The connection is kept; it lingers and discards only where the head of the response said `connection: close`.

stream::closes_after_request_that_arrives_during_a_stream asserted that the connection is closed after such bytes and that the second request does not run. stream::serves_request_that_arrives_during_a_stream replaces it: the same bytes at the same moment, whole, in part and beyond the limit, must get a whole response on the same connection.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -140,32 +140,29 @@
                 close,
                 state.limits().idle_timeout,
                 active.head_written(),
+                &mut self.buffer,
             )
             .await;
             match written {
+                Ok(()) => active.answered(),
                 Err(reason) => return active.unanswered(reason),
-                Ok(discarded) => {
-                    active.answered();
-                    if close || discarded > 0 {
-                        return self.close(discarded).await;
-                    }
-                }
+            }
+            if close {
+                return self.close().await;
             }
         }
     }
 
-    /// Closes a connection after a response. Reports a request whose bytes are not served any more; `discarded` is the
-    /// number of bytes that were discarded during the response.
-    async fn close(mut self, discarded: usize) {
+    /// Closes a connection after a response whose head has said so. Reports a request that came behind it.
+    async fn close(mut self) {
         let since = time::Instant::now();
         linger(&self.stream, &mut self.buffer).await;
-        if discarded == 0 && self.buffer.is_empty() {
+        if self.buffer.is_empty() {
             return;
         }
         let state = &self.guard.state;
         let head = incoming::head(&self.buffer, 0, &state.limits());
-        let head = head.ok().flatten().filter(|_| discarded == 0);
-        let id = head.and_then(|head| state.id(&head.request));
+        let id = head.ok().flatten().and_then(|head| state.id(&head.request));
         state.report(entry::Entry::new(id, since).unanswered(reason::Reason::Discarded));
     }
 
@@ -210,8 +207,11 @@
         Err(Stop::Close)
     }
 
-    /// Waits for the first bytes of a request.
+    /// Waits for the first bytes of a request, unless they were read during the response before it.
     async fn wait_for_data(&mut self) -> Result<(), Stop> {
+        if !self.buffer.is_empty() {
+            return Ok(());
+        }
         let state = self.guard.state.clone();
         let idle = async {
             futures_lite::future::or(state::signalled(&state.close_idle), idle_timeout(&state))
@@ -375,8 +375,18 @@
     let method = http_types::Method::Get;
     let written = atomic::AtomicBool::new(false);
     let response = refusal.response();
-    encoder::write(stream, response, method, true, idle_timeout, &written).await?;
-    linger(stream, &mut Vec::new()).await;
+    let mut discarded = Vec::new();
+    encoder::write(
+        stream,
+        response,
+        method,
+        true,
+        idle_timeout,
+        &written,
+        &mut discarded,
+    )
+    .await?;
+    linger(stream, &mut discarded).await;
     Ok(())
 }
 
--- a/crates/carawaycleat-net/src/server/encoder.rs
+++ b/crates/carawaycleat-net/src/server/encoder.rs
@@ -21,14 +21,17 @@
 /// The minimum free buffer space for a read from the encoder, which returns the head of the response or one chunk with
 /// its framing.
 const MIN_SPACE_BYTES: usize = 512;
-/// How many bytes that a caller sends during a streamed response are read.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// How many bytes that a caller sends during a streamed response are read; the rest stays in the socket. A small request
+/// with its body.
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// The time between two looks at a connection whose bytes stay in the socket.
+const DISCONNECT_POLL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// A result whose error is the reason for which the response is incomplete.
 pub(super) type Result<T> = std::result::Result<T, reason::Reason>;
 
-/// Writes a response, and sets `head_written` once a part of it is written. Returns the number of bytes that the caller
-/// sent during a streamed response, which were discarded.
+/// Writes a response, and sets `head_written` once a part of it is written. What the caller sends during a streamed
+/// response is appended to `read_ahead`, up to [`MAX_READ_AHEAD_BYTES`].
 ///
 /// Fails if one write of the buffer, at most [`MAX_BUFFER_BYTES`], takes longer than `idle_timeout`, or if the caller
 /// closes its sending side during a streamed response.
@@ -39,22 +42,20 @@
     close: bool,
     idle_timeout: time::Duration,
     head_written: &atomic::AtomicBool,
-) -> Result<usize> {
+    read_ahead: &mut Vec<u8>,
+) -> Result<()> {
     let _reservation = response.reservation.take();
     let streamed = matches!(response.body, body::Body::Stream(_));
     let encoder = async_h1::server::Encoder::new(convert(response, close), method);
     let copy = copy(stream, encoder, idle_timeout, head_written);
-    let mut discarded = 0;
-    if streamed {
-        let disconnected = async {
-            discard_until_disconnect(stream, &mut discarded).await;
-            Err(reason::Reason::GoneDuringStream)
-        };
-        futures_lite::future::or(copy, disconnected).await?;
-    } else {
-        copy.await?;
+    if !streamed {
+        return copy.await;
     }
-    Ok(discarded)
+    let disconnected = async {
+        read_until_disconnect(stream, read_ahead).await;
+        Err(reason::Reason::GoneDuringStream)
+    };
+    futures_lite::future::or(copy, disconnected).await
 }
 
 /// Converts a response. One that cannot be represented is replaced by status 500, because `http-types` panics on header
@@ -171,24 +172,21 @@
     }
 }
 
-/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded and counted; after
-/// [`MAX_DISCARDED_BYTES`], nothing more is read, and a disconnect is no longer detected.
-async fn discard_until_disconnect(stream: &async_io::Async<net::TcpStream>, discarded: &mut usize) {
-    if stream.readable().await.is_err() || peek::Peek::new(stream) == peek::Peek::Disconnected {
-        return;
-    }
-    let mut discard = [0; 512];
+/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are appended to `buffer`. After
+/// [`MAX_READ_AHEAD_BYTES`], nothing more is read, and only a reset of the connection is still detected.
+async fn read_until_disconnect(stream: &async_io::Async<net::TcpStream>, buffer: &mut Vec<u8>) {
+    let mut bytes = [0; 512];
     let mut reader = stream;
-    let mut budget = budget::Budget::default();
-    while *discarded < MAX_DISCARDED_BYTES {
-        budget.turn().await;
-        match reader.read(&mut discard).await {
+    while buffer.len() < MAX_READ_AHEAD_BYTES {
+        if stream.readable().await.is_err() {
+            return;
+        }
+        match reader.read(&mut bytes).await {
             Ok(0) | Err(_) => return,
-            Ok(length) => {
-                budget.spend(length);
-                *discarded += length;
-            }
+            Ok(length) => buffer.extend_from_slice(&bytes[..length]),
         }
     }
-    std::future::pending().await
+    while peek::Peek::new(stream) != peek::Peek::Disconnected {
+        async_io::Timer::after(DISCONNECT_POLL_INTERVAL).await;
+    }
 }
--- a/crates/carawaycleat-net/tests/suite/stream.rs
+++ b/crates/carawaycleat-net/tests/suite/stream.rs
@@ -123,24 +123,38 @@
     assert!(matches!(writer.try_send("late"), Err(http::Error::Closed)));
 }
 
-/// Guards against a request that gets neither a response nor a closed connection, because it arrived while the response
-/// before it was being streamed.
+/// Guards against a request that is lost because it arrived while the response before it was being streamed: the head of
+/// that response promised that the connection is kept.
 #[yare::parameterized(
-    whole = { "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n" },
-    part = { "GET /2 HTTP" },
+    whole = { 0, 1_000 },
+    part = { 0, 500 },
+    rest_behind_the_limit = { 40_000, 1_000 },
 )]
-fn closes_after_request_that_arrives_during_a_stream(second: &str) {
+fn serves_request_that_arrives_during_a_stream(body: usize, early: usize) {
     let (handle, writers) = streaming();
     let first = b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n";
     let stream = peer::connect(handle.local_address(), first);
     let writer = writers.recv_blocking().expect("a writer");
-    peer::read_until(&stream, "\r\n\r\n");
-    (&stream).write_all(second.as_bytes()).expect("sent");
+    let head = peer::read_until(&stream, "\r\n\r\n");
+    assert!(!head.contains("connection: close"), "{head}");
+    let second = format!("POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: {body}\r\n\r\n");
+    let second = second + &"b".repeat(body);
+    let early = second.len() * early / 1_000;
+    (&stream)
+        .write_all(&second.as_bytes()[..early])
+        .expect("sent");
     // Lets the server read the bytes before the response ends.
     thread::sleep(time::Duration::from_millis(200));
     writer.finish();
-    assert_eq!(peer::read_all(&stream), "0\r\n\r\n");
-    assert_eq!(handle.counts().requests, 1);
+    assert_eq!(peer::read_until(&stream, "0\r\n\r\n"), "0\r\n\r\n");
+    (&stream)
+        .write_all(&second.as_bytes()[early..])
+        .expect("sent");
+    let head = peer::read_until(&stream, "\r\n\r\n");
+    assert!(head.starts_with("HTTP/1.1 200 "), "{head}");
+    writers.recv_blocking().expect("a writer").finish();
+    assert_eq!(peer::read_until(&stream, "0\r\n\r\n"), "0\r\n\r\n");
+    assert_eq!((handle.counts().accepted, handle.counts().requests), (1, 2));
 }
 
 /// Guards against an unbounded queue of chunks.
