--- a/crates/carawaycleat-net/src/server/encoder.rs
+++ b/crates/carawaycleat-net/src/server/encoder.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::net;
 use std::pin;
+use std::sync::atomic;
 use std::task;
 use std::time;
 
@@ -12,6 +13,7 @@
 use crate::budget;
 use crate::response;
 use crate::server::peek;
+use crate::server::reason;
 
 /// The initial size of the write buffer; it doubles when a response fills it.
 const INITIAL_BUFFER_BYTES: usize = 4 * 1024;
@@ -19,11 +21,17 @@
 /// The minimum free buffer space for a read from the encoder, which returns the head of the response or one chunk with
 /// its framing.
 const MIN_SPACE_BYTES: usize = 512;
-/// How many bytes that a caller sends during a streamed response are read.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// How many bytes that a caller sends during a streamed response are read; the rest stays in the socket. A small request
+/// with its body.
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+/// The time between two looks at a connection whose bytes stay in the socket.
+const DISCONNECT_POLL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Writes a response. Returns whether the connection can carry another request: not when the caller sent bytes during a
-/// streamed response, because they were discarded.
+/// A result whose error is the reason for which the response is incomplete.
+pub(super) type Result<T> = std::result::Result<T, reason::Reason>;
+
+/// Writes a response, and sets `head_written` once a part of it is written. What the caller sends during a streamed
+/// response is appended to `read_ahead`, up to [`MAX_READ_AHEAD_BYTES`].
 ///
 /// Fails if one write of the buffer, at most [`MAX_BUFFER_BYTES`], takes longer than `idle_timeout`, or if the caller
 /// closes its sending side during a streamed response.
@@ -33,19 +41,21 @@
     method: http_types::Method,
     close: bool,
     idle_timeout: time::Duration,
-) -> io::Result<bool> {
+    head_written: &atomic::AtomicBool,
+    read_ahead: &mut Vec<u8>,
+) -> Result<()> {
     let _reservation = response.reservation.take();
     let streamed = matches!(response.body, body::Body::Stream(_));
     let encoder = async_h1::server::Encoder::new(convert(response, close), method);
-    let copy = copy(stream, encoder, idle_timeout);
-    let mut discarded = 0;
-    if streamed {
-        let disconnected = discard_until_disconnect(stream, &mut discarded);
-        futures_lite::future::or(copy, disconnected).await?;
-    } else {
-        copy.await?;
+    let copy = copy(stream, encoder, idle_timeout, head_written);
+    if !streamed {
+        return copy.await;
     }
-    Ok(discarded == 0)
+    let disconnected = async {
+        read_until_disconnect(stream, read_ahead).await;
+        Err(reason::Reason::GoneDuringStream)
+    };
+    futures_lite::future::or(copy, disconnected).await
 }
 
 /// Converts a response. One that cannot be represented is replaced by status 500, because `http-types` panics on header
@@ -95,21 +105,27 @@
     mut stream: &async_io::Async<net::TcpStream>,
     mut encoder: async_h1::server::Encoder,
     idle_timeout: time::Duration,
-) -> io::Result<()> {
+    head_written: &atomic::AtomicBool,
+) -> Result<()> {
     let mut buffer = vec![0; INITIAL_BUFFER_BYTES];
     let mut budget = budget::Budget::default();
     loop {
         budget.turn().await;
         let (filled, ended) =
             futures_lite::future::poll_fn(|context| fill(&mut encoder, &mut buffer, context))
-                .await?;
+                .await
+                .map_err(|_| reason::Reason::StreamAborted)?;
         if filled > 0 {
-            let write = stream.write_all(&buffer[..filled]);
+            let write = async {
+                let written = stream.write_all(&buffer[..filled]).await;
+                written.map_err(|_| reason::Reason::WriteFailed)
+            };
             let timeout = async {
                 async_io::Timer::after(idle_timeout).await;
-                Err(io::ErrorKind::TimedOut.into())
+                Err(reason::Reason::WriteTimedOut)
             };
             futures_lite::future::or(write, timeout).await?;
+            head_written.store(true, atomic::Ordering::Relaxed);
             budget.spend(filled);
         }
         if ended {
@@ -156,28 +172,21 @@
     }
 }
 
-/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are discarded and counted; after
-/// [`MAX_DISCARDED_BYTES`], nothing more is read, and a disconnect is no longer detected.
-async fn discard_until_disconnect(
-    stream: &async_io::Async<net::TcpStream>,
-    discarded: &mut usize,
-) -> io::Result<()> {
-    stream.readable().await?;
-    if peek::Peek::new(stream) == peek::Peek::Disconnected {
-        return Err(io::ErrorKind::ConnectionReset.into());
-    }
-    let mut discard = [0; 512];
+/// Waits until the caller closes its sending side. Bytes that it sends meanwhile are appended to `buffer`. After
+/// [`MAX_READ_AHEAD_BYTES`], nothing more is read, and only a reset of the connection is still detected.
+async fn read_until_disconnect(stream: &async_io::Async<net::TcpStream>, buffer: &mut Vec<u8>) {
+    let mut bytes = [0; 512];
     let mut reader = stream;
-    let mut budget = budget::Budget::default();
-    while *discarded < MAX_DISCARDED_BYTES {
-        budget.turn().await;
-        match reader.read(&mut discard).await? {
-            0 => return Err(io::ErrorKind::ConnectionReset.into()),
-            length => {
-                budget.spend(length);
-                *discarded += length;
-            }
+    while buffer.len() < MAX_READ_AHEAD_BYTES {
+        if stream.readable().await.is_err() {
+            return;
         }
+        match reader.read(&mut bytes).await {
+            Ok(0) | Err(_) => return,
+            Ok(length) => buffer.extend_from_slice(&bytes[..length]),
+        }
+    }
+    while peek::Peek::new(stream) != peek::Peek::Disconnected {
+        async_io::Timer::after(DISCONNECT_POLL_INTERVAL).await;
     }
-    std::future::pending().await
 }
