fix(relay): do not take a host's own delay for silence of its upstreams

A host that did not run for 0.65 to 1 s sent the requests in progress once more at the first tick afterwards and ejected their upstreams, although the bytes had arrived and were only not read yet. Streams that callers took up were refused in the same way, because the records that they waited for were read after the timer.

The time by which a tick is late does not count as silence, and at the first late tick in a row only deadlines are checked.

--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1,6 +1,7 @@
 mod admission;
 mod crash;
 mod dispatch;
+mod lateness;
 mod origin;
 mod report;
 mod response;
@@ -92,6 +93,7 @@
     /// The number of attempts sent since the start.
     dispatches: u64,
     last_queue_check: clock::Instant,
+    lateness: lateness::Lateness,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
     budgets: collections::HashMap<name::Name, retry::Budget>,
     /// The requests that wait for tokens of their workspace, in order of arrival.
@@ -139,6 +141,7 @@
             send_rates: meter::Meter::default(),
             dispatches: 0,
             last_queue_check: clock::Instant::default(),
+            lateness: lateness::Lateness::default(),
             allowances: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
             token_waiters: collections::VecDeque::new(),
--- /dev/null
+++ b/crates/carawaycleat-core/src/relay/reducer/lateness.rs
@@ -0,0 +1,42 @@
+//! Ticks that come late because the process did not run, or had no processor time, for a while.
+
+use std::time;
+
+use crate::clock;
+use crate::relay::pending;
+
+/// The longest time between two ticks in which upstreams count as silent: four times the interval of ticks. What arrives
+/// while the process does not run is read only afterwards.
+const MAX_TICK_STEP: time::Duration = time::Duration::from_millis(100);
+
+/// When ticks came.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Lateness {
+    last_tick: Option<clock::Instant>,
+    was_late: bool,
+}
+
+impl super::Reducer {
+    /// Excludes the time by which a tick is late from the silence of upstreams. Returns whether what had arrived by then
+    /// goes before the timers, except for deadlines: at the first late tick in a row.
+    pub(super) fn discount_lateness(&mut self, now: clock::Instant) -> bool {
+        let last = self.lateness.last_tick.replace(now).unwrap_or(now);
+        let excess = now.since(last).saturating_sub(MAX_TICK_STEP);
+        let is_late = !excess.is_zero();
+        let was_late = std::mem::replace(&mut self.lateness.was_late, is_late);
+        if !is_late {
+            return false;
+        }
+        for request in self.requests.values_mut() {
+            for phase in std::iter::once(&mut request.phase).chain(&mut request.standby) {
+                if let pending::Phase::Sent { last_progress, .. } = phase {
+                    *last_progress = now.min(*last_progress + excess);
+                }
+            }
+        }
+        for entry in self.upstreams.values_mut() {
+            entry.last_progress = now.min(entry.last_progress + excess);
+        }
+        !was_late
+    }
+}
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -25,6 +25,9 @@
 impl super::Reducer {
     /// Does the work that is due at `now`.
     pub(super) fn tick(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        if self.discount_lateness(now) {
+            return self.refuse_expired(now, effects);
+        }
         self.record_departures(now);
         while let Some(waiter) = self.token_waiters.front() {
             if now.since(waiter.since) < MAX_TOKEN_WAIT {
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -31,6 +31,7 @@
 mod relay_crash;
 mod relay_extreme;
 mod relay_fake;
+mod relay_late;
 mod relay_leaving;
 mod relay_limit;
 mod relay_load;
--- /dev/null
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -0,0 +1,110 @@
+//! Hosts that run late: what has arrived meanwhile is read after the timers have expired.
+
+use carawaycleat_core::relay;
+
+use crate::relay_fake;
+
+fn harness() -> relay_fake::Harness {
+    let mut harness = relay_fake::Harness::new();
+    for id in ["one", "two"] {
+        harness.register(relay_fake::registration(id, "models", &["small"]));
+        harness.register(relay_fake::registration(
+            &format!("plain-{id}"),
+            "plain",
+            &[],
+        ));
+    }
+    harness.advance(relay_fake::millis(100));
+    harness
+}
+
+/// Lets the host run late by `late_ms`, so that it sees a tick before the bytes that have arrived.
+fn run_late(harness: &mut relay_fake::Harness, late_ms: u64) {
+    harness.now = harness.now + relay_fake::millis(late_ms);
+    harness.feed(relay::Event::Tick);
+}
+
+/// Guards against requests that are sent again because the host did not read for a while, and upstreams that then get no
+/// requests.
+#[yare::parameterized(
+    by_the_stall_timeout = { 650 },
+    by_a_second = { 1_000 },
+    twice = { 500 },
+)]
+fn time_in_which_the_host_did_not_read_is_no_silence(late_ms: u64) {
+    let mut harness = harness();
+    let stream = harness.arrive(relay_fake::request("/live/1"));
+    let attempt = harness.begin_stream(stream);
+    harness.feed(relay::Event::StreamProgress(stream, attempt, Some(2)));
+    let read = harness.arrive(relay_fake::request("/read/1"));
+    run_late(&mut harness, late_ms);
+    run_late(&mut harness, late_ms);
+    harness.advance(relay_fake::millis(100));
+    for id in [stream, read] {
+        assert_eq!(harness.commands[&id].iter().filter(is_send).count(), 1);
+    }
+    assert!(
+        harness
+            .reducer
+            .report(harness.now, true)
+            .suspects
+            .is_empty()
+    );
+    harness.feed(relay::Event::StreamProgress(stream, attempt, Some(3)));
+    harness.feed(relay::Event::StreamEnded(stream, attempt));
+    harness.respond(read, 200, false);
+    let outcomes: Vec<_> = harness.summaries.iter().map(|s| s.outcome).collect();
+    assert_eq!(outcomes, [relay::Outcome::Completed; 2]);
+}
+
+fn is_send(command: &&relay::Command) -> bool {
+    matches!(command, relay::Command::Send(_))
+}
+
+/// Guards against an upstream that is not given up although the host runs late all the time.
+#[test]
+fn silence_is_noticed_by_a_host_that_is_always_late() {
+    let mut harness = harness();
+    let id = harness.arrive(relay_fake::request("/live/1"));
+    for _ in 0..8 {
+        run_late(&mut harness, 150);
+    }
+    assert_eq!(harness.dispatch(id).attempt, 2);
+}
+
+/// Guards against requests that are held past their deadline because the host ran late.
+#[yare::parameterized(
+    sent = { true },
+    waiting = { false },
+)]
+fn deadlines_hold_at_a_late_host(is_sent: bool) {
+    let mut harness = harness();
+    let mut ids: Vec<_> = (0..9)
+        .map(|_| harness.arrive(relay_fake::request("/read/1")))
+        .collect();
+    let id = if is_sent { ids[0] } else { ids.remove(8) };
+    assert_eq!(harness.is_sent(id), is_sent);
+    run_late(&mut harness, 4_000);
+    assert_eq!(harness.refusal(id).reason, relay::Reason::Timeout);
+}
+
+/// Guards against a take-up that is refused although the records that it waits for had arrived.
+#[test]
+fn records_that_arrived_meanwhile_are_read_before_a_take_up_is_refused() {
+    let mut harness = harness();
+    let mut request = relay_fake::request("/live/1");
+    let stream = Some("stream".to_owned());
+    request.resumption = Some(relay::Resumption { stream });
+    let id = harness.arrive(request);
+    run_late(&mut harness, 1_000);
+    let origin = relay::Origin {
+        service: relay_fake::name("models"),
+        version: None,
+    };
+    let record = relay::StreamRecord {
+        stream: relay::digest("stream"),
+        origin,
+    };
+    harness.feed(relay::Event::StreamsRead(Some(vec![record])));
+    assert!(harness.is_sent(id));
+}
