fix(net): limit idle time, arrival and writes separately

The idle timeout was three limits: how long a connection is idle, how long a whole request may take to arrive, and how long one write of a response may take. After a change of the operator's idle timeout, for example to 500 ms, callers that sent a head or body slowly were refused with status 408, and the response to a caller that paused while reading was cut.

The idle timeout now covers idle connections only. The header timeout covers the head, and is no longer shortened by the idle timeout. A body is refused when nothing of it arrives for 30 s or when it takes 120 s, and a connection is closed when its caller takes no byte of a response for 30 s. The stand-ins keep their 600 s for all of them.

--- a/crates/carawaycleat-net/src/limits.rs
+++ b/crates/carawaycleat-net/src/limits.rs
@@ -5,6 +5,12 @@
 /// The default maximum length of a request head in bytes, and the longest response head that `async-h1` decodes.
 pub(crate) const MAX_HEAD_BYTES: usize = 8 * 1024 - 1;
 
+/// The default of the time for which a caller may make no progress: send nothing of a body, or take nothing of a response.
+/// A connection whose packets are lost several times in a row makes none for some seconds.
+const DEFAULT_STALL_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+/// The default of the time that a whole body may take: the largest one at 35 KiB a second, the rate of a slow mobile link.
+const DEFAULT_BODY_TIMEOUT: time::Duration = time::Duration::from_secs(120);
+
 /// The resource limits of a server.
 ///
 /// # Examples
@@ -23,6 +29,9 @@
     pub(crate) max_requests: usize,
     pub(crate) idle_timeout: time::Duration,
     pub(crate) header_timeout: time::Duration,
+    pub(crate) body_stall_timeout: time::Duration,
+    pub(crate) body_timeout: time::Duration,
+    pub(crate) write_stall_timeout: time::Duration,
     pub(crate) memory: Option<memory::Memory>,
 }
 
@@ -35,6 +44,9 @@
             max_requests: 2048,
             idle_timeout: time::Duration::from_secs(60),
             header_timeout: time::Duration::from_secs(60),
+            body_stall_timeout: DEFAULT_STALL_TIMEOUT,
+            body_timeout: DEFAULT_BODY_TIMEOUT,
+            write_stall_timeout: DEFAULT_STALL_TIMEOUT,
             memory: None,
         }
     }
@@ -69,22 +81,41 @@
         self
     }
 
-    /// Sets how long a connection may be idle, how long a request may take to arrive, and how long the caller may take
-    /// to receive 64 KiB of a response.
+    /// Sets how long a connection may be idle between two requests.
     #[must_use]
     pub fn idle_timeout(mut self, timeout: time::Duration) -> Self {
         self.idle_timeout = timeout;
         self
     }
 
-    /// Sets how long the head of a request may take to arrive, counted from its first byte. The idle timeout still
-    /// applies, so a longer time has no effect.
+    /// Sets how long the head of a request may take to arrive, counted from its first byte.
     #[must_use]
     pub fn header_timeout(mut self, timeout: time::Duration) -> Self {
         self.header_timeout = timeout;
         self
     }
 
+    /// Sets how long nothing of a body may arrive.
+    #[must_use]
+    pub fn body_stall_timeout(mut self, timeout: time::Duration) -> Self {
+        self.body_stall_timeout = timeout;
+        self
+    }
+
+    /// Sets how long a whole body may take to arrive, counted from the end of the head.
+    #[must_use]
+    pub fn body_timeout(mut self, timeout: time::Duration) -> Self {
+        self.body_timeout = timeout;
+        self
+    }
+
+    /// Sets how long a caller may take no byte of a response that is ready to be sent.
+    #[must_use]
+    pub fn write_stall_timeout(mut self, timeout: time::Duration) -> Self {
+        self.write_stall_timeout = timeout;
+        self
+    }
+
     /// Sets the account of memory for the bodies of requests, from their arrival until their responses are written. A
     /// request for which it has too little left is refused with status 503. Twice the length of a body is reserved, for
     /// the body and for a copy that is passed on.
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -138,7 +138,7 @@
                 response,
                 incoming.method,
                 close,
-                state.limits().idle_timeout,
+                state.limits().write_stall_timeout,
                 active.head_written(),
                 &mut self.buffer,
             )
@@ -170,13 +170,8 @@
     async fn receive(&mut self) -> Result<Incoming, Stop> {
         self.wait_for_data().await?;
         let since = time::Instant::now();
-        let deadline = since + self.guard.state.limits().idle_timeout;
-        let timeout = async {
-            async_io::Timer::at(deadline).await;
-            Err(Stop::Refuse(refusal::Refusal::TOO_SLOW))
-        };
         let mut active = None;
-        let read = futures_lite::future::or(self.read_request(&mut active), timeout).await;
+        let read = self.read_request(&mut active).await;
         let reason = match (read, active.take()) {
             (Ok((request, method, close)), Some(active)) => {
                 return Ok(Incoming {
@@ -234,6 +229,17 @@
         Ok(length)
     }
 
+    /// Reads the next bytes of a request. Refuses it if there are none until `deadline`.
+    async fn read_more(&mut self, deadline: time::Instant) -> Result<(), Stop> {
+        let read = async {
+            match self.read().await? {
+                0 => Err(Stop::Close),
+                _ => Ok(()),
+            }
+        };
+        futures_lite::future::or(read, too_slow(deadline)).await
+    }
+
     /// Reads a request, which counts as in progress once its head is read. Returns the request, its method and whether
     /// the connection is to be closed after the response.
     async fn read_request(
@@ -241,11 +247,7 @@
         active: &mut Option<active::Active>,
     ) -> Result<(request::Request, http_types::Method, bool), Stop> {
         let limits = self.guard.state.limits();
-        let head = futures_lite::future::or(self.read_head(&limits), async {
-            async_io::Timer::after(limits.header_timeout).await;
-            Err(Stop::Refuse(refusal::Refusal::TOO_SLOW))
-        })
-        .await?;
+        let head = self.read_head(&limits).await?;
         if matches!(head.framing, scanner::Framing::Length(length) if length > limits.max_body_bytes as u64)
         {
             return Err(refusal::Refusal::BODY_TOO_LARGE.into());
@@ -268,15 +270,14 @@
     }
 
     async fn read_head(&mut self, limits: &limits::Limits) -> Result<incoming::Head, Stop> {
+        let deadline = time::Instant::now() + limits.header_timeout;
         let mut from = 0;
         loop {
             if let Some(head) = incoming::head(&self.buffer, from, limits)? {
                 return Ok(head);
             }
             from = self.buffer.len();
-            if self.read().await? == 0 {
-                return Err(Stop::Close);
-            }
+            self.read_more(deadline).await?;
         }
     }
 
@@ -286,13 +287,17 @@
         active: &mut active::Active,
     ) -> Result<request::Request, Stop> {
         let limits = self.guard.state.limits();
+        let deadline = time::Instant::now() + limits.body_timeout;
         let mut scanner = scanner::Scanner::new(head.framing);
         let mut end = head.length;
         let mut trailers = head.length;
         if head.expects_continue && self.buffer.len() == end && !scanner.is_done() {
-            (&self.stream)
-                .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await?;
+            let mut stream = &self.stream;
+            let write = async {
+                let written = stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+                written.map_err(Stop::from)
+            };
+            futures_lite::future::or(write, too_slow(deadline)).await?;
         }
         loop {
             let scan = scanner
@@ -314,9 +319,8 @@
             if scanner.is_done() {
                 break;
             }
-            if self.read().await? == 0 {
-                return Err(Stop::Close);
-            }
+            let stalled = time::Instant::now() + limits.body_stall_timeout;
+            self.read_more(deadline.min(stalled)).await?;
         }
         let rest = self.buffer.split_off(end);
         let mut message = std::mem::replace(&mut self.buffer, rest);
@@ -335,13 +339,19 @@
             state.malformed.fetch_add(1, atomic::Ordering::Relaxed);
         }
         let since = time::Instant::now();
-        let idle_timeout = state.limits().idle_timeout;
-        if let Err(reason) = write_refusal(&self.stream, refusal, idle_timeout).await {
+        let stall_timeout = state.limits().write_stall_timeout;
+        if let Err(reason) = write_refusal(&self.stream, refusal, stall_timeout).await {
             state.report(entry::Entry::new(None, since).unanswered(reason));
         }
     }
 }
 
+/// Waits until `deadline`, and refuses a request that has not arrived by then.
+async fn too_slow(deadline: time::Instant) -> Result<(), Stop> {
+    async_io::Timer::at(deadline).await;
+    Err(refusal::Refusal::TOO_SLOW.into())
+}
+
 /// Waits until a connection that has just become idle is idle for longer than the limit, which may change meanwhile.
 async fn idle_timeout(state: &state::State) {
     let since = time::Instant::now();
@@ -370,7 +380,7 @@
 async fn write_refusal(
     stream: &async_io::Async<net::TcpStream>,
     refusal: refusal::Refusal,
-    idle_timeout: time::Duration,
+    stall_timeout: time::Duration,
 ) -> encoder::Result<()> {
     let method = http_types::Method::Get;
     let written = atomic::AtomicBool::new(false);
@@ -381,7 +391,7 @@
         response,
         method,
         true,
-        idle_timeout,
+        stall_timeout,
         &written,
         &mut discarded,
     )
--- a/crates/carawaycleat-net/src/server/encoder.rs
+++ b/crates/carawaycleat-net/src/server/encoder.rs
@@ -33,21 +33,20 @@
 /// Writes a response, and sets `head_written` once a part of it is written. What the caller sends during a streamed
 /// response is appended to `read_ahead`, up to [`MAX_READ_AHEAD_BYTES`].
 ///
-/// Fails if one write of the buffer, at most [`MAX_BUFFER_BYTES`], takes longer than `idle_timeout`, or if the caller
-/// closes its sending side during a streamed response.
+/// Fails if the caller takes no byte for `stall_timeout`, or if it closes its sending side during a streamed response.
 pub(super) async fn write(
     stream: &async_io::Async<net::TcpStream>,
     mut response: response::Response,
     method: http_types::Method,
     close: bool,
-    idle_timeout: time::Duration,
+    stall_timeout: time::Duration,
     head_written: &atomic::AtomicBool,
     read_ahead: &mut Vec<u8>,
 ) -> Result<()> {
     let _reservation = response.reservation.take();
     let streamed = matches!(response.body, body::Body::Stream(_));
     let encoder = async_h1::server::Encoder::new(convert(response, close), method);
-    let copy = copy(stream, encoder, idle_timeout, head_written);
+    let copy = copy(stream, encoder, stall_timeout, head_written);
     if !streamed {
         return copy.await;
     }
@@ -104,7 +103,7 @@
 async fn copy(
     mut stream: &async_io::Async<net::TcpStream>,
     mut encoder: async_h1::server::Encoder,
-    idle_timeout: time::Duration,
+    stall_timeout: time::Duration,
     head_written: &atomic::AtomicBool,
 ) -> Result<()> {
     let mut buffer = vec![0; INITIAL_BUFFER_BYTES];
@@ -116,16 +115,21 @@
                 .await
                 .map_err(|_| reason::Reason::StreamAborted)?;
         if filled > 0 {
-            let write = async {
-                let written = stream.write_all(&buffer[..filled]).await;
-                written.map_err(|_| reason::Reason::WriteFailed)
-            };
-            let timeout = async {
-                async_io::Timer::after(idle_timeout).await;
-                Err(reason::Reason::WriteTimedOut)
-            };
-            futures_lite::future::or(write, timeout).await?;
-            head_written.store(true, atomic::Ordering::Relaxed);
+            let mut written = 0;
+            while written < filled {
+                let write = async {
+                    match stream.write(&buffer[written..filled]).await {
+                        Ok(0) | Err(_) => Err(reason::Reason::WriteFailed),
+                        Ok(length) => Ok(length),
+                    }
+                };
+                let timeout = async {
+                    async_io::Timer::after(stall_timeout).await;
+                    Err(reason::Reason::WriteTimedOut)
+                };
+                written += futures_lite::future::or(write, timeout).await?;
+                head_written.store(true, atomic::Ordering::Relaxed);
+            }
             budget.spend(filled);
         }
         if ended {
--- a/crates/carawaycleat-standin/src/answer.rs
+++ b/crates/carawaycleat-standin/src/answer.rs
@@ -56,11 +56,17 @@
     }
 }
 
+/// The longest wait for a peer; longer than any fault of the stand-ins.
+const TIMEOUT: time::Duration = time::Duration::from_secs(600);
+
 /// Returns limits that the stand-ins' own faults are reached before.
 pub(crate) fn limits() -> http::Limits {
     http::Limits::default()
         .max_connections(16_384)
         .max_requests(16_384)
         .max_body_bytes(64 * 1024 * 1024)
-        .idle_timeout(time::Duration::from_secs(600))
+        .idle_timeout(TIMEOUT)
+        .body_stall_timeout(TIMEOUT)
+        .body_timeout(TIMEOUT)
+        .write_stall_timeout(TIMEOUT)
 }
