fix(net): serve what has arrived before a timer that has expired

A process that runs late sees expired timers and waiting bytes at the same time. The read of a request gave way to other tasks once in 64 KiB, inside the race with its timer, so that the timer won although bytes were waiting: a body that had arrived was refused with status 408. The turn is now taken before the race, and the read goes first in it.

When idle connections were closed during a streamed response whose head had promised to keep the connection, it was closed at the end of the stream, in front of the request that its caller sent next; a connection that had just been accepted was closed in front of its first request. Such a connection now stays for 250 ms.

late::reads_data_before_timers::body failed before with status 408, and both cases of late::serves_next_request_while_idle_connections_are_closed with the end of the connection; the other three cases of reads_data_before_timers passed before.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -28,6 +28,10 @@
 /// How many bytes a closing connection still reads.
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
 
+/// How long a connection stays open after a response whose head promised to keep it, even if idle connections are being
+/// closed. The caller's next request may follow at once; a round trip takes some milliseconds.
+const KEEP_ALIVE_GRACE: time::Duration = time::Duration::from_millis(250);
+
 /// Why no request was received from a connection.
 enum Stop {
     /// The connection is closed without a response.
@@ -209,10 +213,10 @@
         }
         let state = self.guard.state.clone();
         let idle = async {
-            futures_lite::future::or(state::signalled(&state.close_idle), idle_timeout(&state))
-                .await;
+            futures_lite::future::or(idle_closed(&state), idle_timeout(&state)).await;
             Ok(0)
         };
+        self.budget.turn().await;
         match futures_lite::future::or(self.read(), idle).await? {
             0 => Err(Stop::Close),
             _ => Ok(()),
@@ -220,8 +224,10 @@
     }
 
     /// Reads from the socket and appends to the buffer. Returns the number of bytes, 0 at the end of the connection.
+    ///
+    /// Completes at once if there are bytes, so that they go before a timer that has expired meanwhile. The budget's turn
+    /// is therefore taken before the race with the timer, not here.
     async fn read(&mut self) -> io::Result<usize> {
-        self.budget.turn().await;
         let mut bytes = [0; READ_BYTES];
         let length = (&self.stream).read(&mut bytes).await?;
         self.budget.spend(length);
@@ -231,6 +237,7 @@
 
     /// Reads the next bytes of a request. Refuses it if there are none until `deadline`.
     async fn read_more(&mut self, deadline: time::Instant) -> Result<(), Stop> {
+        self.budget.turn().await;
         let read = async {
             match self.read().await? {
                 0 => Err(Stop::Close),
@@ -352,6 +359,14 @@
     Err(refusal::Refusal::TOO_SLOW.into())
 }
 
+/// Waits until the server closes its idle connections, and a connection that has just become idle has been so for
+/// [`KEEP_ALIVE_GRACE`].
+async fn idle_closed(state: &state::State) {
+    let since = time::Instant::now();
+    state::signalled(&state.close_idle).await;
+    async_io::Timer::at(since + KEEP_ALIVE_GRACE).await;
+}
+
 /// Waits until a connection that has just become idle is idle for longer than the limit, which may change meanwhile.
 async fn idle_timeout(state: &state::State) {
     let since = time::Instant::now();
--- a/crates/carawaycleat-net/tests/suite/main.rs
+++ b/crates/carawaycleat-net/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod guard;
+mod late;
 mod peer;
 mod server;
 mod sse;
