fix(net): accept the connections that wait when the listener closes

Closing the listener reset the connections that callers had opened and that a busy server had not accepted yet, with the requests that were waiting in them. The server now accepts them first, and a drain waits until it has. The accepting task moves to a module of its own.

late::serves_connections_that_wait_when_the_listener_closes failed before with a reset connection.

--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -1,3 +1,4 @@
+mod acceptor;
 mod active;
 mod connection;
 mod counts;
@@ -14,7 +15,6 @@
 
 use std::net;
 use std::sync;
-use std::time;
 
 use crate::error;
 use crate::limits;
@@ -26,9 +26,6 @@
 pub use reason::Reason;
 pub use unanswered::Unanswered;
 
-/// The delay after a failed `accept`, for example when the process has no free file descriptor.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
-
 /// An HTTP server that is bound to an address.
 ///
 /// # Examples
@@ -126,41 +123,13 @@
         let (state, signals) =
             state::State::new(self.limits, self.cancels_on_disconnect, self.observer);
         let state = sync::Arc::new(state);
-        let accept = accept(
+        let acceptor = acceptor::Acceptor::new(
             self.listener,
             executor.clone(),
             state.clone(),
             sync::Arc::new(handler),
         );
-        executor
-            .spawn(async move {
-                let stopped = state::signalled(&signals.accepting);
-                futures_lite::future::or(stopped, accept).await;
-            })
-            .detach();
+        executor.spawn(acceptor.run(signals)).detach();
         Handle::new(self.address, state)
     }
 }
-
-async fn accept<H, F>(
-    listener: async_io::Async<net::TcpListener>,
-    executor: sync::Arc<crate::Executor>,
-    state: sync::Arc<state::State>,
-    handler: sync::Arc<H>,
-) where
-    H: Fn(request::Request) -> F + Send + Sync + 'static,
-    F: Future<Output = response::Response> + Send + 'static,
-{
-    loop {
-        let Ok((stream, peer)) = listener.accept().await else {
-            async_io::Timer::after(ACCEPT_PAUSE).await;
-            continue;
-        };
-        if let Some(open) = state::ConnectionGuard::new(&state) {
-            let connection = connection::Connection::new(stream, peer, open);
-            executor.spawn(connection.run(handler.clone())).detach();
-        } else if let Some(open) = state::ConnectionGuard::for_refusal(&state) {
-            executor.spawn(connection::refuse(stream, open)).detach();
-        }
-    }
-}
--- a/crates/carawaycleat-net/src/server/handle.rs
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -41,7 +41,7 @@
         self.state.close_idle.close();
     }
 
-    /// Closes the listener. Open connections are closed after their next response.
+    /// Closes the listener. Connections that callers have opened by then are still accepted, and are closed after their next response.
     pub fn stop_accepting(&self) {
         self.state.stop_accepting();
     }
@@ -56,6 +56,7 @@
     /// and waits until all connections are closed. Requests that arrive meanwhile on open connections are still served.
     pub async fn drain(&self) {
         self.state.stop_accepting();
+        self.state.listener_closed().await;
         self.state.requests_finished().await;
         self.state.close_idle.close();
         self.state.connections_closed().await;
--- a/crates/carawaycleat-net/src/server/state.rs
+++ b/crates/carawaycleat-net/src/server/state.rs
@@ -23,9 +23,13 @@
     let _ = signal.recv().await;
 }
 
+/// The signals of the task that accepts connections.
 #[derive(Debug)]
 pub(super) struct Signals {
+    /// Tells the task to stop.
     pub(super) accepting: Signal,
+    /// Dropped when the task has ended.
+    _listening: async_channel::Sender<convert::Infallible>,
 }
 
 /// State shared by a server, its handles and its connections.
@@ -51,6 +55,8 @@
     refusals: atomic::AtomicUsize,
     active: atomic::AtomicUsize,
     accepting: Signal,
+    /// Signals that no more connections are accepted.
+    listener_closed: Signal,
     /// Notifies waiting tasks that a counter has reached zero while the server is stopping.
     zero_reached: (async_channel::Sender<()>, async_channel::Receiver<()>),
     _senders: [async_channel::Sender<convert::Infallible>; 3],
@@ -64,6 +70,7 @@
     ) -> (Self, Signals) {
         let (accepting_sender, accepting) = async_channel::bounded(1);
         let (close_idle_sender, close_idle) = async_channel::bounded(1);
+        let (listening, listener_closed) = async_channel::bounded(1);
         let (abort_sender, abort) = async_channel::bounded(1);
         let state = Self {
             limits: sync::Mutex::new(limits),
@@ -83,10 +90,15 @@
             refusals: atomic::AtomicUsize::new(0),
             active: atomic::AtomicUsize::new(0),
             accepting: accepting.clone(),
+            listener_closed,
             zero_reached: async_channel::bounded(1),
             _senders: [accepting_sender, close_idle_sender, abort_sender],
         };
-        (state, Signals { accepting })
+        let signals = Signals {
+            accepting,
+            _listening: listening,
+        };
+        (state, signals)
     }
 
     pub(super) fn limits(&self) -> limits::Limits {
@@ -114,6 +126,11 @@
         self.active.load(atomic::Ordering::SeqCst)
     }
 
+    /// Waits until no more connections are accepted.
+    pub(super) async fn listener_closed(&self) {
+        signalled(&self.listener_closed).await;
+    }
+
     /// Waits until no request is in progress.
     pub(super) async fn requests_finished(&self) {
         self.wait_for_zero(&self.active).await;
--- a/crates/carawaycleat-net/tests/suite/late.rs
+++ b/crates/carawaycleat-net/tests/suite/late.rs
@@ -91,3 +91,21 @@
     stream.shutdown(net::Shutdown::Both).expect("closed");
     futures_lite::future::block_on(handle.drain());
 }
+
+/// Guards against a request that is lost because its connection was waiting to be accepted when the listener was closed.
+#[test]
+fn serves_connections_that_wait_when_the_listener_closes() {
+    let executor = peer::background();
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let handle = server.start(executor.clone(), |_| async {
+        http::Response::new(200).body("done")
+    });
+    block(&executor);
+    let get = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    let streams = [(); 3].map(|()| peer::connect(handle.local_address(), get));
+    futures_lite::future::block_on(handle.drain());
+    for stream in streams {
+        let response = peer::read_all(&stream);
+        assert!(response.ends_with("done"), "{response}");
+    }
+}
