feat(net): report the requests that the server refuses

A request over a limit on connections, requests or memory, one that is too long and an invalid one were refused before the handler ran, without a line in the log: a refusal of the host could not be told from one of the network in front of it.

--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -90,10 +90,8 @@
         self
     }
 
-    /// Calls `observe` with each request that was read, at least in part, and gets no complete response. `id_header` is
-    /// the name of the header that identifies a request.
-    ///
-    /// Requests that are refused get a complete response; of them, only those that arrived too slowly are reported.
+    /// Calls `observe` with each request that was read, at least in part, and gets no complete response from the handler,
+    /// and with each refused connection. `id_header` is the name of the header that identifies a request.
     #[must_use]
     pub fn observe_unanswered(
         mut self,
--- a/crates/carawaycleat-net/src/server/active.rs
+++ b/crates/carawaycleat-net/src/server/active.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use crate::memory;
-use crate::request;
 use crate::server::entry;
 use crate::server::reason;
 use crate::server::state;
@@ -24,14 +23,14 @@
 }
 
 impl Active {
-    /// Counts a request whose head was read at `now`; returns none if too many are in progress.
+    /// Counts the request `id` whose head was read at `now`; returns none if too many are in progress.
     pub(super) fn new(
         state: &sync::Arc<state::State>,
-        request: &request::Request,
+        id: Option<String>,
         now: time::Instant,
     ) -> Option<Self> {
         let limits = state.limits();
-        let entry = sync::Arc::new(entry::Entry::new(state.id(request), now));
+        let entry = sync::Arc::new(entry::Entry::new(id, now));
         let key = state.begin(entry.clone(), limits.max_requests)?;
         Some(Self {
             state: state.clone(),
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -170,13 +170,13 @@
         state.report(entry::Entry::new(id, since).unanswered(reason::Reason::Discarded));
     }
 
-    /// Receives a request. One that is received only in part is reported, unless it is refused at once.
+    /// Receives a request. One that is refused or received only in part is reported.
     async fn receive(&mut self) -> Result<Incoming, Stop> {
         self.wait_for_data().await?;
         let since = time::Instant::now();
-        let mut active = None;
-        let read = self.read_request(&mut active).await;
-        let reason = match (read, active.take()) {
+        let (mut id, mut active) = (None, None);
+        let read = self.read_request(&mut id, &mut active).await;
+        let (stop, active) = match (read, active) {
             (Ok((request, method, close)), Some(active)) => {
                 return Ok(Incoming {
                     request,
@@ -185,25 +185,22 @@
                     active,
                 });
             }
-            (Err(Stop::Refuse(refusal)), active) if refusal != refusal::Refusal::TOO_SLOW => {
-                if let Some(active) = active {
-                    active.answered();
-                }
-                return Err(refusal.into());
-            }
-            (Err(Stop::Refuse(_)), active) => (reason::Reason::TooSlow, active),
-            (Err(Stop::Close) | Ok(_), active) => (reason::Reason::Truncated, active),
+            (Ok(_), None) => (Stop::Close, None),
+            (Err(stop), active) => (stop, active),
         };
         let state = &self.guard.state;
-        match reason {
-            (reason, Some(active)) => active.unanswered(reason),
-            (reason, None) => state.report(entry::Entry::new(None, since).unanswered(reason)),
-        }
-        if reason.0 == reason::Reason::TooSlow {
-            return Err(refusal::Refusal::TOO_SLOW.into());
+        let reason = match &stop {
+            Stop::Close => {
+                state.malformed.fetch_add(1, atomic::Ordering::Relaxed);
+                reason::Reason::Truncated
+            }
+            Stop::Refuse(refusal) => refusal.reason(),
+        };
+        match active {
+            Some(active) => active.unanswered(reason),
+            None => state.report(entry::Entry::new(id, since).unanswered(reason)),
         }
-        state.malformed.fetch_add(1, atomic::Ordering::Relaxed);
-        Err(Stop::Close)
+        Err(stop)
     }
 
     /// Waits for the first bytes of a request, unless they were read during the response before it.
@@ -247,21 +244,23 @@
         futures_lite::future::or(read, too_slow(deadline)).await
     }
 
-    /// Reads a request, which counts as in progress once its head is read. Returns the request, its method and whether
+    /// Reads a request, which has its identifier and counts as in progress once its head is read. Returns the request, its method and whether
     /// the connection is to be closed after the response.
     async fn read_request(
         &mut self,
+        id: &mut Option<String>,
         active: &mut Option<active::Active>,
     ) -> Result<(request::Request, http_types::Method, bool), Stop> {
         let limits = self.guard.state.limits();
         let head = self.read_head(&limits).await?;
+        *id = self.guard.state.id(&head.request);
         if matches!(head.framing, scanner::Framing::Length(length) if length > limits.max_body_bytes as u64)
         {
             return Err(refusal::Refusal::BODY_TOO_LARGE.into());
         }
         // The request is counted before its body is read, so that the limit also bounds the memory used by bodies.
         let now = time::Instant::now();
-        let Some(counted) = active::Active::new(&self.guard.state, &head.request, now) else {
+        let Some(counted) = active::Active::new(&self.guard.state, id.clone(), now) else {
             return Err(refusal::Refusal::TOO_MANY_REQUESTS.into());
         };
         let active = active.insert(counted);
@@ -384,9 +383,11 @@
 /// Refuses a connection over the limit with an error response and closes it.
 pub(super) async fn refuse(stream: async_io::Async<net::TcpStream>, guard: state::ConnectionGuard) {
     let abort = guard.state.abort.clone();
+    let refusal = refusal::Refusal::TOO_MANY_CONNECTIONS;
+    let entry = entry::Entry::new(None, time::Instant::now());
+    guard.state.report(entry.unanswered(refusal.reason()));
     let write = async {
-        let refusal = refusal::Refusal::TOO_MANY_CONNECTIONS;
-        // Nothing was read, so there is no request to report.
+        // The refusal is reported, and no request was read that could be lost.
         let _ = write_refusal(&stream, refusal, LINGER_TIMEOUT).await;
     };
     futures_lite::future::or(state::signalled(&abort), write).await;
--- a/crates/carawaycleat-net/src/server/reason.rs
+++ b/crates/carawaycleat-net/src/server/reason.rs
@@ -1,4 +1,4 @@
-/// Why a request got no complete response.
+/// Why a request got no complete response from a handler.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
     /// The caller had disconnected before its handler was started, see [`crate::Server::cancel_on_disconnect`].
@@ -22,6 +22,13 @@
     Truncated,
     /// The request arrived too slowly. It is refused with status 408.
     TooSlow,
+    /// The server refused the request or its connection, for example because of a limit.
+    Refused {
+        /// The status code of the response.
+        status: u16,
+        /// The error code in the body of the response.
+        code: &'static str,
+    },
 }
 
 impl Reason {
@@ -39,6 +46,7 @@
             Self::Discarded => "discarded",
             Self::Truncated => "truncated",
             Self::TooSlow => "too_slow",
+            Self::Refused { code, .. } => code,
         }
     }
 }
--- a/crates/carawaycleat-net/src/server/refusal.rs
+++ b/crates/carawaycleat-net/src/server/refusal.rs
@@ -1,4 +1,5 @@
 use crate::response;
+use crate::server::reason;
 
 /// An error response that the server sends without calling the handler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +40,17 @@
         self.status != 503
     }
 
+    /// Returns the reason for which a request is reported.
+    pub(super) fn reason(&self) -> reason::Reason {
+        if *self == Self::TOO_SLOW {
+            return reason::Reason::TooSlow;
+        }
+        reason::Reason::Refused {
+            status: self.status,
+            code: self.code,
+        }
+    }
+
     pub(super) fn response(&self) -> response::Response {
         let body = serde_json::json!({"error": {
             "message": self.message,
--- a/crates/carawaycleat-net/src/server/unanswered.rs
+++ b/crates/carawaycleat-net/src/server/unanswered.rs
@@ -2,7 +2,7 @@
 
 use crate::server::reason;
 
-/// A request that got no complete response, as [`crate::Server::observe_unanswered`] reports it.
+/// A request that got no complete response from a handler, as [`crate::Server::observe_unanswered`] reports it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Unanswered {
     /// The value of the header that identifies the request; none if the request has no such header or its head is
