fix(relay): let the first event decide between attempts, not a head

A stream whose upstream is silent is sent to a second one. The head of the second response ended the first attempt: when the second upstream then broke off or failed, the caller's stream was cut, although the first upstream was sound and went on after 1.2 s. In the same way the third attempt at a whole response ended the first one.

All attempts stay until one of them has brought an event or a response. Two attempts at a stream still run beside each other for 0.3 s at most.

relay_silence: head_of_the_second_attempt_does_not_end_the_first (2 cases) and any_of_three_attempts_may_answer::first failed before.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -107,8 +107,8 @@
     /// The attempts that an upstream rejected without running them.
     pub(super) rejections: u32,
     pub(super) phase: Phase,
-    /// Another attempt in progress, which goes on when the one in [`Self::phase`] ends without an answer.
-    pub(super) standby: Option<Phase>,
+    /// The other attempts in progress, which go on when the one in [`Self::phase`] ends without an answer.
+    pub(super) standbys: Vec<Phase>,
     /// Whether a part of the response has been passed on.
     pub(super) response_started: bool,
     /// The identifier of the last event of the stream that has been passed on.
@@ -187,16 +187,18 @@
         )
     }
 
-    /// Returns whether the response to the attempt in progress has begun, but no event of it is complete.
+    /// Returns whether the response has begun, but no event of an attempt in progress is complete.
     pub(super) fn has_just_begun(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::Sent {
-                head_received: true,
-                event_received: false,
-                ..
-            }
-        )
+        let has_event = |phase: &Phase| {
+            matches!(
+                phase,
+                Phase::Sent {
+                    event_received: true,
+                    ..
+                }
+            )
+        };
+        self.is_head_received() && !has_event(&self.phase) && !self.standbys.iter().any(has_event)
     }
 
     /// Returns whether no event of the response to the attempt in progress is complete; for a response that is no stream,
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -202,7 +202,7 @@
             tried: Vec::new(),
             rejections: 0,
             phase: pending::Phase::Waiting,
-            standby: None,
+            standbys: Vec::new(),
             response_started: false,
             last_event: None,
             stream: origin::Stream::new(
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -269,7 +269,7 @@
             priority: request.priority.min(9),
             remaining,
             response_timeout: remaining,
-            keeps_previous: request.standby.is_some(),
+            keeps_previous: !request.standbys.is_empty(),
             repeatable: request.may_repeat(),
             last_event: request.last_event,
         };
--- a/crates/carawaycleat-core/src/relay/reducer/lateness.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/lateness.rs
@@ -28,7 +28,7 @@
             return false;
         }
         for request in self.requests.values_mut() {
-            for phase in std::iter::once(&mut request.phase).chain(&mut request.standby) {
+            for phase in std::iter::once(&mut request.phase).chain(&mut request.standbys) {
                 if let pending::Phase::Sent { last_progress, .. } = phase {
                     *last_progress = now.min(*last_progress + excess);
                 }
--- a/crates/carawaycleat-core/src/relay/reducer/origin.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/origin.rs
@@ -308,13 +308,15 @@
         true
     }
 
-    /// Unbinds a stream whose attempt failed before anything but the head was passed on, unless the caller has taken it up.
+    /// Unbinds a stream whose only attempt failed before anything but the head was passed on, unless the caller has taken
+    /// it up.
     pub(super) fn unpin_without_event(&mut self, id: event::Id) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         let has_begun = request.is_head_received() && request.first_byte_at.is_none();
-        if has_begun && request.stream.resumption.is_none() {
+        let is_only = request.standbys.is_empty();
+        if has_begun && is_only && request.stream.resumption.is_none() {
             request.stream.pin = origin::Pin::Free;
             self.origins
                 .registry
@@ -368,7 +370,7 @@
 
     fn dispute_attempts(&mut self, id: &name::Name, current: &origin::Origin) {
         for request in self.requests.values_mut() {
-            for phase in std::iter::once(&mut request.phase).chain(&mut request.standby) {
+            for phase in std::iter::once(&mut request.phase).chain(&mut request.standbys) {
                 let pending::Phase::Sent {
                     upstream,
                     head_received,
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -64,9 +64,7 @@
         }
         let succeeded = response.status < 500;
         if succeeded && response.is_stream {
-            self.end_standby(now, id, effects);
-            self.begin_stream(now, id, effects);
-            return;
+            return self.begin_stream(now, id, effects);
         }
         self.record_harmless(now, id, effects);
         let may_follow = |request: &pending::Pending| !request.response_started;
@@ -74,7 +72,7 @@
             && !NOT_RUN_STATUSES.contains(&response.status)
             && self.requests.get(&id).is_some_and(may_follow)
         {
-            self.end_standby(now, id, effects);
+            self.end_standbys(now, id, effects);
         }
         let Some((upstream, sent)) = self.release(id) else {
             return;
@@ -231,7 +229,7 @@
             return;
         }
         if last_event.is_some() {
-            self.end_standby(now, id, effects);
+            self.end_standbys(now, id, effects);
         }
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -277,7 +275,7 @@
         if !self.is_attempt(id, attempt) {
             return;
         }
-        self.end_standby(now, id, effects);
+        self.end_standbys(now, id, effects);
         self.forget_stream(id);
         let Some((upstream, _)) = self.release(id) else {
             return;
@@ -477,7 +475,7 @@
         retry_after: Option<time::Duration>,
         effects: &mut Vec<effect::Effect>,
     ) {
-        self.end_standby(now, id, effects);
+        self.end_standbys(now, id, effects);
         let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
@@ -531,7 +529,7 @@
         id: event::Id,
         effects: &mut Vec<effect::Effect>,
     ) {
-        self.end_standby(now, id, effects);
+        self.end_standbys(now, id, effects);
         let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -1,4 +1,4 @@
-//! Two attempts at one request at a time: one whose upstream is silent, and the one that is to take its place.
+//! Several attempts at one request at a time: those whose upstreams are silent, and the one that is to take their place.
 
 use std::time;
 
@@ -18,21 +18,21 @@
     pub(super) fn set_aside(&mut self, id: event::Id) {
         if let Some(request) = self.requests.get_mut(&id) {
             let phase = std::mem::replace(&mut request.phase, pending::Phase::Waiting);
-            request.standby = Some(phase);
+            request.standbys.push(phase);
         }
     }
 
-    /// Makes `attempt` the attempt in progress, and the other one the standby, if it is the standby.
+    /// Makes `attempt` the attempt in progress, and that one a standby, if `attempt` is a standby.
     pub(super) fn focus(&mut self, id: event::Id, attempt: u32) {
-        if let Some(request) = self.requests.get_mut(&id)
-            && let Some(standby) = &mut request.standby
-            && standby.attempt() == Some(attempt)
-        {
-            std::mem::swap(&mut request.phase, standby);
+        if let Some(request) = self.requests.get_mut(&id) {
+            let mut standbys = request.standbys.iter_mut();
+            if let Some(standby) = standbys.find(|standby| standby.attempt() == Some(attempt)) {
+                std::mem::swap(&mut request.phase, standby);
+            }
         }
     }
 
-    /// Goes on with the standby after the attempt in progress has ended without an answer. Returns whether there is one.
+    /// Goes on with a standby after the attempt in progress has ended without an answer. Returns whether there is one.
     pub(super) fn resume_standby(
         &mut self,
         now: clock::Instant,
@@ -42,7 +42,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return false;
         };
-        let Some(standby) = request.standby.take() else {
+        let Some(standby) = request.standbys.pop() else {
             return false;
         };
         let decision = timeline::Decision::new("attempt_kept")
@@ -57,22 +57,36 @@
         true
     }
 
-    /// Ends the standby, because the attempt in progress has brought an answer or has to go on alone.
-    pub(super) fn end_standby(
+    /// Ends the standbys, because the attempt in progress has brought an answer or has to go on alone.
+    pub(super) fn end_standbys(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let request = self.requests.get_mut(&id);
+        let standbys = request.map(|request| std::mem::take(&mut request.standbys));
+        for standby in standbys.into_iter().flatten() {
+            self.end_standby(now, id, standby, effects);
+        }
+    }
+
+    fn end_standby(
         &mut self,
         now: clock::Instant,
         id: event::Id,
+        standby: pending::Phase,
         effects: &mut Vec<effect::Effect>,
     ) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let Some(pending::Phase::Sent {
+        let pending::Phase::Sent {
             attempt,
             upstream,
             sent,
             ..
-        }) = request.standby.take()
+        } = standby
         else {
             return;
         };
@@ -94,23 +108,23 @@
         effects.push(effect::Effect::Command(id, command::Command::End(attempt)));
     }
 
-    /// Ends the earlier one of two attempts at a stream that have run side by side for long enough.
+    /// Ends the standby of a stream whose two attempts have run side by side for long enough: the earlier one, unless it was
+    /// the last to bring a head.
     pub(super) fn end_overlaps(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         let is_over = |request: &pending::Pending| {
-            let standby = request.standby.as_ref().and_then(pending::Phase::sent_at);
+            let sent = request.standbys.iter().map(pending::Phase::sent_at);
+            let latest = sent.max().flatten().max(request.phase.sent_at());
             request.route.kind == config::Kind::Streaming
-                && standby
-                    .max(request.phase.sent_at())
-                    .is_some_and(|sent| now.since(sent) >= MAX_OVERLAP)
+                && latest.is_some_and(|sent| now.since(sent) >= MAX_OVERLAP)
         };
         let over: Vec<_> = self
             .requests
             .iter()
-            .filter(|(_, request)| request.standby.is_some() && is_over(request))
+            .filter(|(_, request)| !request.standbys.is_empty() && is_over(request))
             .map(|(id, _)| *id)
             .collect();
         for id in over {
-            self.end_standby(now, id, effects);
+            self.end_standbys(now, id, effects);
         }
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -152,7 +152,7 @@
         if upstream_stalled && let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.eject(now);
         }
-        let in_progress = 1 + u32::from(request.standby.is_some());
+        let in_progress = 1 + u32::try_from(request.standbys.len()).unwrap_or(u32::MAX - 1);
         let may_retry = request.route.is_repeatable()
             && request.possible_executions + in_progress < request.route.max_attempts
             && request.sent_attempts < super::MAX_SENT_ATTEMPTS
@@ -179,7 +179,6 @@
             .with("head", request.is_head_received())
             .with_some("last_event", request.last_event);
         effects.push(super::record(decision));
-        self.end_standby(now, id, effects);
         self.set_aside(id);
         self.send(now, id, &target, effects);
     }
--- a/crates/carawaycleat-core/tests/suite/relay_silence.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_silence.rs
@@ -20,6 +20,31 @@
     harness
 }
 
+fn response(status: u16) -> relay::Response {
+    relay::Response {
+        status,
+        not_run: false,
+        is_stream: false,
+        request_limit: None,
+        pause: None,
+    }
+}
+
+/// Applies a later configuration with the same services and workspaces, and routes that `change` has changed.
+fn configure(harness: &mut relay_fake::Harness, change: impl Fn(&mut relay::Route)) {
+    let before = relay_fake::config(1, 1_000_000);
+    let mut routes: Vec<_> = before.routes().cloned().collect();
+    for route in &mut routes {
+        change(route);
+    }
+    let services = before
+        .services()
+        .map(|(name, service)| (name.clone(), service.clone()));
+    let workspaces = vec![relay_fake::workspace(1_000_000)];
+    let config = relay::Config::new(2, routes, services.collect(), workspaces, None);
+    harness.feed(relay::Event::Configured(Box::new(config)));
+}
+
 /// How the second attempt ends without an answer that the caller can be given.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum End {
@@ -87,14 +112,7 @@
     harness.advance(relay_fake::millis(SILENCE_MS));
     end_second_attempt(&mut harness, id, end);
     harness.advance(relay_fake::millis(300));
-    let response = relay::Response {
-        status: 200,
-        not_run: false,
-        is_stream: false,
-        request_limit: None,
-        pause: None,
-    };
-    harness.feed(relay::Event::Responded(id, attempt, response));
+    harness.feed(relay::Event::Responded(id, attempt, response(200)));
     assert_completed(&harness, id);
 }
 
@@ -158,3 +176,58 @@
     }
     assert_eq!(harness.reducer.counts(), (0, 0));
 }
+
+/// Guards against a stream that is cut because the attempt that was to take it over broke off, or was rejected, after its
+/// head.
+#[yare::parameterized(
+    error = { End::Error },
+    broken_off = { End::BrokenOff },
+)]
+fn head_of_the_second_attempt_does_not_end_the_first(end: End) {
+    let mut harness = harness();
+    let id = silent_stream(&mut harness);
+    harness.begin_stream(id);
+    harness.advance(relay_fake::millis(100));
+    match end {
+        End::BrokenOff => harness.fail_attempt(id, 2, true),
+        _ => {
+            let response = response(500);
+            harness.feed(relay::Event::Responded(id, 2, response));
+        }
+    }
+    harness.advance(relay_fake::millis(500));
+    harness.feed(relay::Event::StreamProgress(id, 1, Some(3)));
+    harness.feed(relay::Event::StreamEnded(id, 1));
+    assert_completed(&harness, id);
+}
+
+/// Guards against two upstreams that have both begun and work on one stream for more than 400 ms.
+#[test]
+fn second_attempt_that_has_begun_ends_the_first_within_the_overlap() {
+    let mut harness = harness();
+    let id = silent_stream(&mut harness);
+    harness.begin_stream(id);
+    harness.advance(relay_fake::millis(300));
+    assert_eq!(ended_attempts(&harness, id), [1]);
+}
+
+/// Guards against a first attempt that is given up for a third one, although it was only silent.
+#[yare::parameterized(
+    first = { 1 },
+    second = { 2 },
+    third = { 3 },
+)]
+fn any_of_three_attempts_may_answer(answering: u32) {
+    let mut harness = harness();
+    harness.register(relay_fake::registration("plain-three", "plain", &[]));
+    configure(&mut harness, |route| route.max_attempts = 3);
+    let id = harness.arrive(relay_fake::request("/read/1"));
+    harness.advance(relay_fake::millis(2 * SILENCE_MS));
+    assert_eq!(harness.dispatch(id).attempt, 3);
+    harness.feed(relay::Event::Responded(id, answering, response(200)));
+    let others: Vec<_> = (1..=3).filter(|attempt| *attempt != answering).collect();
+    let mut ended = ended_attempts(&harness, id);
+    ended.sort_unstable();
+    assert_eq!(ended, others);
+    assert_completed(&harness, id);
+}
