fix(relay): do not answer the silence of all upstreams with retries

When all upstreams of a service were silent for 1.2 s, their requests were sent on to each other, which used up the retry budget for attempts that could not help. Upstreams stayed ejected after they had gone on, for up to 3.2 s, because only the first byte of a new response ended an ejection; requests waited meanwhile.

A request of a silent upstream goes only to one that is idle or has been heard from within half of the stall timeout. Any byte ends an ejection that was due to silence alone.

relay_outage: both tests failed before (a second attempt at the first stream; a request that still waited 25 ms after the stream had gone on).

--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -211,6 +211,7 @@
             removal_grace: self.options.removal_grace,
             policy: self.options.policy,
             sequence: self.dispatches,
+            max_silence: None,
             unrecorded: self.origins.unrecorded(now, name),
         }
     }
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -253,7 +253,7 @@
                 other: None,
             },
         };
-        entry.record_send();
+        entry.record_send(now);
         let config = self.config.as_ref().map_or(0, config::Config::version);
         let queue = (request.service.clone(), request.model.clone());
         self.send_rates.add(now, &queue, 1.0);
--- a/crates/carawaycleat-core/src/relay/reducer/lateness.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/lateness.rs
@@ -36,6 +36,7 @@
         }
         for entry in self.upstreams.values_mut() {
             entry.last_progress = now.min(entry.last_progress + excess);
+            entry.busy_since = now.min(entry.busy_since + excess);
         }
         !was_late
     }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -226,6 +226,9 @@
             self.focus(id, attempt);
         }
         if !self.is_attempt(id, attempt) {
+            if let Some(entry) = self.standby_upstream(id, attempt) {
+                entry.record_progress(now);
+            }
             return;
         }
         if last_event.is_some() {
@@ -252,7 +255,7 @@
             *last_progress = now;
         }
         if let Some(entry) = self.upstreams.get_mut(upstream) {
-            entry.last_progress = now;
+            entry.record_progress(now);
             if !*first_byte_received {
                 entry.record_first_byte(now, now.since(*sent));
             }
@@ -303,7 +306,7 @@
         };
         request.rejections += 1;
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
-            entry.last_progress = now;
+            entry.record_progress(now);
             match (&request.model, misdirected) {
                 (Some(model), true) => entry.record_missing(now, model, request.adapter.as_ref()),
                 (None, true) => entry.eject(now),
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -8,6 +8,7 @@
 use crate::relay::effect;
 use crate::relay::event;
 use crate::relay::pending;
+use crate::relay::upstream;
 use crate::timeline;
 
 /// The longest time for which two upstreams work on one stream. The platform allows 400 ms.
@@ -32,6 +33,20 @@
         }
     }
 
+    /// Returns the upstream of a standby; none if `attempt` is not one.
+    pub(super) fn standby_upstream(
+        &mut self,
+        id: event::Id,
+        attempt: u32,
+    ) -> Option<&mut upstream::Upstream> {
+        let mut standbys = self.requests.get(&id)?.standbys.iter();
+        let standby = standbys.find(|standby| standby.attempt() == Some(attempt))?;
+        match standby {
+            pending::Phase::Sent { upstream, .. } => self.upstreams.get_mut(upstream),
+            pending::Phase::Waiting => None,
+        }
+    }
+
     /// Goes on with a standby after the attempt in progress has ended without an answer. Returns whether there is one.
     pub(super) fn resume_standby(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -19,6 +19,9 @@
 /// How long before its deadline a waiting request is refused, so that the response arrives in time.
 const REFUSAL_LEAD: time::Duration = time::Duration::from_millis(40);
 
+/// The part of the stall timeout after which a silent upstream does not get the requests of another silent one.
+const MAX_SILENCE_DIVISOR: u32 = 2;
+
 /// The `Retry-After` of a request that timed out.
 const TIMEOUT_RETRY: time::Duration = time::Duration::from_millis(500);
 
@@ -150,7 +153,7 @@
         };
         let silence = now.since(*last_progress);
         if upstream_stalled && let Some(entry) = self.upstreams.get_mut(upstream) {
-            entry.eject(now);
+            entry.eject_for_silence(now);
         }
         let in_progress = 1 + u32::try_from(request.standbys.len()).unwrap_or(u32::MAX - 1);
         let may_retry = request.route.is_repeatable()
@@ -160,7 +163,8 @@
         let Some(service) = self.service_of(request).filter(|_| may_retry) else {
             return;
         };
-        let selector = self.selector(now, &request.service, &service);
+        let mut selector = self.selector(now, &request.service, &service);
+        selector.max_silence = Some(self.options.stall_timeout / MAX_SILENCE_DIVISOR);
         let selection::Selection::Upstream(target) = selector.select(&self.upstreams, request)
         else {
             return;
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -1,5 +1,7 @@
 //! Selection of the upstream for a request.
 
+use std::time;
+
 use super::config;
 use super::origin;
 use super::pending;
@@ -32,10 +34,12 @@
     pub(super) now: clock::Instant,
     pub(super) zone: &'a name::Name,
     pub(super) service: &'a config::Service,
-    pub(super) removal_grace: std::time::Duration,
+    pub(super) removal_grace: time::Duration,
     pub(super) policy: policy::Policy,
     /// A number that grows with each attempt sent; the position for [`policy::Routing::RoundRobin`].
     pub(super) sequence: u64,
+    /// The longest time for which an upstream with requests in progress may have been silent; none means any.
+    pub(super) max_silence: Option<time::Duration>,
     /// The versions of the service at which no stream may begin.
     pub(super) unrecorded: Vec<origin::Origin>,
 }
@@ -74,7 +78,7 @@
         let healthy: Vec<_> = candidates
             .iter()
             .copied()
-            .filter(|upstream| !upstream.is_ejected(self.now))
+            .filter(|upstream| !upstream.is_ejected(self.now) && !self.is_too_silent(upstream))
             .collect();
         // A request that may run only once does not probe whether a suspect upstream is healthy.
         let unsuspected: Vec<_> = healthy
@@ -157,6 +161,11 @@
                 .is_none_or(|model| upstream.can_serve(self.now, model, request.adapter.as_ref()))
     }
 
+    fn is_too_silent(&self, upstream: &upstream::Upstream) -> bool {
+        let silence = upstream.silence(self.now);
+        self.max_silence.is_some_and(|max| silence > max)
+    }
+
     /// Returns whether a request would begin a stream at a version at which none may begin yet.
     fn is_unrecorded(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
         let registration = &upstream.registration;
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -49,6 +49,8 @@
     concurrency_limit: f64,
     /// When this host last received a part of a response from it.
     pub(super) last_progress: clock::Instant,
+    /// Since when this host has had requests in progress there; the last time, if it has none now.
+    pub(super) busy_since: clock::Instant,
     /// The last view of the coordinator and when it was received.
     view: Option<(clock::Instant, view::EngineView)>,
     /// The moving average of failed requests, between 0 and 1, as of `failures_updated`.
@@ -57,6 +59,8 @@
     /// The moving average of the time to the first byte, in seconds.
     mean_latency: Option<f64>,
     ejected_until: clock::Instant,
+    /// Whether it is ejected only because it was silent.
+    is_ejected_for_silence: bool,
     /// The ejections since the last response.
     ejections: u32,
     /// The connections that failed during a request since the last response.
@@ -85,11 +89,13 @@
             other_requests: 0,
             usable_slots: 0,
             last_progress: clock::Instant::default(),
+            busy_since: clock::Instant::default(),
             view: None,
             failure_average: 0.0,
             failures_updated: clock::Instant::default(),
             mean_latency: None,
             ejected_until: clock::Instant::default(),
+            is_ejected_for_silence: false,
             ejections: 0,
             connection_failures: 0,
             full_until: clock::Instant::default(),
@@ -221,7 +227,10 @@
     }
 
     /// Records that a request was sent.
-    pub(super) fn record_send(&mut self) {
+    pub(super) fn record_send(&mut self, now: clock::Instant) {
+        if self.own_requests == 0 {
+            self.busy_since = now;
+        }
         self.own_requests += 1;
         self.usable_slots = self.usable_slots.saturating_sub(1);
         if let Some(limit) = &mut self.limit {
@@ -267,9 +276,26 @@
         self.mean_latency
     }
 
+    /// Returns how long nothing has arrived from it, although it has requests of this host.
+    pub(super) fn silence(&self, now: clock::Instant) -> time::Duration {
+        if self.own_requests == 0 {
+            return time::Duration::ZERO;
+        }
+        now.since(self.last_progress.max(self.busy_since))
+    }
+
+    /// Records a part of a response, which ends an ejection for silence.
+    pub(super) fn record_progress(&mut self, now: clock::Instant) {
+        self.last_progress = now;
+        if std::mem::take(&mut self.is_ejected_for_silence) {
+            self.ejections = 0;
+            self.ejected_until = clock::Instant::default();
+        }
+    }
+
     /// Records the first byte of a response, which ends an ejection.
     pub(super) fn record_first_byte(&mut self, now: clock::Instant, latency: time::Duration) {
-        self.last_progress = now;
+        self.record_progress(now);
         let slots = f64::from(self.registration.slots.max(1));
         self.concurrency_limit =
             (self.concurrency_limit + LIMIT_INCREASE / self.concurrency_limit).min(slots);
@@ -291,8 +317,17 @@
         self.failures_updated = now;
     }
 
+    /// Ejects it because it is silent, until a part of a response arrives from it, or as long as [`Self::eject`] does.
+    pub(super) fn eject_for_silence(&mut self, now: clock::Instant) {
+        if !self.is_ejected(now) {
+            self.eject(now);
+            self.is_ejected_for_silence = true;
+        }
+    }
+
     /// Ejects it for a time that doubles with each ejection in a row.
     pub(super) fn eject(&mut self, now: clock::Instant) {
+        self.is_ejected_for_silence = false;
         if self.is_ejected(now) {
             return;
         }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -36,6 +36,7 @@
 mod relay_limit;
 mod relay_load;
 mod relay_origin;
+mod relay_outage;
 mod relay_pause;
 mod relay_reconfiguration;
 mod relay_silence;
