fix(relay): let a stream that lost its upstream wait for another one

A stream that had begun was cut at once when its upstream broke off 1.2 s or more after its arrival and the other upstreams were ejected, for example because they were silent for a moment: the time that it may wait counted from its arrival. It was also cut at once when the retry budget was empty at that moment.

The wait of such a stream counts from the end of its last attempt, and it waits for the budget as well, for the same 1.2 s. Each attempt is still charged to the budget before it is sent.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -86,6 +86,11 @@
     pub(super) arrived_at: clock::Instant,
     /// The queueing policy.
     pub(super) queue: policy::Queue,
+    /// Since when it has waited for an upstream, or for the last time if an attempt is in progress: its arrival, or the end
+    /// of its last attempt.
+    pub(super) waiting_since: clock::Instant,
+    /// Whether its next attempt has yet to be charged to the retry budget.
+    pub(super) awaits_budget: bool,
     /// When the final response is due.
     pub(super) deadline: clock::Instant,
     /// The end of the caller's own timeout, which may be later than the deadline.
@@ -144,7 +149,7 @@
         self.stream.resumption.is_some()
     }
 
-    /// Returns the time at which the caller has disconnected if no response has begun.
+    /// Returns the time at which the caller of a waiting request has disconnected if no event arrives.
     pub(super) fn abandonment_time(&self) -> clock::Instant {
         if self.route.kind != config::Kind::Streaming {
             return self.deadline;
@@ -152,7 +157,17 @@
         let max_wait = MIN_ABANDONMENT_TIME
             .max(self.route.objective * ABANDONMENT_OBJECTIVES)
             .max(self.route.gap_objective * ABANDONMENT_GAPS);
-        self.deadline.min(self.arrived_at + max_wait)
+        self.deadline.min(self.patience_start() + max_wait)
+    }
+
+    /// Returns when a waiting request began to wait, as far as its caller can tell: when it arrived, or when the upstream of
+    /// a stream that has begun was lost.
+    pub(super) fn patience_start(&self) -> clock::Instant {
+        if self.response_started {
+            self.waiting_since
+        } else {
+            self.arrived_at
+        }
     }
 
     /// Returns the summary of a request that ends now.
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -61,8 +61,12 @@
         let selector = self.selector(now, &request.service, &service);
         match selector.select(&self.upstreams, request) {
             selection::Selection::Upstream(upstream) => {
-                self.waiting.remove(&key);
-                self.send(now, id, &upstream, effects);
+                if self.charge_retry(now, id) {
+                    self.waiting.remove(&key);
+                    self.send(now, id, &upstream, effects);
+                } else {
+                    self.wait_for_budget(now, id, key, effects);
+                }
             }
             selection::Selection::NoFreeSlot => {
                 let pause_end = selector.pause_end(&self.upstreams, request);
@@ -80,6 +84,35 @@
         }
     }
 
+    /// Charges the next attempt of a request to the retry budget, if that has yet to be done. Returns whether it may be
+    /// sent.
+    fn charge_retry(&mut self, now: clock::Instant, id: event::Id) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return false;
+        };
+        let budget = self.budgets.get_mut(&request.service);
+        if request.awaits_budget && budget.is_some_and(|budget| budget.take(now)) {
+            request.awaits_budget = false;
+        }
+        !request.awaits_budget
+    }
+
+    /// Queues a request until the retry budget allows its next attempt, or refuses it after the longest wait.
+    fn wait_for_budget(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        key: super::WaitingKey,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let since = self.requests.get(&id).map(|request| request.waiting_since);
+        if since.is_some_and(|since| now.since(since) < self.options.max_unplaced_wait) {
+            self.waiting.insert(key);
+            return;
+        }
+        self.refuse(now, id, refusal::Reason::UpstreamFailed, None, effects);
+    }
+
     /// Returns the service of a request; as it was at the admission, if a later configuration does not have it.
     pub(super) fn service_of(
         &self,
@@ -171,7 +204,7 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let waited = now.since(request.arrived_at);
+        let waited = now.since(request.patience_start());
         let ready_in = request
             .model
             .as_ref()
@@ -331,11 +364,9 @@
                 continue;
             }
             self.dispatch_or_queue(now, id, effects);
-            if self
-                .requests
-                .get(&id)
-                .is_some_and(pending::Pending::is_waiting)
-            {
+            let finds_none =
+                |request: &pending::Pending| request.is_waiting() && !request.awaits_budget;
+            if self.requests.get(&id).is_some_and(finds_none) {
                 unserved.insert(needs);
             }
         }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -22,12 +22,17 @@
 
 impl super::Reducer {
     /// Ends the attempt in progress, if any, and returns its upstream and when it was sent.
-    pub(super) fn release(&mut self, id: event::Id) -> Option<(name::Name, clock::Instant)> {
+    pub(super) fn release(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+    ) -> Option<(name::Name, clock::Instant)> {
         let request = self.requests.get_mut(&id)?;
         let phase = std::mem::replace(&mut request.phase, pending::Phase::Waiting);
         let pending::Phase::Sent { upstream, sent, .. } = phase else {
             return None;
         };
+        request.waiting_since = now;
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_end();
         }
@@ -74,7 +79,7 @@
         {
             self.end_standbys(now, id, effects);
         }
-        let Some((upstream, sent)) = self.release(id) else {
+        let Some((upstream, sent)) = self.release(now, id) else {
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
@@ -191,7 +196,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if !self.pin_stream(now, id) {
-            self.release(id);
+            self.release(now, id);
             if let Some(request) = self.requests.get_mut(&id) {
                 request.possible_executions += 1;
             }
@@ -280,7 +285,7 @@
         }
         self.end_standbys(now, id, effects);
         self.forget_stream(id);
-        let Some((upstream, _)) = self.release(id) else {
+        let Some((upstream, _)) = self.release(now, id) else {
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
@@ -298,7 +303,7 @@
         misdirected: bool,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let Some((upstream, _)) = self.release(id) else {
+        let Some((upstream, _)) = self.release(now, id) else {
             return;
         };
         let Some(request) = self.requests.get_mut(&id) else {
@@ -353,7 +358,7 @@
         let head_received = request.is_some_and(pending::Pending::is_head_received);
         let is_without_event = request.is_some_and(pending::Pending::is_without_event);
         self.unpin_without_event(id);
-        let Some((upstream, sent_at)) = self.release(id) else {
+        let Some((upstream, sent_at)) = self.release(now, id) else {
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
@@ -456,14 +461,27 @@
         let allowed = (request.possible_executions == 0 || request.may_repeat())
             && request.sent_attempts < super::MAX_SENT_ATTEMPTS
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
+        // A stream that has begun waits for the budget: without it, its response would be cut.
+        let may_wait = request.response_started;
         let budget = self.budgets.get_mut(&request.service);
-        if !allowed || !budget.is_some_and(|budget| budget.take(now)) {
+        if !allowed {
+            return false;
+        }
+        let is_charged = budget.is_some_and(|budget| budget.take(now));
+        if !is_charged && !may_wait {
             return false;
         }
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.awaits_budget = !is_charged;
+        }
+        let Some(request) = self.requests.get(&id) else {
+            return false;
+        };
         let decision = timeline::Decision::new("retried")
             .with_request(request.request_id.as_str())
             .with("cause", cause)
-            .with("attempt", request.attempt);
+            .with("attempt", request.attempt)
+            .with("charged", is_charged);
         effects.push(super::record(decision));
         self.dispatch_or_queue(now, id, effects);
         true
@@ -479,7 +497,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         self.end_standbys(now, id, effects);
-        let in_progress = self.release(id);
+        let in_progress = self.release(now, id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
@@ -533,7 +551,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         self.end_standbys(now, id, effects);
-        let in_progress = self.release(id);
+        let in_progress = self.release(now, id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
--- a/crates/carawaycleat-core/tests/suite/relay_outage.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_outage.rs
@@ -14,7 +14,13 @@
 
 /// Returns a stream that has begun, and its attempt.
 fn begin_stream(harness: &mut relay_fake::Harness) -> (relay::Id, u32) {
-    let id = harness.arrive(relay_fake::request("/live/1"));
+    begin_stream_on(harness, "/live/1")
+}
+
+fn begin_stream_on(harness: &mut relay_fake::Harness, path: &str) -> (relay::Id, u32) {
+    let mut request = relay_fake::request(path);
+    request.model = Some(relay_fake::name("small"));
+    let id = harness.arrive(request);
     let attempt = harness.begin_stream(id);
     harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
     (id, attempt)
@@ -57,3 +63,65 @@
     harness.advance(relay_fake::millis(25));
     assert!(harness.is_sent(waiting));
 }
+
+/// Guards against an old stream that is cut at once when its upstream breaks off while the other one is silent.
+#[test]
+fn old_stream_waits_for_a_silent_upstream() {
+    let mut harness = harness_of(&["one", "two"], relay::Options::default());
+    let (old, first) = begin_stream(&mut harness);
+    // It cannot be sent to the other upstream.
+    let (silent, attempt) = begin_stream_on(&mut harness, "/batch/1");
+    assert_ne!(harness.upstream_of(old), harness.upstream_of(silent));
+    for event in 2..16 {
+        harness.feed(relay::Event::StreamProgress(old, first, Some(event)));
+        if event < 9 {
+            harness.feed(relay::Event::StreamProgress(silent, attempt, Some(event)));
+        }
+        harness.advance(relay_fake::millis(100));
+    }
+    harness.fail_attempt(old, first, false);
+    harness.advance(relay_fake::millis(500));
+    assert!(
+        harness.reducer.counts().1 > 0,
+        "{:?}",
+        harness.commands[&old]
+    );
+    harness.feed(relay::Event::StreamProgress(silent, attempt, Some(9)));
+    harness.advance(relay_fake::millis(25));
+    assert_eq!(harness.dispatch(old).last_event, Some(15));
+}
+
+/// Guards against a stream that is cut because the retry budget is empty at the moment in which its upstream breaks off.
+#[test]
+fn stream_waits_for_the_retry_budget() {
+    let options = relay::Options {
+        retry_slack: 0,
+        ..relay::Options::default()
+    };
+    let mut harness = harness_of(&["one", "two"], options);
+    let (id, attempt) = begin_stream(&mut harness);
+    harness.fail_attempt(id, attempt, true);
+    harness.advance(relay_fake::millis(500));
+    assert_eq!(harness.reducer.counts(), (1, 1));
+    for _ in 0..7 {
+        let (other, attempt) = begin_stream(&mut harness);
+        harness.feed(relay::Event::StreamEnded(other, attempt));
+    }
+    harness.advance(relay_fake::millis(25));
+    assert_eq!(harness.dispatch(id).last_event, Some(1));
+    assert_eq!(harness.reducer.retries_left(harness.now), Some(0));
+}
+
+/// Guards against a stream whose caller is not told for long that it cannot go on, or whose attempts exceed the budget.
+#[test]
+fn stream_is_cut_when_the_retry_budget_stays_empty() {
+    let options = relay::Options {
+        retry_slack: 0,
+        ..relay::Options::default()
+    };
+    let mut harness = harness_of(&["one", "two"], options);
+    let (id, attempt) = begin_stream(&mut harness);
+    harness.fail_attempt(id, attempt, true);
+    harness.advance(relay_fake::millis(1_250));
+    assert_eq!(harness.refusal(id).status(), 502);
+}
