--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -190,6 +190,8 @@
             cost,
             has_tokens,
             arrived_at: now,
+            waiting_since: now,
+            awaits_budget: false,
             queue: self.options.policy.queue,
             deadline: now + route.timeout.min(timeout),
             caller_deadline: now + timeout,
@@ -202,7 +204,7 @@
             tried: Vec::new(),
             rejections: 0,
             phase: pending::Phase::Waiting,
-            standby: None,
+            standbys: Vec::new(),
             response_started: false,
             last_event: None,
             stream: origin::Stream::new(
--- a/crates/carawaycleat-core/src/relay/reducer/lateness.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/lateness.rs
@@ -28,7 +28,7 @@
             return false;
         }
         for request in self.requests.values_mut() {
-            for phase in std::iter::once(&mut request.phase).chain(&mut request.standby) {
+            for phase in std::iter::once(&mut request.phase).chain(&mut request.standbys) {
                 if let pending::Phase::Sent { last_progress, .. } = phase {
                     *last_progress = now.min(*last_progress + excess);
                 }
@@ -36,6 +36,7 @@
         }
         for entry in self.upstreams.values_mut() {
             entry.last_progress = now.min(entry.last_progress + excess);
+            entry.busy_since = now.min(entry.busy_since + excess);
         }
         !was_late
     }
