fix(net): let an earlier idle timeout run out before a shorter one applies

A connection that became idle right after the operator had shortened the idle timeout was closed by the new limit, although its caller may learn of the change later than the host and send its next request within the old one. That request got neither a response nor a refusal.

guard::shorter_idle_timeout_takes_effect_after_the_earlier_one failed before with the end of the connection in place of the response.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -27,9 +27,8 @@
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// How many bytes a closing connection still reads.
 const MAX_LINGER_BYTES: usize = 1024 * 1024;
-
-/// How long a connection stays open after a response whose head promised to keep it, even if idle connections are being
-/// closed. The caller's next request may follow at once; a round trip takes some milliseconds.
+/// How long a connection stays open after it was accepted, or after a response whose head promised to keep it, even if
+/// idle connections are being closed. The caller's next request may follow at once; a round trip takes some milliseconds.
 const KEEP_ALIVE_GRACE: time::Duration = time::Duration::from_millis(250);
 
 /// Why no request was received from a connection.
@@ -244,8 +243,8 @@
         futures_lite::future::or(read, too_slow(deadline)).await
     }
 
-    /// Reads a request, which has its identifier and counts as in progress once its head is read. Returns the request, its method and whether
-    /// the connection is to be closed after the response.
+    /// Reads a request. Sets its identifier, and counts it as in progress, once its head is read. Returns the request, its
+    /// method and whether the connection is to be closed after the response.
     async fn read_request(
         &mut self,
         id: &mut Option<String>,
@@ -369,10 +368,10 @@
 /// Waits until a connection that has just become idle is idle for longer than the limit, which may change meanwhile.
 async fn idle_timeout(state: &state::State) {
     let since = time::Instant::now();
-    let mut limit = state.limits().idle_timeout;
+    let mut limit = state.idle_timeout(since);
     loop {
         async_io::Timer::at(since + limit).await;
-        let current = state.limits().idle_timeout;
+        let current = state.idle_timeout(time::Instant::now());
         if current <= limit {
             return;
         }
--- a/crates/carawaycleat-net/src/server/handle.rs
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -1,5 +1,6 @@
 use std::net;
 use std::sync;
+use std::time;
 
 use crate::limits;
 use crate::server::counts;
@@ -25,9 +26,10 @@
     }
 
     /// Replaces the limits. A request that is already being received keeps the old timeouts and header limit; its body may
-    /// be checked against the new limit.
+    /// be checked against the new limit. A shorter idle timeout takes effect once the earlier one has passed, because
+    /// callers may learn of it later than the server.
     pub fn set_limits(&self, limits: limits::Limits) {
-        self.state.set_limits(limits);
+        self.state.set_limits(limits, time::Instant::now());
     }
 
     /// Closes each connection after its next response. New connections are still accepted.
@@ -41,7 +43,8 @@
         self.state.close_idle.close();
     }
 
-    /// Closes the listener. Connections that callers have opened by then are still accepted, and are closed after their next response.
+    /// Closes the listener. Connections that callers have opened by then are still accepted. Open connections are closed
+    /// after their next response.
     pub fn stop_accepting(&self) {
         self.state.stop_accepting();
     }
--- a/crates/carawaycleat-net/src/server/state.rs
+++ b/crates/carawaycleat-net/src/server/state.rs
@@ -2,6 +2,7 @@
 use std::convert;
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use crate::limits;
 use crate::request;
@@ -36,6 +37,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     limits: sync::Mutex<limits::Limits>,
+    /// The idle timeout before it was shortened, and the time until which it still applies.
+    earlier_idle_timeout: sync::Mutex<Option<(time::Duration, time::Instant)>>,
     /// Whether a handler is dropped when its caller disconnects.
     pub(super) cancels_on_disconnect: bool,
     /// Told of the requests without a complete response.
@@ -74,6 +77,7 @@
         let (abort_sender, abort) = async_channel::bounded(1);
         let state = Self {
             limits: sync::Mutex::new(limits),
+            earlier_idle_timeout: sync::Mutex::default(),
             cancels_on_disconnect,
             observer,
             in_progress: sync::Mutex::default(),
@@ -105,8 +109,26 @@
         lock(&self.limits).clone()
     }
 
-    pub(super) fn set_limits(&self, limits: limits::Limits) {
-        *lock(&self.limits) = limits;
+    /// Replaces the limits. A longer idle timeout still applies for its own length, because callers that do not know of the
+    /// change yet send requests on connections that would be closed.
+    pub(super) fn set_limits(&self, limits: limits::Limits, now: time::Instant) {
+        let replaced = std::mem::replace(&mut *lock(&self.limits), limits.clone());
+        if replaced.idle_timeout > limits.idle_timeout {
+            let mut earlier = lock(&self.earlier_idle_timeout);
+            let replaced = (replaced.idle_timeout, now + replaced.idle_timeout);
+            *earlier = match earlier.filter(|(_, until)| now < *until) {
+                Some((timeout, until)) => Some((timeout.max(replaced.0), until.max(replaced.1))),
+                None => Some(replaced),
+            };
+        }
+    }
+
+    /// Returns how long a connection may be idle.
+    pub(super) fn idle_timeout(&self, now: time::Instant) -> time::Duration {
+        let earlier = *lock(&self.earlier_idle_timeout);
+        let earlier = earlier.filter(|(_, until)| now < *until);
+        let current = lock(&self.limits).idle_timeout;
+        earlier.map_or(current, |(earlier, _)| earlier.max(current))
     }
 
     pub(super) fn close_after_responses(&self) {
--- a/crates/carawaycleat-net/tests/suite/guard.rs
+++ b/crates/carawaycleat-net/tests/suite/guard.rs
@@ -270,3 +270,23 @@
         .expect("sent");
     assert!(peer::read_all(&stream).ends_with("GET /late "));
 }
+
+/// Guards against a request that is lost because its caller does not know yet that the idle timeout is shorter.
+#[test]
+fn shorter_idle_timeout_takes_effect_after_the_earlier_one() {
+    let earlier = 10 * SHORT;
+    let handle = peer::echo(http::Limits::default().idle_timeout(earlier));
+    handle.set_limits(http::Limits::default().idle_timeout(SHORT));
+    let started = time::Instant::now();
+    let stream = peer::connect(handle.local_address(), b"");
+    thread::sleep(3 * SHORT);
+    (&stream)
+        .write_all(b"GET /late HTTP/1.1\r\nhost: a\r\n\r\n")
+        .expect("sent");
+    peer::read_until(&stream, "GET /late ");
+    thread::sleep(earlier.saturating_sub(started.elapsed()));
+    let since = time::Instant::now();
+    let later = peer::connect(handle.local_address(), b"");
+    assert_eq!(peer::read_all(&later), "");
+    assert!(since.elapsed() < earlier / 2, "{:?}", since.elapsed());
+}
