fix(relay): do not take a caller that does not read for a silent upstream

While a caller does not take the events of its stream, nothing is read from the upstream. After 0.6 s the stream was sent to a second upstream and the first one was ejected.

relay_late::upstream_of_a_caller_that_does_not_read_is_not_silent fails when the reducer ignores the new event.

--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -34,6 +34,9 @@
     Responded(Id, u32, Response),
     /// Events of an attempt's stream have arrived, the last one with this identifier, if any.
     StreamProgress(Id, u32, Option<u64>),
+    /// Events of an attempt's stream have arrived, but the caller does not take them, so that nothing more is read. Ends
+    /// with the next [`Event::StreamProgress`] of the request.
+    CallerBlocked(Id),
     /// An attempt's stream is complete.
     StreamEnded(Id, u32),
     /// An attempt has failed.
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -116,6 +116,8 @@
     pub(super) standbys: Vec<Phase>,
     /// Whether a part of the response has been passed on.
     pub(super) response_started: bool,
+    /// Whether its caller does not take the events that have arrived, so that its upstream may look silent.
+    pub(super) is_caller_blocked: bool,
     /// The identifier of the last event of the stream that has been passed on.
     pub(super) last_event: Option<u64>,
     pub(super) stream: origin::Stream,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -246,6 +246,11 @@
             event::Event::StreamProgress(id, attempt, last_event) => {
                 self.handle_progress(now, id, attempt, last_event, &mut effects)
             }
+            event::Event::CallerBlocked(id) => {
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.is_caller_blocked = true;
+                }
+            }
             event::Event::StreamEnded(id, attempt) => {
                 self.handle_stream_end(now, id, attempt, &mut effects)
             }
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -206,6 +206,7 @@
             phase: pending::Phase::Waiting,
             standbys: Vec::new(),
             response_started: false,
+            is_caller_blocked: false,
             last_event: None,
             stream: origin::Stream::new(
                 request
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -227,6 +227,9 @@
         last_event: Option<u64>,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.is_caller_blocked = false;
+        }
         if last_event.is_some() {
             self.focus(id, attempt);
         }
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -103,6 +103,7 @@
         let stalled: Vec<_> = self
             .requests
             .iter()
+            .filter(|(_, request)| !request.is_caller_blocked)
             .filter_map(|(id, request)| {
                 let pending::Phase::Sent {
                     upstream,
--- a/crates/carawaycleat-core/tests/suite/relay_late.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -108,3 +108,19 @@
     harness.feed(relay::Event::StreamsRead(Some(vec![record])));
     assert!(harness.is_sent(id));
 }
+
+/// Guards against a stream that is sent again because its caller does not read, so that nothing is read from its upstream.
+#[test]
+fn upstream_of_a_caller_that_does_not_read_is_not_silent() {
+    let mut harness = harness();
+    let id = harness.arrive(relay_fake::request("/live/1"));
+    let attempt = harness.begin_stream(id);
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(2)));
+    harness.feed(relay::Event::CallerBlocked(id));
+    harness.advance(relay_fake::millis(1_500));
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(3)));
+    harness.advance(relay_fake::millis(500));
+    assert_eq!(harness.commands[&id].iter().filter(is_send).count(), 1);
+    harness.advance(relay_fake::millis(200));
+    assert_eq!(harness.dispatch(id).attempt, 2, "it is silent now");
+}
