test(net): look for a trace of requests behind a broken response

A request that the server reads during a streamed response is dropped with the connection's buffer when that response breaks off or its caller disconnects. No report says so.

--- a/crates/carawaycleat-net/tests/suite/unanswered.rs
+++ b/crates/carawaycleat-net/tests/suite/unanswered.rs
@@ -199,3 +199,45 @@
         assert!(entries.is_empty(), "the handler was started");
     });
 }
+
+/// Guards against a request that was read during the response before it, and disappears without a trace when that response
+/// breaks off.
+#[yare::parameterized(
+    aborted = { |writer: http::Writer, _: &net::TcpStream| drop(writer), http::Reason::StreamAborted },
+    disconnected = { |writer: http::Writer, stream: &net::TcpStream| {
+        stream.shutdown(net::Shutdown::Both).expect("closed");
+        futures_lite::future::block_on(writer.closed());
+    }, http::Reason::GoneDuringStream },
+)]
+fn reports_request_behind_a_broken_response(
+    end: fn(http::Writer, &net::TcpStream),
+    reason: http::Reason,
+) {
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let (sender, reports) = async_channel::unbounded();
+    let (opened, writers) = async_channel::unbounded();
+    let handle = server
+        .observe_unanswered("x-id", move |report| {
+            sender.try_send(report).expect("a receiver");
+        })
+        .start(peer::background(), move |_| {
+            let (writer, stream) = http::stream();
+            opened.try_send(writer).expect("a receiver");
+            async { http::Response::new(200).stream(stream) }
+        });
+    let mut stream = peer::connect(handle.local_address(), get("/first").as_bytes());
+    peer::read_until(&stream, "\r\n\r\n");
+    let second = get("/second").replace("x-id: 7", "x-id: 8");
+    stream.write_all(second.as_bytes()).expect("sent");
+    // Lets the server read the second request.
+    std::thread::sleep(time::Duration::from_millis(100));
+    end(writers.recv_blocking().expect("a writer"), &stream);
+    let reasons = [next(&reports), next(&reports)].map(|report| (report.id, report.reason));
+    let expected = [("7", reason), ("8", http::Reason::Discarded)];
+    for (id, reason) in expected {
+        assert!(
+            reasons.contains(&(Some(id.to_owned()), reason)),
+            "{reasons:?}"
+        );
+    }
+}
