fix(net): report a request that was read during a response which broke off

A request that was read during a streamed response left no trace when that response broke off or its caller left: the connection's buffer was dropped with it. It is reported as discarded now.

unanswered::reports_request_behind_a_broken_response, two cases, failed before (no report in 10 s).

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -148,7 +148,10 @@
             .await;
             match written {
                 Ok(()) => active.answered(),
-                Err(reason) => return active.unanswered(reason),
+                Err(reason) => {
+                    active.unanswered(reason);
+                    return self.report_discarded(time::Instant::now());
+                }
             }
             if close {
                 return self.close().await;
@@ -156,10 +159,15 @@
         }
     }
 
-    /// Closes a connection after a response whose head has said so. Reports a request that came behind it.
+    /// Closes a connection after a response whose head has said so.
     async fn close(mut self) {
         let since = time::Instant::now();
         linger(&self.stream, &mut self.buffer).await;
+        self.report_discarded(since);
+    }
+
+    /// Reports a request that came behind the last response of a connection, if there is one.
+    fn report_discarded(&self, since: time::Instant) {
         if self.buffer.is_empty() {
             return;
         }
