test(relay): look for streams that are cut after a failed take-over

An upstream is silent for a second. The host sends the stream to another one, ends the attempt at the silent one after 300 ms, and the other one then does not go on. The caller's stream is cut although the first upstream is sound.

--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -30,6 +30,7 @@
 mod relay_change;
 mod relay_config;
 mod relay_crash;
+mod relay_cut;
 mod relay_extreme;
 mod relay_fake;
 mod relay_late;
