fix(relay): accept a request late in a stop only by its time limit

Cause: a request that comes during a stop was accepted if requests of its kind had been short enough until now. This one took longer than any before.

Change: what arrives later than 2.5 s after the beginning of the stop is accepted only if its time limit ends in time; otherwise it is refused at once as not run, as before.

Evidence: relay_stop, late_request_needs_its_time_limit, case late (with the bound set to a minute, which is the code before, it fails).

--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -113,8 +113,8 @@
     /// The upstreams from which responses broke off, until it is known whether they crashed.
     breakages: collections::BTreeMap<name::Name, crash::Breakage>,
     origins: origin::Origins,
-    /// When the requests that are still without a response are refused because the process stops.
-    stop_deadline: Option<clock::Instant>,
+    /// The stop of the process, once it has begun.
+    stop: Option<stop::Stop>,
     /// How long requests take.
     durations: stop::Durations,
 }
@@ -155,7 +155,7 @@
             quarantine: quarantine::Registry::default(),
             breakages: collections::BTreeMap::new(),
             origins: origin::Origins::default(),
-            stop_deadline: None,
+            stop: None,
             durations: stop::Durations::default(),
         }
     }
@@ -287,7 +287,10 @@
                 self.record_stored_versions(now, origins, &mut effects);
             }
             event::Event::HostsChanged(hosts) => self.set_hosts(now, hosts),
-            event::Event::Stopping(deadline) => self.stop_deadline = Some(deadline),
+            event::Event::Stopping(deadline) => {
+                let began = now;
+                self.stop = Some(stop::Stop { began, deadline });
+            }
             event::Event::Tick => self.tick(now, &mut effects),
         }
         effects
--- a/crates/carawaycleat-core/src/relay/reducer/stop.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/stop.rs
@@ -17,6 +17,17 @@
 const DECAY: f64 = 0.05;
 /// The factor between the estimate and the time that must be left.
 const SAFETY_FACTOR: f64 = 1.25;
+/// How long after the beginning of the stop a request may arrive for the estimate to be relied on. Later ones come on
+/// connections that were open before, and a response that takes longer than any before would be cut.
+const MAX_ESTIMATED_ARRIVAL: time::Duration = time::Duration::from_millis(2_500);
+
+/// A stop of the process.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stop {
+    pub(super) began: clock::Instant,
+    /// When the requests that are still without a response are refused.
+    pub(super) deadline: clock::Instant,
+}
 
 /// A service, and the host and the prefix of a route.
 type Kind = (name::Name, sync::Arc<str>, sync::Arc<str>);
@@ -65,13 +76,14 @@
         id: event::Id,
         effects: &mut Vec<effect::Effect>,
     ) -> bool {
-        let (Some(stop), Some(request)) = (self.stop_deadline, self.requests.get(&id)) else {
+        let (Some(stop), Some(request)) = (&self.stop, self.requests.get(&id)) else {
             return false;
         };
         let limit = request.deadline.since(now);
-        let expected = self.durations.expected(request);
+        let is_late = request.arrived_at.since(stop.began) > MAX_ESTIMATED_ARRIVAL;
+        let expected = self.durations.expected(request).filter(|_| !is_late);
         let duration = expected.map_or(limit, |expected| expected.min(limit));
-        if request.response_started || now + duration < stop {
+        if request.response_started || now + duration < stop.deadline {
             return false;
         }
         let retry_after = Some(super::OTHER_HOST_RETRY);
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -75,8 +75,8 @@
         let is_stopping = |request: &pending::Pending| {
             !request.response_started
                 && self
-                    .stop_deadline
-                    .is_some_and(|deadline| now + REFUSAL_LEAD >= deadline)
+                    .stop
+                    .is_some_and(|stop| now + REFUSAL_LEAD >= stop.deadline)
         };
         let reason = |request: &pending::Pending| {
             if is_expired(request) {
--- a/crates/carawaycleat-core/tests/suite/relay_stop.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_stop.rs
@@ -121,6 +121,29 @@
     assert!(refused >= 4, "{refused} of 30 refused");
 }
 
+/// Guards against a request that comes late in a stop, on a connection that was kept, and is cut at the end of the process
+/// because it takes longer than those before it.
+#[yare::parameterized(
+    early = { 1_000, true },
+    late = { 3_000, false },
+)]
+fn late_request_needs_its_time_limit(after_ms: u64, is_sent: bool) {
+    let mut harness = stopping_host("/book/1", 100);
+    harness.feed(relay::Event::Stopping(harness.now + 2 * STOP_TIME));
+    harness.advance(relay_fake::millis(after_ms));
+    let id = harness.arrive(relay_fake::request("/book/1"));
+    assert_eq!(harness.is_sent(id), is_sent);
+    if !is_sent {
+        assert_eq!(harness.refusal(id).reason, relay::Reason::Stopping);
+    }
+    let short = relay::Request {
+        timeout: Some(relay_fake::millis(500)),
+        ..relay_fake::request("/book/1")
+    };
+    let id = harness.arrive(short);
+    assert!(harness.is_sent(id));
+}
+
 /// Guards against a request of an unknown duration that is passed on although its time limit is later than the end.
 #[test]
 fn request_of_an_unknown_kind_needs_its_time_limit() {
