--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -130,7 +130,7 @@
             let Some(response) = handled.await else {
                 return active.unanswered(reason::Reason::GoneDuringHandler);
             };
-            // `async-h1` never reads a pipelined request; closing the connection tells the caller that it was not run.
+            // A request that was pipelined behind this one is not run; closing the connection tells the caller so.
             let close = incoming.close
                 || !self.buffer.is_empty()
                 || peek::Peek::new(&self.stream) == peek::Peek::Sent
