feat(relay): tell refused connections from silent upstreams in logs, and count cut responses

Change: `attempt_failed` has `failure` (refused, unconnected, local, broken_off), `attempt_sent` has the time that the connection of a second attempt took, `refused` counts the holders and those of them that are ejected or paused, and `responses_cut_total` counts cut responses by reason. Probes tell a refusal from silence. Decisions are as before.

--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -39,16 +39,16 @@
     CallerBlocked(Id),
     /// An attempt's stream is complete.
     StreamEnded(Id, u32),
+    /// The first byte of an attempt that was sent beside another one has left. Not reported for other attempts.
+    AttemptSent(Id, u32),
     /// An attempt has failed.
     AttemptFailed {
         /// The request.
         request: Id,
         /// The attempt.
         attempt: u32,
-        /// Whether a byte of the request may have been sent.
-        sent: bool,
-        /// Whether the upstream did not accept a connection.
-        unreachable: bool,
+        /// How it ended.
+        failure: super::Failure,
     },
     /// The store was read in this era, and what was read follows.
     StoreRead {
@@ -86,8 +86,8 @@
     UpstreamProbed {
         /// The upstream.
         upstream: name::Name,
-        /// Whether it responded.
-        alive: bool,
+        /// The result.
+        probe: super::Probe,
     },
     /// A host has observed the crash of an upstream.
     CrashReported(Box<quarantine::Crash>),
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -19,6 +19,8 @@
         attempt: u32,
         upstream: name::Name,
         sent: clock::Instant,
+        /// When the request left for the upstream; none while its connection is being made.
+        departed: Option<clock::Instant>,
         last_progress: clock::Instant,
         /// Whether the head of a stream has arrived.
         head_received: bool,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -254,12 +254,14 @@
             event::Event::StreamEnded(id, attempt) => {
                 self.handle_stream_end(now, id, attempt, &mut effects)
             }
+            event::Event::AttemptSent(id, attempt) => {
+                self.record_departure(now, id, attempt, &mut effects);
+            }
             event::Event::AttemptFailed {
                 request,
                 attempt,
-                sent,
-                unreachable,
-            } => self.handle_failure(now, request, attempt, sent, unreachable, &mut effects),
+                failure,
+            } => self.handle_failure(now, request, attempt, failure, &mut effects),
             event::Event::StoreRead {
                 era,
                 required_version,
@@ -277,7 +279,7 @@
                 self.record_leaving(now, &upstream, started, &mut effects);
             }
             event::Event::UpstreamRemoved(id) => self.remove_upstream(now, &id, &mut effects),
-            event::Event::UpstreamProbed { upstream, alive } => self.handle_probe(&upstream, alive),
+            event::Event::UpstreamProbed { upstream, probe } => self.handle_probe(&upstream, probe),
             event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
             event::Event::ViewReceived(view) => self.update_view(now, *view, &mut effects),
             event::Event::StreamsRead(records) => {
--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -7,6 +7,7 @@
 use crate::quarantine;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::probe;
 use crate::relay::refusal;
 use crate::timeline;
 
@@ -57,8 +58,8 @@
     }
 
     /// Handles the result of a probe. An upstream that responds has not crashed.
-    pub(super) fn handle_probe(&mut self, upstream: &name::Name, alive: bool) {
-        if !alive {
+    pub(super) fn handle_probe(&mut self, upstream: &name::Name, probe: probe::Probe) {
+        if probe != probe::Probe::Alive {
             return self.confirm_crash(upstream);
         }
         if self
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -277,6 +277,8 @@
             attempt: request.attempt,
             upstream: upstream.clone(),
             sent: now,
+            // The departure of an attempt beside another one is reported.
+            departed: request.standbys.is_empty().then_some(now),
             last_progress: now,
             head_received: false,
             event_received: false,
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -8,9 +8,11 @@
 use crate::relay::command;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::failure;
 use crate::relay::pause;
 use crate::relay::pending;
 use crate::relay::refusal;
+use crate::relay::selection;
 use crate::relay::summary;
 use crate::relay::upstream;
 use crate::timeline;
@@ -341,18 +343,16 @@
         }
     }
 
-    /// Handles an attempt that failed without a complete response. `sent` means that a byte of the request may have
-    /// left.
-    #[allow(clippy::too_many_arguments)]
+    /// Handles an attempt that failed without a complete response.
     pub(super) fn handle_failure(
         &mut self,
         now: clock::Instant,
         id: event::Id,
         attempt: u32,
-        sent: bool,
-        unreachable: bool,
+        failure: failure::Failure,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let sent = failure.may_have_sent();
         self.focus(id, attempt);
         if !self.is_attempt(id, attempt) {
             return;
@@ -366,10 +366,10 @@
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_outcome(now, true);
-            if unreachable {
-                entry.eject(now);
-            } else {
+            if sent {
                 entry.record_connection_failure(now);
+            } else {
+                entry.eject(now);
             }
         }
         let Some(request) = self.requests.get_mut(&id) else {
@@ -385,7 +385,7 @@
             .with_subject(upstream.clone())
             .with("attempt", attempt)
             .with("sent", sent)
-            .with("unreachable", unreachable)
+            .with("failure", failure.as_str())
             .with("head", head_received)
             .with_some("last_event", request.last_event)
             .with("sent_ms", timeline::Value::millis(now.since(sent_at)))
@@ -397,7 +397,7 @@
             has_begun: head_received,
         };
         effects.push(super::record(decision));
-        if unreachable {
+        if !sent {
             self.confirm_crash(&upstream);
         }
         if sent && is_without_event {
@@ -505,6 +505,7 @@
             return;
         };
         self.waiting.remove(&(request.queue_key(), id));
+        let census = self.census(now, &request);
         let may_have_run = request.possible_executions > 0 || in_progress.is_some();
         if !may_have_run && request.has_tokens {
             self.refund(&request);
@@ -515,7 +516,7 @@
             retry_after,
         };
         let outcome = if request.response_started {
-            summary::Outcome::Cut
+            summary::Outcome::Cut(reason)
         } else {
             summary::Outcome::Refused
         };
@@ -532,6 +533,9 @@
             .with("unplaced", request.is_unplaced)
             .with("attempts", request.attempt)
             .with("delivered", request.response_started)
+            .with("holders", census.holders)
+            .with("ejected", census.ejected)
+            .with("paused", census.paused)
             .with("ms", timeline::Value::millis(now.since(request.arrived_at)))
             .with_some(
                 "retry_after_ms",
@@ -546,6 +550,15 @@
         ));
     }
 
+    /// Counts the upstreams that hold what a request needs.
+    fn census(&self, now: clock::Instant, request: &pending::Pending) -> selection::Census {
+        self.service_of(request)
+            .map_or_else(selection::Census::default, |service| {
+                let selector = self.selector(now, &request.service, &service);
+                selector.census(&self.upstreams, request)
+            })
+    }
+
     /// Ends a request whose caller has disconnected.
     pub(super) fn handle_disconnect(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -33,6 +33,37 @@
         }
     }
 
+    /// Records that an attempt beside another one has left for its upstream.
+    pub(super) fn record_departure(
+        &mut self,
+        now: clock::Instant,
+        id: event::Id,
+        attempt: u32,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let mut phases = std::iter::once(&mut request.phase).chain(&mut request.standbys);
+        let phase = phases.find(|phase| phase.attempt() == Some(attempt));
+        let Some(pending::Phase::Sent {
+            upstream,
+            sent,
+            departed,
+            ..
+        }) = phase
+        else {
+            return;
+        };
+        departed.get_or_insert(now);
+        let decision = timeline::Decision::new("attempt_sent")
+            .with_request(request.request_id.as_str())
+            .with_subject(upstream.clone())
+            .with("attempt", attempt)
+            .with("connect_ms", timeline::Value::millis(now.since(*sent)));
+        effects.push(super::record(decision));
+    }
+
     /// Returns the upstream of a standby; none if `attempt` is not one.
     pub(super) fn standby_upstream(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -21,6 +21,17 @@
     Unplaced,
 }
 
+/// How many upstreams could serve a request but for their present state.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Census {
+    /// Those that accept requests and hold what the request needs.
+    pub(super) holders: usize,
+    /// The holders that are ejected.
+    pub(super) ejected: usize,
+    /// The holders that asked for a pause.
+    pub(super) paused: usize,
+}
+
 /// The cost of an upstream in another availability zone, in the unit of load: the fraction of slots in use.
 const REMOTE_ZONE_COST: f64 = 0.04;
 /// The cost of a failure rate of 1, in the unit of load.
@@ -148,6 +159,19 @@
         })
     }
 
+    /// Counts the upstreams that hold what the request needs.
+    pub(super) fn census(&self, upstreams: &upstream::Table, request: &pending::Pending) -> Census {
+        let mut census = Census::default();
+        for upstream in upstreams.values() {
+            if self.is_eligible(upstream, request) {
+                census.holders += 1;
+                census.ejected += usize::from(upstream.is_ejected(self.now));
+                census.paused += usize::from(upstream.paused_until(self.now).is_some());
+            }
+        }
+        census
+    }
+
     /// Returns whether an upstream accepts requests and holds the model and adapter of the request.
     fn is_eligible(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
         upstream.registration.service == request.service
--- a/crates/carawaycleat-core/src/relay/summary.rs
+++ b/crates/carawaycleat-core/src/relay/summary.rs
@@ -1,6 +1,7 @@
 use std::time;
 
 use super::config;
+use super::refusal;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -12,7 +13,7 @@
     /// This host refused the request.
     Refused,
     /// The response was cut after a part of it had been passed on.
-    Cut,
+    Cut(refusal::Reason),
     /// The caller disconnected.
     CallerDisconnected,
 }
@@ -25,7 +26,7 @@
             Self::Completed => "answered",
             Self::Failed => "failed",
             Self::Refused => "refused",
-            Self::Cut => "cut",
+            Self::Cut(_) => "cut",
             Self::CallerDisconnected => "caller_gone",
         }
     }
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -32,7 +32,11 @@
 /// Responds to the last probe, and lets the host act on the result.
 fn answer_probe(harness: &mut relay_fake::Harness, alive: bool) {
     let upstream = harness.probes.pop().expect("a probe");
-    harness.feed(relay::Event::UpstreamProbed { upstream, alive });
+    let probe = match alive {
+        true => relay::Probe::Alive,
+        false => relay::Probe::Gone,
+    };
+    harness.feed(relay::Event::UpstreamProbed { upstream, probe });
     harness.advance(relay_fake::millis(25));
 }
 
@@ -305,7 +309,7 @@
         if let Some(upstream) = harness.probes.pop() {
             harness.feed(relay::Event::UpstreamProbed {
                 upstream,
-                alive: false,
+                probe: relay::Probe::Gone,
             });
         }
         harness.advance(relay_fake::millis(25));
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -331,8 +331,10 @@
         self.feed(relay::Event::AttemptFailed {
             request,
             attempt,
-            sent,
-            unreachable: !sent,
+            failure: match sent {
+                true => relay::Failure::BrokenOff,
+                false => relay::Failure::Refused,
+            },
         });
     }
 }
--- a/crates/carawaycleat-net/src/lib.rs
+++ b/crates/carawaycleat-net/src/lib.rs
@@ -31,6 +31,7 @@
 pub use memory::Memory;
 pub use memory::Reservation;
 pub use pace::Pace;
+pub use pool::Cause;
 pub use pool::Failure;
 pub use pool::Pool;
 pub use pool::Reader;
--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -1,3 +1,4 @@
+mod departure;
 mod exchange;
 mod failure;
 mod idle;
@@ -12,6 +13,7 @@
 use crate::error;
 use crate::request;
 
+pub use failure::Cause;
 pub use failure::Failure;
 pub use reader::Reader;
 pub use reply::Reply;
@@ -80,13 +82,31 @@
         timeout: time::Duration,
         max_idle: time::Duration,
     ) -> Result<Reply, Failure> {
-        let mut sent = false;
+        self.send_observed(address, request, timeout, max_idle, || ())
+            .await
+    }
+
+    /// Sends a request like [`Pool::send_fresh`], and calls `on_sent` when its first byte has been sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same failures as [`Pool::send`].
+    pub async fn send_observed(
+        &self,
+        address: net::SocketAddr,
+        request: request::Request,
+        timeout: time::Duration,
+        max_idle: time::Duration,
+        on_sent: impl FnOnce(),
+    ) -> Result<Reply, Failure> {
+        let mut sent = departure::Departure::new(on_sent);
         let exchange = self.exchange(address, request, max_idle, &mut sent);
         let expired = async {
             async_io::Timer::after(timeout).await;
             Err(error::Error::Timeout)
         };
         let result = futures_lite::future::or(exchange, expired).await;
+        let sent = sent.is_sent();
         result.map_err(|error| Failure { sent, error })
     }
 
@@ -112,7 +132,7 @@
         address: net::SocketAddr,
         request: request::Request,
         max_idle: time::Duration,
-        sent: &mut bool,
+        sent: &mut departure::Departure<impl FnOnce()>,
     ) -> error::Result<Reply> {
         let head = exchange::encode(&request, address)?;
         let reused = self.idle.take(address, max_idle);
@@ -122,7 +142,7 @@
             None => self.connect(address).await?,
         };
         let mut written = exchange::write(&stream, &head, &request.body, sent).await;
-        while written.is_err() && !*sent && !is_first {
+        while written.is_err() && !sent.is_sent() && !is_first {
             // The server closed the idle connection between the check and the first write.
             is_first = true;
             stream = self.connect(address).await?;
@@ -142,7 +162,7 @@
                 .await
             }
             // The server may have responded early, for example because the body is too long.
-            Err(error) if *sent => {
+            Err(error) if sent.is_sent() => {
                 match exchange::read(stream, recycler, false, false, is_first).await {
                     Ok(reply) => Ok(reply.without_reuse()),
                     Err(_) => Err(error.into()),
--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -10,6 +10,7 @@
 use crate::error;
 use crate::head;
 use crate::limits;
+use crate::pool::departure;
 use crate::pool::idle;
 use crate::pool::reader;
 use crate::pool::reply;
@@ -72,12 +73,12 @@
     !text.is_empty() && text.bytes().all(token)
 }
 
-/// Writes a request. `sent` becomes true with the first byte that the socket accepts.
+/// Writes a request. The first byte that the socket accepts is recorded in `sent`.
 pub(super) async fn write(
     mut stream: &async_io::Async<net::TcpStream>,
     head: &[u8],
     body: &[u8],
-    sent: &mut bool,
+    sent: &mut departure::Departure<impl FnOnce()>,
 ) -> io::Result<()> {
     let body = if body.len() <= MAX_JOINED_BODY_BYTES {
         &[]
@@ -92,7 +93,7 @@
             if length == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
-            *sent = true;
+            sent.record();
             budget.spend(length);
             part = &part[length..];
         }
