--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -7,6 +7,7 @@
 use crate::quarantine;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::failure;
 use crate::relay::probe;
 use crate::relay::refusal;
 use crate::timeline;
@@ -28,6 +29,26 @@
 }
 
 impl super::Reducer {
+    /// Records what the failure of an attempt says about its upstream.
+    pub(super) fn record_evidence(
+        &mut self,
+        now: clock::Instant,
+        upstream: &name::Name,
+        failure: failure::Failure,
+    ) {
+        if let Some(entry) = self.upstreams.get_mut(upstream) {
+            entry.record_outcome(now, true);
+            if failure.may_have_sent() {
+                entry.record_connection_failure(now);
+            } else {
+                entry.eject(now);
+            }
+        }
+        if !failure.may_have_sent() {
+            self.confirm_crash(upstream);
+        }
+    }
+
     /// Records that an attempt at a request broke off before the first event of its response. Probes the upstream, unless
     /// the same request has made progress elsewhere.
     pub(super) fn record_breakage(
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -364,14 +364,7 @@
         let Some((upstream, sent_at)) = self.release(now, id) else {
             return;
         };
-        if let Some(entry) = self.upstreams.get_mut(&upstream) {
-            entry.record_outcome(now, true);
-            if sent {
-                entry.record_connection_failure(now);
-            } else {
-                entry.eject(now);
-            }
-        }
+        self.record_evidence(now, &upstream, failure);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -397,9 +390,6 @@
             has_begun: head_received,
         };
         effects.push(super::record(decision));
-        if !sent {
-            self.confirm_crash(&upstream);
-        }
         if sent && is_without_event {
             let is_suspect = self.quarantine.is_suspect(now, &suspect);
             self.record_breakage(now, &upstream, suspect, effects);
