fix(relay): do not end an attempt before the one that takes over has left

What callers saw: a stream was cut although its upstream, silent for about a second, went on some hundred ms later. Cause: the time for which two attempts at a stream may run side by side (300 ms) counted from the order of the second one, and is shorter than the connect timeout (350 ms). Every take-over whose target did not accept the connection lost both attempts. The class of fault: something that runs is given up before what replaces it is there. Change: the overlap counts from when the request has left for the second upstream, which the adapter reports. While its connection is being made it runs nowhere, and the first attempt goes on. The two constants need no order any more. Evidence: relay_cut::attempt_without_a_connection_does_not_end_the_first (3 cases) failed before.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Returns when the request left for the upstream of the attempt in progress.
+    pub(super) fn departed_at(&self) -> Option<clock::Instant> {
+        match self {
+            Self::Waiting => None,
+            Self::Sent { departed, .. } => *departed,
+        }
+    }
+
     /// Returns when the attempt in progress was sent.
     pub(super) fn sent_at(&self) -> Option<clock::Instant> {
         match self {
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -208,11 +208,13 @@
             return;
         };
         if let pending::Phase::Sent {
+            departed,
             last_progress,
             head_received,
             ..
         } = &mut request.phase
         {
+            departed.get_or_insert(now);
             *last_progress = now;
             *head_received = true;
         }
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -155,13 +155,14 @@
     }
 
     /// Ends the standby of a stream whose two attempts have run side by side for long enough: the earlier one, unless it was
-    /// the last to bring a head.
+    /// the last to bring a head. An attempt whose connection is being made runs nowhere, so that it ends no other.
     pub(super) fn end_overlaps(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         let is_over = |request: &pending::Pending| {
-            let sent = request.standbys.iter().map(pending::Phase::sent_at);
-            let latest = sent.max().flatten().max(request.phase.sent_at());
+            let phases = std::iter::once(&request.phase).chain(&request.standbys);
+            let departed: Option<Vec<_>> = phases.map(pending::Phase::departed_at).collect();
+            let latest = departed.and_then(|departed| departed.into_iter().max());
             request.route.kind == config::Kind::Streaming
-                && latest.is_some_and(|sent| now.since(sent) >= MAX_OVERLAP)
+                && latest.is_some_and(|departed| now.since(departed) >= MAX_OVERLAP)
         };
         let over: Vec<_> = self
             .requests
--- a/crates/carawaycleat-core/tests/suite/relay_cut.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_cut.rs
@@ -1,4 +1,4 @@
-//! Streams that have begun and whose upstream is silent for about a second.
+//! Streams that have begun and whose upstream is silent for about a second, or lost.
 
 use carawaycleat_core::relay;
 
@@ -53,6 +53,9 @@
     }
     harness.advance(relay_fake::millis(SILENCE_MS));
     assert_eq!(harness.dispatch(id).attempt, 2);
+    if end != End::Unreachable {
+        harness.feed(relay::Event::AttemptSent(id, 2));
+    }
     harness.advance(relay_fake::millis(OVERLAP_MS));
     match end {
         End::Full => harness.respond(id, 503, true),
@@ -65,3 +68,39 @@
     harness.advance(relay_fake::millis(300));
     assert!(!is_refused(&harness, id), "{:?}", harness.commands[&id]);
 }
+
+/// Returns a stream that has brought an event, and its attempt, at a host with the upstreams `ids`.
+fn begin_stream(ids: &[&str]) -> (relay_fake::Harness, relay::Id, u32) {
+    let mut harness = relay_fake::Harness::new();
+    for id in ids {
+        harness.register(relay_fake::registration(id, "models", &["small"]));
+    }
+    let id = harness.arrive(relay_fake::request("/live/1"));
+    let attempt = harness.begin_stream(id);
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
+    (harness, id, attempt)
+}
+
+/// Guards against a stream whose attempt at a silent upstream is ended before the second attempt has a connection, so that
+/// both are lost when that one gets none.
+#[yare::parameterized(
+    unconnected = { relay::Failure::Unconnected },
+    refused = { relay::Failure::Refused },
+    local = { relay::Failure::Local },
+)]
+fn attempt_without_a_connection_does_not_end_the_first(failure: relay::Failure) {
+    let (mut harness, id, first) = begin_stream(&["one", "two"]);
+    harness.advance(relay_fake::millis(SILENCE_MS));
+    assert_eq!(harness.dispatch(id).attempt, 2);
+    harness.advance(relay_fake::millis(350));
+    harness.feed(relay::Event::AttemptFailed {
+        request: id,
+        attempt: 2,
+        failure,
+    });
+    harness.advance(relay_fake::millis(100));
+    harness.feed(relay::Event::StreamProgress(id, first, Some(2)));
+    harness.feed(relay::Event::StreamEnded(id, first));
+    let outcomes: Vec<_> = harness.summaries.iter().map(|s| s.outcome).collect();
+    assert_eq!(outcomes, [relay::Outcome::Completed]);
+}
--- a/crates/carawaycleat-core/tests/suite/relay_silence.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_silence.rs
@@ -123,6 +123,7 @@
     harness.feed(relay::Event::StreamProgress(id, attempt, Some(2)));
     harness.advance(relay_fake::millis(SILENCE_MS));
     assert_eq!(harness.dispatch(id).attempt, 2);
+    harness.feed(relay::Event::AttemptSent(id, 2));
     id
 }
 
