--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -12,6 +12,7 @@
 mod effect;
 mod event;
 mod failure;
+mod history;
 pub(crate) mod limit;
 mod options;
 pub(crate) mod origin;
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -2,9 +2,11 @@
 use std::time;
 
 use super::config;
+use super::history;
 use super::origin;
 use super::policy;
 use super::summary;
+use super::upstream;
 use crate::clock;
 use crate::name;
 
@@ -117,8 +119,10 @@
     pub(super) sent_attempts: u32,
     /// The ended attempts that may have run.
     pub(super) possible_executions: u32,
-    /// The upstreams that attempts were sent to.
-    pub(super) tried: Vec<name::Name>,
+    /// The ended attempts that this host gave up because their upstreams were silent.
+    pub(super) abandoned_attempts: u32,
+    /// The attempts.
+    pub(super) history: history::History,
     /// The attempts that an upstream rejected without running them.
     pub(super) rejections: u32,
     pub(super) phase: Phase,
@@ -161,25 +165,16 @@
         self.stream.resumption.is_some()
     }
 
-    /// Returns the time at which the caller of a waiting request has disconnected if no event arrives.
+    /// Returns the time until which a waiting request can be served: when its caller has disconnected if no event arrives, or
+    /// the deadline if the caller would lose a part of the response.
     pub(super) fn abandonment_time(&self) -> clock::Instant {
-        if self.route.kind != config::Kind::Streaming {
+        if self.route.kind != config::Kind::Streaming || self.has_part() {
             return self.deadline;
         }
         let max_wait = MIN_ABANDONMENT_TIME
             .max(self.route.objective * ABANDONMENT_OBJECTIVES)
             .max(self.route.gap_objective * ABANDONMENT_GAPS);
-        self.deadline.min(self.patience_start() + max_wait)
-    }
-
-    /// Returns when a waiting request began to wait, as far as its caller can tell: when it arrived, or when the upstream of
-    /// a stream that has begun was lost.
-    pub(super) fn patience_start(&self) -> clock::Instant {
-        if self.response_started {
-            self.waiting_since
-        } else {
-            self.arrived_at
-        }
+        self.deadline.min(self.arrived_at + max_wait)
     }
 
     /// Returns the summary of a request that ends now.
@@ -214,7 +209,7 @@
         )
     }
 
-    /// Returns whether the response has begun, but no event of an attempt in progress is complete.
+    /// Returns whether the response has begun, but no event of it is complete.
     pub(super) fn has_just_begun(&self) -> bool {
         let has_event = |phase: &Phase| {
             matches!(
@@ -225,7 +220,10 @@
                 }
             )
         };
-        self.is_head_received() && !has_event(&self.phase) && !self.standbys.iter().any(has_event)
+        self.is_head_received()
+            && self.last_event.is_none()
+            && !has_event(&self.phase)
+            && !self.standbys.iter().any(has_event)
     }
 
     /// Returns whether no event of the response to the attempt in progress is complete; for a response that is no stream,
@@ -240,8 +238,28 @@
         )
     }
 
-    /// Returns whether another attempt may be sent after one that may have run.
+    /// Returns whether another attempt may be sent after one that may have run. A caller who has a part of the response would
+    /// lose it, so that its attempts are bounded by the time limit and by the number of upstreams, but not in number.
     pub(super) fn may_repeat(&self) -> bool {
-        self.route.is_repeatable() && self.possible_executions < self.route.max_attempts
+        let failures = self.possible_executions - self.abandoned_attempts;
+        self.route.is_repeatable() && (self.has_part() || failures < self.route.max_attempts)
+    }
+
+    /// Returns whether the caller has a part of the response, which a refusal would lose: the response has begun, or the
+    /// caller goes on with a stream that broke off.
+    pub(super) const fn has_part(&self) -> bool {
+        self.response_started || self.is_take_up()
+    }
+
+    /// Returns whether an upstream may run the request beside those that have run it or are running it.
+    pub(super) fn permits(
+        &self,
+        upstream: &upstream::Upstream,
+        upstreams: &upstream::Table,
+    ) -> bool {
+        self.stream.permits(&upstream.registration)
+            && self
+                .history
+                .permits(upstream, upstreams, self.route.max_attempts)
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -9,6 +9,7 @@
 use crate::relay::config;
 use crate::relay::effect;
 use crate::relay::event;
+use crate::relay::history;
 use crate::relay::origin;
 use crate::relay::pending;
 use crate::relay::refusal;
@@ -201,7 +202,8 @@
             attempt: 0,
             sent_attempts: 0,
             possible_executions: 0,
-            tried: Vec::new(),
+            abandoned_attempts: 0,
+            history: history::History::default(),
             rejections: 0,
             phase: pending::Phase::Waiting,
             standbys: Vec::new(),
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -55,6 +55,10 @@
             .quarantine
             .quarantined_until(now, &request.prompt, &request.fingerprint);
         if let Some(end) = end {
+            if request.response_started && request.last_event.is_some() {
+                self.waiting.insert(key);
+                return;
+            }
             let retry_after = Some(end.since(now));
             return self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
         }
@@ -65,7 +69,7 @@
                     self.waiting.remove(&key);
                     self.send(now, id, &upstream, effects);
                 } else {
-                    self.wait_for_budget(now, id, key, effects);
+                    self.waiting.insert(key);
                 }
             }
             selection::Selection::NoFreeSlot => {
@@ -80,7 +84,8 @@
                     None => self.enqueue(now, id, key, effects),
                 }
             }
-            selection::Selection::Unplaced => self.wait_for_placement(now, id, key, effects),
+            selection::Selection::Silent => self.wait_for_placement(now, id, key, false, effects),
+            selection::Selection::Unplaced => self.wait_for_placement(now, id, key, true, effects),
         }
     }
 
@@ -97,22 +102,6 @@
         !request.awaits_budget
     }
 
-    /// Queues a request until the retry budget allows its next attempt, or refuses it after the longest wait.
-    fn wait_for_budget(
-        &mut self,
-        now: clock::Instant,
-        id: event::Id,
-        key: super::WaitingKey,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let since = self.requests.get(&id).map(|request| request.waiting_since);
-        if since.is_some_and(|since| now.since(since) < self.options.max_unplaced_wait) {
-            self.waiting.insert(key);
-            return;
-        }
-        self.refuse(now, id, refusal::Reason::UpstreamFailed, None, effects);
-    }
-
     /// Returns the service of a request; as it was at the admission, if a later configuration does not have it.
     pub(super) fn service_of(
         &self,
@@ -184,16 +173,18 @@
         !is_take_up || self.send_rates.is_settled(now, queue)
     }
 
-    /// Queues a request whose model or adapter no usable upstream holds, or refuses it when it cannot be loaded in
-    /// time.
+    /// Queues a request whose model or adapter no usable upstream holds, or refuses it when it cannot be loaded in time.
+    /// `is_missing` is false when upstreams that hold it are there, but silent. A caller who has a part of the response waits
+    /// as long as upstreams are there that may go on with it.
     pub(super) fn wait_for_placement(
         &mut self,
         now: clock::Instant,
         id: event::Id,
         key: super::WaitingKey,
+        is_missing: bool,
         effects: &mut Vec<effect::Effect>,
     ) {
-        if self.is_version_gone(now, id) {
+        if self.is_without_upstream(now, id) {
             let retry_after = Some(super::MIN_RETRY_AFTER);
             return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
         }
@@ -204,18 +195,16 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let waited = now.since(request.patience_start());
-        let ready_in = request
-            .model
-            .as_ref()
-            .and_then(|model| self.time_until_ready(now, model));
+        let waited = now.since(request.arrived_at);
+        let model = request.model.as_ref().filter(|_| is_missing);
+        let ready_in = model.and_then(|model| self.time_until_ready(now, model));
         let is_too_late = match ready_in {
             Some(ready_in) => {
                 now + ready_in + super::MIN_ATTEMPT_TIME >= request.abandonment_time()
             }
             None => waited >= self.options.max_unplaced_wait,
         };
-        if is_too_late {
+        if is_too_late && !request.has_part() {
             let retry_after = ready_in.unwrap_or(time::Duration::from_secs(1));
             return self.refuse(
                 now,
@@ -225,7 +214,7 @@
                 effects,
             );
         }
-        if self.waiting.insert(key) && request.model.is_some() {
+        if self.waiting.insert(key) && model.is_some() {
             effects.push(effect::Effect::Report);
         }
     }
@@ -271,8 +260,8 @@
         request.first_sent_at.get_or_insert(now);
         request.attempt += 1;
         request.sent_attempts += 1;
-        let was_tried = request.tried.contains(upstream);
-        request.tried.push(upstream.clone());
+        let was_tried = request.history.includes(upstream);
+        request.history.record_send(request.attempt, entry);
         request.phase = pending::Phase::Sent {
             attempt: request.attempt,
             upstream: upstream.clone(),
@@ -362,12 +351,14 @@
                 request.adapter.clone(),
                 request.stream.pin.clone(),
             );
-            if request.tried.is_empty() && unserved.contains(&needs) {
+            if request.history.is_empty() && unserved.contains(&needs) {
                 continue;
             }
             self.dispatch_or_queue(now, id, effects);
-            let finds_none =
-                |request: &pending::Pending| request.is_waiting() && !request.awaits_budget;
+            // What keeps one request from the upstreams that it was sent to does not concern others.
+            let finds_none = |request: &pending::Pending| {
+                request.is_waiting() && !request.awaits_budget && request.history.is_empty()
+            };
             if self.requests.get(&id).is_some_and(finds_none) {
                 unserved.insert(needs);
             }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -67,11 +67,11 @@
         }
         let misdirected = response.status == 421;
         if response.not_run || misdirected {
-            return self.handle_rejection(now, id, misdirected, effects);
+            return self.handle_rejection(now, id, attempt, misdirected, effects);
         }
         let succeeded = response.status < 500;
         if succeeded && response.is_stream {
-            return self.begin_stream(now, id, effects);
+            return self.begin_stream(now, id, attempt, effects);
         }
         self.record_harmless(now, id, effects);
         let may_follow = |request: &pending::Pending| !request.response_started;
@@ -92,6 +92,7 @@
             return;
         };
         request.possible_executions += 1;
+        request.history.record_end(now, attempt);
         request.first_byte_at.get_or_insert(now);
         if request.response_started {
             // The upstream did not resume the stream: its response cannot follow what the caller has received.
@@ -195,12 +196,14 @@
         &mut self,
         now: clock::Instant,
         id: event::Id,
+        attempt: u32,
         effects: &mut Vec<effect::Effect>,
     ) {
         if !self.pin_stream(now, id) {
             self.release(now, id);
             if let Some(request) = self.requests.get_mut(&id) {
                 request.possible_executions += 1;
+                request.history.record_end(now, attempt);
             }
             return self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
         }
@@ -307,6 +310,7 @@
         &mut self,
         now: clock::Instant,
         id: event::Id,
+        attempt: u32,
         misdirected: bool,
         effects: &mut Vec<effect::Effect>,
     ) {
@@ -317,6 +321,7 @@
             return;
         };
         request.rejections += 1;
+        request.history.record_not_run(now, attempt);
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_progress(now);
             match (&request.model, misdirected) {
@@ -328,7 +333,7 @@
         let decision = timeline::Decision::new("not_run")
             .with_request(request.request_id.as_str())
             .with_subject(upstream)
-            .with("attempt", request.attempt)
+            .with("attempt", attempt)
             .with("misdirected", misdirected)
             .with_some("model", request.model.as_ref())
             .with_some("adapter", request.adapter.as_ref());
@@ -372,8 +377,10 @@
         };
         if sent {
             request.possible_executions += 1;
+            request.history.record_end(now, attempt);
         } else {
             request.sent_attempts -= 1;
+            request.history.record_not_run(now, attempt);
         }
         let decision = timeline::Decision::new("attempt_failed")
             .with_request(request.request_id.as_str())
@@ -398,7 +405,11 @@
             if self.resume_standby(now, id, effects) {
                 return;
             }
-            if is_suspect {
+            let has_events = self
+                .requests
+                .get(&id)
+                .is_some_and(|request| request.last_event.is_some());
+            if is_suspect && !has_events {
                 // It broke off like requests that crashed other upstreams, so it must not reach a further one.
                 return self.refuse(now, id, refusal::Reason::CrashSuspected, None, effects);
             }
@@ -454,10 +465,10 @@
             return false;
         };
         let allowed = (request.possible_executions == 0 || request.may_repeat())
-            && request.sent_attempts < super::MAX_SENT_ATTEMPTS
+            && (request.has_part() || request.sent_attempts < super::MAX_SENT_ATTEMPTS)
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
-        // A stream that has begun waits for the budget: without it, its response would be cut.
-        let may_wait = request.response_started;
+        // Without a further attempt, the caller would lose the part of the response that it has.
+        let may_wait = request.has_part();
         let budget = self.budgets.get_mut(&request.service);
         if !allowed {
             return false;
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -137,6 +137,8 @@
             return;
         };
         request.possible_executions += 1;
+        request.abandoned_attempts += 1;
+        request.history.record_end(now, attempt);
         let was_replaced = request.phase.sent_at().is_some_and(|other| sent < other);
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_end();
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -158,8 +158,9 @@
         }
         let in_progress = 1 + u32::try_from(request.standbys.len()).unwrap_or(u32::MAX - 1);
         let may_retry = request.route.is_repeatable()
-            && request.possible_executions + in_progress < request.route.max_attempts
-            && request.sent_attempts < super::MAX_SENT_ATTEMPTS
+            && (request.has_part()
+                || request.possible_executions + in_progress < request.route.max_attempts
+                    && request.sent_attempts < super::MAX_SENT_ATTEMPTS)
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
         let Some(service) = self.service_of(request).filter(|_| may_retry) else {
             return;
@@ -171,7 +172,11 @@
             return;
         };
         let budget = self.budgets.get_mut(&request.service);
-        if request.tried.contains(&target) || !budget.is_some_and(|budget| budget.take(now)) {
+        let may_go = self
+            .upstreams
+            .get(&target)
+            .is_some_and(|entry| request.history.permits_return(entry));
+        if !may_go || !budget.is_some_and(|budget| budget.take(now)) {
             return;
         }
         let decision = timeline::Decision::new("retried")
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -17,6 +17,8 @@
     Upstream(name::Name),
     /// The upstreams that hold what the request needs have no free slot.
     NoFreeSlot,
+    /// The upstreams that hold what the request needs are silent, and expected to go on.
+    Silent,
     /// No usable upstream holds what the request needs.
     Unplaced,
 }
@@ -72,15 +74,22 @@
     ) -> Selection {
         let holders: Vec<_> = upstreams
             .values()
-            .filter(|upstream| self.is_eligible(upstream, request))
+            .filter(|upstream| {
+                self.is_eligible(upstream, request) && request.permits(upstream, upstreams)
+            })
             .collect();
+        let is_silent = |upstream: &&upstream::Upstream| upstream.is_silent(self.now);
+        let unavailable = match holders.iter().copied().any(|upstream| is_silent(&upstream)) {
+            true => Selection::Silent,
+            false => Selection::Unplaced,
+        };
         if holders.is_empty() {
-            return Selection::Unplaced;
+            return unavailable;
         }
         let untried: Vec<_> = holders
             .iter()
             .copied()
-            .filter(|upstream| !request.tried.contains(&upstream.registration.id))
+            .filter(|upstream| !request.history.includes(&upstream.registration.id))
             .collect();
         let (candidates, all_tried) = match untried.is_empty() {
             true => (holders, true),
@@ -102,8 +111,8 @@
         } else {
             unsuspected
         };
-        if healthy.is_empty() && all_tried {
-            return Selection::Unplaced;
+        if healthy.is_empty() && all_tried && !request.has_part() {
+            return unavailable;
         }
         // When all are ejected, one request at a time probes whether an upstream has recovered.
         let candidates: Vec<_> = match healthy.is_empty() {
@@ -114,11 +123,16 @@
             false => healthy,
         };
         if candidates.is_empty() {
-            return Selection::Unplaced;
+            return unavailable;
         }
         let available: Vec<_> = candidates
             .into_iter()
-            .filter(|upstream| upstream.has_free_slot(self.now, self.slots(upstream)))
+            .filter(|upstream| {
+                upstream.has_free_slot(self.now, self.slots(upstream))
+                    && !request
+                        .history
+                        .is_resting(self.now, &upstream.registration.id)
+            })
             .collect();
         let fastest = available
             .iter()
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -259,6 +259,11 @@
         now < self.ejected_until
     }
 
+    /// Returns whether it is ejected because it is silent.
+    pub(super) fn is_silent(&self, now: clock::Instant) -> bool {
+        self.is_ejected_for_silence && self.is_ejected(now)
+    }
+
     /// Returns the fraction of the slots that would be in use with one more request.
     pub(super) fn load(&self, slots: u32) -> f64 {
         (f64::from(self.own_requests) + f64::from(self.other_requests) + 1.0)
--- a/crates/carawaycleat-core/tests/suite/relay_cut.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_cut.rs
@@ -1,5 +1,6 @@
 //! Streams that have begun and whose upstream is silent for about a second, or lost.
 
+use carawaycleat_core::quarantine;
 use carawaycleat_core::relay;
 
 use crate::relay_fake;
@@ -104,3 +105,108 @@
     let outcomes: Vec<_> = harness.summaries.iter().map(|s| s.outcome).collect();
     assert_eq!(outcomes, [relay::Outcome::Completed]);
 }
+
+/// Announces that the model of the stream is loaded after its caller has disconnected.
+fn announce_load(harness: &mut relay_fake::Harness) {
+    let view = relay::View {
+        ready_in_ms: vec![(relay_fake::name("small"), 3_100)],
+        ..relay_fake::view(Vec::new())
+    };
+    harness.feed(relay::Event::ViewReceived(Box::new(view)));
+}
+
+/// Guards against a stream that is cut at once because its model is announced for later, although the upstreams that hold it
+/// are back before.
+#[test]
+fn stream_waits_for_a_lost_upstream_beside_a_late_load() {
+    let (mut harness, id, first) = begin_stream(&["one", "two"]);
+    announce_load(&mut harness);
+    harness.fail_attempt(id, first, true);
+    harness.fail_attempt(id, 2, false);
+    for _ in 0..8 {
+        harness.advance(relay_fake::millis(250));
+        announce_load(&mut harness);
+        let attempts = &harness.commands[&id];
+        let last = match attempts.last() {
+            Some(relay::Command::Send(dispatch)) => dispatch.attempt,
+            other => panic!("it waits: {other:?}"),
+        };
+        harness.fail_attempt(id, last, false);
+    }
+    harness.advance(relay_fake::millis(1_000));
+    assert_eq!(harness.dispatch(id).last_event, Some(1));
+    harness.begin_stream(id);
+}
+
+/// Guards against a take-up that is refused because its model is announced for later, although the upstreams that hold it are
+/// back before.
+#[test]
+fn take_up_waits_for_a_lost_upstream_beside_a_late_load() {
+    let (mut harness, broken, _) = begin_stream(&["one"]);
+    harness.feed(relay::Event::CallerDisconnected(broken));
+    announce_load(&mut harness);
+    let resumption = relay::Resumption {
+        stream: Some("request".to_owned()),
+    };
+    let id = harness.arrive(relay::Request {
+        request_id: "take-up".to_owned(),
+        resumption: Some(resumption),
+        ..relay_fake::request("/live/1")
+    });
+    harness.fail_attempt(id, 1, false);
+    harness.advance(relay_fake::millis(200));
+    assert!(!is_refused(&harness, id));
+    harness.advance(relay_fake::millis(1_000));
+    assert_eq!(harness.dispatch(id).attempt, 2);
+}
+
+/// Guards against a stream that is cut because one upstream had no free slot several times in a row.
+#[test]
+fn stream_outlives_rejections_in_a_row() {
+    let (mut harness, id, first) = begin_stream(&["one"]);
+    harness.fail_attempt(id, first, true);
+    let mut attempts = 0;
+    for _ in 0..60 {
+        if harness.is_sent(id) && harness.dispatch(id).attempt > attempts {
+            attempts = harness.dispatch(id).attempt;
+            if attempts > 1 {
+                harness.respond(id, 503, true);
+            }
+        }
+        harness.advance(relay_fake::millis(50));
+    }
+    assert!((4..12).contains(&attempts), "{attempts}");
+    assert!(!is_refused(&harness, id));
+}
+
+/// Guards against a stream that is cut because its prompt is suspected of crashes, although events of it have arrived.
+#[test]
+fn stream_with_events_waits_for_the_end_of_a_quarantine() {
+    let mut harness = relay_fake::Harness::new();
+    harness.register(relay_fake::registration("one", "models", &["small"]));
+    let id = harness.arrive(relay::Request {
+        prompt: vec![relay_fake::name("part")],
+        ..relay_fake::request("/live/1")
+    });
+    let first = harness.begin_stream(id);
+    for event in 1..25 {
+        harness.feed(relay::Event::StreamProgress(id, first, Some(event)));
+        harness.advance(relay_fake::millis(100));
+    }
+    for upstream in ["three", "four", "five"] {
+        let crash = quarantine::Crash {
+            upstream: relay_fake::name(upstream),
+            started: 1,
+            suspects: vec![quarantine::Suspect {
+                parts: vec![relay_fake::name("part")],
+                fingerprint: relay_fake::name(upstream),
+                has_begun: true,
+            }],
+        };
+        harness.feed(relay::Event::CrashReported(Box::new(crash)));
+    }
+    harness.fail_attempt(id, first, true);
+    harness.advance(relay_fake::millis(1_000));
+    let last = harness.commands[&id].last();
+    assert!(matches!(last, Some(relay::Command::Deliver)), "{last:?}");
+}
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -143,6 +143,22 @@
     }
 }
 
+/// Returns the first view of a coordinator.
+pub(crate) fn view(engines: Vec<relay::EngineView>) -> relay::View {
+    relay::View {
+        epoch: 1,
+        report_number: 0,
+        grants: Vec::new(),
+        shares: Vec::new(),
+        full: true,
+        engines,
+        suspects: Vec::new(),
+        ready_in_ms: Vec::new(),
+        permits: Vec::new(),
+        leaving: Vec::new(),
+    }
+}
+
 /// An entry host with a simulated clock.
 pub(crate) struct Harness {
     pub(crate) reducer: relay::Reducer,
--- a/crates/carawaycleat-core/tests/suite/relay_origin.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_origin.rs
@@ -99,6 +99,7 @@
     let (id, attempt) = begin(&mut harness, "first");
     let before = harness.upstream_of(id);
     harness.fail_attempt(id, attempt, true);
+    harness.advance(relay_fake::millis(100));
     assert_eq!(harness.upstream(id), before);
 }
 
