--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -27,6 +27,7 @@
 mod rate_stop;
 mod relay;
 mod relay_allowance;
+mod relay_begun;
 mod relay_change;
 mod relay_config;
 mod relay_crash;
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -41,7 +41,7 @@
 }
 
 /// Lets other hosts report three crashes that the part explains.
-fn report_crashes_of_other_hosts(harness: &mut relay_fake::Harness) {
+pub(crate) fn report_crashes_of_other_hosts(harness: &mut relay_fake::Harness) {
     for upstream in ["engine-20", "engine-21", "engine-22"] {
         let crash = quarantine::Crash {
             upstream: relay_fake::name(upstream),
