fix(relay): send a stream with events again although its prompt is quarantined

What callers saw: a stream was cut after many events, because its upstream broke off while a part of its prompt was suspected. Cause: the quarantine of new requests was applied to a response that had shown its prompt to be harmless. Change: a response that has brought events may be sent again. Take-ups and responses without an event are refused as before. Evidence: relay_begun::stream_goes_on_when_its_prompt_is_quarantined failed before.

--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -54,11 +54,9 @@
         let end = self
             .quarantine
             .quarantined_until(now, &request.prompt, &request.fingerprint);
-        if let Some(end) = end {
-            if request.response_started && request.last_event.is_some() {
-                self.waiting.insert(key);
-                return;
-            }
+        // What crashes upstreams does so at the beginning of a response.
+        let has_events = request.response_started && request.last_event.is_some();
+        if let Some(end) = end.filter(|_| !has_events) {
             let retry_after = Some(end.since(now));
             return self.refuse(now, id, refusal::Reason::Quarantined, retry_after, effects);
         }
