--- a/crates/carawaycleat-core/tests/suite/relay_begun.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_begun.rs
@@ -1,6 +1,8 @@
 //! Responses that have begun and whose upstreams are silent, or take no requests, for a while.
 
 mod cell;
+mod config;
+mod scenario;
 mod upstream;
 mod world;
 
@@ -105,15 +107,6 @@
     cell::play_all(announced.flat_map(late));
 }
 
-/// Returns a world of sound upstreams, whose caller has ten events of a stream.
-fn begun(options: relay::Options, ids: &[&'static str], request: relay::Request) -> world::World {
-    let sound = |id: &&'static str| upstream::Upstream::new(id, upstream::Behavior::Sound);
-    let mut world = world::World::new(options, ids.iter().map(sound).collect());
-    world.arrive(request);
-    world.run_to_event(10);
-    world
-}
-
 /// Guards against a take-up that is refused because the upstreams of its model refuse connections for a second, although they
 /// come back within its time limit.
 #[yare::parameterized(
@@ -122,7 +115,7 @@
 )]
 fn take_up_waits_for_its_upstreams(announced_ms: Option<u64>) {
     let request = relay_fake::request("/live/1");
-    let mut world = begun(relay::Options::default(), &["one", "two"], request.clone());
+    let mut world = scenario::begun(relay::Options::default(), &["one", "two"], request.clone());
     world.announced_ms = announced_ms;
     world.break_off(upstream::Behavior::Refusing, millis(1_000));
     world.step();
@@ -135,7 +128,7 @@
         ..request
     };
     world.arrive_next(take_up, 10);
-    world.finish_sound();
+    world.assert_goes_on();
 }
 
 /// Guards against a stream that is cut because one upstream was full several times in a row.
@@ -145,13 +138,13 @@
 )]
 fn stream_goes_on_when_its_upstreams_were_full(ids: &[&'static str]) {
     let request = relay_fake::request("/live/1");
-    let mut world = begun(relay::Options::default(), ids, request);
+    let mut world = scenario::begun(relay::Options::default(), ids, request);
     let full = upstream::Behavior::Responding {
         status: 503,
         not_run: true,
     };
     world.break_off(full, millis(600));
-    world.finish_sound();
+    world.assert_goes_on();
 }
 
 /// Guards against a stream that is cut because the retry budget is empty for three seconds.
@@ -163,11 +156,12 @@
         ..relay::Options::default()
     };
     let request = relay_fake::request("/live/1");
-    let mut world = begun(options, &["one", "two"], request.clone());
+    let mut world = scenario::begun(options, &["one", "two"], request.clone());
     world.break_off(upstream::Behavior::Sound, millis(0));
-    world.finish_sound();
+    world.assert_goes_on();
     let spent = world.harness.now;
     assert_eq!(world.harness.reducer.retries_left(spent), Some(0));
+    // The stream breaks off 0.3 s after its request has arrived.
     let is_empty = |world: &world::World| {
         let later = world.harness.now + millis(3_300);
         world.harness.reducer.retries_left(later) == Some(0)
@@ -178,7 +172,7 @@
     world.arrive_next(request, 0);
     world.run_to_event(10);
     world.break_off(upstream::Behavior::Sound, millis(0));
-    world.finish_sound();
+    world.assert_goes_on();
 }
 
 /// Guards against a stream that is cut after some events because a part of its prompt is quarantined meanwhile.
@@ -191,7 +185,7 @@
         prompt: vec![relay_fake::name("fatal")],
         ..relay_fake::request("/live/1")
     };
-    let mut world = begun(relay::Options::default(), &["one", "two"], request.clone());
+    let mut world = scenario::begun(relay::Options::default(), &["one", "two"], request.clone());
     for entry in &mut world.upstreams {
         entry.gap = millis(100);
     }
@@ -208,5 +202,5 @@
         world.upstreams[0].silence = Some((now, now + millis(1_000)));
         world.upstreams[1].behavior = (upstream::Behavior::Unaccepting(millis(350)), None);
     }
-    world.finish_sound();
+    world.assert_goes_on();
 }
--- a/crates/carawaycleat-core/tests/suite/relay_begun/cell.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_begun/cell.rs
@@ -6,6 +6,7 @@
 use carawaycleat_core::clock;
 use carawaycleat_core::relay;
 
+use super::config;
 use super::upstream;
 use super::world;
 use crate::relay_fake;
@@ -18,14 +19,6 @@
     Events,
 }
 
-/// A later configuration.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum Change {
-    Timeout,
-    RouteGone,
-    ServiceGone,
-}
-
 /// One combination.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Cell {
@@ -43,7 +36,7 @@
     /// Whether the request may be repeated.
     pub(super) is_repeatable: bool,
     /// The later configuration and when it is applied.
-    pub(super) change: Option<(Change, world::Moment)>,
+    pub(super) change: Option<(config::Change, world::Moment)>,
     /// When the host stands still after the silence has begun, for how long, and whether it then sees a tick first.
     pub(super) late: Option<(u64, u64, bool)>,
 }
@@ -58,7 +51,11 @@
     world::Moment::Failure,
     world::Moment::Return,
 ];
-const CHANGES: [Change; 3] = [Change::Timeout, Change::RouteGone, Change::ServiceGone];
+const CHANGES: [config::Change; 3] = [
+    config::Change::Timeout,
+    config::Change::RouteGone,
+    config::Change::ServiceGone,
+];
 /// The events that the caller has received under [`Received::Events`].
 const EVENTS_BEFORE: u32 = 10;
 
@@ -205,26 +202,3 @@
         }
     }
 }
-
-impl Change {
-    /// Returns the event that brings the configuration.
-    fn event(self) -> relay::Event {
-        world::config(3, |routes, services| match self {
-            Self::Timeout => {
-                for route in routes {
-                    route.timeout = relay_fake::millis(1_000);
-                }
-            }
-            Self::RouteGone => routes.retain(|route| !is_of_models(route)),
-            Self::ServiceGone => {
-                routes.retain(|route| !is_of_models(route));
-                services.retain(|service| *service != "models");
-            }
-        })
-    }
-}
-
-fn is_of_models(route: &relay::Route) -> bool {
-    let mut targets = route.targets.iter();
-    targets.any(|target| target.service.as_str() == "models")
-}
--- a/crates/carawaycleat-core/tests/suite/relay_begun/upstream.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_begun/upstream.rs
@@ -95,6 +95,15 @@
         }
     }
 
+    /// Returns the result of a probe.
+    pub(super) fn probe(&self, now: clock::Instant) -> relay::Probe {
+        match self.behavior(now) {
+            Behavior::Refusing => relay::Probe::Gone,
+            _ if self.after_silence(now) > now => relay::Probe::Silent,
+            _ => relay::Probe::Alive,
+        }
+    }
+
     /// Returns when a request sent at `now` is accepted, if it is, and what follows at which time.
     pub(super) fn accept(
         &mut self,
--- a/crates/carawaycleat-core/tests/suite/relay_begun/world.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_begun/world.rs
@@ -6,13 +6,13 @@
 use carawaycleat_core::clock;
 use carawaycleat_core::relay;
 
+use super::config;
 use super::upstream;
 use crate::relay_fake;
+use crate::relay_load;
 
 /// The number of events of a stream.
 pub(super) const EVENTS: u64 = 40;
-/// The time limit of requests.
-pub(super) const TIME_LIMIT: time::Duration = time::Duration::from_secs(12);
 /// The interval of the coordinator's views.
 const VIEW_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// The longest time for which two upstreams may work on one stream.
@@ -22,27 +22,6 @@
 /// The number of attempts that shows a loop.
 const MAX_ATTEMPTS: usize = 500;
 
-/// Returns a configuration whose routes have the time limit [`TIME_LIMIT`], changed by `change`.
-pub(super) fn config(
-    version: u64,
-    change: impl Fn(&mut Vec<relay::Route>, &mut Vec<&str>),
-) -> relay::Event {
-    let base = relay_fake::config(1, 1_000_000);
-    let mut routes: Vec<_> = base.routes().cloned().collect();
-    for route in &mut routes {
-        route.timeout = TIME_LIMIT;
-    }
-    let mut services = vec!["plain", "models"];
-    change(&mut routes, &mut services);
-    let services = base
-        .services()
-        .filter(|(name, _)| services.contains(&name.as_str()))
-        .map(|(name, service)| (name.clone(), service.clone()));
-    let workspaces = vec![relay_fake::workspace(1_000_000)];
-    let config = relay::Config::new(version, routes, services.collect(), workspaces, None);
-    relay::Event::Configured(Box::new(config))
-}
-
 /// How the response to the request ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum End {
@@ -86,7 +65,7 @@
     may_repeat: bool,
     max_upstreams: usize,
     /// The number of commands that were carried out.
-    carried_out: usize,
+    pub(super) carried_out: usize,
     view_due: clock::Instant,
 }
 
@@ -94,7 +73,7 @@
     /// Returns a world whose upstreams are registered and whose host has a configuration.
     pub(super) fn new(options: relay::Options, upstreams: Vec<upstream::Upstream>) -> Self {
         let mut harness = relay_fake::Harness::with_options(options);
-        harness.feed(config(2, |_, _| {}));
+        harness.feed(config::first());
         for entry in &upstreams {
             harness.register(upstream::registration(entry.id));
         }
@@ -131,47 +110,6 @@
         self.deliver();
     }
 
-    /// Lets the caller of the request leave, if it is still there, and another request arrive. Its caller has received
-    /// `received_before` events.
-    pub(super) fn arrive_next(&mut self, request: relay::Request, received_before: u64) {
-        self.harness.feed(relay::Event::CallerDisconnected(self.id));
-        self.attempts.clear();
-        self.received.clear();
-        self.received_before = received_before;
-        self.has_begun = false;
-        self.end = None;
-        self.carried_out = 0;
-        self.arrive(request);
-    }
-
-    /// Steps until the caller has `count` events.
-    pub(super) fn run_to_event(&mut self, count: usize) {
-        self.run(|world| world.received.len() >= count);
-        assert_eq!((self.received.len(), self.end), (count, None));
-    }
-
-    /// Breaks off the attempts in progress. Until `until`, the upstreams then treat requests in this way.
-    pub(super) fn break_off(&mut self, behavior: upstream::Behavior, until: time::Duration) {
-        let now = self.harness.now;
-        for entry in &mut self.upstreams {
-            entry.breaks_at = Some(now);
-            entry.behavior = (behavior, Some(now + until));
-        }
-    }
-
-    /// Steps to the end, and fails unless the caller gets a complete response and no rule is broken.
-    pub(super) fn finish_sound(&mut self) {
-        self.run(|_| false);
-        self.check_complete();
-        let commands = &self.harness.commands[&self.id];
-        assert!(
-            self.violations.is_empty(),
-            "{:?} after {:?}: {commands:?}",
-            self.violations,
-            self.running
-        );
-    }
-
     /// Advances the time by one tick.
     pub(super) fn step(&mut self) {
         self.harness.now = self.harness.now + upstream::INTERVAL;
@@ -203,7 +141,7 @@
 
     /// Steps until `is_over`, the end of the response, or a little after the time limit.
     pub(super) fn run(&mut self, mut is_over: impl FnMut(&mut Self) -> bool) {
-        let limit = self.harness.now + TIME_LIMIT + upstream::INTERVAL * 4;
+        let limit = self.harness.now + config::TIME_LIMIT + upstream::INTERVAL * 4;
         while self.end.is_none() && self.harness.now < limit && !is_over(self) {
             self.step();
         }
@@ -419,12 +357,7 @@
         for name in std::mem::take(&mut self.harness.probes) {
             let mut upstreams = self.upstreams.iter();
             let entry = upstreams.find(|entry| entry.id == name.as_str());
-            let is_gone =
-                |entry: &upstream::Upstream| entry.behavior(now) == upstream::Behavior::Refusing;
-            let probe = match entry.is_none_or(is_gone) {
-                true => relay::Probe::Gone,
-                false => relay::Probe::Alive,
-            };
+            let probe = entry.map_or(relay::Probe::Gone, |entry| entry.probe(now));
             self.harness.feed(relay::Event::UpstreamProbed {
                 upstream: name,
                 probe,
@@ -465,15 +398,7 @@
 /// Returns a view in which a load of the model ends after `ready_in_ms`.
 fn view(ready_in_ms: u64) -> relay::View {
     relay::View {
-        epoch: 1,
-        report_number: 0,
-        grants: Vec::new(),
-        shares: Vec::new(),
-        full: true,
-        engines: Vec::new(),
-        suspects: Vec::new(),
         ready_in_ms: vec![(relay_fake::name("small"), ready_in_ms)],
-        permits: Vec::new(),
-        leaving: Vec::new(),
+        ..relay_load::view(Vec::new())
     }
 }
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -12,7 +12,7 @@
     harness.arrive(request)
 }
 
-fn view(engines: Vec<relay::EngineView>) -> relay::View {
+pub(crate) fn view(engines: Vec<relay::EngineView>) -> relay::View {
     relay::View {
         epoch: 1,
         report_number: 0,
