--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -165,10 +165,10 @@
         self.stream.resumption.is_some()
     }
 
-    /// Returns the time until which a waiting request can be served: when its caller has disconnected if no event arrives, or
-    /// the deadline if the caller would lose a part of the response.
+    /// Returns the time at which the caller of a waiting request has disconnected if no event arrives; the deadline if the
+    /// response has begun, which may go on until then.
     pub(super) fn abandonment_time(&self) -> clock::Instant {
-        if self.route.kind != config::Kind::Streaming || self.has_part() {
+        if self.route.kind != config::Kind::Streaming || self.response_started {
             return self.deadline;
         }
         let max_wait = MIN_ABANDONMENT_TIME
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -23,6 +23,9 @@
 /// The maximum number of waiting requests examined per event.
 const MAX_SCANNED_REQUESTS: usize = 512;
 
+/// The `Retry-After` of a refusal for lack of an upstream, where no load is announced.
+const UNPLACED_RETRY: time::Duration = time::Duration::from_secs(1);
+
 /// The lowest rate that is assumed for a queue, in requests per second.
 const MIN_SEND_RATE: f64 = 1.0;
 
@@ -82,8 +85,7 @@
                     None => self.enqueue(now, id, key, effects),
                 }
             }
-            selection::Selection::Silent => self.wait_for_placement(now, id, key, false, effects),
-            selection::Selection::Unplaced => self.wait_for_placement(now, id, key, true, effects),
+            unavailable => self.wait_for_placement(now, id, key, unavailable, effects),
         }
     }
 
@@ -171,15 +173,15 @@
         !is_take_up || self.send_rates.is_settled(now, queue)
     }
 
-    /// Queues a request whose model or adapter no usable upstream holds, or refuses it when it cannot be loaded in time.
-    /// `is_missing` is false when upstreams that hold it are there, but silent. A caller who has a part of the response waits
-    /// as long as upstreams are there that may go on with it.
-    pub(super) fn wait_for_placement(
+    /// Queues a request whose model or adapter no usable upstream holds, or refuses it when it cannot be loaded in time. A
+    /// caller who has a part of the response waits as long as upstreams are there that may go on with it; one who has no
+    /// response yet waits for upstreams that are ejected.
+    fn wait_for_placement(
         &mut self,
         now: clock::Instant,
         id: event::Id,
         key: super::WaitingKey,
-        is_missing: bool,
+        selection: selection::Selection,
         effects: &mut Vec<effect::Effect>,
     ) {
         if self.is_without_upstream(now, id) {
@@ -190,27 +192,24 @@
             return;
         };
         request.is_unplaced = true;
+        let is_silent = matches!(selection, selection::Selection::Silent);
+        let is_missing = matches!(selection, selection::Selection::Unplaced);
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let waited = now.since(request.arrived_at);
-        let model = request.model.as_ref().filter(|_| is_missing);
+        let model = request.model.as_ref().filter(|_| !is_silent);
         let ready_in = model.and_then(|model| self.time_until_ready(now, model));
         let is_too_late = match ready_in {
             Some(ready_in) => {
                 now + ready_in + super::MIN_ATTEMPT_TIME >= request.abandonment_time()
             }
-            None => waited >= self.options.max_unplaced_wait,
+            None => now.since(request.arrived_at) >= self.options.max_unplaced_wait,
         };
-        if is_too_late && !request.has_part() {
-            let retry_after = ready_in.unwrap_or(time::Duration::from_secs(1));
-            return self.refuse(
-                now,
-                id,
-                refusal::Reason::NoUpstream,
-                Some(retry_after),
-                effects,
-            );
+        let may_wait =
+            request.response_started || request.is_take_up() && !(is_missing && ready_in.is_some());
+        if is_too_late && !may_wait {
+            let retry_after = Some(ready_in.unwrap_or(UNPLACED_RETRY));
+            return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
         }
         if self.waiting.insert(key) && model.is_some() {
             effects.push(effect::Effect::Report);
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -65,7 +65,7 @@
             } else {
                 time::Duration::ZERO
             };
-            let deadline = if request.is_waiting() && !request.response_started {
+            let deadline = if request.is_waiting() {
                 request.abandonment_time()
             } else {
                 request.deadline
@@ -78,9 +78,14 @@
                     .stop
                     .is_some_and(|stop| now + REFUSAL_LEAD >= stop.deadline)
         };
+        let ready_in = |request: &pending::Pending| {
+            let model = request.model.as_ref().filter(|_| request.is_unplaced)?;
+            self.time_until_ready(now, model)
+        };
         let reason = |request: &pending::Pending| {
             if is_expired(request) {
-                Some((refusal::Reason::Timeout, TIMEOUT_RETRY))
+                let retry_after = ready_in(request).unwrap_or_default().max(TIMEOUT_RETRY);
+                Some((refusal::Reason::Timeout, retry_after))
             } else if is_stopping(request) {
                 Some((refusal::Reason::Stopping, super::OTHER_HOST_RETRY))
             } else {
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -17,9 +17,12 @@
     Upstream(name::Name),
     /// The upstreams that hold what the request needs have no free slot.
     NoFreeSlot,
-    /// The upstreams that hold what the request needs are silent, and expected to go on.
+    /// Of the upstreams that hold what the request needs, one or more are silent and expected to go on, and the others are
+    /// ejected.
     Silent,
-    /// No usable upstream holds what the request needs.
+    /// The upstreams that hold what the request needs are ejected because attempts failed.
+    Ejected,
+    /// No upstream holds what the request needs.
     Unplaced,
 }
 
@@ -78,14 +81,13 @@
                 self.is_eligible(upstream, request) && request.permits(upstream, upstreams)
             })
             .collect();
-        let is_silent = |upstream: &&upstream::Upstream| upstream.is_silent(self.now);
-        let unavailable = match holders.iter().copied().any(|upstream| is_silent(&upstream)) {
-            true => Selection::Silent,
-            false => Selection::Unplaced,
-        };
         if holders.is_empty() {
-            return unavailable;
+            return Selection::Unplaced;
         }
+        let unavailable = match holders.iter().any(|upstream| upstream.is_silent(self.now)) {
+            true => Selection::Silent,
+            false => Selection::Ejected,
+        };
         let untried: Vec<_> = holders
             .iter()
             .copied()
