fix(net): close all idle connections to a server when one of them is silent

Cause: a request without a response takes one idle connection out of use. The others are as silent, while a new one works. Evidence: client::silent_connection_is_the_last_one_to_be_tried failed before (Timeout).

--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -61,6 +61,11 @@
         self.idle.len()
     }
 
+    /// Closes the idle connections to a server, for example because it is silent.
+    pub fn forget(&self, address: net::SocketAddr) {
+        self.idle.forget(address);
+    }
+
     /// Accepts responses without a length, whose body ends when the connection is closed. An orderly close ends such a
     /// body; a connection reset makes it fail.
     #[must_use]
@@ -107,11 +112,18 @@
         };
         let result = futures_lite::future::or(exchange, expired).await;
         let sent = sent.is_sent();
-        result.map_err(|error| Failure { sent, error })
+        result.map_err(|error| {
+            if matches!(error, error::Error::Timeout) {
+                // A network that lost the connections to a server, or a server that has restarted, leaves the idle ones as
+                // silent as this one, while a new one works.
+                self.forget(address);
+            }
+            Failure { sent, error }
+        })
     }
 
     /// Sends a request and returns the response once its head has arrived. `timeout` covers connecting, sending and
-    /// receiving the head of the response.
+    /// receiving the head of the response. Afterwards, no idle connection to the server is used again.
     ///
     /// # Errors
     ///
--- a/crates/carawaycleat-net/src/pool/idle.rs
+++ b/crates/carawaycleat-net/src/pool/idle.rs
@@ -97,6 +97,12 @@
         taken
     }
 
+    /// Closes the connections to a server.
+    pub(super) fn forget(&self, address: net::SocketAddr) {
+        let forgotten = self.lock().connections.remove(&address);
+        drop(forgotten);
+    }
+
     fn put(
         &self,
         address: net::SocketAddr,
--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -268,6 +268,53 @@
     });
 }
 
+/// Guards against requests that fail one after the other on idle connections which are all silent, although the server
+/// responds on a new one.
+#[test]
+fn silent_connection_is_the_last_one_to_be_tried() {
+    const CONNECTIONS: usize = 3;
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let arrived = sync::Arc::new(sync::Barrier::new(CONNECTIONS));
+    thread::spawn(move || {
+        for (index, stream) in listener.incoming().flatten().enumerate() {
+            let arrived = arrived.clone();
+            thread::spawn(move || {
+                let mut stream = stream;
+                let _ = stream.read(&mut [0; 1024]);
+                if index < CONNECTIONS {
+                    arrived.wait();
+                }
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na");
+                // Reads further requests without a response.
+                while stream.read(&mut [0; 1024]).is_ok_and(|length| length > 0) {}
+            });
+        }
+    });
+    peer::run(async |executor| {
+        let pool = http::Pool::default();
+        let requests: Vec<_> = (0..CONNECTIONS)
+            .map(|_| {
+                let pool = pool.clone();
+                executor.spawn(async move {
+                    let reply = get(&pool, address).await.expect("a response");
+                    reply.bytes(10).await.expect("a body")
+                })
+            })
+            .collect();
+        for request in requests {
+            assert_eq!(request.await, b"a");
+        }
+        assert_eq!(pool.idle_connections(), CONNECTIONS);
+        let request = http::Request::new("GET", "/");
+        let limit = time::Duration::from_millis(50);
+        let silent = pool.send(address, request, limit).await;
+        assert!(silent.is_err());
+        let reply = get(&pool, address).await.expect("a response");
+        assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
+    });
+}
+
 /// Guards against an unbounded wait in the middle of a body.
 #[test]
 fn reader_times_out() {
