fix(relay): take no silence for a sign that an upstream is gone

Cause: a connection that was not accepted in time was treated like a refused one. The upstream was ejected for up to 3.2 s, and the requests that had broken off there counted as the cause of its crash. A host without descriptors ejected sound upstreams in the same way.

Change: only a refused connection confirms a crash. One that is not made in time ejects for silence, which ends with a byte from the upstream or a connection to it, and after 0.8 s at the most: a sound upstream that is silent for 1.2 s is without requests for 0.8 s after it, while one that is dark costs a host one round of connects in 1.2 s. Such an upstream still has its failure rate raised, so that others come first. The upstream records that it refused a connection.

--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -255,6 +255,7 @@
                 self.handle_stream_end(now, id, attempt, &mut effects)
             }
             event::Event::AttemptSent(id, attempt) => {
+                self.record_connection(id, attempt);
                 self.record_departure(now, id, attempt, &mut effects);
             }
             event::Event::AttemptFailed {
--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -8,6 +8,7 @@
 use crate::relay::effect;
 use crate::relay::event;
 use crate::relay::failure;
+use crate::relay::pending;
 use crate::relay::probe;
 use crate::relay::refusal;
 use crate::timeline;
@@ -36,16 +37,44 @@
         upstream: &name::Name,
         failure: failure::Failure,
     ) {
-        if let Some(entry) = self.upstreams.get_mut(upstream) {
-            entry.record_outcome(now, true);
-            if failure.may_have_sent() {
+        if failure == failure::Failure::Refused {
+            self.confirm_crash(upstream);
+        }
+        let Some(entry) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        match failure {
+            failure::Failure::Refused => {
+                entry.record_outcome(now, true);
+                entry.record_refusal(now);
+            }
+            failure::Failure::Unconnected => {
+                entry.record_outcome(now, true);
+                if entry.has_refused() {
+                    entry.eject(now);
+                } else {
+                    entry.record_no_connection(now);
+                }
+            }
+            failure::Failure::Local => entry.record_local_failure(now),
+            failure::Failure::BrokenOff => {
+                entry.record_outcome(now, true);
                 entry.record_connection_failure(now);
-            } else {
-                entry.eject(now);
             }
         }
-        if !failure.may_have_sent() {
-            self.confirm_crash(upstream);
+    }
+
+    /// Records that an attempt has been sent, so that its upstream accepts connections.
+    pub(super) fn record_connection(&mut self, id: event::Id, attempt: u32) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let mut phases = std::iter::once(&request.phase).chain(&request.standbys);
+        if let Some(pending::Phase::Sent { upstream, .. }) =
+            phases.find(|phase| phase.attempt() == Some(attempt))
+            && let Some(entry) = self.upstreams.get_mut(upstream)
+        {
+            entry.record_connection();
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -15,6 +15,9 @@
 const MIN_EJECTION: time::Duration = time::Duration::from_millis(400);
 /// The longest time of an ejection.
 const MAX_EJECTION: time::Duration = time::Duration::from_millis(3_200);
+/// The longest time of an ejection for silence. A sound upstream may be silent for about a second, and gets requests again
+/// within this time after it.
+const MAX_SILENCE_EJECTION: time::Duration = time::Duration::from_millis(800);
 /// The age up to which the coordinator's view of an upstream takes precedence over its registration.
 const MAX_VIEW_AGE: time::Duration = time::Duration::from_millis(1_500);
 /// The time for which a model or adapter counts as missing after a rejection, whatever older views and registrations
@@ -28,6 +31,19 @@
 const RECENT_PROGRESS: time::Duration = time::Duration::from_millis(400);
 /// The time for which no request is sent to an upstream that was full.
 const FULL_BACKOFF: time::Duration = time::Duration::from_millis(40);
+/// The time for which no request is sent to an upstream after this host could not send one.
+const LOCAL_BACKOFF: time::Duration = time::Duration::from_millis(40);
+
+/// The ejections of an upstream that is silent.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// Those in a row.
+    ejections: u32,
+    /// The end of the last one.
+    ejected_until: clock::Instant,
+    /// Whether the last one is for want of a connection, so that a connection ends it.
+    is_unconnected: bool,
+}
 
 /// The state of an upstream as one entry host knows it.
 #[derive(Clone, Debug)]
@@ -58,11 +74,14 @@
     failures_updated: clock::Instant,
     /// The moving average of the time to the first byte, in seconds.
     mean_latency: Option<f64>,
+    /// The end of the last ejection for another reason than silence.
     ejected_until: clock::Instant,
-    /// Whether it is ejected only because it was silent.
-    is_ejected_for_silence: bool,
-    /// The ejections since the last response.
+    /// The ejections for another reason than silence since the last response.
     ejections: u32,
+    /// The ejections for silence; none when a part of a response has arrived since.
+    silence: Option<Silence>,
+    /// Whether it has refused a connection and made no progress since.
+    has_refused: bool,
     /// The connections that failed during a request since the last response.
     connection_failures: u32,
     full_until: clock::Instant,
@@ -95,8 +114,9 @@
             failures_updated: clock::Instant::default(),
             mean_latency: None,
             ejected_until: clock::Instant::default(),
-            is_ejected_for_silence: false,
             ejections: 0,
+            silence: None,
+            has_refused: false,
             connection_failures: 0,
             full_until: clock::Instant::default(),
             paused_until: clock::Instant::default(),
@@ -256,7 +276,17 @@
 
     /// Returns whether it is ejected. Ejected upstreams are used only when there are no others.
     pub(super) fn is_ejected(&self, now: clock::Instant) -> bool {
-        now < self.ejected_until
+        now < self.ejected_until || self.is_ejected_for_silence(now)
+    }
+
+    fn is_ejected_for_silence(&self, now: clock::Instant) -> bool {
+        self.silence
+            .is_some_and(|silence| now < silence.ejected_until)
+    }
+
+    /// Returns whether it has refused a connection, so that its process is gone, and made no progress since.
+    pub(super) fn has_refused(&self) -> bool {
+        self.has_refused
     }
 
     /// Returns the fraction of the slots that would be in use with one more request.
@@ -287,12 +317,30 @@
     /// Records a part of a response, which ends an ejection for silence.
     pub(super) fn record_progress(&mut self, now: clock::Instant) {
         self.last_progress = now;
-        if std::mem::take(&mut self.is_ejected_for_silence) {
-            self.ejections = 0;
-            self.ejected_until = clock::Instant::default();
+        self.silence = None;
+        self.has_refused = false;
+    }
+
+    /// Records that a connection was made, which ends an ejection for want of one.
+    pub(super) fn record_connection(&mut self) {
+        self.has_refused = false;
+        if self.silence.is_some_and(|silence| silence.is_unconnected) {
+            self.silence = None;
         }
     }
 
+    /// Records that a connection was refused.
+    pub(super) fn record_refusal(&mut self, now: clock::Instant) {
+        self.has_refused = true;
+        self.eject(now);
+    }
+
+    /// Records that this host could not send a request. The next one follows after a pause, so that it does not fail again
+    /// and again without one.
+    pub(super) fn record_local_failure(&mut self, now: clock::Instant) {
+        self.full_until = self.full_until.max(now + LOCAL_BACKOFF);
+    }
+
     /// Records the first byte of a response, which ends an ejection.
     pub(super) fn record_first_byte(&mut self, now: clock::Instant, latency: time::Duration) {
         self.record_progress(now);
@@ -317,23 +365,39 @@
         self.failures_updated = now;
     }
 
-    /// Ejects it because it is silent, until a part of a response arrives from it, or as long as [`Self::eject`] does.
+    /// Ejects it because no connection was made in time. A connection ends the ejection, as well as what ends
+    /// [`Self::eject_for_silence`].
+    pub(super) fn record_no_connection(&mut self, now: clock::Instant) {
+        self.eject_silent(now, true);
+    }
+
+    /// Ejects it because it is silent, until a part of a response arrives from it, but not for longer than
+    /// [`MAX_SILENCE_EJECTION`].
     pub(super) fn eject_for_silence(&mut self, now: clock::Instant) {
-        if !self.is_ejected(now) {
-            self.eject(now);
-            self.is_ejected_for_silence = true;
+        self.eject_silent(now, false);
+    }
+
+    fn eject_silent(&mut self, now: clock::Instant, is_unconnected: bool) {
+        if self.is_ejected(now) {
+            return;
         }
+        let ejections = self.silence.map_or(0, |silence| silence.ejections);
+        let duration = ejection_time(ejections).min(MAX_SILENCE_EJECTION);
+        self.silence = Some(Silence {
+            ejections: ejections + 1,
+            ejected_until: now + duration,
+            is_unconnected,
+        });
     }
 
     /// Ejects it for a time that doubles with each ejection in a row.
     pub(super) fn eject(&mut self, now: clock::Instant) {
-        self.is_ejected_for_silence = false;
-        if self.is_ejected(now) {
+        if now < self.ejected_until {
             return;
         }
-        let duration = MIN_EJECTION * 2_u32.pow(self.ejections.min(5));
+        let duration = ejection_time(self.ejections);
         self.ejections += 1;
-        self.ejected_until = now + duration.min(MAX_EJECTION);
+        self.ejected_until = now + duration;
     }
 
     /// Records that a connection failed during a request. One failure may be chance; the second in a row ejects it.
@@ -434,5 +498,11 @@
     }
 }
 
+/// Returns the time of an ejection after the given number of others in a row.
+fn ejection_time(ejections: u32) -> time::Duration {
+    let duration = MIN_EJECTION * 2_u32.pow(ejections.min(5));
+    duration.min(MAX_EJECTION)
+}
+
 /// The upstreams by identifier.
 pub(super) type Table = collections::BTreeMap<name::Name, Upstream>;
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -31,6 +31,7 @@
 mod relay_config;
 mod relay_crash;
 mod relay_cut;
+mod relay_evidence;
 mod relay_extreme;
 mod relay_fake;
 mod relay_late;
