fix(relay): convict no upstream of a crash because a probe got no response

Cause: a probe without a response within 300 ms counted as a crash, and the requests that had broken off as its cause, at all hosts for ten minutes. A sound upstream may be silent for longer.

Change: a silent probe is repeated each 250 ms for 10 s. Until the upstream responds, the host that saw it counts the requests as suspects of a crash, so that the budget holds for upstreams that go dark: they are refused after as many break-offs as before, but nothing is reported to other hosts. A response withdraws that. A refused connection, a later start (in the entry or in the report that the probe reads), or the removal of the entry confirms the crash. What is still open after 10 s is dropped, with a log line. Progress of a request clears it from open break-offs too, since proof may come later than the 2 s for which progress is remembered.

Weighed: to count nothing before the proof lets requests crash further upstreams until the entry expires; to report the suspicion to all hosts quarantines sound requests everywhere. Between dark crashes and their proof, each host counts for itself.

--- a/crates/carawaycleat-core/src/quarantine/registry.rs
+++ b/crates/carawaycleat-core/src/quarantine/registry.rs
@@ -24,6 +24,8 @@
 struct Record {
     at: clock::Instant,
     crash: crash::Crash,
+    /// Whether the crash is certain. A suspected one can be withdrawn.
+    is_confirmed: bool,
 }
 
 impl Record {
@@ -95,12 +97,46 @@
     /// Records a crash and returns the fingerprints and parts that are quarantined because of it. Observations of the
     /// same crash by several hosts count as one crash.
     pub fn record_crash(&mut self, now: clock::Instant, crash: crash::Crash) -> Vec<name::Name> {
+        self.add(now, crash, true)
+    }
+
+    /// Records a crash that is not certain, because the upstream is silent. It counts like a certain one until
+    /// [`Self::withdraw_crash`] is called. Returns the fingerprints and parts that are quarantined because of it.
+    pub fn suspect_crash(&mut self, now: clock::Instant, crash: crash::Crash) -> Vec<name::Name> {
+        self.add(now, crash, false)
+    }
+
+    /// Removes a crash that was only suspected, and returns the fingerprints and parts that are no longer quarantined.
+    pub fn withdraw_crash(
+        &mut self,
+        now: clock::Instant,
+        upstream: &name::Name,
+        started: u64,
+    ) -> Vec<name::Name> {
+        let is_same =
+            |record: &Record| record.crash.upstream == *upstream && record.crash.started == started;
+        let mut released = self.causes();
+        self.records
+            .retain(|record| record.is_confirmed || !is_same(record));
+        self.infer(now);
+        let after = self.causes();
+        released.retain(|cause| !after.contains(cause));
+        released.into_iter().collect()
+    }
+
+    fn add(
+        &mut self,
+        now: clock::Instant,
+        crash: crash::Crash,
+        is_confirmed: bool,
+    ) -> Vec<name::Name> {
         let is_same = |record: &&mut Record| {
             record.crash.upstream == crash.upstream && record.crash.started == crash.started
         };
         let suspects = self.without_harmless(now, crash.suspects);
         match self.records.iter_mut().find(is_same) {
             Some(record) => {
+                record.is_confirmed |= is_confirmed;
                 for suspect in suspects {
                     if !record.crash.suspects.contains(&suspect) {
                         record.crash.suspects.push(suspect);
@@ -114,6 +150,7 @@
                 self.records.push_back(Record {
                     at: now,
                     crash: crash::Crash { suspects, ..crash },
+                    is_confirmed,
                 });
             }
         }
--- a/crates/carawaycleat-core/src/relay/probe.rs
+++ b/crates/carawaycleat-core/src/relay/probe.rs
@@ -3,7 +3,7 @@
 pub enum Probe {
     /// It responded.
     Alive,
-    /// No process accepts requests at its address, or one of another upstream does.
+    /// No process accepts requests at its address, or another one does.
     Gone,
     /// It did not respond in time.
     Silent,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -280,7 +280,9 @@
                 self.record_leaving(now, &upstream, started, &mut effects);
             }
             event::Event::UpstreamRemoved(id) => self.remove_upstream(now, &id, &mut effects),
-            event::Event::UpstreamProbed { upstream, probe } => self.handle_probe(&upstream, probe),
+            event::Event::UpstreamProbed { upstream, probe } => {
+                self.handle_probe(now, &upstream, probe, &mut effects);
+            }
             event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
             event::Event::ViewReceived(view) => self.update_view(now, *view, &mut effects),
             event::Event::StreamsRead(records) => {
--- a/crates/carawaycleat-core/tests/suite/relay_crash.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_crash.rs
@@ -318,3 +318,138 @@
     let id = harness.arrive(copy("/read/1"));
     assert!(harness.is_sent(id));
 }
+
+/// Responds to no probe of an upstream for `span`.
+fn ignore_probes(harness: &mut relay_fake::Harness, span: std::time::Duration) -> usize {
+    let end = harness.now + span;
+    let mut ignored = 0;
+    while harness.now < end {
+        for upstream in std::mem::take(&mut harness.probes) {
+            ignored += 1;
+            let probe = relay::Probe::Silent;
+            harness.feed(relay::Event::UpstreamProbed { upstream, probe });
+        }
+        harness.advance(relay_fake::millis(25));
+    }
+    ignored
+}
+
+/// How it becomes known that an upstream that had gone dark has crashed.
+#[derive(Clone, Copy, Debug)]
+enum Proof {
+    Start,
+    Removal,
+    Refusal,
+}
+
+/// Pattern: an upstream crashes and does not respond at all, until its process starts again or its entry expires. Guards
+/// against a crash that is forgotten because no probe shows it.
+#[yare::parameterized(
+    start = { Proof::Start },
+    removal = { Proof::Removal },
+    refusal = { Proof::Refusal },
+)]
+fn crash_of_a_dark_upstream_is_confirmed_later(proof: Proof) {
+    let mut harness = harness(1);
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    break_off(&mut harness, id);
+    harness.feed(relay::Event::CallerDisconnected(id));
+    let probes = ignore_probes(&mut harness, relay_fake::millis(4_000));
+    assert!((5..=20).contains(&probes), "{probes}");
+    assert!(harness.crashes.is_empty());
+    match proof {
+        Proof::Start => {
+            let mut registration = relay_fake::registration("engine-0", "models", &["small"]);
+            registration.started = 2;
+            harness.register(registration);
+        }
+        Proof::Removal => {
+            harness.feed(relay::Event::UpstreamRemoved(relay_fake::name("engine-0")));
+        }
+        Proof::Refusal => {
+            let id = harness.arrive(request(&["other"]));
+            let attempt = harness.dispatch(id).attempt;
+            harness.fail_attempt(id, attempt, false);
+        }
+    }
+    harness.advance(relay_fake::millis(25));
+    assert_eq!(harness.crashes.len(), 1);
+    assert_eq!(harness.crashes[0].started, 1);
+    assert_eq!(
+        harness.crashes[0].suspects[0].parts,
+        FATAL_PROMPT.map(relay_fake::name)
+    );
+}
+
+/// Pattern: requests with the part crash upstreams, which then do not respond at all. Guards against more crashes than the
+/// budget allows before the first of them is proved.
+#[test]
+fn dark_crashes_count_before_they_are_confirmed() {
+    let mut harness = harness(8);
+    let mut crashes = 0;
+    for _ in 0..6 {
+        let id = harness.arrive(request(&FATAL_PROMPT));
+        if !harness.is_sent(id) {
+            assert_eq!(harness.refusal(id).reason, relay::Reason::Quarantined);
+            continue;
+        }
+        crashes += 1;
+        break_off(&mut harness, id);
+        harness.feed(relay::Event::CallerDisconnected(id));
+        ignore_probes(&mut harness, relay_fake::millis(50));
+    }
+    assert_eq!(crashes, 3);
+}
+
+/// Pattern: connections are reset by upstreams that are then silent for a second and go on. Guards against a quarantine that
+/// outlasts the silence, and against crashes that are reported to other hosts.
+#[test]
+fn silent_upstreams_that_go_on_have_not_crashed() {
+    let mut harness = harness(8);
+    for _ in 0..3 {
+        let id = harness.arrive(request(&FATAL_PROMPT));
+        break_off(&mut harness, id);
+        harness.feed(relay::Event::CallerDisconnected(id));
+    }
+    ignore_probes(&mut harness, relay_fake::millis(1_000));
+    harness.advance(relay_fake::millis(300));
+    for upstream in std::mem::take(&mut harness.probes) {
+        let probe = relay::Probe::Alive;
+        harness.feed(relay::Event::UpstreamProbed { upstream, probe });
+    }
+    harness.advance(relay_fake::millis(25));
+    assert!(harness.crashes.is_empty());
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    assert!(harness.is_sent(id));
+}
+
+/// Pattern: an upstream is silent for good, and nothing shows whether it crashed. Guards against a suspicion without end.
+#[test]
+fn crash_that_cannot_be_found_out_is_forgotten() {
+    let mut harness = harness(1);
+    let id = harness.arrive(request(&FATAL_PROMPT));
+    break_off(&mut harness, id);
+    harness.feed(relay::Event::CallerDisconnected(id));
+    ignore_probes(&mut harness, relay_fake::millis(10_500));
+    harness.feed(relay::Event::UpstreamRemoved(relay_fake::name("engine-0")));
+    harness.advance(relay_fake::millis(25));
+    assert!(harness.crashes.is_empty());
+    assert!(harness.records.contains(&"crash_not_confirmed"));
+}
+
+/// Pattern: a request that broke off is served elsewhere while the upstream stays dark. Guards against a sound request that
+/// is convicted because its progress lies back too far when the crash is proved.
+#[test]
+fn request_served_before_the_crash_is_proved_is_not_its_cause() {
+    let mut harness = harness(2);
+    let id = harness.arrive(request(&["common"]));
+    let crashed = relay_fake::name(&harness.upstream(id));
+    break_off(&mut harness, id);
+    let attempt = harness.begin_stream(id);
+    harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
+    harness.feed(relay::Event::StreamEnded(id, attempt));
+    ignore_probes(&mut harness, relay_fake::millis(4_000));
+    harness.feed(relay::Event::UpstreamRemoved(crashed));
+    harness.advance(relay_fake::millis(25));
+    assert!(harness.crashes.is_empty());
+}
