--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -255,6 +255,7 @@
                 self.handle_stream_end(now, id, attempt, &mut effects)
             }
             event::Event::AttemptSent(id, attempt) => {
+                self.record_connection(id, attempt);
                 self.record_departure(now, id, attempt, &mut effects);
             }
             event::Event::AttemptFailed {
@@ -279,7 +280,9 @@
                 self.record_leaving(now, &upstream, started, &mut effects);
             }
             event::Event::UpstreamRemoved(id) => self.remove_upstream(now, &id, &mut effects),
-            event::Event::UpstreamProbed { upstream, probe } => self.handle_probe(&upstream, probe),
+            event::Event::UpstreamProbed { upstream, probe } => {
+                self.handle_probe(now, &upstream, probe, &mut effects);
+            }
             event::Event::CrashReported(crash) => self.apply_crash(now, *crash, &mut effects),
             event::Event::ViewReceived(view) => self.update_view(now, *view, &mut effects),
             event::Event::StreamsRead(records) => {
