feat(cli): `carawaycleat cuts` lists cut responses in logs and fails on those before their time limit

Change: `cuts FILE...` reads logs like `explain`, with any prefix before the JSON object, and lists by reason `refused` lines with `delivered` and responses that hosts ended themselves. The exit code is 1 if one was cut for another reason than its time limit, 4 if the hosts left lines about refusals out of their logs, and 0 otherwise.

--- a/crates/carawaycleat/src/cli.rs
+++ b/crates/carawaycleat/src/cli.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod client;
+mod cuts;
 mod delete;
 mod error;
 mod explain;
@@ -25,13 +26,14 @@
 
 /// The exit code of success.
 pub const EXIT_OK: u8 = 0;
-/// The exit code when the server refused the request, its response was invalid, or the output could not be written.
+/// The exit code when the server refused the request, its response was invalid, the output could not be written, or a log
+/// has responses that were cut before their time limit.
 pub const EXIT_FAILED: u8 = 1;
 /// The exit code for invalid arguments or an invalid file.
 pub const EXIT_USAGE: u8 = 2;
 /// The exit code when the resource has changed, exists, or is in use.
 pub const EXIT_CONFLICT: u8 = 3;
-/// The exit code when a server cannot be reached or does not respond.
+/// The exit code when a server cannot be reached or does not respond, or a log lacks lines.
 pub const EXIT_UNREACHABLE: u8 = 4;
 
 /// Parses the command line, runs the command and returns the exit code.
@@ -74,6 +76,7 @@
                 if_match,
             } => delete::run(&client, *kind, name, *if_match, output, out).await,
             Command::Watch { kind } => watch::run(&client, *kind, output, out).await,
+            Command::Cuts { files } => cuts::run(files, output, out),
             Command::Explain { id, files } => explain::run(id, files, output, out),
             Command::Status => status::run(&client, output, out).await,
             Command::Timeline { local, filter } => {
--- a/crates/carawaycleat/src/cli/error.rs
+++ b/crates/carawaycleat/src/cli/error.rs
@@ -33,7 +33,11 @@
         NoResponse(server: net::SocketAddr, text: String) {
             display("no response from {server}: {text}; the write may have taken effect, check with `carawaycleat get`")
         }
-        /// Some of several servers or processes could not be reached.
+        /// Responses were cut before their time limit.
+        Cut(count: usize) {
+            display("cut responses: {count} before their time limit")
+        }
+        /// Some of several servers or processes could not be reached, or left lines out of their logs.
         Partial(failed: Vec<String>) {
             display("the output is incomplete:\n{}", failed.join("\n"))
         }
@@ -58,7 +62,9 @@
     pub const fn code(&self) -> u8 {
         match self {
             Self::Usage(_) | Self::Manifest(_) => super::EXIT_USAGE,
-            Self::Refused(..) | Self::InvalidResponse(_) | Self::Output(_) => super::EXIT_FAILED,
+            Self::Refused(..) | Self::InvalidResponse(_) | Self::Output(_) | Self::Cut(_) => {
+                super::EXIT_FAILED
+            }
             Self::Conflict(..) => super::EXIT_CONFLICT,
             Self::Unreachable(..) | Self::NoResponse(..) | Self::Partial(_) => {
                 super::EXIT_UNREACHABLE
--- a/crates/carawaycleat/src/cli/explain.rs
+++ b/crates/carawaycleat/src/cli/explain.rs
@@ -19,16 +19,7 @@
         let text = "the identifier of a request must not be empty";
         return Err(super::Error::Usage(text.to_owned()));
     }
-    let mut log = explain::Log::default();
-    if files.is_empty() {
-        log.read(io::stdin().lock())?;
-    }
-    for file in files {
-        let opened = fs::File::open(file).map_err(|error| {
-            super::Error::Usage(format!("cannot read {}: {error}", file.display()))
-        })?;
-        log.read(io::BufReader::new(opened))?;
-    }
+    let log = read_log(files)?;
     let Some(explanation) = log.explain(id) else {
         return Err(super::Error::Usage(format!(
             "no line about request {id} among {} log lines ({} damaged)",
@@ -55,3 +46,18 @@
     writeln!(out, "cause: {cause}")?;
     Ok(())
 }
+
+/// Reads the logs in `files`, or standard input when there are none.
+pub(super) fn read_log(files: &[path::PathBuf]) -> super::Result<explain::Log> {
+    let mut log = explain::Log::default();
+    if files.is_empty() {
+        log.read(io::stdin().lock())?;
+    }
+    for file in files {
+        let opened = fs::File::open(file).map_err(|error| {
+            super::Error::Usage(format!("cannot read {}: {error}", file.display()))
+        })?;
+        log.read(io::BufReader::new(opened))?;
+    }
+    Ok(log)
+}
--- a/crates/carawaycleat/src/cli/options.rs
+++ b/crates/carawaycleat/src/cli/options.rs
@@ -92,6 +92,11 @@
         /// The kind, or none for all.
         kind: Option<resource::Kind>,
     },
+    /// Shows the cut responses in logs.
+    Cuts {
+        /// The log files; standard input if empty.
+        files: Vec<path::PathBuf>,
+    },
     /// Shows the history of one request from logs.
     Explain {
         /// The request identifier that the caller sent.
@@ -162,8 +167,11 @@
 
 fn command() -> impl bpaf::Parser<Invocation> {
     let (check, apply, get, delete) = (check(), apply(), get(), delete());
-    let (watch, explain, status, timeline) = (watch(), explain(), status(), timeline());
-    bpaf::construct!([check, apply, get, delete, watch, explain, status, timeline])
+    let (watch, cuts, explain, status, timeline) =
+        (watch(), cuts(), explain(), status(), timeline());
+    bpaf::construct!([
+        check, apply, get, delete, watch, cuts, explain, status, timeline
+    ])
 }
 
 fn check() -> impl bpaf::Parser<Invocation> {
@@ -236,13 +244,29 @@
         .help("Follow changes of resources")
 }
 
+fn cuts() -> impl bpaf::Parser<Invocation> {
+    let common = common_args();
+    let files = log_files();
+    let command = bpaf::construct!(Command::Cuts { files });
+    bpaf::construct!(common, command)
+        .to_options()
+        .descr("Shows the responses in the logs of several processes that were cut after their callers had got a part of them, by reason. Fails with exit code 1 if one was cut before its time limit.")
+        .command("cuts")
+        .help("Show cut responses from logs")
+}
+
+/// Parses the log files of a command that reads logs.
+fn log_files() -> impl bpaf::Parser<Vec<path::PathBuf>> {
+    bpaf::positional::<path::PathBuf>("FILE")
+        .help("Log of a process; standard input when there is none")
+        .many()
+}
+
 fn explain() -> impl bpaf::Parser<Invocation> {
     let common = common_args();
     let id =
         bpaf::positional::<String>("ID").help("Identifier of the request, as its caller gave it");
-    let files = bpaf::positional::<path::PathBuf>("FILE")
-        .help("Log of a process; standard input when there is none")
-        .many();
+    let files = log_files();
     let command = bpaf::construct!(Command::Explain { id, files });
     bpaf::construct!(common, command)
         .to_options()
--- a/crates/carawaycleat/src/explain.rs
+++ b/crates/carawaycleat/src/explain.rs
@@ -16,6 +16,13 @@
     "subject",
 ];
 
+/// The reason of responses that end at their time limit.
+const TIME_LIMIT_REASON: &str = "timeout";
+/// The reasons of responses that the host ended itself, of those without an end.
+const ABORT_REASONS: [&str; 2] = ["stream_aborted", "server_aborted"];
+/// The events whose lines may be about cut responses.
+const CUT_EVENTS: [&str; 2] = ["refused", "unanswered"];
+
 /// The fields of one structured log line.
 pub type Line = serde_json::Map<String, serde_json::Value>;
 
@@ -35,6 +42,25 @@
     pub cause: Option<String>,
 }
 
+/// The responses that hosts cut after they had passed a part of them on.
+#[derive(Debug, Default)]
+pub struct Cuts<'a> {
+    /// The line of the end of each cut response, by reason.
+    pub by_reason: collections::BTreeMap<String, Vec<&'a Line>>,
+    /// The number of lines that hosts left out of their logs and that may be about cut responses.
+    pub left_out: u64,
+}
+
+impl Cuts<'_> {
+    /// Returns the number of responses that were cut before their time limit.
+    #[must_use]
+    pub fn early(&self) -> usize {
+        let reasons = self.by_reason.iter();
+        let early = reasons.filter(|(reason, _)| *reason != TIME_LIMIT_REASON);
+        early.map(|(_, lines)| lines.len()).sum()
+    }
+}
+
 impl Log {
     /// Reads lines from `reader`.
     ///
@@ -95,6 +121,37 @@
         })
     }
 
+    /// Returns the responses that were cut.
+    #[must_use]
+    pub fn cuts(&self) -> Cuts<'_> {
+        let lines = self.lines.iter().filter(|line| is_cut(line));
+        let (refusals, others): (Vec<_>, Vec<_>) =
+            lines.partition(|line| text(line, "event") == "refused");
+        let request = |line: &Line| (text(line, "host"), text(line, "request"));
+        let refused: collections::BTreeSet<_> = refusals.iter().map(|line| request(line)).collect();
+        // A refusal of which the caller cannot be told has a second line, with another reason.
+        let others = others
+            .into_iter()
+            .filter(|line| !refused.contains(&request(line)));
+        let mut cuts = Cuts::default();
+        for line in refusals.into_iter().chain(others) {
+            let lines = cuts.by_reason.entry(text(line, "reason")).or_default();
+            lines.push(line);
+        }
+        for lines in cuts.by_reason.values_mut() {
+            lines.sort_by_key(|line| (number(line, "time"), number(line, "uptime_us")));
+        }
+        let left_out = self
+            .lines
+            .iter()
+            .filter(|line| match &*text(line, "event") {
+                "log_suppressed" => CUT_EVENTS.contains(&&*text(line, "of")),
+                event => event == "log_dropped",
+            });
+        cuts.left_out = left_out.map(|line| number(line, "lines")).sum();
+        cuts
+    }
+
     /// Returns the last state of the upstream of `decision` that its host had logged in the same run, with its age.
     fn last_observation(&self, decision: &Line) -> Option<String> {
         let subject = text(decision, "subject");
@@ -118,6 +175,16 @@
     }
 }
 
+/// Returns whether a line is about a response that its host ended after its caller had got a part of it.
+fn is_cut(line: &Line) -> bool {
+    let is_true = |field| text(line, field) == "true";
+    match &*text(line, "event") {
+        "refused" => is_true("delivered"),
+        "unanswered" => is_true("head_written") && ABORT_REASONS.contains(&&*text(line, "reason")),
+        _ => false,
+    }
+}
+
 fn text(line: &Line, field: &str) -> String {
     match line.get(field) {
         None => String::new(),
@@ -159,6 +226,12 @@
     )
 }
 
+/// Formats a line as [`describe`] does, after the request that it is about.
+#[must_use]
+pub fn describe_with_request(line: &Line) -> String {
+    format!("{} {}", text(line, "request"), describe(line))
+}
+
 /// Returns the cause of the result of a request, or none when the lines lack its end or the reason is unknown.
 fn cause(events: &[&Line]) -> Option<String> {
     let last = events
--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the library and the programs, a module per feature.
 
 mod cli;
+mod cuts;
 mod explain;
 mod fake;
 mod hostile;
