--- a/crates/carawaycleat-core/src/relay/history.rs
+++ b/crates/carawaycleat-core/src/relay/history.rs
@@ -111,7 +111,9 @@
             return true;
         }
         let runs_still = |entry: &&upstream::Upstream| {
-            entry.removed.is_none() && ran().any(|visit| is_visit_of(visit, entry))
+            entry.removed.is_none()
+                && !entry.has_refused()
+                && ran().any(|visit| is_visit_of(visit, entry))
         };
         let mut visited: Vec<_> = ran().map(|visit| &visit.upstream).collect();
         visited.sort_unstable();
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -56,6 +56,9 @@
             return;
         };
         departed.get_or_insert(now);
+        if let Some(entry) = self.upstreams.get_mut(upstream) {
+            entry.record_connection();
+        }
         let decision = timeline::Decision::new("attempt_sent")
             .with_request(request.request_id.as_str())
             .with_subject(upstream.clone())
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -84,7 +84,10 @@
         if holders.is_empty() {
             return Selection::Unplaced;
         }
-        let unavailable = match holders.iter().any(|upstream| upstream.is_silent(self.now)) {
+        let unavailable = match holders
+            .iter()
+            .any(|upstream| upstream.is_ejected_for_silence(self.now))
+        {
             true => Selection::Silent,
             false => Selection::Ejected,
         };
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -279,7 +279,8 @@
         now < self.ejected_until || self.is_ejected_for_silence(now)
     }
 
-    fn is_ejected_for_silence(&self, now: clock::Instant) -> bool {
+    /// Returns whether it is ejected because it is silent, so that it is expected to go on.
+    pub(super) fn is_ejected_for_silence(&self, now: clock::Instant) -> bool {
         self.silence
             .is_some_and(|silence| now < silence.ejected_until)
     }
@@ -289,11 +290,6 @@
         self.has_refused
     }
 
-    /// Returns whether it is ejected because it is silent.
-    pub(super) fn is_silent(&self, now: clock::Instant) -> bool {
-        self.is_ejected_for_silence && self.is_ejected(now)
-    }
-
     /// Returns the fraction of the slots that would be in use with one more request.
     pub(super) fn load(&self, slots: u32) -> f64 {
         (f64::from(self.own_requests) + f64::from(self.other_requests) + 1.0)
