fix(entry): keep a silent attempt until another one has brought a part

Callers of a host saw streams cut, and whole requests end with 502 or 504, although their upstreams were silent for a second or two and went on. An attempt without progress for the stall timeout was ended and cancelled at once, before any other upstream was chosen. If no other one could take the request, if it rejected it or broke off, or if no further attempt was allowed (a request that may run once, a service's response after its head, an empty retry budget, a single upstream, a configuration without the upstreams), the response was lost.

The silent attempt now goes on. Where the request may be repeated, one further attempt begins beside it as soon as an upstream has a place and the budget allows it. The first of the two that brings a token, a service's head, or an end cancels the other; one that fails leaves the other in place. Without a further attempt the silent one goes on until the time limit. A request that may run at most once is never sent again, and a refusal counts the silent attempt as one that may have run. A later token ends the ejection for silence, and a stall is no sample of the latency.

--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -98,7 +98,7 @@
             is_claimed: false,
             cursor: stream::Cursor::new(request.id),
             has_head: false,
-            attempt: None,
+            running: Vec::new(),
             attempts: 0,
             earlier_outcome: outcome::Outcome::NotRun,
             excluded: Vec::new(),
--- a/crates/carawaycleat-core/src/entry/dispatch.rs
+++ b/crates/carawaycleat-core/src/entry/dispatch.rs
@@ -1,6 +1,7 @@
 use super::pending;
 use crate::clock;
 use crate::name;
+use crate::outcome;
 use crate::rate;
 use crate::request;
 use crate::routing;
@@ -30,18 +31,71 @@
         let Ok(upstream) = self.table.pick(now, &criteria, &mut || random.u64(..)) else {
             return self.enqueue(now, id);
         };
-        let attempt = attempt_id(id, pending.attempts);
-        self.table.record_start(now, attempt, &upstream, &criteria);
         if pending.attempts == 0 {
             self.budget.record_request(now);
         }
-        pending.cursor.resume(attempt);
+        self.start_attempt_at(now, id, upstream);
+    }
+
+    /// Sends a request that is silent at its upstream to another one as well, if one is available and the retry budget
+    /// allows it. The earlier attempt goes on until the later one has brought a part of the response.
+    fn dispatch_second(&mut self, now: clock::Instant, id: request::Id) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if !pending.permits_second_attempt() {
+            return;
+        }
+        let running = pending.running.iter();
+        let running: Vec<_> = running.map(|attempt| attempt.upstream.clone()).collect();
+        let mut exclude = pending.excluded.clone();
+        exclude.extend(running.iter().cloned());
+        let criteria = routing::Criteria {
+            exclude: &exclude,
+            ..criteria(pending, &self.zone)
+        };
+        let random = &mut self.random;
+        let Ok(upstream) = self.table.pick(now, &criteria, &mut || random.u64(..)) else {
+            return;
+        };
+        if !self.budget.take(now) {
+            return;
+        }
+        let decision = match pending.delivered() {
+            0 => super::Decision::Retried,
+            _ => super::Decision::Resumed,
+        };
+        self.emit(super::Effect::CountRetry(decision));
+        let reason = outcome::Reason::UpstreamTimeout.as_str();
+        self.record_request(timeline::Kind::Retried, id, reason);
+        self.start_attempt_at(now, id, upstream);
+    }
+
+    /// Starts further attempts beside those that are silent.
+    pub(super) fn dispatch_silent(&mut self, now: clock::Instant) {
+        let pending = self.requests.iter();
+        let silent = pending.filter(|(_, pending)| pending.permits_second_attempt());
+        let mut silent: Vec<_> = silent.map(|(id, _)| *id).collect();
+        silent.sort_unstable();
+        for id in silent {
+            self.dispatch_second(now, id);
+        }
+    }
+
+    fn start_attempt_at(&mut self, now: clock::Instant, id: request::Id, upstream: name::Name) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let attempt = attempt_id(id, pending.attempts);
+        let criteria = criteria(pending, &self.zone);
+        self.table.record_start(now, attempt, &upstream, &criteria);
         pending.attempts += 1;
         pending.stage = pending::Stage::Running;
-        pending.attempt = Some(pending::Attempt {
+        pending.running.push(pending::Attempt {
             id: attempt,
             upstream: upstream.clone(),
             sent: false,
+            is_silent: false,
         });
         let effect = super::Effect::Dispatch {
             request: id,
@@ -56,14 +110,17 @@
         self.record_request(timeline::Kind::Dispatched, id, "");
     }
 
-    /// Ends the running attempt of a request as failed, and returns it.
+    /// Ends a running attempt of a request as failed, and returns it.
     pub(super) fn end_attempt(
         &mut self,
         now: clock::Instant,
         id: request::Id,
+        attempt: request::Id,
         failure: routing::Failure,
     ) -> Option<pending::Attempt> {
-        let attempt = self.requests.get_mut(&id)?.attempt.take()?;
+        let running = &mut self.requests.get_mut(&id)?.running;
+        let index = running.iter().position(|running| running.id == attempt)?;
+        let attempt = running.remove(index);
         self.attempts.remove(&attempt.id);
         self.table.record_failure(now, attempt.id, failure);
         self.record_ejections("wrong or incomplete response");
@@ -94,6 +151,37 @@
         }
     }
 
+    /// Cancels the running attempts of a request except for `kept`.
+    pub(super) fn cancel_attempts(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        kept: Option<request::Id>,
+    ) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let running = pending.running.iter().map(|attempt| attempt.id);
+        let ended: Vec<_> = running.filter(|attempt| Some(*attempt) != kept).collect();
+        for attempt in ended {
+            let Some(attempt) = self.end_attempt(now, id, attempt, routing::Failure::Cancelled)
+            else {
+                continue;
+            };
+            if let Some(pending) = self.requests.get_mut(&id) {
+                pending.earlier_outcome = match pending.earlier_outcome {
+                    outcome::Outcome::Ran => outcome::Outcome::Ran,
+                    _ => outcome::Outcome::Unknown,
+                };
+            }
+            self.emit(super::Effect::Cancel {
+                request: id,
+                attempt: attempt.id,
+                upstream: attempt.upstream,
+            });
+        }
+    }
+
     /// Releases everything that a request holds: its place in a queue, its attempt, its claim and its unused tokens.
     fn release(&mut self, now: clock::Instant, id: request::Id) {
         let Some(pending) = self.requests.get(&id) else {
@@ -105,13 +193,7 @@
             self.waitlist.remove(&workspace, id);
         }
         self.queue.remove(now, id);
-        if let Some(attempt) = self.end_attempt(now, id, routing::Failure::Cancelled) {
-            let effect = super::Effect::Cancel {
-                attempt: attempt.id,
-                upstream: attempt.upstream,
-            };
-            self.emit(effect);
-        }
+        self.cancel_attempts(now, id, None);
         let Some(mut pending) = self.requests.remove(&id) else {
             return;
         };
@@ -157,20 +239,37 @@
         }
     }
 
-    /// Records an event of a request in the timeline.
+    /// Records an event of a request in the timeline, with the upstream of its latest attempt.
     pub(super) fn record_request(&mut self, kind: timeline::Kind, id: request::Id, detail: &str) {
+        self.record_attempt(kind, id, None, detail);
+    }
+
+    /// Records an event of a running attempt in the timeline.
+    pub(super) fn record_attempt(
+        &mut self,
+        kind: timeline::Kind,
+        id: request::Id,
+        attempt: Option<request::Id>,
+        detail: &str,
+    ) {
         let Some(pending) = self.requests.get(&id) else {
             return;
         };
+        let running = pending.running.iter();
+        let mut named = running.filter(|running| Some(running.id) == attempt);
+        let upstream = named.next().map(|attempt| attempt.upstream.clone());
+        let latest = || {
+            pending
+                .running
+                .last()
+                .map(|attempt| attempt.upstream.clone())
+        };
         let record = super::Record {
             kind,
             request: Some(id),
             workspace: pending.workspace().cloned(),
             model: pending.request.model.clone(),
-            upstream: pending
-                .attempt
-                .as_ref()
-                .map(|attempt| attempt.upstream.clone()),
+            upstream: upstream.or_else(latest),
             detail: detail.to_owned(),
         };
         self.record(record);
--- a/crates/carawaycleat-core/src/entry/effect.rs
+++ b/crates/carawaycleat-core/src/entry/effect.rs
@@ -59,6 +59,8 @@
     Refuse(request::Id, super::Refusal),
     /// Cancel an attempt whose response is no longer needed.
     Cancel {
+        /// Identifier of the request.
+        request: request::Id,
         /// Identifier of the attempt.
         attempt: request::Id,
         /// Upstream that runs the attempt.
--- a/crates/carawaycleat-core/src/entry/pending.rs
+++ b/crates/carawaycleat-core/src/entry/pending.rs
@@ -4,6 +4,7 @@
 use crate::rate;
 use crate::request;
 use crate::resource;
+use crate::retry;
 use crate::stream;
 
 /// State of a request that has not ended.
@@ -21,8 +22,9 @@
     pub(super) cursor: stream::Cursor,
     /// Whether the caller received the head of a response without tokens.
     pub(super) has_head: bool,
-    pub(super) attempt: Option<Attempt>,
-    /// Number of attempts, including the running one.
+    /// Running attempts, oldest first. There are two while the earlier one is silent.
+    pub(super) running: Vec<Attempt>,
+    /// Number of attempts, including the running ones.
     pub(super) attempts: u32,
     /// Outcome of the ended attempts taken together.
     pub(super) earlier_outcome: outcome::Outcome,
@@ -50,6 +52,8 @@
     pub(super) upstream: name::Name,
     /// Whether any byte of the request may have been sent.
     pub(super) sent: bool,
+    /// Whether it has made no progress for longer than the timeout.
+    pub(super) is_silent: bool,
 }
 
 impl Pending {
@@ -75,12 +79,25 @@
     /// A running attempt makes it unknown even before the sidecar confirms the start, because the job may be in
     /// transit.
     pub(super) fn outcome(&self) -> outcome::Outcome {
-        if self.attempt.is_some() || self.cursor.position() > 0 {
+        if !self.running.is_empty() || self.cursor.position() > 0 {
             return outcome::Outcome::Unknown;
         }
         self.earlier_outcome
     }
 
+    /// Returns whether another attempt may begin beside the running one: that one is silent, and neither running the
+    /// request twice nor starting its response anew would harm.
+    pub(super) fn permits_second_attempt(&self) -> bool {
+        let is_continuable = self.delivered() == 0 || self.is_model();
+        let is_alone = matches!(&self.running[..], [running] if running.is_silent);
+        is_alone && self.idempotent && is_continuable && retry::permits_attempt(self.attempts)
+    }
+
+    /// Returns the running attempt `id`.
+    pub(super) fn attempt_mut(&mut self, id: request::Id) -> Option<&mut Attempt> {
+        self.running.iter_mut().find(|attempt| attempt.id == id)
+    }
+
     /// Returns how much of the response the caller received, in tokens or body bytes, and at least 1 after a head.
     pub(super) fn delivered(&self) -> u64 {
         self.cursor.position().max(u64::from(self.has_head))
--- a/crates/carawaycleat-core/src/entry/response.rs
+++ b/crates/carawaycleat-core/src/entry/response.rs
@@ -28,8 +28,12 @@
         let Some(&id) = self.attempts.get(&attempt) else {
             return;
         };
+        // A part names the attempt that it belongs to, and any running attempt may bring the next one.
+        if let Some(cursor) = self.cursor(id) {
+            cursor.resume(attempt);
+        }
         match progress {
-            event::Progress::Started => self.start_attempt(id),
+            event::Progress::Started => self.start_attempt(id, attempt),
             event::Progress::Token {
                 frame_attempt,
                 position,
@@ -69,6 +73,7 @@
                 self.fail_attempt(
                     now,
                     id,
+                    attempt,
                     Cause {
                         outcome,
                         reason,
@@ -87,15 +92,15 @@
             .map(|pending| &mut pending.cursor)
     }
 
-    fn start_attempt(&mut self, id: request::Id) {
-        if let Some(attempt) = self
-            .requests
-            .get_mut(&id)
-            .and_then(|pending| pending.attempt.as_mut())
-        {
-            attempt.sent = true;
+    fn start_attempt(&mut self, id: request::Id, attempt: request::Id) {
+        if let Some(running) = self.running(id, attempt) {
+            running.sent = true;
         }
-        self.record_request(timeline::Kind::Started, id, "");
+        self.record_attempt(timeline::Kind::Started, id, Some(attempt), "");
+    }
+
+    fn running(&mut self, id: request::Id, attempt: request::Id) -> Option<&mut pending::Attempt> {
+        self.requests.get_mut(&id)?.attempt_mut(attempt)
     }
 
     fn advance_response(
@@ -108,22 +113,27 @@
     ) {
         match accepted {
             Some(Ok(())) => {}
-            Some(Err(error)) => return self.fail_attempt(now, id, invalid_response(&error)),
+            Some(Err(error)) => {
+                return self.fail_attempt(now, id, attempt, invalid_response(&error));
+            }
             None => return,
         }
+        self.cancel_attempts(now, id, Some(attempt));
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
+        let position = pending.cursor.position();
         // A head or token implies that the request was sent, even if the frame that reports the start was lost.
-        let is_first = match &mut pending.attempt {
+        let is_first = match pending.attempt_mut(attempt) {
             Some(running) => {
-                !std::mem::replace(&mut running.sent, true) || pending.cursor.position() <= 1
+                running.is_silent = false;
+                !std::mem::replace(&mut running.sent, true) || position <= 1
             }
             None => false,
         };
-        if is_first && tokens == pending.cursor.position() {
+        if is_first && tokens == position {
             self.table.record_first_token(now, attempt);
-            if let Some(running) = &pending.attempt {
+            if let Some(running) = pending.running.last() {
                 self.table
                     .record_prefixes(&running.upstream, &pending.request.prefixes);
             }
@@ -151,8 +161,9 @@
             .cursor(id)
             .map(|cursor| cursor.finish(frame_attempt, count))
         {
-            return self.fail_attempt(now, id, invalid_response(&error));
+            return self.fail_attempt(now, id, attempt, invalid_response(&error));
         }
+        self.cancel_attempts(now, id, Some(attempt));
         self.table.record_success(now, attempt);
         self.attempts.remove(&attempt);
         self.record_request(timeline::Kind::Finished, id, "");
@@ -175,10 +186,17 @@
         self.dispatch_all(now);
     }
 
-    /// Retries or refuses a request after a failed attempt.
-    fn fail_attempt(&mut self, now: clock::Instant, id: request::Id, cause: Cause) {
-        self.record_request(timeline::Kind::Failed, id, cause.reason.as_str());
-        let Some(attempt) = self.end_attempt(now, id, cause.failure) else {
+    /// Retries or refuses a request after a failed attempt, unless another attempt at it is running.
+    fn fail_attempt(
+        &mut self,
+        now: clock::Instant,
+        id: request::Id,
+        attempt: request::Id,
+        cause: Cause,
+    ) {
+        let reason = cause.reason.as_str();
+        self.record_attempt(timeline::Kind::Failed, id, Some(attempt), reason);
+        let Some(attempt) = self.end_attempt(now, id, attempt, cause.failure) else {
             return;
         };
         let Some(pending) = self.requests.get_mut(&id) else {
@@ -203,11 +221,15 @@
             || cause.failure == routing::Failure::Incomplete;
         if is_ended_here {
             let effect = super::Effect::Cancel {
+                request: id,
                 attempt: attempt.id,
                 upstream: attempt.upstream,
             };
             self.emit(effect);
         }
+        if self.is_running(id) {
+            return self.dispatch_all(now);
+        }
         let action = retry::decide(now, &tried, &mut self.budget);
         self.emit(super::Effect::CountRetry(decision(&tried, action)));
         match action {
@@ -223,15 +245,24 @@
         self.dispatch_all(now);
     }
 
-    /// Abandons attempts that make no progress, and refuses requests whose deadline has passed.
+    /// Returns whether an attempt at the request is running.
+    fn is_running(&self, id: request::Id) -> bool {
+        let pending = self.requests.get(&id);
+        pending.is_some_and(|pending| !pending.running.is_empty())
+    }
+
+    /// Starts further attempts beside those that make no progress, and refuses requests whose deadline has passed.
     pub(super) fn expire(&mut self, now: clock::Instant) {
         let stalled = self.table.detect_stalls(now);
         self.record_ejections("no progress");
         for (attempt, _) in stalled {
-            if let Some(&id) = self.attempts.get(&attempt) {
-                self.fail_attempt(now, id, timed_out("the upstream made no progress"));
+            if let Some(&id) = self.attempts.get(&attempt)
+                && let Some(running) = self.running(id, attempt)
+            {
+                running.is_silent = true;
             }
         }
+        self.dispatch_silent(now);
         for ticket in self.queue.expire(now) {
             let Some(pending) = self.requests.get(&ticket.id) else {
                 continue;
@@ -305,16 +336,6 @@
     }
 }
 
-fn timed_out(message: &str) -> Cause {
-    Cause {
-        outcome: outcome::Outcome::Unknown,
-        reason: outcome::Reason::UpstreamTimeout,
-        sent: true,
-        message: message.to_owned(),
-        failure: routing::Failure::Timeout,
-    }
-}
-
 /// Returns how a failure with this reason counts against the upstream.
 fn upstream_failure(reason: outcome::Reason) -> routing::Failure {
     match reason {
--- a/crates/carawaycleat-core/src/retry.rs
+++ b/crates/carawaycleat-core/src/retry.rs
@@ -9,5 +9,6 @@
 pub use budget::Budget;
 pub use decide::Action;
 pub use decide::decide;
+pub use decide::permits_attempt;
 pub use hedge::Pending;
 pub use hedge::hedge;
--- a/crates/carawaycleat-core/src/retry/decide.rs
+++ b/crates/carawaycleat-core/src/retry/decide.rs
@@ -58,7 +58,7 @@
     };
     let may_run_again = attempt.idempotent || outcome == outcome::Outcome::NotRun;
     let is_continuable = attempt.delivered == 0 || attempt.resumable;
-    let is_within_limits = now < attempt.deadline && attempt.attempts < MAX_ATTEMPTS;
+    let is_within_limits = now < attempt.deadline && permits_attempt(attempt.attempts);
     if !(may_run_again && is_continuable && is_within_limits && is_retryable(attempt.reason)) {
         return fail;
     }
@@ -74,6 +74,12 @@
     }
 }
 
+/// Returns whether a request may be sent once more after `attempts` attempts.
+#[must_use]
+pub const fn permits_attempt(attempts: u32) -> bool {
+    attempts < MAX_ATTEMPTS
+}
+
 /// Returns whether a request that failed for `reason` may succeed at another upstream.
 const fn is_retryable(reason: outcome::Reason) -> bool {
     matches!(
--- a/crates/carawaycleat-core/src/routing/table.rs
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -233,21 +233,36 @@
                 .latencies
                 .entry(attempt.latency_key.clone())
                 .or_default();
-            latency.add_first_token(now.since(attempt.sent_at));
+            if !attempt.is_stalled {
+                latency.add_first_token(now.since(attempt.sent_at));
+            }
             attempt.last_token_at = Some(now);
+            self.end_stall(now, id);
         }
     }
 
     /// Records a further token, or a chunk of the body of a response without tokens.
     pub fn record_token(&mut self, now: clock::Instant, id: request::Id) {
         if let Some(attempt) = self.attempts.get_mut(&id) {
-            if let (Some(last), Some(latency)) = (
+            if let (Some(last), Some(latency), false) = (
                 attempt.last_token_at,
                 self.latencies.get_mut(&attempt.latency_key),
+                attempt.is_stalled,
             ) {
                 latency.add_gap(now.since(last));
             }
             attempt.last_token_at = Some(now);
+            self.end_stall(now, id);
+        }
+    }
+
+    /// Ends the stall of an attempt that has made progress, and the ejection of its upstream for it.
+    fn end_stall(&mut self, now: clock::Instant, id: request::Id) {
+        if let Some(attempt) = self.attempts.get_mut(&id)
+            && std::mem::take(&mut attempt.is_stalled)
+            && let Some(state) = self.upstreams.get_mut(&attempt.upstream)
+        {
+            state.record_progress(now);
         }
     }
 
@@ -284,7 +299,8 @@
 
     /// Returns the attempts that have stalled since the last call, with their upstreams, and ejects these upstreams.
     ///
-    /// The attempts stay in flight until [`record_failure`](Self::record_failure) is called for them.
+    /// The attempts stay in flight until [`record_failure`](Self::record_failure) is called for them. One that makes
+    /// progress again can stall anew.
     pub fn detect_stalls(&mut self, now: clock::Instant) -> Vec<(request::Id, name::Name)> {
         let policy = self.policy;
         let timeouts: collections::BTreeMap<_, _> = self
@@ -322,7 +338,7 @@
                 without_first_token.insert(attempt.latency_key.clone());
             }
             if let Some(state) = self.upstreams.get_mut(&attempt.upstream)
-                && state.eject(now, policy.base_ejection, policy.max_ejection)
+                && state.eject_silent(now, policy.base_ejection, policy.max_ejection)
             {
                 self.ejected.push(attempt.upstream.clone());
             }
--- a/crates/carawaycleat-core/src/routing/upstream.rs
+++ b/crates/carawaycleat-core/src/routing/upstream.rs
@@ -35,6 +35,8 @@
     /// The number of ejections since the last success.
     ejections: u32,
     ejected_until: clock::Instant,
+    /// Whether it is ejected because it was silent, which its next progress refutes.
+    is_ejected_silent: bool,
 }
 
 impl Upstream {
@@ -52,6 +54,7 @@
             in_flight_change: 0,
             ejections: 0,
             ejected_until: clock::Instant::default(),
+            is_ejected_silent: false,
         }
     }
 
@@ -198,9 +201,30 @@
         let factor = 1_u32.checked_shl(self.ejections).unwrap_or(u32::MAX);
         self.ejected_until = now + base.saturating_mul(factor).min(max);
         self.ejections = (self.ejections + 1).min(31);
+        self.is_ejected_silent = false;
         true
     }
 
+    /// Ejects the upstream like [`eject`](Self::eject), until it makes progress.
+    pub(super) fn eject_silent(
+        &mut self,
+        now: clock::Instant,
+        base: time::Duration,
+        max: time::Duration,
+    ) -> bool {
+        let is_ejected = self.eject(now, base, max);
+        self.is_ejected_silent |= is_ejected;
+        is_ejected
+    }
+
+    /// Ends an ejection for silence.
+    pub(super) fn record_progress(&mut self, now: clock::Instant) {
+        if std::mem::take(&mut self.is_ejected_silent) {
+            self.ejected_until = self.ejected_until.min(now);
+            self.ejections = self.ejections.saturating_sub(1);
+        }
+    }
+
     pub(super) fn record_success(&mut self, now: clock::Instant) {
         if self.ejected_until <= now {
             self.ejections = 0;
--- a/crates/carawaycleat-core/tests/suite/path_cluster/host.rs
+++ b/crates/carawaycleat-core/tests/suite/path_cluster/host.rs
@@ -140,7 +140,9 @@
             | entry::Effect::CountTokens { .. }
             | entry::Effect::CountRetry(_) => {}
             entry::Effect::Refuse(id, refusal) => self.record_refusal(id, &refusal),
-            entry::Effect::Cancel { attempt, upstream } => {
+            entry::Effect::Cancel {
+                attempt, upstream, ..
+            } => {
                 let is_kept = self.still_served.contains(&request_of(attempt));
                 if !is_kept && !self.is_partitioned_from(host, index_of(&upstream)) {
                     self.drop_runs(index_of(&upstream), |run| run.job.attempt == attempt, None);
--- a/crates/carawaycleat/src/entry/callers/handler.rs
+++ b/crates/carawaycleat/src/entry/callers/handler.rs
@@ -23,7 +23,10 @@
     context: sync::Arc<context::Context>,
     inbound: inbound::Request,
     messages: mailbox::Receiver,
+    /// The latest attempt.
     attempt: Option<attempt::Attempt>,
+    /// The attempt before the latest one, while both run.
+    earlier: Option<attempt::Attempt>,
     sink: sink::Sink,
     /// The text delivered to the caller so far, from which another attempt resumes.
     text: String,
@@ -55,6 +58,7 @@
         messages: context.open_mailbox(id),
         sink: sink::Sink::new(inbound.call.as_ref(), wire::Id::from_u128(id.as_u128())),
         attempt: None,
+        earlier: None,
         text: String::new(),
         received_at,
         is_immediate: false,
@@ -142,31 +146,36 @@
             // Messages take precedence: the end of a request overrides further steps of its attempt.
             let message = match self.messages.try_recv() {
                 Ok(message) => Some(message),
-                Err(_) => match &mut self.attempt {
-                    None => self.messages.recv().await.ok(),
-                    Some(attempt) => {
-                        let message = async { Incoming::Message(self.messages.recv().await.ok()) };
-                        let step = async { Incoming::Step(attempt.next().await) };
-                        match futures_lite::future::or(message, step).await {
-                            Incoming::Message(message) => message,
-                            Incoming::Step(Some(step)) => {
-                                if self.apply(step, body) {
-                                    self.apply_received(body);
-                                    return Output::Content;
-                                }
-                                continue;
-                            }
-                            Incoming::Step(None) => {
-                                self.attempt = None;
-                                continue;
+                Err(_) => {
+                    let message = async { Incoming::Message(self.messages.recv().await.ok()) };
+                    let steps = futures_lite::future::or(
+                        next_step(&mut self.attempt),
+                        next_step(&mut self.earlier),
+                    );
+                    let step = async {
+                        let (attempt, step) = steps.await;
+                        Incoming::Step(attempt, step)
+                    };
+                    match futures_lite::future::or(message, step).await {
+                        Incoming::Message(message) => message,
+                        Incoming::Step(attempt, Some(step)) => {
+                            if self.apply(attempt, step, body) {
+                                self.apply_received(attempt, body);
+                                return Output::Content;
                             }
+                            continue;
+                        }
+                        Incoming::Step(attempt, None) => {
+                            self.remove(attempt);
+                            continue;
                         }
                     }
-                },
+                }
             };
             match message {
                 Some(mailbox::Message::Claim(key)) => self.claim(key).await,
                 Some(mailbox::Message::Dispatch(dispatch)) => self.dispatch(&dispatch),
+                Some(mailbox::Message::Cancel(attempt)) => self.remove(attempt),
                 Some(mailbox::Message::Finish(count)) => {
                     self.has_ended = true;
                     self.sink.close(count, body);
@@ -182,24 +191,19 @@
     }
 
     /// Applies the steps that have already been received, so that their content is sent in one write.
-    fn apply_received(&mut self, body: &mut Vec<u8>) {
+    fn apply_received(&mut self, id: request::Id, body: &mut Vec<u8>) {
         while body.len() < MAX_COALESCED_BYTES && self.messages.is_empty() {
-            let Some(step) = self
-                .attempt
-                .as_mut()
-                .and_then(attempt::Attempt::next_received)
-            else {
+            let mut running = self.attempt.iter_mut().chain(&mut self.earlier);
+            let running = running.find(|attempt| attempt.id == id);
+            let Some(step) = running.and_then(attempt::Attempt::next_received) else {
                 return;
             };
-            self.apply(step, body);
+            self.apply(id, step, body);
         }
     }
 
     /// Passes a step to the reducer and returns whether it has content for the caller.
-    fn apply(&mut self, step: attempt::Step, body: &mut Vec<u8>) -> bool {
-        let Some(attempt) = &self.attempt else {
-            return false;
-        };
+    fn apply(&mut self, attempt: request::Id, step: attempt::Step, body: &mut Vec<u8>) -> bool {
         if let Some(stamp) = &step.stamp {
             self.context.receive(stamp);
         }
@@ -211,7 +215,10 @@
                 .added_latency
                 .observe(elapsed.as_secs_f64());
         }
-        let event = entry::Event::Attempt(attempt.id, step.progress);
+        if matches!(step.progress, entry::Progress::Failed { .. }) {
+            self.remove(attempt);
+        }
+        let event = entry::Event::Attempt(attempt, step.progress);
         let is_delivered = self.context.step_for(Some(self.inbound.request.id), event);
         if !is_delivered {
             return false;
@@ -266,7 +273,16 @@
         let job = self.job(dispatch);
         let attempt =
             attempt::Attempt::new(&self.context, &dispatch.upstream, dispatch.attempt, job);
-        self.attempt = Some(attempt);
+        // The reducer cancels what is not to go on beside the new attempt.
+        if let Some(latest) = self.attempt.replace(attempt) {
+            self.earlier = Some(latest);
+        }
+    }
+
+    /// Closes the connection of an attempt.
+    fn remove(&mut self, id: request::Id) {
+        self.attempt.take_if(|attempt| attempt.id == id);
+        self.earlier.take_if(|attempt| attempt.id == id);
     }
 
     fn job(&self, dispatch: &mailbox::Dispatch) -> wire::Job {
@@ -320,7 +336,15 @@
 
 enum Incoming {
     Message(Option<mailbox::Message>),
-    Step(Option<attempt::Step>),
+    Step(request::Id, Option<attempt::Step>),
+}
+
+/// Waits for the next step of an attempt, for ever without one.
+async fn next_step(attempt: &mut Option<attempt::Attempt>) -> (request::Id, Option<attempt::Step>) {
+    match attempt {
+        Some(attempt) => (attempt.id, attempt.next().await),
+        None => std::future::pending().await,
+    }
 }
 
 impl Drop for Handler {
--- a/crates/carawaycleat/src/entry/mailbox.rs
+++ b/crates/carawaycleat/src/entry/mailbox.rs
@@ -9,6 +9,8 @@
     Claim(String),
     /// Send the request to an upstream.
     Dispatch(Dispatch),
+    /// Abandon an attempt.
+    Cancel(request::Id),
     /// End the complete response, with its number of tokens.
     Finish(u64),
     /// End the response with an error.
--- a/crates/carawaycleat/src/entry/perform.rs
+++ b/crates/carawaycleat/src/entry/perform.rs
@@ -55,7 +55,12 @@
                 self.metric.count_refusal(refusal.reason);
                 self.send(request, mailbox::Message::Refuse(refusal));
             }
-            entry::Effect::Cancel { attempt, upstream } => {
+            entry::Effect::Cancel {
+                request,
+                attempt,
+                upstream,
+            } => {
+                self.send(request, mailbox::Message::Cancel(attempt));
                 let id = wire::Id::from_u128(attempt.as_u128());
                 self.spawn(exchange::cancel(self.clone(), id, upstream));
             }
