fix(entry): let a response that has begun wait instead of refusing it

A stream that had begun was cut by what is decided for new requests: 502 when the retry budget was empty, 503 when the queue was full or the wait estimated as too long, and nothing until the time limit when each upstream had failed once, because a request never returned to an upstream at which an attempt had failed. An upstream without a place used up one of three attempts, so that three rejections in a row cut the stream.

Such a response now waits for the retry budget, is queued without regard to the limits on new requests and before them, and returns 0.5 s after a failure to the upstreams at which it failed if no other one can serve it. Attempts at which no upstream ran the request do not count towards the maximum once the response has begun. All of it ends at the time limit. Requests without a part of their response are refused as before, except that they return as well.

`entry_begun` has 7 cases.

--- a/crates/carawaycleat-core/src/admission/queue.rs
+++ b/crates/carawaycleat-core/src/admission/queue.rs
@@ -128,6 +128,12 @@
         request: super::Request,
     ) -> super::Result<()> {
         self.check_limits(&request)?;
+        self.push_begun(now, request);
+        Ok(())
+    }
+
+    /// Adds a request whose response has begun, without regard to the limits on new requests.
+    pub fn push_begun(&mut self, now: clock::Instant, request: super::Request) {
         self.earliest_deadline = self.earliest_deadline.min(request.deadline);
         let target = self.target(&request);
         let credit = self.round_credit(&request.workspace);
@@ -144,7 +150,6 @@
             self.meters.retain(|_, meter| meter.is_recent(now));
         }
         self.meters.entry(target).or_default().set_busy(now, true);
-        Ok(())
     }
 
     fn check_limits(&self, request: &super::Request) -> super::Result<()> {
--- a/crates/carawaycleat-core/src/entry/admit.rs
+++ b/crates/carawaycleat-core/src/entry/admit.rs
@@ -101,6 +101,8 @@
             running: Vec::new(),
             attempts: 0,
             earlier_outcome: outcome::Outcome::NotRun,
+            rejections: 0,
+            failed_at: None,
             excluded: Vec::new(),
             request: request.clone(),
         })
@@ -357,7 +359,8 @@
         }
     }
 
-    /// Puts a request into the queue for an upstream, or refuses it if the queue is full or too slow.
+    /// Puts a request into the queue for an upstream, or refuses it if the queue is full or too slow. A response that has
+    /// begun is not refused.
     pub(super) fn enqueue(&mut self, now: clock::Instant, id: request::Id) {
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
@@ -373,12 +376,19 @@
             workspace: pending.workspace().cloned().unwrap_or_else(open_workspace),
             model: pending.request.model.clone(),
             adapter: pending.request.adapter.clone(),
-            class: pending.request.class,
+            class: match pending.is_begun() {
+                true => admission::Class::Live,
+                false => pending.request.class,
+            },
             tokens: pending.request.cost(),
             bytes: pending.request.bytes,
             deadline: pending.request.deadline,
         };
         let pushed = match can_run {
+            _ if pending.is_begun() => {
+                self.queue.push_begun(now, ticket);
+                Ok(())
+            }
             true => self.queue.push_ready(now, ticket),
             false => self.queue.push(now, ticket),
         };
--- a/crates/carawaycleat-core/src/entry/pending.rs
+++ b/crates/carawaycleat-core/src/entry/pending.rs
@@ -1,3 +1,4 @@
+use crate::clock;
 use crate::key;
 use crate::name;
 use crate::outcome;
@@ -28,6 +29,10 @@
     pub(super) attempts: u32,
     /// Outcome of the ended attempts taken together.
     pub(super) earlier_outcome: outcome::Outcome,
+    /// Number of ended attempts that did not run.
+    pub(super) rejections: u32,
+    /// When the last attempt failed; none before that.
+    pub(super) failed_at: Option<clock::Instant>,
     /// Upstreams at which an attempt failed.
     pub(super) excluded: Vec<name::Name>,
 }
@@ -41,6 +46,8 @@
     Claim,
     /// Waits for an upstream.
     Queue,
+    /// Waits for the retry budget.
+    Budget,
     /// Runs at an upstream.
     Running,
 }
@@ -90,7 +97,24 @@
     pub(super) fn permits_second_attempt(&self) -> bool {
         let is_continuable = self.delivered() == 0 || self.is_model();
         let is_alone = matches!(&self.running[..], [running] if running.is_silent);
-        is_alone && self.idempotent && is_continuable && retry::permits_attempt(self.attempts)
+        is_alone
+            && self.idempotent
+            && is_continuable
+            && retry::permits_attempt(self.counted_attempts())
+    }
+
+    /// Returns whether the caller has received a part of the response, which another upstream can go on with.
+    pub(super) fn is_begun(&self) -> bool {
+        self.delivered() > 0 && self.is_model()
+    }
+
+    /// Returns the number of attempts that count towards the maximum. Those at which no upstream ran the request do not
+    /// count once its response has begun.
+    pub(super) fn counted_attempts(&self) -> u32 {
+        match self.is_begun() {
+            true => self.attempts.saturating_sub(self.rejections),
+            false => self.attempts,
+        }
     }
 
     /// Returns the running attempt `id`.
--- a/crates/carawaycleat-core/src/entry/response.rs
+++ b/crates/carawaycleat-core/src/entry/response.rs
@@ -1,3 +1,6 @@
+use std::time;
+
+use super::dispatch;
 use super::event;
 use super::pending;
 use crate::clock;
@@ -8,6 +11,9 @@
 use crate::stream;
 use crate::timeline;
 
+/// Time after a failed attempt before a request returns to an upstream at which an attempt failed.
+const RETURN_DELAY: time::Duration = time::Duration::from_millis(500);
+
 /// Cause of a failed attempt.
 struct Cause {
     outcome: outcome::Outcome,
@@ -207,14 +213,21 @@
             reason: cause.reason,
             sent: cause.sent,
             idempotent: pending.idempotent,
-            attempts: pending.attempts,
+            attempts: 0,
             earlier_outcome: pending.earlier_outcome,
             // A response whose head was delivered cannot be restarted: the head of another execution may differ.
             delivered: pending.delivered(),
             resumable: pending.is_model(),
             deadline: pending.request.deadline,
         };
+        let has_run = cause.sent && cause.outcome != outcome::Outcome::NotRun;
+        pending.rejections += u32::from(!has_run);
+        let tried = retry::Attempt {
+            attempts: pending.counted_attempts(),
+            ..tried
+        };
         pending.earlier_outcome = tried.total_outcome();
+        pending.failed_at = Some(now);
         pending.excluded.push(attempt.upstream.clone());
         let is_ended_here = cause.failure == routing::Failure::Timeout
             || cause.failure == routing::Failure::Mismatched
@@ -231,12 +244,19 @@
             return self.dispatch_all(now);
         }
         let action = retry::decide(now, &tried, &mut self.budget);
-        self.emit(super::Effect::CountRetry(decision(&tried, action)));
+        if action != retry::Action::Wait {
+            self.emit(super::Effect::CountRetry(decision(&tried, action)));
+        }
         match action {
             retry::Action::Retry | retry::Action::Resume { .. } => {
                 self.record_request(timeline::Kind::Retried, id, cause.reason.as_str());
                 self.enqueue(now, id);
             }
+            retry::Action::Wait => {
+                if let Some(pending) = self.requests.get_mut(&id) {
+                    pending.stage = pending::Stage::Budget;
+                }
+            }
             retry::Action::Fail { outcome, reason } => {
                 let refusal = super::Refusal::new(reason, outcome, cause.message);
                 self.end_refused(now, id, refusal);
@@ -245,6 +265,40 @@
         self.dispatch_all(now);
     }
 
+    /// Lets queued requests return to the upstreams at which their attempts failed, if no other one can serve them.
+    fn return_waiting(&mut self, now: clock::Instant) {
+        for pending in self.requests.values_mut() {
+            let is_due = pending.stage == pending::Stage::Queue
+                && !pending.excluded.is_empty()
+                && pending
+                    .failed_at
+                    .is_some_and(|failed_at| now.since(failed_at) >= RETURN_DELAY);
+            if is_due
+                && !self
+                    .table
+                    .can_run(now, &dispatch::criteria(pending, &self.zone))
+            {
+                pending.excluded.clear();
+            }
+        }
+    }
+
+    /// Resumes the responses that wait for the retry budget, as far as it allows.
+    fn resume_waiting(&mut self, now: clock::Instant) {
+        let waiting = self.requests.iter();
+        let waiting = waiting.filter(|(_, pending)| pending.stage == pending::Stage::Budget);
+        let mut waiting: Vec<_> = waiting.map(|(id, _)| *id).collect();
+        waiting.sort_unstable();
+        for id in waiting {
+            if !self.budget.take(now) {
+                return;
+            }
+            self.emit(super::Effect::CountRetry(super::Decision::Resumed));
+            self.record_request(timeline::Kind::Retried, id, "retry budget");
+            self.enqueue(now, id);
+        }
+    }
+
     /// Returns whether an attempt at the request is running.
     fn is_running(&self, id: request::Id) -> bool {
         let pending = self.requests.get(&id);
@@ -263,6 +317,8 @@
             }
         }
         self.dispatch_silent(now);
+        self.return_waiting(now);
+        self.resume_waiting(now);
         for ticket in self.queue.expire(now) {
             let Some(pending) = self.requests.get(&ticket.id) else {
                 continue;
@@ -274,7 +330,11 @@
             self.end_refused(now, ticket.id, refusal);
         }
         let is_overdue = |pending: &pending::Pending| {
-            pending.stage == pending::Stage::Running && pending.request.deadline <= now
+            let waits = matches!(
+                pending.stage,
+                pending::Stage::Running | pending::Stage::Budget
+            );
+            waits && pending.request.deadline <= now
         };
         let overdue: Vec<_> = self
             .requests
@@ -303,7 +363,7 @@
         {
             super::Decision::NotIdempotent
         }
-        retry::Action::Fail { .. } => super::Decision::Exhausted,
+        retry::Action::Wait | retry::Action::Fail { .. } => super::Decision::Exhausted,
     }
 }
 
--- a/crates/carawaycleat-core/src/retry/decide.rs
+++ b/crates/carawaycleat-core/src/retry/decide.rs
@@ -14,6 +14,8 @@
         /// The number of tokens already delivered to the caller.
         position: u64,
     },
+    /// The response has begun, and is resumed once the budget allows it.
+    Wait,
     /// The request fails.
     Fail {
         /// The combined execution outcome of all attempts.
@@ -26,7 +28,7 @@
 /// Decides what is done with a request after a failed attempt.
 ///
 /// A non-idempotent request is retried only if no attempt can have run. If a part of the response has been delivered,
-/// the request is resumed or fails, because running it from the start would deliver that part again.
+/// the request is resumed, waits for the budget, or fails, because running it from the start would deliver that part again.
 ///
 /// # Examples
 ///
@@ -66,7 +68,10 @@
     // any work, so the retry adds no load. A planned shutdown must not use up the budget.
     let is_free = attempt.reason == outcome::Reason::UpstreamLeaving;
     if !is_free && !budget.take(now) {
-        return fail;
+        return match attempt.delivered {
+            0 => fail,
+            _ => Action::Wait,
+        };
     }
     match attempt.delivered {
         0 => Action::Retry,
--- a/crates/carawaycleat-core/tests/suite/fault.rs
+++ b/crates/carawaycleat-core/tests/suite/fault.rs
@@ -432,6 +432,8 @@
         match (self.rules.decide)(self.now, &attempt, &mut self.budget) {
             retry::Action::Retry => self.send(caller_index, 0),
             retry::Action::Resume { position } => self.send(caller_index, position),
+            // The budget of the scenario is never used up.
+            retry::Action::Wait => self.check(false, Violation::NeverEnded),
             retry::Action::Fail { outcome, .. } => self.end(caller_index, outcome),
         }
     }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod coordinator_share;
 mod coordinator_succession;
 mod coordinator_term;
+mod entry_begun;
 mod entry_fake;
 mod entry_silence;
 mod fake;
--- a/crates/carawaycleat-core/tests/suite/retry.rs
+++ b/crates/carawaycleat-core/tests/suite/retry.rs
@@ -74,6 +74,9 @@
                     || !attempt.resumable
                     || !attempt.idempotent
             }
+            retry::Action::Wait => {
+                is_final || attempt.delivered == 0 || !attempt.resumable || !attempt.idempotent
+            }
             retry::Action::Fail { outcome, .. } => {
                 outcome == outcome::Outcome::NotRun && !never_ran
             }
@@ -89,6 +92,10 @@
     retry::decide(NOW, attempt, &mut retry::Budget::default())
 }
 
+fn without_budget(attempt: &retry::Attempt) -> retry::Action {
+    retry::decide(NOW, attempt, &mut retry::Budget::new(0, 0))
+}
+
 fn always(_: &retry::Attempt) -> retry::Action {
     retry::Action::Retry
 }
@@ -112,6 +119,7 @@
 fn every_decision_is_safe() {
     println!("retry: {} combinations", attempts().len());
     assert_eq!(count_violations(actual), 0);
+    assert_eq!(count_violations(without_budget), 0);
     let naive: [(&str, Decide); 3] = [
         ("always", always),
         ("trust the last outcome", trust_last_outcome),
