--- a/crates/carawaycleat-core/src/entry/pending.rs
+++ b/crates/carawaycleat-core/src/entry/pending.rs
@@ -1,9 +1,11 @@
+use crate::clock;
 use crate::key;
 use crate::name;
 use crate::outcome;
 use crate::rate;
 use crate::request;
 use crate::resource;
+use crate::retry;
 use crate::stream;
 
 /// State of a request that has not ended.
@@ -21,11 +23,16 @@
     pub(super) cursor: stream::Cursor,
     /// Whether the caller received the head of a response without tokens.
     pub(super) has_head: bool,
-    pub(super) attempt: Option<Attempt>,
-    /// Number of attempts, including the running one.
+    /// Running attempts, oldest first. There are two while the earlier one is silent.
+    pub(super) running: Vec<Attempt>,
+    /// Number of attempts, including the running ones.
     pub(super) attempts: u32,
     /// Outcome of the ended attempts taken together.
     pub(super) earlier_outcome: outcome::Outcome,
+    /// Number of ended attempts that did not run.
+    pub(super) rejections: u32,
+    /// When the last attempt failed; none before that.
+    pub(super) failed_at: Option<clock::Instant>,
     /// Upstreams at which an attempt failed.
     pub(super) excluded: Vec<name::Name>,
 }
@@ -39,6 +46,8 @@
     Claim,
     /// Waits for an upstream.
     Queue,
+    /// Waits for the retry budget.
+    Budget,
     /// Runs at an upstream.
     Running,
 }
@@ -50,6 +59,8 @@
     pub(super) upstream: name::Name,
     /// Whether any byte of the request may have been sent.
     pub(super) sent: bool,
+    /// Whether it has made no progress for longer than the timeout.
+    pub(super) is_silent: bool,
 }
 
 impl Pending {
@@ -75,12 +86,42 @@
     /// A running attempt makes it unknown even before the sidecar confirms the start, because the job may be in
     /// transit.
     pub(super) fn outcome(&self) -> outcome::Outcome {
-        if self.attempt.is_some() || self.cursor.position() > 0 {
+        if !self.running.is_empty() || self.cursor.position() > 0 {
             return outcome::Outcome::Unknown;
         }
         self.earlier_outcome
     }
 
+    /// Returns whether another attempt may begin beside the running one: that one is silent, and neither running the
+    /// request twice nor starting its response anew would harm.
+    pub(super) fn permits_second_attempt(&self) -> bool {
+        let is_continuable = self.delivered() == 0 || self.is_model();
+        let is_alone = matches!(&self.running[..], [running] if running.is_silent);
+        is_alone
+            && self.idempotent
+            && is_continuable
+            && retry::permits_attempt(self.counted_attempts())
+    }
+
+    /// Returns whether the caller has received a part of the response, which another upstream can go on with.
+    pub(super) fn is_begun(&self) -> bool {
+        self.delivered() > 0 && self.is_model()
+    }
+
+    /// Returns the number of attempts that count towards the maximum. Those at which no upstream ran the request do not
+    /// count once its response has begun.
+    pub(super) fn counted_attempts(&self) -> u32 {
+        match self.is_begun() {
+            true => self.attempts.saturating_sub(self.rejections),
+            false => self.attempts,
+        }
+    }
+
+    /// Returns the running attempt `id`.
+    pub(super) fn attempt_mut(&mut self, id: request::Id) -> Option<&mut Attempt> {
+        self.running.iter_mut().find(|attempt| attempt.id == id)
+    }
+
     /// Returns how much of the response the caller received, in tokens or body bytes, and at least 1 after a head.
     pub(super) fn delivered(&self) -> u64 {
         self.cursor.position().max(u64::from(self.has_head))
