fix(entry): do not take a connect timeout for a refused connection

A host counted a connection that was not accepted in time, and one that it could not open itself for want of descriptors, like a connection that was refused: the upstream was ejected, and for twice as long each time, up to 60 s, so that its callers were refused or waited while it was there.

A connect timeout now has the reason upstream_timeout, not run, and ejects the upstream for the base time only, 1 s. A failure of this process has the reason no_upstream and ejects nothing. A refusal or a reset counts as before. The same holds for the connection of a sidecar to its upstream.

`entry_silence::unconnected_upstream_is_not_a_refusing_one::unconnected` failed before: "4 of 20 requests" reached an upstream that was there after each second, one of two; its row for refused connections passed before and after. `upstream::failure_has_the_reason_of_its_cause` covers the reasons; it has no counterpart on the code before.

--- a/crates/carawaycleat-core/src/entry/response.rs
+++ b/crates/carawaycleat-core/src/entry/response.rs
@@ -75,7 +75,7 @@
                 sent,
                 message,
             } => {
-                let failure = upstream_failure(reason);
+                let failure = upstream_failure(reason, sent);
                 self.fail_attempt(
                     now,
                     id,
@@ -396,9 +396,10 @@
     }
 }
 
-/// Returns how a failure with this reason counts against the upstream.
-fn upstream_failure(reason: outcome::Reason) -> routing::Failure {
+/// Returns how a failure with this reason, before or after the request was sent, counts against the upstream.
+fn upstream_failure(reason: outcome::Reason, sent: bool) -> routing::Failure {
     match reason {
+        outcome::Reason::UpstreamTimeout if !sent => routing::Failure::Unconnected,
         outcome::Reason::UpstreamLeaving | outcome::Reason::ShuttingDown => {
             routing::Failure::Leaving
         }
--- a/crates/carawaycleat-core/src/routing/failure.rs
+++ b/crates/carawaycleat-core/src/routing/failure.rs
@@ -7,8 +7,10 @@
     Refused,
     /// The caller disconnected, or the attempt was no longer needed.
     Cancelled,
-    /// The upstream responded with an error, or the connection could not be opened or was lost.
+    /// The upstream responded with an error, or the connection was refused or lost.
     Error,
+    /// The upstream did not accept the connection, or the request, in time. Nothing was run.
+    Unconnected,
     /// The upstream made no progress within the timeout.
     Timeout,
     /// The response was truncated.
--- a/crates/carawaycleat-core/src/routing/table.rs
+++ b/crates/carawaycleat-core/src/routing/table.rs
@@ -288,6 +288,11 @@
         };
         if failure == super::Failure::Leaving {
             state.record_leaving_refusal(now);
+        } else if failure == super::Failure::Unconnected {
+            // No evidence of a fault: the upstream may be busy, or the network slow for a moment.
+            if state.eject_briefly(now, self.policy.base_ejection) {
+                self.ejected.push(attempt.upstream);
+            }
         } else if failure.is_fault() && !attempt.is_stalled {
             // The upstream of a stalled attempt was ejected when the stall was detected.
             let policy = self.policy;
--- a/crates/carawaycleat-core/src/routing/upstream.rs
+++ b/crates/carawaycleat-core/src/routing/upstream.rs
@@ -217,6 +217,16 @@
         is_ejected
     }
 
+    /// Ejects the upstream, unless it is ejected already, without making later ejections longer.
+    pub(super) fn eject_briefly(&mut self, now: clock::Instant, span: time::Duration) -> bool {
+        let is_ejected = self.ejected_until <= now;
+        if is_ejected {
+            self.ejected_until = now + span;
+            self.is_ejected_silent = false;
+        }
+        is_ejected
+    }
+
     /// Ends an ejection for silence.
     pub(super) fn record_progress(&mut self, now: clock::Instant) {
         if std::mem::take(&mut self.is_ejected_silent) {
--- a/crates/carawaycleat-core/tests/suite/entry_silence.rs
+++ b/crates/carawaycleat-core/tests/suite/entry_silence.rs
@@ -125,6 +125,27 @@
     host.assert_served(id);
 }
 
+/// Guards against an upstream that is kept without requests for long because it did not accept connections in time, and
+/// against one that refuses them and still gets requests.
+#[yare::parameterized(
+    unconnected = { fake::UNCONNECTED, 8, 20 },
+    refused = { fake::REFUSED, 1, 5 },
+)]
+fn unconnected_upstream_is_not_a_refusing_one(failure: fake::Failure, least: usize, most: usize) {
+    let mut host = fake::Host::new(2, 64);
+    let mut failed = 0;
+    for _ in 0..20 {
+        let id = host.arrive(fake::SERVICE, "GET");
+        if host.requests[&id].dispatched[0].1 == 0 {
+            host.fail(id, 0, failure);
+            failed += 1;
+        }
+        host.step(entry::Event::CallerDisconnected(id));
+        host.run(1_100);
+    }
+    assert!((least..=most).contains(&failed), "{failed} of 20 requests");
+}
+
 /// Guards against an upstream that gets no requests although its silence has ended.
 #[test]
 fn progress_ends_the_ejection_for_silence() {
--- a/crates/carawaycleat/src/entry/attempt.rs
+++ b/crates/carawaycleat/src/entry/attempt.rs
@@ -199,7 +199,11 @@
             false,
             format!("the sidecar answered with status {}", response.status),
         ),
-        Err(failure) => failed_source(failure.sent, failure.error.to_string()),
+        Err(failure) => failed_source_for(
+            failure.sent,
+            upstream::reason(failure.cause()),
+            failure.error.to_string(),
+        ),
     }
 }
 
@@ -337,12 +341,15 @@
 }
 
 fn failed_source(sent: bool, message: String) -> Source {
+    failed_source_for(sent, outcome::Reason::UpstreamFailed, message)
+}
+
+fn failed_source_for(sent: bool, reason: outcome::Reason, message: String) -> Source {
     let outcome = if sent {
         outcome::Outcome::Unknown
     } else {
         outcome::Outcome::NotRun
     };
-    let reason = outcome::Reason::UpstreamFailed;
     Source::Failed(
         [entry::Progress::Failed {
             outcome,
--- a/crates/carawaycleat/src/upstream.rs
+++ b/crates/carawaycleat/src/upstream.rs
@@ -1,8 +1,10 @@
 //! Clients for upstreams: model engines and plain services.
 
+mod cause;
 mod engine;
 mod response;
 
+pub use cause::reason;
 pub use engine::Acceptance;
 pub use engine::Command;
 pub use engine::Engine;
--- a/crates/carawaycleat/src/upstream/engine.rs
+++ b/crates/carawaycleat/src/upstream/engine.rs
@@ -5,6 +5,7 @@
 use carawaycleat_net as net;
 use carawaycleat_wire as wire;
 
+use super::cause;
 use super::response;
 
 /// The maximum size of a response of the engine's management endpoints, in bytes.
@@ -208,7 +209,7 @@
                 };
                 Err(failure_part(
                     outcome,
-                    outcome::Reason::UpstreamFailed,
+                    cause::reason(failure.cause()),
                     failure.error.to_string(),
                 ))
             }
--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -9,3 +9,4 @@
 mod metric;
 mod operators;
 mod settings;
+mod upstream;
