--- a/crates/carawaycleat/tests/suite/main.rs
+++ b/crates/carawaycleat/tests/suite/main.rs
@@ -10,3 +10,4 @@
 mod metric;
 mod operators;
 mod settings;
+mod upstream;
