fix(relay): report no upstream to the coordinator for a short silence

Cause: hosts reported all upstreams that they had ejected, those that were only silent too. When two hosts, or one in eight, reported an engine, the coordinator counted it as no holder of its models, so that these counted as missing and were loaded elsewhere at once, and it told all hosts to eject the engine. Probes that the coordinator gets no response to change nothing.

Change: an upstream that is ejected for silence is reported when the silence has lasted for 2 s, over ejections with at most 1 s between them. Upstreams that refused a connection, or broke connections off twice in a row, are reported at once as before.

Tests: coordinator_silence, with three hosts and a coordinator. Half of the engines silent for 1.2 s: no load and no suspect (failed before for all hosts; for one host it passed before too); engines that stay dark or refuse are replaced as before.

--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -30,7 +30,7 @@
 /// The time between two probes of an engine whose order should be complete or whose state is not known.
 const PENDING_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// One in this many hosts must suspect an upstream before all hosts avoid it. A host suspects the upstreams that it has
-/// ejected.
+/// ejected, unless they have only been silent for a short time.
 const SUSPICION_DIVISOR: usize = 8;
 /// The minimum number of hosts that must suspect an upstream before all hosts avoid it.
 const MIN_SUSPECTING_HOSTS: usize = 2;
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -69,7 +69,7 @@
             suspects: self
                 .upstreams
                 .values()
-                .filter(|entry| entry.is_ejected(now))
+                .filter(|entry| entry.is_suspected(now))
                 .map(|entry| entry.registration.id.clone())
                 .collect(),
             limits,
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -53,7 +53,7 @@
     pub running: Vec<(name::Name, u32)>,
     /// The tokens requested since the last report by workspace, including those of refused requests.
     pub usage: Vec<(name::Name, u64)>,
-    /// The upstreams that this host has ejected.
+    /// The upstreams that this host has ejected, except those that have only been silent for a short time.
     pub suspects: Vec<name::Name>,
     /// The limits on requests that upstreams have named.
     pub limits: Vec<Limit>,
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -18,6 +18,10 @@
 /// The longest time of an ejection for silence. A sound upstream may be silent for about a second, and gets requests again
 /// within this time after it.
 const MAX_SILENCE_EJECTION: time::Duration = time::Duration::from_millis(800);
+/// The silence up to which an upstream counts as sound, so that the coordinator does not hear of it.
+const MAX_SOUND_SILENCE: time::Duration = time::Duration::from_secs(2);
+/// The time after an ejection for silence within which a further one continues the same silence.
+const MAX_SILENCE_GAP: time::Duration = time::Duration::from_secs(1);
 /// The age up to which the coordinator's view of an upstream takes precedence over its registration.
 const MAX_VIEW_AGE: time::Duration = time::Duration::from_millis(1_500);
 /// The time for which a model or adapter counts as missing after a rejection, whatever older views and registrations
@@ -37,6 +41,8 @@
 /// The ejections of an upstream that is silent.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
+    /// When the first one in a row began.
+    began: clock::Instant,
     /// Those in a row.
     ejections: u32,
     /// The end of the last one.
@@ -284,6 +290,13 @@
             .is_some_and(|silence| now < silence.ejected_until)
     }
 
+    /// Returns whether it is ejected for another reason than a short silence.
+    pub(super) fn is_suspected(&self, now: clock::Instant) -> bool {
+        let is_long = |silence: Silence| now.since(silence.began) >= MAX_SOUND_SILENCE;
+        now < self.ejected_until
+            || self.is_ejected_for_silence(now) && self.silence.is_some_and(is_long)
+    }
+
     /// Returns whether it has refused a connection, so that its process is gone, and made no progress since.
     pub(super) fn has_refused(&self) -> bool {
         self.has_refused
@@ -381,9 +394,12 @@
         if self.is_ejected(now) {
             return;
         }
-        let ejections = self.silence.map_or(0, |silence| silence.ejections);
+        let is_continued = |silence: &Silence| now.since(silence.ejected_until) <= MAX_SILENCE_GAP;
+        let previous = self.silence.filter(is_continued);
+        let ejections = previous.map_or(0, |silence| silence.ejections);
         let duration = ejection_time(ejections).min(MAX_SILENCE_EJECTION);
         self.silence = Some(Silence {
+            began: previous.map_or(now, |silence| silence.began),
             ejections: ejections + 1,
             ejected_until: now + duration,
             is_unconnected,
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod coordinator_extreme;
 mod coordinator_load;
 mod coordinator_share;
+mod coordinator_silence;
 mod coordinator_succession;
 mod coordinator_term;
 mod fake;
