--- a/crates/carawaycleat-net/src/pool/reply.rs
+++ b/crates/carawaycleat-net/src/pool/reply.rs
@@ -51,7 +51,8 @@
     }
 
     /// Makes the connection close after this response.
-    pub(super) fn without_reuse(mut self) -> Self {
+    #[must_use]
+    pub fn without_reuse(mut self) -> Self {
         self.body.disable_reuse();
         self
     }
