--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -102,9 +102,6 @@
     pub(super) arrived_at: clock::Instant,
     /// The queueing policy.
     pub(super) queue: policy::Queue,
-    /// Since when it has waited for an upstream, or for the last time if an attempt is in progress: its arrival, or the end
-    /// of its last attempt.
-    pub(super) waiting_since: clock::Instant,
     /// Whether its next attempt has yet to be charged to the retry budget.
     pub(super) awaits_budget: bool,
     /// When the final response is due.
@@ -123,7 +120,7 @@
     pub(super) sent_attempts: u32,
     /// The ended attempts that may have run.
     pub(super) possible_executions: u32,
-    /// The ended attempts that this host gave up because their upstreams were silent.
+    /// The ended attempts that this host gave up for another one, because their upstreams were silent.
     pub(super) abandoned_attempts: u32,
     /// The attempts in a row that broke off before they brought an event.
     pub(super) barren_attempts: u32,
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -39,7 +39,8 @@
 /// The age of the coordinator's view from which a host uses its share of allowances without a coordinator. Hosts
 /// receive a view every 0.4 s.
 const MAX_COORDINATOR_SILENCE: time::Duration = time::Duration::from_millis(800);
-/// The most attempts sent for one request, including those that an upstream rejected without running them.
+/// The most attempts sent for one request whose caller has no part of the response, including those that an upstream rejected
+/// without running them.
 const MAX_SENT_ATTEMPTS: u32 = 4;
 /// The minimum time left until the deadline for which another attempt is sent.
 const MIN_ATTEMPT_TIME: time::Duration = time::Duration::from_millis(30);
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -191,7 +191,6 @@
             cost,
             has_tokens,
             arrived_at: now,
-            waiting_since: now,
             awaits_budget: false,
             queue: self.options.policy.queue,
             deadline: now + route.timeout.min(timeout),
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -24,17 +24,12 @@
 
 impl super::Reducer {
     /// Ends the attempt in progress, if any, and returns its upstream and when it was sent.
-    pub(super) fn release(
-        &mut self,
-        now: clock::Instant,
-        id: event::Id,
-    ) -> Option<(name::Name, clock::Instant)> {
+    pub(super) fn release(&mut self, id: event::Id) -> Option<(name::Name, clock::Instant)> {
         let request = self.requests.get_mut(&id)?;
         let phase = std::mem::replace(&mut request.phase, pending::Phase::Waiting);
         let pending::Phase::Sent { upstream, sent, .. } = phase else {
             return None;
         };
-        request.waiting_since = now;
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_end();
         }
@@ -81,7 +76,7 @@
         {
             self.end_standbys(now, id, effects);
         }
-        let Some((upstream, sent)) = self.release(now, id) else {
+        let Some((upstream, sent)) = self.release(id) else {
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
@@ -200,7 +195,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if !self.pin_stream(now, id) {
-            self.release(now, id);
+            self.release(id);
             if let Some(request) = self.requests.get_mut(&id) {
                 request.possible_executions += 1;
                 request.history.record_end(now, attempt);
@@ -296,7 +291,7 @@
         }
         self.end_standbys(now, id, effects);
         self.forget_stream(id);
-        let Some((upstream, _)) = self.release(now, id) else {
+        let Some((upstream, _)) = self.release(id) else {
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
@@ -315,7 +310,7 @@
         misdirected: bool,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let Some((upstream, _)) = self.release(now, id) else {
+        let Some((upstream, _)) = self.release(id) else {
             return;
         };
         let Some(request) = self.requests.get_mut(&id) else {
@@ -369,7 +364,7 @@
         let head_received = request.is_some_and(pending::Pending::is_head_received);
         let is_without_event = request.is_some_and(pending::Pending::is_without_event);
         self.unpin_without_event(id);
-        let Some((upstream, sent_at)) = self.release(now, id) else {
+        let Some((upstream, sent_at)) = self.release(id) else {
             return;
         };
         self.record_evidence(now, &upstream, failure);
@@ -507,7 +502,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         self.end_standbys(now, id, effects);
-        let in_progress = self.release(now, id);
+        let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
@@ -574,7 +569,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         self.end_standbys(now, id, effects);
-        let in_progress = self.release(now, id);
+        let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -22,7 +22,7 @@
     Silent,
     /// The upstreams that hold what the request needs are ejected because attempts failed.
     Ejected,
-    /// No upstream holds what the request needs.
+    /// No upstream holds what the request needs, or as many have run the request as may do so, and none of these holds it.
     Unplaced,
 }
 
