--- a/crates/carawaycleat-core/tests/suite/relay_bounds.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_bounds.rs
@@ -164,14 +164,7 @@
     let (mut harness, broken, _) = begun(2, &["one", "two"]);
     harness.feed(relay::Event::CallerDisconnected(broken));
     harness.summaries.clear();
-    let resumption = relay::Resumption {
-        stream: Some("request".to_owned()),
-    };
-    let id = harness.arrive(relay::Request {
-        request_id: "take-up".to_owned(),
-        resumption: Some(resumption),
-        ..relay_fake::request("/live/1")
-    });
+    let id = harness.arrive(relay_fake::take_up("request"));
     harness.respond(id, 500, false);
     let attempts = end_attempts(&mut harness, id, |harness, _| {
         harness.respond(id, 500, false);
--- a/crates/carawaycleat-core/tests/suite/relay_cut.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_cut.rs
@@ -144,14 +144,7 @@
     let (mut harness, broken, _) = begin_stream(&["one"]);
     harness.feed(relay::Event::CallerDisconnected(broken));
     announce_load(&mut harness);
-    let resumption = relay::Resumption {
-        stream: Some("request".to_owned()),
-    };
-    let id = harness.arrive(relay::Request {
-        request_id: "take-up".to_owned(),
-        resumption: Some(resumption),
-        ..relay_fake::request("/live/1")
-    });
+    let id = harness.arrive(relay_fake::take_up("request"));
     harness.fail_attempt(id, 1, false);
     harness.advance(relay_fake::millis(200));
     assert!(!is_refused(&harness, id));
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -159,6 +159,17 @@
     }
 }
 
+/// Returns the request of a caller that goes on with the stream of the request `stream`.
+pub(crate) fn take_up(stream: &str) -> relay::Request {
+    relay::Request {
+        request_id: "take-up".to_owned(),
+        resumption: Some(relay::Resumption {
+            stream: Some(stream.to_owned()),
+        }),
+        ..request("/live/1")
+    }
+}
+
 /// An entry host with a simulated clock.
 pub(crate) struct Harness {
     pub(crate) reducer: relay::Reducer,
--- a/crates/carawaycleat-core/tests/suite/relay_take_up.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_take_up.rs
@@ -7,20 +7,16 @@
 /// The slots of the upstream.
 const SLOTS: usize = 8;
 
-fn request(id: &str, resumption: Option<relay::Resumption>) -> relay::Request {
+fn request(id: &str) -> relay::Request {
     relay::Request {
         request_id: id.to_owned(),
-        resumption,
         ..relay_fake::request("/live/1")
     }
 }
 
 /// Lets the caller of a stream that this host has begun come back.
 fn take_up(harness: &mut relay_fake::Harness, stream: &str) -> relay::Id {
-    let resumption = relay::Resumption {
-        stream: Some(stream.to_owned()),
-    };
-    harness.arrive(request("take-up", Some(resumption)))
+    harness.arrive(relay_fake::take_up(stream))
 }
 
 /// Returns a host with one upstream, the streams that fill it, and the name of one that its caller takes up later.
@@ -31,13 +27,13 @@
         ..relay_fake::registration("one", "models", &["small"])
     };
     harness.register(registration);
-    let broken = harness.arrive(request("broken", None));
+    let broken = harness.arrive(request("broken"));
     let attempt = harness.begin_stream(broken);
     harness.feed(relay::Event::StreamProgress(broken, attempt, Some(3)));
     harness.feed(relay::Event::CallerDisconnected(broken));
     let mut running = Vec::new();
     loop {
-        let id = harness.arrive(request(&format!("running-{}", running.len()), None));
+        let id = harness.arrive(request(&format!("running-{}", running.len())));
         if !harness.is_sent(id) {
             harness.feed(relay::Event::CallerDisconnected(id));
             return (harness, running);
@@ -62,7 +58,7 @@
 )]
 fn take_up_goes_before_new_requests(later_ms: u64) {
     let (mut harness, running) = full_host();
-    let new = harness.arrive(request("new", None));
+    let new = harness.arrive(request("new"));
     pass_time(&mut harness, running[0], later_ms);
     let resumed = take_up(&mut harness, "broken");
     assert!(!harness.is_sent(new) && !harness.is_sent(resumed));
@@ -78,7 +74,7 @@
 fn take_ups_wait_while_the_rate_of_the_queue_is_unknown() {
     let (mut harness, running) = full_host();
     let new: Vec<_> = (0..6)
-        .map(|index| harness.arrive(request(&format!("new-{index}"), None)))
+        .map(|index| harness.arrive(request(&format!("new-{index}"))))
         .collect();
     let resumed: Vec<_> = (0..6).map(|_| take_up(&mut harness, "broken")).collect();
     for id in &running[..6] {
