--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -69,9 +69,9 @@
 const ABANDONMENT_GAPS: u32 = 8;
 
 /// The attempts in a row that broke off without an event after which the response may be what crashes upstreams.
-const SUSPICIOUS_ATTEMPTS: u32 = 2;
+const SUSPICIOUS_EVENTLESS_ATTEMPTS: u32 = 2;
 /// The attempts in a row that broke off without an event after which there is no further one.
-const MAX_BARREN_ATTEMPTS: u32 = 4;
+const MAX_EVENTLESS_ATTEMPTS: u32 = 4;
 
 /// The delay of a waiting request in the queue for each priority level below the most urgent one.
 const PRIORITY_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -123,7 +123,7 @@
     /// The ended attempts that this host gave up for another one, because their upstreams were silent.
     pub(super) abandoned_attempts: u32,
     /// The attempts in a row that broke off before they brought an event.
-    pub(super) barren_attempts: u32,
+    pub(super) eventless_attempts: u32,
     /// The attempts.
     pub(super) history: history::History,
     /// The attempts that an upstream rejected without running them.
@@ -244,19 +244,19 @@
     /// Returns whether another attempt may be sent after one that may have run. A caller who has a part of the response would
     /// lose it, so that only upstreams that have answered count, and not those whose responses were lost.
     pub(super) fn may_repeat(&self) -> bool {
-        let failures = if self.has_part() {
+        let failures = if self.has_received_part() {
             u32::try_from(self.history.answering_upstreams()).unwrap_or(u32::MAX)
         } else {
             self.possible_executions - self.abandoned_attempts
         };
         self.route.is_repeatable()
             && failures < self.route.max_attempts
-            && self.barren_attempts < MAX_BARREN_ATTEMPTS
+            && self.eventless_attempts < MAX_EVENTLESS_ATTEMPTS
     }
 
     /// Returns whether the caller has a part of the response, which a refusal would lose: the response has begun, or the
     /// caller goes on with a stream that broke off.
-    pub(super) const fn has_part(&self) -> bool {
+    pub(super) const fn has_received_part(&self) -> bool {
         self.response_started || self.is_take_up()
     }
 
@@ -265,6 +265,6 @@
     pub(super) fn is_harmless(&self) -> bool {
         self.response_started
             && self.last_event.is_some()
-            && self.barren_attempts < SUSPICIOUS_ATTEMPTS
+            && self.eventless_attempts < SUSPICIOUS_EVENTLESS_ATTEMPTS
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -202,7 +202,7 @@
             sent_attempts: 0,
             possible_executions: 0,
             abandoned_attempts: 0,
-            barren_attempts: 0,
+            eventless_attempts: 0,
             history: history::History::default(),
             rejections: 0,
             phase: pending::Phase::Waiting,
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -263,7 +263,7 @@
         // Bytes show that the upstream runs, but only whole events bring the stream nearer to its end.
         if last_event.is_some() {
             *last_progress = now;
-            request.barren_attempts = 0;
+            request.eventless_attempts = 0;
         }
         if let Some(entry) = self.upstreams.get_mut(upstream) {
             entry.record_progress(now);
@@ -405,7 +405,7 @@
                 return;
             }
             let is_harmless = self.requests.get_mut(&id).is_some_and(|request| {
-                request.barren_attempts += 1;
+                request.eventless_attempts += 1;
                 request.is_harmless()
             });
             if is_suspect && !is_harmless {
@@ -464,10 +464,10 @@
             return false;
         };
         let allowed = (request.possible_executions == 0 || request.may_repeat())
-            && (request.has_part() || request.sent_attempts < super::MAX_SENT_ATTEMPTS)
+            && (request.has_received_part() || request.sent_attempts < super::MAX_SENT_ATTEMPTS)
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
         // Without a further attempt, the caller would lose the part of the response that it has.
-        let may_wait = request.has_part();
+        let may_wait = request.has_received_part();
         let budget = self.budgets.get_mut(&request.service);
         if !allowed {
             return false;
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -163,7 +163,7 @@
         }
         let in_progress = 1 + u32::try_from(request.standbys.len()).unwrap_or(u32::MAX - 1);
         let may_retry = request.route.is_repeatable()
-            && (request.has_part()
+            && (request.has_received_part()
                 || request.possible_executions + in_progress < request.route.max_attempts
                     && request.sent_attempts < super::MAX_SENT_ATTEMPTS)
             && now + super::MIN_ATTEMPT_TIME < request.deadline;
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -82,7 +82,7 @@
             (!is_exhausted || history.has_run_at(upstream))
                 && (self.max_silence.is_none()
                     || !history.includes(&upstream.registration.id)
-                    || request.has_part() && history.permits_return(self.now, upstream))
+                    || request.has_received_part() && history.permits_return(self.now, upstream))
         };
         let holders: Vec<_> = upstreams
             .values()
@@ -100,7 +100,7 @@
             return self.select_among(holders, true, request);
         }
         let selection = self.select_among(untried, false, request);
-        if matches!(selection, Selection::Upstream(_)) || !request.has_part() {
+        if matches!(selection, Selection::Upstream(_)) || !request.has_received_part() {
             return selection;
         }
         let tried: Vec<_> = holders
@@ -142,7 +142,7 @@
         } else {
             unsuspected
         };
-        if healthy.is_empty() && are_tried && !request.has_part() {
+        if healthy.is_empty() && are_tried && !request.has_received_part() {
             return unavailable;
         }
         // When all are ejected, one request at a time probes whether an upstream has recovered.
