test(net): disconnect only when the handler has begun

The server was right: the test disconnected when the request counted as active, which is before the handler begins.

--- a/crates/carawaycleat-net/tests/suite/unanswered.rs
+++ b/crates/carawaycleat-net/tests/suite/unanswered.rs
@@ -3,6 +3,7 @@
 use std::io::Write as _;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use carawaycleat_net as http;
@@ -27,6 +28,15 @@
 
 /// Starts a server that reports its requests without a complete response to the returned receiver.
 fn start(executor: sync::Arc<http::Executor>, limits: http::Limits) -> (http::Handle, Reports) {
+    let (handle, reports, _) = start_counting(executor, limits);
+    (handle, reports)
+}
+
+/// Starts a server like [`start`], and counts the requests whose handler has begun.
+fn start_counting(
+    executor: sync::Arc<http::Executor>,
+    limits: http::Limits,
+) -> (http::Handle, Reports, sync::Arc<atomic::AtomicUsize>) {
     let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
     let (sender, reports) = async_channel::unbounded();
     let server = server
@@ -35,7 +45,13 @@
         .observe_unanswered("x-id", move |report| {
             sender.try_send(report).expect("a receiver");
         });
-    (server.start(executor, handle), reports)
+    let begun = sync::Arc::new(atomic::AtomicUsize::new(0));
+    let counter = begun.clone();
+    let handle = server.start(executor, move |request| {
+        counter.fetch_add(1, atomic::Ordering::SeqCst);
+        handle(request)
+    });
+    (handle, reports, begun)
 }
 
 fn next(reports: &Reports) -> http::Unanswered {
@@ -84,9 +100,15 @@
     let limits = http::Limits::default()
         .body_stall_timeout(STALL)
         .write_stall_timeout(STALL);
-    let (handle, reports) = start(peer::background(), limits);
+    let (handle, reports, begun) = start_counting(peer::background(), limits);
     let stream = peer::connect(handle.local_address(), request.as_bytes());
-    while handle.active_requests() == 0 && reports.is_empty() {
+    // A caller that leaves before the handler begins is reported with another reason.
+    let is_whole = request.ends_with("\r\n\r\n");
+    let is_begun = || match is_whole {
+        true => begun.load(atomic::Ordering::SeqCst) > 0,
+        false => handle.active_requests() > 0,
+    };
+    while !is_begun() && reports.is_empty() {
         std::thread::yield_now();
     }
     peer::read_until(&stream, until);
