fix(relay): deliver responses that arrived before a time limit was noticed

A booking that a late host had sent on was answered with 504 `timeout` 21 ms after its engine's 200 had reached the host's socket. A tick that found the deadline passed refused the request at once, before the tasks that read sockets had their turn.

A tick now only marks requests with an attempt in progress as overdue. The same holds for the end of a stop. Requests without an attempt in progress are still refused at once. `answered` says by how much a response was late (`overdue_ms`).

`deadlines_hold_at_a_late_host` expected the refusal at the very tick that notices the limit, which is the fault; it now expects it at `LimitsDue` of the same instant.

With the condition on overdue requests taken out, all seven rows of `what_arrived_before_the_limit_was_noticed_counts` and `what_arrived_before_the_end_of_a_stop_counts` fail.

--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -104,4 +104,6 @@
     Stopping(clock::Instant),
     /// Triggers the periodic work.
     Tick,
+    /// What had arrived by the last tick has been passed on, so that the limits which it found reached take effect.
+    LimitsDue,
 }
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -106,6 +106,9 @@
     pub(super) awaits_budget: bool,
     /// When the final response is due.
     pub(super) deadline: clock::Instant,
+    /// Whether the last tick has found its limit reached while an attempt is in progress. The limit takes effect when what
+    /// had arrived by then has been handled.
+    pub(super) is_overdue: bool,
     /// The end of the caller's own timeout, which may be later than the deadline.
     pub(super) caller_deadline: clock::Instant,
     /// Whether it waits because no usable upstream holds its model or adapter, and not for a free slot.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -298,6 +298,7 @@
                 self.stop = Some(stop::Stop { began, deadline });
             }
             event::Event::Tick => self.tick(now, &mut effects),
+            event::Event::LimitsDue => self.refuse_expired(now, &mut effects),
         }
         effects
     }
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -194,6 +194,7 @@
             awaits_budget: false,
             queue: self.options.policy.queue,
             deadline: now + route.timeout.min(timeout),
+            is_overdue: false,
             caller_deadline: now + timeout,
             is_unplaced: false,
             first_sent_at: None,
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -168,6 +168,7 @@
         if let Some(sent) = request.first_sent_at.filter(|_| status < 300) {
             self.durations.record(&request, now.since(sent));
         }
+        let overdue = (now > request.deadline).then(|| now.since(request.deadline));
         let outcome = if status < 500 {
             summary::Outcome::Completed
         } else {
@@ -180,6 +181,7 @@
             .with("status", status)
             .with("attempts", request.attempt)
             .with("ms", timeline::Value::millis(now.since(request.arrived_at)))
+            .with_some("overdue_ms", overdue.map(timeline::Value::millis))
             .with_some("last_event", request.last_event);
         effects.push(super::record(decision));
         effects.push(effect::Effect::Command(id, command::Command::Deliver));
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -29,7 +29,7 @@
     /// Does the work that is due at `now`.
     pub(super) fn tick(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         if self.discount_lateness(now) {
-            return self.refuse_expired(now, effects);
+            return self.apply_limits(now, effects);
         }
         self.record_departures(now);
         while let Some(waiter) = self.token_waiters.front() {
@@ -42,7 +42,7 @@
         }
         self.report_crashes(now, effects);
         self.tick_origins(now, effects);
-        self.refuse_expired(now, effects);
+        self.apply_limits(now, effects);
         let others = self.host_count.saturating_sub(1);
         for entry in self.upstreams.values_mut() {
             entry.estimate_other_requests(now, others);
@@ -57,47 +57,50 @@
         }
     }
 
-    /// Refuses the requests that are past their deadline, and those without a response when the process stops.
-    fn refuse_expired(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        let is_expired = |request: &pending::Pending| {
-            let lead = if request.is_waiting() {
-                REFUSAL_LEAD
-            } else {
-                time::Duration::ZERO
-            };
-            let deadline = if request.is_waiting() {
-                request.abandonment_time()
-            } else {
-                request.deadline
-            };
-            now + lead >= deadline
-        };
-        let is_stopping = |request: &pending::Pending| {
-            !request.response_started
-                && self
-                    .stop
-                    .is_some_and(|stop| now + REFUSAL_LEAD >= stop.deadline)
-        };
+    /// Refuses the requests whose limits have been reached, and notes which of those with an attempt in progress are overdue.
+    fn apply_limits(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        self.refuse_expired(now, effects);
+        let stop = self.stop;
+        for request in self.requests.values_mut() {
+            request.is_overdue =
+                !request.is_waiting() && expiry(now, stop.as_ref(), request).is_some();
+        }
+    }
+
+    /// Returns whether the limits of requests with attempts in progress have been reached. What had arrived for them by the
+    /// last tick goes first; then [`event::Event::LimitsDue`] ends them.
+    #[must_use]
+    pub fn has_overdue_requests(&self) -> bool {
+        self.requests.values().any(|request| request.is_overdue)
+    }
+
+    /// Refuses the requests that are past their deadline, and those without a response when the process stops. One with an
+    /// attempt in progress is refused only if it was overdue before.
+    pub(super) fn refuse_expired(
+        &mut self,
+        now: clock::Instant,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let ready_in = |request: &pending::Pending| {
             let model = request.model.as_ref().filter(|_| request.is_unplaced)?;
             self.time_until_ready(now, model)
         };
-        let reason = |request: &pending::Pending| {
-            if is_expired(request) {
-                let retry_after = ready_in(request).unwrap_or_default().max(TIMEOUT_RETRY);
-                Some((refusal::Reason::Timeout, retry_after))
-            } else if is_stopping(request) {
-                Some((refusal::Reason::Stopping, super::OTHER_HOST_RETRY))
-            } else {
-                None
-            }
-        };
         let expired: Vec<_> = self
             .requests
             .iter()
-            .filter_map(|(id, request)| Some((*id, reason(request)?)))
+            .filter(|(_, request)| request.is_waiting() || request.is_overdue)
+            .filter_map(|(id, request)| {
+                let reason = expiry(now, self.stop.as_ref(), request)?;
+                let retry_after = match reason {
+                    refusal::Reason::Timeout => {
+                        ready_in(request).unwrap_or_default().max(TIMEOUT_RETRY)
+                    }
+                    _ => super::OTHER_HOST_RETRY,
+                };
+                Some((*id, reason, retry_after))
+            })
             .collect();
-        for (id, (reason, retry_after)) in expired {
+        for (id, reason, retry_after) in expired {
             self.refuse(now, id, reason, Some(retry_after), effects);
         }
     }
@@ -194,3 +197,26 @@
         self.send(now, id, &target, effects);
     }
 }
+
+/// Returns why a request has to end now, if it has to.
+fn expiry(
+    now: clock::Instant,
+    stop: Option<&super::stop::Stop>,
+    request: &pending::Pending,
+) -> Option<refusal::Reason> {
+    let is_expired = if request.is_waiting() {
+        now + REFUSAL_LEAD >= request.abandonment_time()
+    } else {
+        now >= request.deadline
+    };
+    let is_stopping = || {
+        !request.response_started && stop.is_some_and(|stop| now + REFUSAL_LEAD >= stop.deadline)
+    };
+    if is_expired {
+        Some(refusal::Reason::Timeout)
+    } else if is_stopping() {
+        Some(refusal::Reason::Stopping)
+    } else {
+        None
+    }
+}
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -264,6 +264,7 @@
             self.now = self.now + millis(25);
             self.confirm();
             self.feed(relay::Event::Tick);
+            self.feed(relay::Event::LimitsDue);
         }
     }
 
--- a/crates/carawaycleat-core/tests/suite/relay_late.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -72,7 +72,8 @@
     assert_eq!(harness.dispatch(id).attempt, 2);
 }
 
-/// Guards against requests that are held past their deadline because the host ran late.
+/// Guards against requests that are held past their deadline because the host ran late. One with an attempt in progress is
+/// refused as soon as what has arrived has been handled.
 #[yare::parameterized(
     sent = { true },
     waiting = { false },
@@ -85,9 +86,94 @@
     let id = if is_sent { ids[0] } else { ids.remove(8) };
     assert_eq!(harness.is_sent(id), is_sent);
     run_late(&mut harness, 4_000);
+    assert_eq!(harness.is_sent(id), is_sent);
+    assert!(harness.reducer.has_overdue_requests());
+    harness.feed(relay::Event::LimitsDue);
     assert_eq!(harness.refusal(id).reason, relay::Reason::Timeout);
 }
 
+/// What has arrived from an upstream when the host notices that the time for a request is over.
+#[derive(Clone, Copy, Debug)]
+enum Unread {
+    Response,
+    WholeStream,
+    StreamEnd,
+    Rejection,
+}
+
+/// Guards against a response that is refused although it arrived in time: the host sees the time limit first.
+#[yare::parameterized(
+    booking = { "/book/1", Unread::Response, 50 },
+    read = { "/read/1", Unread::Response, 50 },
+    booking_at_a_stopped_host = { "/book/1", Unread::Response, 700 },
+    stream = { "/live/1", Unread::WholeStream, 50 },
+    stream_at_a_stopped_host = { "/live/1", Unread::WholeStream, 700 },
+    end_of_stream = { "/live/1", Unread::StreamEnd, 50 },
+    rejection = { "/book/1", Unread::Rejection, 50 },
+)]
+fn what_arrived_before_the_limit_was_noticed_counts(path: &str, unread: Unread, late_ms: u64) {
+    let mut harness = harness();
+    let mut request = relay_fake::request(path);
+    request.timeout = Some(relay_fake::millis(1_000));
+    let id = harness.arrive(request);
+    let attempt = harness.dispatch(id).attempt;
+    if matches!(unread, Unread::StreamEnd) {
+        harness.begin_stream(id);
+        harness.feed(relay::Event::StreamProgress(id, attempt, Some(1)));
+    }
+    // Not long enough for a silent upstream.
+    for _ in 0..9 {
+        harness.advance(relay_fake::millis(100));
+        let path = path.replace('1', "2");
+        let other = harness.arrive(relay_fake::request(&path));
+        if path.starts_with("/live") {
+            let attempt = harness.begin_stream(other);
+            harness.feed(relay::Event::StreamProgress(other, attempt, Some(1)));
+            harness.feed(relay::Event::StreamEnded(other, attempt));
+        } else {
+            harness.respond(other, 200, false);
+        }
+    }
+    run_late(&mut harness, 100 + late_ms);
+    match unread {
+        Unread::Response => harness.respond(id, 200, false),
+        Unread::Rejection => harness.respond(id, 503, true),
+        Unread::WholeStream | Unread::StreamEnd => {
+            if matches!(unread, Unread::WholeStream) {
+                harness.begin_stream(id);
+            }
+            harness.feed(relay::Event::StreamProgress(id, attempt, Some(2)));
+            harness.feed(relay::Event::StreamEnded(id, attempt));
+        }
+    }
+    harness.feed(relay::Event::LimitsDue);
+    if matches!(unread, Unread::Rejection) {
+        assert_eq!(harness.refusal(id).status(), 503);
+        assert!(!harness.refusal(id).may_have_run);
+    } else {
+        assert!(matches!(
+            harness.last_command(id),
+            Some(relay::Command::Deliver)
+        ));
+    }
+}
+
+/// Guards against a response that arrived in time and is refused because the host stops.
+#[test]
+fn what_arrived_before_the_end_of_a_stop_counts() {
+    let mut harness = harness();
+    let id = harness.arrive(relay_fake::request("/book/1"));
+    harness.feed(relay::Event::Stopping(
+        harness.now + relay_fake::millis(300),
+    ));
+    run_late(&mut harness, 400);
+    harness.respond(id, 200, false);
+    assert!(matches!(
+        harness.last_command(id),
+        Some(relay::Command::Deliver)
+    ));
+}
+
 /// Guards against a take-up that is refused although the records that it waits for had arrived.
 #[test]
 fn records_that_arrived_meanwhile_are_read_before_a_take_up_is_refused() {
