fix(relay): don't blame an upstream that keeps to its time limit

An engine stops work at the `X-Deadline-Ms` that it is given. An attempt that ended like that was logged as `broken_off`, and counted like a broken connection: two in a row ejected the engine, other hosts heard of it as suspected, it was probed for a crash, and the request's prompt was a suspect for the quarantine. The caller got 502 `upstream_failed`.

An attempt that breaks off within 25 ms before the deadline or later is now a failure of its own, `timed_out`. It counts as progress of the upstream, is no evidence of a crash, and ends the request with `timeout` (504) unless another attempt goes on. A 504 of an engine at that time is still passed on, but no longer counts as a failed request or as a measured latency. `dispatched` says how much time is left (`remaining_ms`).

Three rows of `upstream_that_keeps_to_a_time_limit_is_sound` (booking, stream, stream with an event) fail when no attempt counts as ended at the limit. The rows with status 504 pass either way: a failed status alone ejects no upstream, it only makes it less preferred, which the suite cannot see from outside.

--- a/crates/carawaycleat-core/src/relay/failure.rs
+++ b/crates/carawaycleat-core/src/relay/failure.rs
@@ -10,13 +10,16 @@
     Local,
     /// A byte of the request may have left, and no complete response has arrived.
     BrokenOff,
+    /// Like [`Self::BrokenOff`], at the end of the time that the upstream was given for the request. That says nothing about
+    /// the upstream.
+    TimedOut,
 }
 
 impl Failure {
     /// Returns whether a byte of the request may have left.
     #[must_use]
     pub const fn may_have_sent(self) -> bool {
-        matches!(self, Self::BrokenOff)
+        matches!(self, Self::BrokenOff | Self::TimedOut)
     }
 
     /// Returns the value used in logs.
@@ -27,6 +30,7 @@
             Self::Unconnected => "unconnected",
             Self::Local => "local",
             Self::BrokenOff => "broken_off",
+            Self::TimedOut => "timed_out",
         }
     }
 }
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -73,6 +73,9 @@
 /// The attempts in a row that broke off without an event after which there is no further one.
 const MAX_EVENTLESS_ATTEMPTS: u32 = 4;
 
+/// How long before the deadline an upstream may end an attempt because of it: its clock may run slightly faster.
+const LIMIT_TOLERANCE: time::Duration = time::Duration::from_millis(25);
+
 /// The delay of a waiting request in the queue for each priority level below the most urgent one.
 const PRIORITY_DELAY: time::Duration = time::Duration::from_millis(300);
 
@@ -144,6 +147,11 @@
 }
 
 impl Pending {
+    /// Returns whether the time that upstreams were given for the request is over, so that they may end their attempts.
+    pub(super) fn is_at_limit(&self, now: clock::Instant) -> bool {
+        now + LIMIT_TOLERANCE >= self.deadline
+    }
+
     /// Returns the time by which the response should begin: the latency objective, or a quarter of the caller's timeout
     /// if that is shorter.
     pub(super) fn target_time(&self) -> clock::Instant {
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -51,6 +51,9 @@
 /// The `Retry-After` of a refusal where another host may serve the request at once.
 const OTHER_HOST_RETRY: time::Duration = time::Duration::from_millis(100);
 
+/// The `Retry-After` of a request that timed out.
+const TIMEOUT_RETRY: time::Duration = time::Duration::from_millis(500);
+
 /// Identifies a queue: the service and the model of the requests that wait in it.
 type QueueKey = (name::Name, Option<name::Name>);
 
--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -76,6 +76,7 @@
                     entry.record_no_connection(now);
                 }
             }
+            failure::Failure::TimedOut => entry.record_progress(now),
             failure::Failure::Local => entry.record_local_failure(now),
             failure::Failure::BrokenOff => {
                 entry.record_outcome(now, true);
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -321,6 +321,7 @@
                 "waited_ms",
                 timeline::Value::millis(now.since(request.arrived_at)),
             )
+            .with("remaining_ms", timeline::Value::millis(remaining))
             .with("config", config);
         effects.push(super::record(decision));
         effects.push(effect::Effect::Command(
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -19,6 +19,8 @@
 
 /// The status of a response that streams events.
 const STREAM_STATUS: u16 = 200;
+/// The status of an upstream that ends an attempt at the time limit.
+const TIMEOUT_STATUS: u16 = 504;
 /// The statuses that promise to a caller that its request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -79,13 +81,18 @@
         let Some((upstream, sent)) = self.release(id) else {
             return;
         };
-        if let Some(entry) = self.upstreams.get_mut(&upstream) {
-            entry.record_first_byte(now, now.since(sent));
-            entry.record_outcome(now, !succeeded);
-        }
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        if let Some(entry) = self.upstreams.get_mut(&upstream) {
+            if response.status == TIMEOUT_STATUS && request.is_at_limit(now) {
+                // It has only kept to the time that it was given.
+                entry.record_progress(now);
+            } else {
+                entry.record_first_byte(now, now.since(sent));
+                entry.record_outcome(now, !succeeded);
+            }
+        }
         request.possible_executions += 1;
         request.history.record_answer(now, attempt);
         request.first_byte_at.get_or_insert(now);
@@ -363,6 +370,11 @@
             return;
         }
         let request = self.requests.get(&id);
+        let is_at_limit = request.is_some_and(|request| request.is_at_limit(now));
+        let failure = match failure {
+            failure::Failure::BrokenOff if is_at_limit => failure::Failure::TimedOut,
+            failure => failure,
+        };
         let head_received = request.is_some_and(pending::Pending::is_head_received);
         let is_without_event = request.is_some_and(pending::Pending::is_without_event);
         self.unpin_without_event(id);
@@ -400,6 +412,13 @@
             has_begun: head_received,
         };
         effects.push(super::record(decision));
+        if failure == failure::Failure::TimedOut {
+            if !self.resume_standby(now, id, effects) {
+                let retry_after = Some(super::TIMEOUT_RETRY);
+                self.refuse(now, id, refusal::Reason::Timeout, retry_after, effects);
+            }
+            return;
+        }
         if sent && is_without_event {
             let is_suspect = self.quarantine.is_suspect(now, &suspect);
             self.record_breakage(now, &upstream, suspect, effects);
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -22,9 +22,6 @@
 /// The part of the stall timeout after which a silent upstream does not get the requests of another silent one.
 const MAX_SILENCE_DIVISOR: u32 = 2;
 
-/// The `Retry-After` of a request that timed out.
-const TIMEOUT_RETRY: time::Duration = time::Duration::from_millis(500);
-
 impl super::Reducer {
     /// Does the work that is due at `now`.
     pub(super) fn tick(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
@@ -92,9 +89,9 @@
             .filter_map(|(id, request)| {
                 let reason = expiry(now, self.stop.as_ref(), request)?;
                 let retry_after = match reason {
-                    refusal::Reason::Timeout => {
-                        ready_in(request).unwrap_or_default().max(TIMEOUT_RETRY)
-                    }
+                    refusal::Reason::Timeout => ready_in(request)
+                        .unwrap_or_default()
+                        .max(super::TIMEOUT_RETRY),
                     _ => super::OTHER_HOST_RETRY,
                 };
                 Some((*id, reason, retry_after))
--- a/crates/carawaycleat-core/tests/suite/relay_late.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -174,6 +174,61 @@
     ));
 }
 
+/// How an upstream ends an attempt.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    BreakOff,
+    BreakOffAfterEvent,
+    TimeoutStatus,
+}
+
+/// Guards against an upstream that is ejected, or searched for a crash, because it ended attempts when their time was over, and
+/// against one that is not because its attempts ended slightly before.
+#[yare::parameterized(
+    booking = { "/book/1", End::BreakOff, 1_000, true },
+    stream = { "/live/1", End::BreakOff, 1_000, true },
+    stream_with_an_event = { "/live/1", End::BreakOffAfterEvent, 990, true },
+    status = { "/book/1", End::TimeoutStatus, 1_000, true },
+    read_with_status = { "/read/1", End::TimeoutStatus, 990, true },
+    booking_before_the_limit = { "/book/1", End::BreakOff, 900, false },
+    stream_before_the_limit = { "/live/1", End::BreakOff, 900, false },
+)]
+fn upstream_that_keeps_to_a_time_limit_is_sound(path: &str, end: End, after_ms: u64, sound: bool) {
+    let mut harness = relay_fake::Harness::new();
+    for (id, service) in [("one", "models"), ("plain-one", "plain")] {
+        harness.register(relay_fake::registration(id, service, &["small"]));
+    }
+    let start = harness.now;
+    let requests: Vec<_> = (0..3)
+        .map(|_| {
+            let mut request = relay_fake::request(path);
+            request.timeout = Some(relay_fake::millis(1_000));
+            request.prompt = vec![relay_fake::name("part")];
+            harness.arrive(request)
+        })
+        .collect();
+    harness.now = start + relay_fake::millis(after_ms);
+    for id in &requests {
+        let attempt = harness.dispatch(*id).attempt;
+        match end {
+            End::BreakOff => harness.fail_attempt(*id, attempt, true),
+            End::BreakOffAfterEvent => {
+                harness.begin_stream(*id);
+                harness.feed(relay::Event::StreamProgress(*id, attempt, Some(1)));
+                harness.fail_attempt(*id, attempt, true);
+            }
+            End::TimeoutStatus => harness.respond(*id, 504, false),
+        }
+    }
+    harness.feed(relay::Event::Tick);
+    assert_eq!(harness.probes.is_empty(), sound);
+    let report = harness.reducer.report(harness.now, true);
+    assert_eq!(report.suspects.is_empty(), sound);
+    if sound && !matches!(end, End::TimeoutStatus) {
+        assert_eq!(harness.refusal(requests[0]).reason, relay::Reason::Timeout);
+    }
+}
+
 /// Guards against a take-up that is refused although the records that it waits for had arrived.
 #[test]
 fn records_that_arrived_meanwhile_are_read_before_a_take_up_is_refused() {
