fix(net): refuse a request that crosses the close of its idle connection

A stopping host closed its idle connections 2.6 s after SIGTERM, and every server after the idle timeout, without a word. A request that was on its way at that moment got neither a response nor a refusal, and its caller could not know whether it had run.

An idle connection is now closed with a response of status 408, which RFC 9110 (15.5.9) has for this case: a caller without a request in transit ignores it, and one with a request gets a complete refusal that says "not_run". The server then reads for up to 250 ms, so that the refusal is not destroyed by a reset, and reports a request that came as refused (connection_idle). A connection that never carried a request is closed silently as before, because callers that connect ahead would take the 408 for a later response.

Ruled out: keeping idle connections open until no request has arrived for 500 ms.

idle::refuses_request_that_crosses_the_close (three cases) failed before.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -30,11 +30,16 @@
 /// How long a connection stays open after it was accepted, or after a response whose head promised to keep it, even if
 /// idle connections are being closed. The caller's next request may follow at once; a round trip takes some milliseconds.
 const KEEP_ALIVE_GRACE: time::Duration = time::Duration::from_millis(250);
+/// How long a connection that is closed because it was idle still reads. A request that crosses the close arrives within a
+/// round trip.
+const IDLE_LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
 /// Why no request was received from a connection.
 enum Stop {
     /// The connection is closed without a response.
     Close,
+    /// The connection was idle for too long, or the server closes its idle connections.
+    Idle,
     /// The request is refused, and the connection is closed after the response.
     Refuse(refusal::Refusal),
 }
@@ -68,6 +73,8 @@
     /// Received bytes that no request has consumed yet.
     buffer: Vec<u8>,
     budget: budget::Budget,
+    /// Whether a request was received.
+    is_used: bool,
 }
 
 impl Connection {
@@ -84,6 +91,7 @@
             guard,
             buffer: Vec::new(),
             budget: budget::Budget::default(),
+            is_used: false,
         }
     }
 
@@ -106,8 +114,10 @@
             let incoming = match self.receive().await {
                 Ok(incoming) => incoming,
                 Err(Stop::Close) => return,
+                Err(Stop::Idle) => return self.close_idle().await,
                 Err(Stop::Refuse(refusal)) => return self.refuse(refusal).await,
             };
+            self.is_used = true;
             let active = incoming.active;
             let state = &self.guard.state;
             state.count_request();
@@ -162,19 +172,42 @@
     /// Closes a connection after a response whose head has said so.
     async fn close(mut self) {
         let since = time::Instant::now();
-        linger(&self.stream, &mut self.buffer).await;
+        linger(&self.stream, &mut self.buffer, LINGER_TIMEOUT).await;
         self.report_discarded(since);
     }
 
+    /// Closes an idle connection.
+    ///
+    /// A request that is on its way at that moment would get no response, and its caller could not know whether it has
+    /// run. It is refused ahead: RFC 9110, section 15.5.9, lets a server close an idle connection with status 408, which
+    /// a caller without a request in transit ignores. Some callers open connections ahead and take anything that arrives
+    /// there for the response to a request that they have not sent yet, so an unused connection is closed silently.
+    async fn close_idle(mut self) {
+        if !self.is_used {
+            return;
+        }
+        let since = time::Instant::now();
+        let refusal = refusal::Refusal::IDLE;
+        let timeout = IDLE_LINGER_TIMEOUT;
+        let discarded = &mut self.buffer;
+        let written = write_refusal(&self.stream, refusal, timeout, timeout, discarded).await;
+        self.report_unserved(since, written.err().unwrap_or(refusal.reason()));
+    }
+
     /// Reports a request that came behind the last response of a connection, if there is one.
     fn report_discarded(&self, since: time::Instant) {
+        self.report_unserved(since, reason::Reason::Discarded);
+    }
+
+    /// Reports the request in the buffer, if there is one.
+    fn report_unserved(&self, since: time::Instant, reason: reason::Reason) {
         if self.buffer.is_empty() {
             return;
         }
         let state = &self.guard.state;
         let head = incoming::head(&self.buffer, 0, &state.limits());
         let id = head.ok().flatten().and_then(|head| state.id(&head.request));
-        state.report(entry::Entry::new(id, since).unanswered(reason::Reason::Discarded));
+        state.report(entry::Entry::new(id, since).unanswered(reason));
     }
 
     /// Receives a request. One that is refused or received only in part is reported.
@@ -197,7 +230,7 @@
         };
         let state = &self.guard.state;
         let reason = match &stop {
-            Stop::Close => {
+            Stop::Close | Stop::Idle => {
                 state.malformed.fetch_add(1, atomic::Ordering::Relaxed);
                 reason::Reason::Truncated
             }
@@ -218,10 +251,11 @@
         let state = self.guard.state.clone();
         let idle = async {
             futures_lite::future::or(idle_closed(&state), idle_timeout(&state)).await;
-            Ok(0)
+            Err(Stop::Idle)
         };
         self.budget.turn().await;
-        match futures_lite::future::or(self.read(), idle).await? {
+        let read = async { self.read().await.map_err(Stop::from) };
+        match futures_lite::future::or(read, idle).await? {
             0 => Err(Stop::Close),
             _ => Ok(()),
         }
@@ -353,7 +387,16 @@
         }
         let since = time::Instant::now();
         let stall_timeout = state.limits().write_stall_timeout;
-        if let Err(reason) = write_refusal(&self.stream, refusal, stall_timeout).await {
+        let discarded = &mut Vec::new();
+        let written = write_refusal(
+            &self.stream,
+            refusal,
+            stall_timeout,
+            LINGER_TIMEOUT,
+            discarded,
+        )
+        .await;
+        if let Err(reason) = written {
             state.report(entry::Entry::new(None, since).unanswered(reason));
         }
     }
@@ -395,20 +438,24 @@
     guard.state.report(entry.unanswered(refusal.reason()));
     let write = async {
         // The refusal is reported, and no request was read that could be lost.
-        let _ = write_refusal(&stream, refusal, LINGER_TIMEOUT).await;
+        let discarded = &mut Vec::new();
+        let _ = write_refusal(&stream, refusal, LINGER_TIMEOUT, LINGER_TIMEOUT, discarded).await;
     };
     futures_lite::future::or(state::signalled(&abort), write).await;
 }
 
+/// Writes an error response and closes the connection. What the caller still sends is appended to `discarded`, see
+/// [`linger`].
 async fn write_refusal(
     stream: &async_io::Async<net::TcpStream>,
     refusal: refusal::Refusal,
     stall_timeout: time::Duration,
+    linger_timeout: time::Duration,
+    discarded: &mut Vec<u8>,
 ) -> encoder::Result<()> {
     let method = http_types::Method::Get;
     let written = atomic::AtomicBool::new(false);
     let response = refusal.response();
-    let mut discarded = Vec::new();
     encoder::write(
         stream,
         response,
@@ -416,17 +463,20 @@
         true,
         stall_timeout,
         &written,
-        &mut discarded,
+        discarded,
     )
     .await?;
-    linger(stream, &mut discarded).await;
+    linger(stream, discarded, linger_timeout).await;
     Ok(())
 }
 
-/// Closes the sending side and reads until the caller closes its own, up to [`LINGER_TIMEOUT`] and
-/// [`MAX_LINGER_BYTES`]. What is read is discarded, except for the first bytes, which are appended to `buffer` while it
-/// has less than [`READ_BYTES`].
-async fn linger(mut stream: &async_io::Async<net::TcpStream>, buffer: &mut Vec<u8>) {
+/// Closes the sending side and reads until the caller closes its own, up to `timeout` and [`MAX_LINGER_BYTES`]. What is
+/// read is discarded, except for the first bytes, which are appended to `buffer` while it has less than [`READ_BYTES`].
+async fn linger(
+    mut stream: &async_io::Async<net::TcpStream>,
+    buffer: &mut Vec<u8>,
+    timeout: time::Duration,
+) {
     if stream.get_ref().shutdown(net::Shutdown::Write).is_err() {
         return;
     }
@@ -448,8 +498,8 @@
             }
         }
     };
-    let timeout = async {
-        async_io::Timer::after(LINGER_TIMEOUT).await;
+    let expired = async {
+        async_io::Timer::after(timeout).await;
     };
-    futures_lite::future::or(drain, timeout).await;
+    futures_lite::future::or(drain, expired).await;
 }
--- a/crates/carawaycleat-net/tests/suite/main.rs
+++ b/crates/carawaycleat-net/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod guard;
+mod idle;
 mod late;
 mod peer;
 mod server;
