feat(net): tell handlers when a connection was accepted

A handler that decides whether a connection should stay open needs its age. The server sets `Request::accepted` to the time at which it accepted the connection; requests that a client sends have none. `Headers::has_token` is public, so that a handler can see whether the caller closes the connection.

Test: server::requests_have_the_time_of_acceptance (did not compile before).

--- a/crates/carawaycleat-net/src/headers.rs
+++ b/crates/carawaycleat-net/src/headers.rs
@@ -59,7 +59,8 @@
     }
 
     /// Returns whether `token` is in one of the comma-separated values of `name`.
-    pub(crate) fn has_token(&self, name: &str, token: &str) -> bool {
+    #[must_use]
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.all(name)
             .flat_map(|value| value.split(','))
             .any(|item| item.trim().eq_ignore_ascii_case(token))
--- a/crates/carawaycleat-net/src/request.rs
+++ b/crates/carawaycleat-net/src/request.rs
@@ -1,4 +1,5 @@
 use std::net;
+use std::time;
 
 use crate::headers;
 
@@ -27,6 +28,8 @@
     pub body: Vec<u8>,
     /// The address of the caller, set by the server; none in a request that a client sends.
     pub peer: Option<net::SocketAddr>,
+    /// When the connection was accepted, set by the server; none in a request that a client sends.
+    pub accepted: Option<time::Instant>,
 }
 
 impl Request {
--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -64,6 +64,7 @@
 pub(super) struct Connection {
     stream: async_io::Async<net::TcpStream>,
     peer: net::SocketAddr,
+    accepted: time::Instant,
     guard: state::ConnectionGuard,
     /// Received bytes that no request has consumed yet.
     buffer: Vec<u8>,
@@ -81,6 +82,7 @@
         Self {
             stream,
             peer,
+            accepted: time::Instant::now(),
             guard,
             buffer: Vec::new(),
             budget: budget::Budget::default(),
@@ -279,6 +281,7 @@
         }
         let mut request = self.read_body(head, active).await?;
         request.peer = Some(self.peer);
+        request.accepted = Some(self.accepted);
         Ok((request, method, close))
     }
 
--- a/crates/carawaycleat-net/tests/suite/server.rs
+++ b/crates/carawaycleat-net/tests/suite/server.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::sync;
 use std::thread;
+use std::time;
 
 use carawaycleat_net as http;
 
@@ -23,6 +24,28 @@
     assert_eq!((handle.counts().accepted, handle.counts().requests), (1, 3));
 }
 
+/// Guards against a time of acceptance that is missing, or that is new for each request of a connection.
+#[test]
+fn requests_have_the_time_of_acceptance() {
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let (sender, receiver) = async_channel::unbounded();
+    let handle = server.start(peer::background(), move |request| {
+        // The receiver lives as long as the test.
+        let _ = sender.try_send(request.accepted);
+        async { http::Response::new(200).body("done") }
+    });
+    let before = time::Instant::now();
+    let stream = peer::connect(handle.local_address(), b"");
+    for _ in 0..2 {
+        let head = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        (&stream).write_all(head).expect("sent");
+        peer::read_until(&stream, "done");
+    }
+    let accepted = [0, 1].map(|_| receiver.try_recv().expect("a request").expect("a time"));
+    assert!(accepted[0] >= before);
+    assert_eq!(accepted[0], accepted[1]);
+}
+
 /// Guards against a caller that waits for `100 Continue` forever, and against a body that is left unread.
 #[test]
 fn continues_on_expectation() {
