feat(core): decide which callers connect anew after a host has returned

Cause: a load balancer distributes new connections only, and no host ever asked a caller to connect anew.

`balance::Reducer` follows the registrations of the other hosts and names the connections that were accepted while a host was away that is back. Reports carry the load, the zone and whether the host is stopping; views carry one row per zone, so their size does not depend on the number of hosts.

--- a/crates/carawaycleat-core/src/clock/instant.rs
+++ b/crates/carawaycleat-core/src/clock/instant.rs
@@ -16,6 +16,8 @@
 /// let later = start + time::Duration::from_millis(2);
 /// assert_eq!(later.since(start), time::Duration::from_millis(2));
 /// assert_eq!(start.since(later), time::Duration::ZERO);
+/// assert_eq!(later - time::Duration::from_millis(2), start);
+/// assert_eq!(start - time::Duration::from_secs(1), clock::Instant::default());
 /// ```
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -51,3 +53,12 @@
         Self(self.0.saturating_add(micros))
     }
 }
+
+impl ops::Sub<time::Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, duration: time::Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use crate::balance;
 use crate::clock;
 use crate::coordinator::engine;
 use crate::name;
@@ -50,9 +51,26 @@
             ready_in_ms,
             permits,
             leaving: self.departures.among(&self.engines),
+            loads: self.loads(),
         }
     }
 
+    /// Returns the load of each availability zone. A host that is stopping still has load, which the others will get.
+    fn loads(&self) -> Vec<balance::Load> {
+        let mut loads = collections::BTreeMap::<&name::Name, (u32, f64)>::new();
+        for host in self.hosts.values() {
+            let (hosts, sum) = loads.entry(&host.report.zone).or_default();
+            *hosts += u32::from(!host.report.stopping);
+            *sum += host.report.requests_per_second;
+        }
+        let load = |(zone, (hosts, requests_per_second)): (&name::Name, _)| balance::Load {
+            zone: zone.clone(),
+            hosts,
+            requests_per_second,
+        };
+        loads.into_iter().map(load).collect()
+    }
+
     /// Returns the time until each model that is being loaded is ready at the first engine, in milliseconds.
     fn ready_in_ms(&self, now: clock::Instant) -> Vec<(name::Name, u64)> {
         let mut ready_in_ms = collections::BTreeMap::new();
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -1,5 +1,6 @@
 use std::time;
 
+use crate::balance;
 use crate::clock;
 use crate::name;
 use crate::quarantine;
@@ -100,6 +101,8 @@
     VersionsStored(Vec<super::Origin>),
     /// The number of entry hosts has changed.
     HostsChanged(usize),
+    /// A registered entry host has changed.
+    HostChanged(balance::Change),
     /// The process stops: requests without a response by this time are refused.
     Stopping(clock::Instant),
     /// Triggers the periodic work.
--- a/crates/carawaycleat-core/src/relay/options.rs
+++ b/crates/carawaycleat-core/src/relay/options.rs
@@ -1,6 +1,7 @@
 use std::time;
 
 use super::policy;
+use crate::balance;
 
 /// The limits and policies of an entry host.
 #[derive(Clone, Debug)]
@@ -24,6 +25,8 @@
     pub policy: policy::Policy,
     /// The time after an outage of the store for which an upstream stays in use whose registration was removed.
     pub removal_grace: time::Duration,
+    /// The limits and times of the return of callers to hosts that were away.
+    pub balance: balance::Options,
 }
 
 impl Default for Options {
@@ -43,6 +46,7 @@
             policy: policy::Policy::default(),
             // The platform restores lapsed registrations within 2 s after the store is back.
             removal_grace: time::Duration::from_millis(2_300),
+            balance: balance::Options::default(),
         }
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -27,6 +27,7 @@
 use super::selection;
 use super::upstream;
 use super::view;
+use crate::balance;
 use crate::clock;
 use crate::meter;
 use crate::name;
@@ -114,6 +115,8 @@
     /// The upstreams from which responses broke off, until it is known whether they crashed.
     breakages: collections::BTreeMap<name::Name, crash::Breakage>,
     origins: origin::Origins,
+    /// Decides which callers are asked to connect anew.
+    balance: balance::Reducer,
     /// The stop of the process, once it has begun.
     stop: Option<stop::Stop>,
     /// How long requests take.
@@ -124,10 +127,12 @@
     /// Returns the reducer of the entry host `host` in the availability zone `zone`.
     #[must_use]
     pub fn new(host: name::Name, zone: name::Name, options: options::Options) -> Self {
+        let balance = balance::Reducer::new(host.clone(), zone.clone(), options.balance.clone());
         Self {
             host,
             zone,
             options,
+            balance,
             config: None,
             confirmed: None,
             store_failed: false,
@@ -233,11 +238,26 @@
         self.config.is_some() && self.is_current(now, self.options.max_config_age)
     }
 
+    /// Returns why the caller of `connection` is to connect anew, so that another host serves it; none if it is not. A host
+    /// that is stopping closes all connections anyway.
+    #[must_use]
+    pub fn relocation(
+        &self,
+        now: clock::Instant,
+        connection: balance::Connection,
+    ) -> Option<balance::Relocation> {
+        let is_stopping = self.stop.is_some();
+        (!is_stopping)
+            .then(|| self.balance.relocation(now, connection))
+            .flatten()
+    }
+
     /// Applies an event and returns the effects to carry out.
     pub fn step(&mut self, now: clock::Instant, event: event::Event) -> Vec<effect::Effect> {
         let mut effects = Vec::new();
         match event {
             event::Event::Arrived(id, request) => {
+                self.balance.record_request(now);
                 self.handle_arrival(now, id, *request, &mut effects)
             }
             event::Event::CallerDisconnected(id) => self.handle_disconnect(now, id, &mut effects),
@@ -293,6 +313,10 @@
                 self.record_stored_versions(now, origins, &mut effects);
             }
             event::Event::HostsChanged(hosts) => self.set_hosts(now, hosts),
+            event::Event::HostChanged(change) => {
+                let confirmed = self.confirmed.unwrap_or(now);
+                self.balance.step(now, confirmed, change);
+            }
             event::Event::Stopping(deadline) => {
                 let began = now;
                 self.stop = Some(stop::Stop { began, deadline });
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -74,6 +74,9 @@
                 .collect(),
             limits,
             leaving: self.departures.among(&self.upstreams),
+            zone: self.zone.clone(),
+            requests_per_second: self.balance.load(now),
+            stopping: self.stop.is_some(),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -265,6 +265,8 @@
             return;
         }
         self.apply_suspects(now, &view.suspects);
+        self.balance
+            .record_loads(now, std::mem::take(&mut view.loads));
         for (upstream, started) in view.leaving.drain(..) {
             self.record_leaving(now, &upstream, Some(started), effects);
         }
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -59,4 +59,10 @@
     pub limits: Vec<Limit>,
     /// The upstreams that have said in a response that they leave, each with the start of its process.
     pub leaving: Vec<(name::Name, u64)>,
+    /// The availability zone of the host.
+    pub zone: name::Name,
+    /// The requests of callers per second.
+    pub requests_per_second: f64,
+    /// Whether the host takes no new connections any more.
+    pub stopping: bool,
 }
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -1,3 +1,4 @@
+use crate::balance;
 use crate::name;
 
 /// The coordinator's state of an engine, as sent to one host.
@@ -70,4 +71,6 @@
     pub permits: Vec<Permit>,
     /// The upstreams that have said to a host that they leave, each with the start of its process.
     pub leaving: Vec<(name::Name, u64)>,
+    /// The load of each availability zone.
+    pub loads: Vec<balance::Load>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -160,6 +160,9 @@
         suspects: Vec::new(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        zone: relay_fake::name("zone-1"),
+        requests_per_second: 0.0,
+        stopping: false,
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
@@ -103,5 +103,8 @@
             waiting: count,
         }],
         leaving: Vec::new(),
+        zone: relay_fake::name("zone-1"),
+        requests_per_second: 0.0,
+        stopping: false,
     }
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -57,6 +57,9 @@
             suspects: Vec::new(),
             limits: Vec::new(),
             leaving: Vec::new(),
+            zone: relay_fake::name("zone-1"),
+            requests_per_second: 0.0,
+            stopping: false,
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
         let name = relay_fake::name(&host_name(host));
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -1,6 +1,8 @@
 //! Integration tests of the core crate, a module per feature.
 
 mod admission;
+mod balance;
+mod balance_fleet;
 mod claim;
 mod config;
 mod coordinator;
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -109,6 +109,7 @@
         ready_in_ms: Vec::new(),
         permits: Vec::new(),
         leaving: Vec::new(),
+        loads: Vec::new(),
     };
     harness.feed(relay::Event::ViewReceived(Box::new(view)));
     let mut served = 0;
@@ -161,6 +162,7 @@
         ready_in_ms: Vec::new(),
         permits: Vec::new(),
         leaving: Vec::new(),
+        loads: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_change.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_change.rs
@@ -374,6 +374,7 @@
             ready_in_ms: Vec::new(),
             permits: Vec::new(),
             leaving: Vec::new(),
+            loads: Vec::new(),
         };
         let received = relay::Event::ViewReceived(Box::new(view));
         self.harness.feed(received);
--- a/crates/carawaycleat-core/tests/suite/relay_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_extreme.rs
@@ -33,6 +33,7 @@
             requests: u32::MAX,
         }],
         leaving: Vec::new(),
+        loads: Vec::new(),
     };
     let large = || relay::Request {
         tokens: Some((u64::MAX, u64::MAX)),
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -156,6 +156,7 @@
         ready_in_ms: Vec::new(),
         permits: Vec::new(),
         leaving: Vec::new(),
+        loads: Vec::new(),
     }
 }
 
