fix(platform): accept while connections still arrive at a stopping host

A host closed its listener 2.6 s after SIGTERM, whether or not the load balancer had noticed by then. Connections that arrive later were refused, and one whose handshake was under way at that moment was reset although its caller took it for open and had sent its request.

--- a/crates/carawaycleat-net/src/server/acceptor.rs
+++ b/crates/carawaycleat-net/src/server/acceptor.rs
@@ -59,6 +59,7 @@
     }
 
     fn serve(&self, stream: async_io::Async<net::TcpStream>, peer: net::SocketAddr) {
+        self.state.record_accept(time::Instant::now());
         if let Some(open) = state::ConnectionGuard::new(&self.state) {
             let connection = connection::Connection::new(stream, peer, open);
             let run = connection.run(self.handler.clone());
--- a/crates/carawaycleat-net/src/server/handle.rs
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -49,6 +49,11 @@
         self.state.stop_accepting();
     }
 
+    /// Waits until no connection has been accepted for `quiet`.
+    pub async fn connections_ceased(&self, quiet: time::Duration) {
+        self.state.connections_ceased(quiet).await;
+    }
+
     /// Returns the number of requests in progress, including those whose response is being streamed.
     #[must_use]
     pub fn active_requests(&self) -> usize {
--- a/crates/carawaycleat-net/src/server/state.rs
+++ b/crates/carawaycleat-net/src/server/state.rs
@@ -51,6 +51,8 @@
     pub(super) close_idle: Signal,
     pub(super) abort: Signal,
     accepted: atomic::AtomicU64,
+    /// When the latest connection was accepted.
+    last_accept: sync::Mutex<Option<time::Instant>>,
     refused: atomic::AtomicU64,
     queue_full: atomic::AtomicU64,
     requests: atomic::AtomicU64,
@@ -87,6 +89,7 @@
             close_idle,
             abort,
             accepted: atomic::AtomicU64::new(0),
+            last_accept: sync::Mutex::default(),
             refused: atomic::AtomicU64::new(0),
             queue_full: atomic::AtomicU64::new(0),
             requests: atomic::AtomicU64::new(0),
@@ -148,6 +151,22 @@
         self.active.load(atomic::Ordering::SeqCst)
     }
 
+    /// Records that a connection was accepted, which may be refused.
+    pub(super) fn record_accept(&self, now: time::Instant) {
+        *lock(&self.last_accept) = Some(now);
+    }
+
+    /// Waits until no connection has been accepted for `quiet`.
+    pub(super) async fn connections_ceased(&self, quiet: time::Duration) {
+        loop {
+            let accepted = *lock(&self.last_accept);
+            match accepted.map(|at| at + quiet) {
+                Some(at) if at > time::Instant::now() => async_io::Timer::at(at).await,
+                _ => return,
+            };
+        }
+    }
+
     /// Waits until no more connections are accepted.
     pub(super) async fn listener_closed(&self) {
         signalled(&self.listener_closed).await;
