fix(net): read a refused request for as long as its caller sends

A caller that sends a whole body before it reads, as most do, lost the refusal when the body was longer than 1 MiB or took longer than 1 s: the server stopped reading then, and closing a socket with unread bytes resets the connection, which destroys the response in front. A body of 8 MiB got "broken pipe" in place of 413 body_too_large, and so did one of 20 kB at 10 kB a second.

A closing connection now reads until its caller closes, until nothing arrives for 1 s, and at most for 10 s and 16 MiB, four times the longest body that is accepted.

guard::refusal_reaches_caller_that_sends_its_whole_body failed before in the cases too_large and slow; too_busy (3 MiB) passed. guard::refused_caller_is_not_read_without_end guards the bound.

The tests of invalid requests get five more cases for the reading side: a chunk size, a chunk extension, trailers and a trailer line without end, and a chunk extension at all. They passed before.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -22,11 +22,13 @@
 use crate::server::state;
 
 const READ_BYTES: usize = 4 * 1024;
-/// How long a closing connection still reads. Closing a socket with unread bytes resets the connection, and the caller
-/// may then lose the response.
+/// How long a closing connection still reads while nothing arrives. Closing a socket with unread bytes resets the
+/// connection, and the caller may then lose the response.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+/// How long a closing connection still reads in all. A caller may send the whole body before it reads a refusal.
+const MAX_LINGER_TIME: time::Duration = time::Duration::from_secs(10);
 /// How many bytes a closing connection still reads.
-const MAX_LINGER_BYTES: usize = 1024 * 1024;
+const MAX_LINGER_BYTES: usize = 16 * 1024 * 1024;
 /// How long a connection stays open after it was accepted, or after a response whose head promised to keep it, even if
 /// idle connections are being closed. The caller's next request may follow at once; a round trip takes some milliseconds.
 const KEEP_ALIVE_GRACE: time::Duration = time::Duration::from_millis(250);
@@ -470,8 +472,9 @@
     Ok(())
 }
 
-/// Closes the sending side and reads until the caller closes its own, up to `timeout` and [`MAX_LINGER_BYTES`]. What is
-/// read is discarded, except for the first bytes, which are appended to `buffer` while it has less than [`READ_BYTES`].
+/// Closes the sending side and reads until the caller closes its own, until nothing arrives for `timeout`, and up to
+/// [`MAX_LINGER_TIME`] and [`MAX_LINGER_BYTES`]. What is read is discarded, except for the first bytes, which are appended
+/// to `buffer` while it has less than [`READ_BYTES`].
 async fn linger(
     mut stream: &async_io::Async<net::TcpStream>,
     buffer: &mut Vec<u8>,
@@ -480,26 +483,26 @@
     if stream.get_ref().shutdown(net::Shutdown::Write).is_err() {
         return;
     }
-    let drain = async {
-        let mut discard = [0; READ_BYTES];
-        let mut budget = budget::Budget::default();
-        let mut total = 0;
-        while total < MAX_LINGER_BYTES {
-            budget.turn().await;
-            match stream.read(&mut discard).await {
-                Ok(length) if length > 0 => {
-                    budget.spend(length);
-                    total += length;
-                    if buffer.len() < READ_BYTES {
-                        buffer.extend_from_slice(&discard[..length]);
-                    }
+    let end = time::Instant::now() + MAX_LINGER_TIME;
+    let mut discard = [0; READ_BYTES];
+    let mut budget = budget::Budget::default();
+    let mut total = 0;
+    while total < MAX_LINGER_BYTES {
+        budget.turn().await;
+        let deadline = end.min(time::Instant::now() + timeout);
+        let expired = async {
+            async_io::Timer::at(deadline).await;
+            Ok(0)
+        };
+        match futures_lite::future::or(stream.read(&mut discard), expired).await {
+            Ok(length) if length > 0 => {
+                budget.spend(length);
+                total += length;
+                if buffer.len() < READ_BYTES {
+                    buffer.extend_from_slice(&discard[..length]);
                 }
-                _ => return,
             }
+            _ => return,
         }
-    };
-    let expired = async {
-        async_io::Timer::after(timeout).await;
-    };
-    futures_lite::future::or(drain, expired).await;
+    }
 }
--- a/crates/carawaycleat-net/tests/suite/guard.rs
+++ b/crates/carawaycleat-net/tests/suite/guard.rs
@@ -26,6 +26,11 @@
     encoding_twice = { &post("transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n", "0\r\n\r\n") },
     chunk_size_empty = { &post("transfer-encoding: chunked\r\n", "\r\n\r\n") },
     chunk_size_invalid = { &post("transfer-encoding: chunked\r\n", "xyz\r\n") },
+    chunk_size_endless = { &post("transfer-encoding: chunked\r\n", &"0".repeat(16)) },
+    chunk_extension = { &post("transfer-encoding: chunked\r\n", "1;a=b\r\na\r\n0\r\n\r\n") },
+    chunk_extension_endless = { &post("transfer-encoding: chunked\r\n", &format!("1;{}", "a".repeat(9000))) },
+    trailers_endless = { &post("transfer-encoding: chunked\r\n", &format!("0\r\n{}", "a: b\r\n".repeat(1000))) },
+    trailer_line_endless = { &post("transfer-encoding: chunked\r\n", &format!("0\r\n{}", "a".repeat(5000))) },
     chunk_end_missing = { &post("transfer-encoding: chunked\r\n", "1\r\nabc") },
     host_missing = { "GET / HTTP/1.1\r\n\r\n" },
     host_twice = { "GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n" },
@@ -109,6 +114,47 @@
     assert_eq!(handle.counts().requests, 0);
 }
 
+/// Guards against a refusal that its caller never sees, because the connection is reset while the caller still sends the
+/// body.
+#[yare::parameterized(
+    too_large = { http::Limits::default(), 8 << 20, 64 * 1024, time::Duration::ZERO, 413, "body_too_large" },
+    too_busy = { http::Limits::default().max_requests(0), 3 << 20, 64 * 1024, time::Duration::ZERO, 503, "queue_full" },
+    slow = { http::Limits::default().max_body_bytes(10), 20_000, 1_000, SHORT, 413, "body_too_large" },
+)]
+fn refusal_reaches_caller_that_sends_its_whole_body(
+    limits: http::Limits,
+    length: usize,
+    piece: usize,
+    pause: time::Duration,
+    status: u16,
+    code: &str,
+) {
+    let handle = peer::echo(limits);
+    let head = post(&format!("content-length: {length}\r\n"), "");
+    let mut stream = peer::connect(handle.local_address(), head.as_bytes());
+    for _ in 0..length / piece {
+        stream.write_all(&vec![b'a'; piece]).expect("not reset");
+        thread::sleep(pause);
+    }
+    check(&peer::read_all(&stream), status, code);
+}
+
+/// Guards against a connection that is read without end after its refusal.
+#[test]
+fn refused_caller_is_not_read_without_end() {
+    let handle = peer::echo(http::Limits::default().max_body_bytes(10));
+    let head = post("content-length: 999999999999\r\n", "");
+    let mut stream = peer::connect(handle.local_address(), head.as_bytes());
+    let started = time::Instant::now();
+    while stream.write_all(&[b'a'; 64 * 1024]).is_ok() {
+        assert!(started.elapsed() < peer::TIMEOUT, "still read");
+    }
+    while handle.counts().open > 0 {
+        assert!(started.elapsed() < peer::TIMEOUT, "still open");
+        thread::yield_now();
+    }
+}
+
 /// Guards against running the handler with a truncated body.
 #[yare::parameterized(
     length = { "content-length: 9\r\n", "abc" },
