test(net): endless chunk sizes, extensions and trailers stop no other task

A caller that sends a chunk size, a chunk extension or trailers without end was not among the cases of endless_caller_stops_no_other_task. They pass: such a request is refused once it is invalid, at 15 digits, at the extension and after 4,096 bytes of trailers.

--- a/crates/carawaycleat-net/tests/suite/server.rs
+++ b/crates/carawaycleat-net/tests/suite/server.rs
@@ -191,6 +191,9 @@
     head = { b"GET / HTTP/1.1\r\n", b"a: b\r\n" },
     body = { b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 999999999999\r\n\r\n", b"a" },
     small_chunks = { b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n", b"1\r\na\r\n" },
+    chunk_size = { b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n", b"0" },
+    chunk_extension = { b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1;", b"a" },
+    trailers = { b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n" },
     requests = { b"", b"GET / HTTP/1.1\r\nhost: a\r\n\r\n" },
 )]
 fn endless_caller_stops_no_other_task(start: &'static [u8], repeated: &'static [u8]) {
