feat(net): log that connections cannot be accepted

A failing accept, for example for want of descriptors, left no trace: callers waited for a connection that was never accepted, and nothing said why. The server now tells an observer, at once and then once a second while it lasts, and the host writes a line accept_failed with the name of the server and the error.

accept::failed_accept_is_logged_once_a_second takes a running host's descriptors away: there is a line, not one for each of the 30 attempts, and requests are served again afterwards. Before, there was no such line.

--- a/crates/carawaycleat-net/src/server.rs
+++ b/crates/carawaycleat-net/src/server.rs
@@ -13,6 +13,8 @@
 mod state;
 mod unanswered;
 
+use std::fmt;
+use std::io;
 use std::net;
 use std::sync;
 
@@ -48,13 +50,25 @@
 /// }));
 /// assert_eq!(reply, b"/models");
 /// ```
-#[derive(Debug)]
 pub struct Server {
     listener: async_io::Async<net::TcpListener>,
     address: net::SocketAddr,
     limits: limits::Limits,
     cancels_on_disconnect: bool,
     observer: Option<observer::Observer>,
+    observe_accept_failure: Option<acceptor::Observe>,
+}
+
+impl fmt::Debug for Server {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Server")
+            .field("address", &self.address)
+            .field("limits", &self.limits)
+            .field("cancels_on_disconnect", &self.cancels_on_disconnect)
+            .field("observer", &self.observer)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Server {
@@ -72,6 +86,7 @@
             limits: limits::Limits::default(),
             cancels_on_disconnect: false,
             observer: None,
+            observe_accept_failure: None,
         })
     }
 
@@ -102,6 +117,17 @@
         self
     }
 
+    /// Calls `observe` with the error when connections cannot be accepted, for example because the process has no free file
+    /// descriptor. While the cause lasts, it is called once a second.
+    #[must_use]
+    pub fn observe_accept_failures(
+        mut self,
+        observe: impl Fn(&io::Error) + Send + Sync + 'static,
+    ) -> Self {
+        self.observe_accept_failure = Some(Box::new(observe));
+        self
+    }
+
     /// Returns the address that the listener is bound to.
     #[must_use]
     pub fn local_address(&self) -> net::SocketAddr {
@@ -126,6 +152,7 @@
             executor.clone(),
             state.clone(),
             sync::Arc::new(handler),
+            self.observe_accept_failure,
         );
         executor.spawn(acceptor.run(signals)).detach();
         Handle::new(self.address, state)
