test(net): closes of connections lose no request of a caller that waits, and repeat none

The ways into a close by a head (by the caller, by the handler, at a stop, each plain and streamed, and by a refusal): a caller that waits for the whole response and respects "connection: close" gets every response whole, and no request is discarded. What is discarded was sent before the head of the response was there, that is by a caller that pipelines, and RFC 9112 (9.6) forbids to answer it.

On the other side, the pool sends a request once on a kept connection that the server closes without reading it, after it has run it, or within the head of its response, and says that it was sent each time.

--- a/crates/carawaycleat-net/tests/suite/client.rs
+++ b/crates/carawaycleat-net/tests/suite/client.rs
@@ -239,6 +239,44 @@
     });
 }
 
+/// Guards against a request that runs twice, or is said not to have run, because the server closes the kept connection on
+/// which it was sent: before it reads the request, after it has run it, or within the head of its response.
+#[yare::parameterized(
+    unread = { false, b"" },
+    run = { true, b"" },
+    broken_head = { true, b"HTTP/1.1 200 O" },
+)]
+fn sends_request_once_on_a_connection_that_is_closed(reads: bool, end: &'static [u8]) {
+    let response = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na";
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (connected, connections) = sync::mpsc::channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            connected.send(()).expect("the test goes on");
+            peer::read_until(&stream, "\r\n\r\n");
+            stream.write_all(response).expect("sent");
+            // The next request is there once it can be peeked at.
+            stream.peek(&mut [0]).expect("a request");
+            if reads {
+                peer::read_until(&stream, "\r\n\r\n");
+                stream.write_all(end).expect("sent");
+            }
+        }
+    });
+    peer::run(async |_| {
+        let pool = http::Pool::default();
+        let reply = get(&pool, address).await.expect("a response");
+        assert_eq!(reply.bytes(10).await.expect("a body"), b"a");
+        let request = http::Request::new("POST", "/");
+        let result = pool.send(address, request, peer::TIMEOUT).await;
+        assert!(result.expect_err("a failure").sent);
+        // A second connection would be for the same request once more.
+        assert_eq!(connections.try_iter().count(), 1);
+    });
+}
+
 /// Guards against `sent: true` for a request that cannot have run.
 #[test]
 fn reports_refused_connection_as_not_sent() {
--- a/crates/carawaycleat-net/tests/suite/server.rs
+++ b/crates/carawaycleat-net/tests/suite/server.rs
@@ -168,6 +168,56 @@
     );
 }
 
+/// Guards against a response that says `connection: close` and costs a caller that waits for it the response, its end or
+/// the next request, whichever side has asked for the close.
+#[yare::parameterized(
+    by_caller = { "/", "connection: close\r\n", false, "done" },
+    by_handler = { "/close", "", false, "done" },
+    by_handler_in_stream = { "/close-stream", "", false, "4\r\ndone\r\n0\r\n\r\n" },
+    by_stop = { "/", "", true, "done" },
+    by_stop_in_stream = { "/stream", "", true, "4\r\ndone\r\n0\r\n\r\n" },
+    by_refusal = { "/", "content-length: x\r\n", false, "}}" },
+)]
+fn close_costs_a_waiting_caller_nothing(path: &str, header: &str, stops: bool, end: &str) {
+    let (sender, reports) = async_channel::unbounded();
+    let server = http::Server::bind(([127, 0, 0, 1], 0))
+        .expect("a free port")
+        .observe_unanswered("x-id", move |report| {
+            sender.try_send(report).expect("a receiver");
+        });
+    let handle = server.start(peer::background(), |request: http::Request| async move {
+        let response = match request.path.ends_with("stream") {
+            true => {
+                let (writer, stream) = http::stream();
+                writer.send(b"done".to_vec()).await.expect("open");
+                writer.finish();
+                http::Response::new(200).stream(stream)
+            }
+            false => http::Response::new(200).body("done"),
+        };
+        match request.path.starts_with("/close") {
+            true => response.header("connection", "close"),
+            false => response,
+        }
+    });
+    if stops {
+        handle.close_after_responses();
+    }
+    let request = format!("POST {path} HTTP/1.1\r\nhost: a\r\n{header}\r\n");
+    for _ in 0..20 {
+        let stream = peer::connect(handle.local_address(), request.as_bytes());
+        let response = peer::read_all(&stream);
+        assert!(
+            response.contains("connection: close\r\n") && response.ends_with(end),
+            "{response}"
+        );
+    }
+    let reasons: Vec<_> = std::iter::from_fn(|| reports.try_recv().ok())
+        .map(|report| report.reason)
+        .collect();
+    assert!(!reasons.contains(&http::Reason::Discarded), "{reasons:?}");
+}
+
 /// Guards against an abort that leaves a handler running or a connection open.
 #[test]
 fn aborts() {
