fix(relay): end attempts early enough for the caller to get a response

A caller's timeout runs from when it sent the request, a host's from when it has read it. A 504 at the deadline left when the caller had gone, or reached it too late: it got neither a response nor a refusal. At a host short of processor time each step comes late: reading, noticing the limit, writing.

Attempts now end 40 ms before the end of the caller's timeout (less where the route's timeout is that much shorter), and earlier by the average time by which the host's own ticks are late, at most 150 ms; altogether by at most an eighth of the time allowed. A sound host still uses the route's whole timeout. Waiting requests are refused earlier by the host's delay as well.

--- a/crates/carawaycleat-core/src/relay/command.rs
+++ b/crates/carawaycleat-core/src/relay/command.rs
@@ -1,6 +1,7 @@
 use std::net;
 use std::time;
 
+use crate::clock;
 use crate::name;
 
 /// A command to the task that serves a request.
@@ -35,8 +36,10 @@
     pub workspace: Option<name::Name>,
     /// The priority at the upstream; 0 is the most urgent, 9 the least.
     pub priority: u8,
-    /// The time left until the deadline of the request.
+    /// The time that the upstream has for the request from [`Self::decided`] on.
     pub remaining: time::Duration,
+    /// When the attempt was decided on.
+    pub decided: clock::Instant,
     /// The time limit for the head of the response.
     pub response_timeout: time::Duration,
     /// Whether the attempt in progress goes on beside this one.
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -73,6 +73,10 @@
 /// The attempts in a row that broke off without an event after which there is no further one.
 const MAX_EVENTLESS_ATTEMPTS: u32 = 4;
 
+/// How long before the end of the caller's timeout an attempt ends, so that a refusal arrives in time.
+const RETURN_TIME: time::Duration = time::Duration::from_millis(40);
+/// An attempt ends early by at most the timeout divided by this.
+const MIN_TIMEOUT_PARTS: u32 = 8;
 /// How long before the deadline an upstream may end an attempt because of it: its clock may run slightly faster.
 const LIMIT_TOLERANCE: time::Duration = time::Duration::from_millis(25);
 
@@ -112,6 +116,8 @@
     /// Whether the last tick has found its limit reached while an attempt is in progress. The limit takes effect when what
     /// had arrived by then has been handled.
     pub(super) is_overdue: bool,
+    /// The end of the time that was given to the upstream of the last attempt; the deadline before the first one.
+    pub(super) upstream_limit: clock::Instant,
     /// The end of the caller's own timeout, which may be later than the deadline.
     pub(super) caller_deadline: clock::Instant,
     /// Whether it waits because no usable upstream holds its model or adapter, and not for a free slot.
@@ -149,7 +155,16 @@
 impl Pending {
     /// Returns whether the time that upstreams were given for the request is over, so that they may end their attempts.
     pub(super) fn is_at_limit(&self, now: clock::Instant) -> bool {
-        now + LIMIT_TOLERANCE >= self.deadline
+        now + LIMIT_TOLERANCE >= self.upstream_limit
+    }
+
+    /// Returns when attempts have to end, so that the final response of a host that takes `delay` for it arrives in time. The
+    /// caller's timeout began when the request was sent.
+    pub(super) fn limit(&self, delay: time::Duration) -> clock::Instant {
+        let timeout = self.deadline.since(self.arrived_at);
+        let spare = self.caller_deadline.since(self.deadline);
+        let lead = (delay + RETURN_TIME.saturating_sub(spare)).min(timeout / MIN_TIMEOUT_PARTS);
+        self.arrived_at + (timeout - lead)
     }
 
     /// Returns the time by which the response should begin: the latency objective, or a quarter of the caller's timeout
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -195,6 +195,7 @@
             queue: self.options.policy.queue,
             deadline: now + route.timeout.min(timeout),
             is_overdue: false,
+            upstream_limit: now + route.timeout.min(timeout),
             caller_deadline: now + timeout,
             is_unplaced: false,
             first_sent_at: None,
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -286,7 +286,8 @@
         let queue = (request.service.clone(), request.model.clone());
         self.send_rates.add(now, &queue, 1.0);
         self.dispatches += 1;
-        let remaining = request.deadline.since(now);
+        request.upstream_limit = request.limit(self.lateness.delay());
+        let remaining = request.upstream_limit.since(now);
         let dispatch = command::Dispatch {
             attempt: request.attempt,
             upstream: upstream.clone(),
@@ -296,6 +297,7 @@
             workspace: request.workspace.clone(),
             priority: request.priority.min(9),
             remaining,
+            decided: now,
             response_timeout: remaining,
             keeps_previous: !request.standbys.is_empty(),
             repeatable: request.may_repeat(),
--- a/crates/carawaycleat-core/src/relay/reducer/lateness.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/lateness.rs
@@ -5,15 +5,30 @@
 use crate::clock;
 use crate::relay::pending;
 
-/// The longest time between two ticks in which upstreams count as silent: four times the interval of ticks. What arrives
-/// while the process does not run is read only afterwards.
-const MAX_TICK_STEP: time::Duration = time::Duration::from_millis(100);
+/// The time between two ticks of a host that is not late.
+const TICK_INTERVAL: time::Duration = time::Duration::from_millis(25);
+/// The longest time between two ticks in which upstreams count as silent. What arrives while the process does not run is read
+/// only afterwards.
+const MAX_TICK_STEP: time::Duration = TICK_INTERVAL.saturating_mul(4);
+/// The weight of the latest tick in the average delay is 1 divided by this.
+const DELAY_PARTS: u32 = 4;
+/// The longest delay of the host itself that is allowed for.
+const MAX_DELAY: time::Duration = time::Duration::from_millis(150);
 
 /// When ticks came.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Lateness {
     last_tick: Option<clock::Instant>,
     was_late: bool,
+    /// The moving average of the time by which ticks are late.
+    mean_delay: time::Duration,
+}
+
+impl Lateness {
+    /// Returns the time that this host is expected to take for what should be done at once.
+    pub(super) fn delay(&self) -> time::Duration {
+        self.mean_delay.min(MAX_DELAY)
+    }
 }
 
 impl super::Reducer {
@@ -21,6 +36,9 @@
     /// goes before the timers, except for deadlines: at the first late tick in a row.
     pub(super) fn discount_lateness(&mut self, now: clock::Instant) -> bool {
         let last = self.lateness.last_tick.replace(now).unwrap_or(now);
+        let delay = now.since(last).saturating_sub(TICK_INTERVAL);
+        self.lateness.mean_delay -= self.lateness.mean_delay / DELAY_PARTS;
+        self.lateness.mean_delay += delay / DELAY_PARTS;
         let excess = now.since(last).saturating_sub(MAX_TICK_STEP);
         let is_late = !excess.is_zero();
         let was_late = std::mem::replace(&mut self.lateness.was_late, is_late);
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -437,18 +437,18 @@
         if self.resume_standby(now, id, effects) {
             return;
         }
-        if !sent && now + super::MIN_ATTEMPT_TIME < self.deadline(id) {
+        if !sent && now + super::MIN_ATTEMPT_TIME < self.limit(id) {
             // No upstream received anything, so another attempt adds no load and is not charged to the retry budget.
             return self.dispatch_or_queue(now, id, effects);
         }
         self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
     }
 
-    /// Returns the deadline of a request.
-    pub(super) fn deadline(&self, id: event::Id) -> clock::Instant {
-        self.requests
-            .get(&id)
-            .map_or_else(clock::Instant::default, |request| request.deadline)
+    /// Returns when the attempts of a request have to end.
+    fn limit(&self, id: event::Id) -> clock::Instant {
+        let delay = self.lateness.delay();
+        let request = self.requests.get(&id);
+        request.map_or_else(clock::Instant::default, |request| request.limit(delay))
     }
 
     /// Retries a request after a failure, or refuses it for `reason`.
@@ -486,7 +486,7 @@
         };
         let allowed = (request.possible_executions == 0 || request.may_repeat())
             && (request.has_received_part() || request.sent_attempts < super::MAX_SENT_ATTEMPTS)
-            && now + super::MIN_ATTEMPT_TIME < request.deadline;
+            && now + super::MIN_ATTEMPT_TIME < request.limit(self.lateness.delay());
         // Without a further attempt, the caller would lose the part of the response that it has.
         let may_wait = request.has_received_part();
         let budget = self.budgets.get_mut(&request.service);
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -57,10 +57,10 @@
     /// Refuses the requests whose limits have been reached, and notes which of those with an attempt in progress are overdue.
     fn apply_limits(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
         self.refuse_expired(now, effects);
-        let stop = self.stop;
+        let (stop, delay) = (self.stop, self.lateness.delay());
         for request in self.requests.values_mut() {
             request.is_overdue =
-                !request.is_waiting() && expiry(now, stop.as_ref(), request).is_some();
+                !request.is_waiting() && expiry(now, delay, stop.as_ref(), request).is_some();
         }
     }
 
@@ -87,7 +87,7 @@
             .iter()
             .filter(|(_, request)| request.is_waiting() || request.is_overdue)
             .filter_map(|(id, request)| {
-                let reason = expiry(now, self.stop.as_ref(), request)?;
+                let reason = expiry(now, self.lateness.delay(), self.stop.as_ref(), request)?;
                 let retry_after = match reason {
                     refusal::Reason::Timeout => ready_in(request)
                         .unwrap_or_default()
@@ -166,7 +166,7 @@
             && (request.has_received_part()
                 || request.possible_executions + in_progress < request.route.max_attempts
                     && request.sent_attempts < super::MAX_SENT_ATTEMPTS)
-            && now + super::MIN_ATTEMPT_TIME < request.deadline;
+            && now + super::MIN_ATTEMPT_TIME < request.limit(self.lateness.delay());
         let Some(service) = self.service_of(request).filter(|_| may_retry) else {
             return;
         };
@@ -195,16 +195,17 @@
     }
 }
 
-/// Returns why a request has to end now, if it has to.
+/// Returns why a request has to end now, if it has to, at a host that takes `delay` for it.
 fn expiry(
     now: clock::Instant,
+    delay: time::Duration,
     stop: Option<&super::stop::Stop>,
     request: &pending::Pending,
 ) -> Option<refusal::Reason> {
     let is_expired = if request.is_waiting() {
-        now + REFUSAL_LEAD >= request.abandonment_time()
+        now + REFUSAL_LEAD + delay >= request.abandonment_time()
     } else {
-        now >= request.deadline
+        now >= request.limit(delay)
     };
     let is_stopping = || {
         !request.response_started && stop.is_some_and(|stop| now + REFUSAL_LEAD >= stop.deadline)
--- a/crates/carawaycleat-core/tests/suite/relay_late.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -174,6 +174,39 @@
     ));
 }
 
+/// Guards against a refusal that arrives after its caller has left, and against attempts that are ended early without need.
+#[yare::parameterized(
+    of_the_caller = { 1_000, 0, 1_000 - 40 },
+    long_one_of_the_caller = { 3_990, 0, 3_990 - 40 },
+    of_the_route = { 12_000, 0, 4_000 },
+    slightly_longer_than_that_of_the_route = { 4_010, 0, 4_000 - 30 },
+    very_short = { 200, 0, 200 - 25 },
+    of_the_caller_at_a_late_host = { 2_000, 100, 2_000 - 140 },
+    of_the_route_at_a_late_host = { 12_000, 100, 4_000 - 100 },
+    of_the_caller_at_a_very_late_host = { 3_000, 400, 3_000 - 190 },
+)]
+fn attempt_ends_before_the_caller_leaves(timeout_ms: u64, delay_ms: u64, end_ms: u64) {
+    let mut harness = harness();
+    for _ in 0..50 {
+        run_late(&mut harness, 25 + delay_ms);
+    }
+    let start = harness.now;
+    harness.confirm();
+    let mut request = relay_fake::request("/book/1");
+    request.timeout = Some(relay_fake::millis(timeout_ms));
+    let id = harness.arrive(request);
+    let remaining = u64::try_from(harness.dispatch(id).remaining.as_millis()).expect("short");
+    assert!(remaining.abs_diff(end_ms) <= 1, "{remaining} ms");
+    while harness.is_sent(id) {
+        run_late(&mut harness, 25 + delay_ms);
+        harness.feed(relay::Event::LimitsDue);
+    }
+    let elapsed = harness.now.since(start);
+    assert!(elapsed >= relay_fake::millis(end_ms - 1), "{elapsed:?}");
+    let latest = relay_fake::millis(end_ms + 25 + delay_ms);
+    assert!(elapsed <= latest, "{elapsed:?}");
+}
+
 /// How an upstream ends an attempt.
 #[derive(Clone, Copy, Debug)]
 enum End {
