fix(relay): let streams that have begun go on until the deadline

A cut after the beginning of a response tells the caller nothing, so there is nothing to send early. The lead now applies to requests whose response has not begun, and engines get the whole time for streams.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -159,14 +159,26 @@
     }
 
     /// Returns when attempts have to end, so that the final response of a host that takes `delay` for it arrives in time. The
-    /// caller's timeout began when the request was sent.
+    /// caller's timeout began when the request was sent. No refusal follows a response that has begun, so it may go on until
+    /// the deadline.
     pub(super) fn limit(&self, delay: time::Duration) -> clock::Instant {
+        if self.response_started {
+            return self.deadline;
+        }
         let timeout = self.deadline.since(self.arrived_at);
         let spare = self.caller_deadline.since(self.deadline);
         let lead = (delay + RETURN_TIME.saturating_sub(spare)).min(timeout / MIN_TIMEOUT_PARTS);
         self.arrived_at + (timeout - lead)
     }
 
+    /// Returns when an upstream that is sent the request now has to end its response.
+    pub(super) fn response_limit(&self, delay: time::Duration) -> clock::Instant {
+        match self.route.kind {
+            config::Kind::Streaming => self.deadline,
+            config::Kind::Idempotent | config::Kind::NonIdempotent => self.limit(delay),
+        }
+    }
+
     /// Returns the time by which the response should begin: the latency objective, or a quarter of the caller's timeout
     /// if that is shorter.
     pub(super) fn target_time(&self) -> clock::Instant {
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -286,7 +286,7 @@
         let queue = (request.service.clone(), request.model.clone());
         self.send_rates.add(now, &queue, 1.0);
         self.dispatches += 1;
-        request.upstream_limit = request.limit(self.lateness.delay());
+        request.upstream_limit = request.response_limit(self.lateness.delay());
         let remaining = request.upstream_limit.since(now);
         let dispatch = command::Dispatch {
             attempt: request.attempt,
--- a/crates/carawaycleat-core/tests/suite/relay_late.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -207,6 +207,36 @@
     assert!(elapsed <= latest, "{elapsed:?}");
 }
 
+/// Guards against a stream that is cut before its caller's timeout, although a cut tells the caller nothing, and against one
+/// without a response that ends without a refusal.
+#[yare::parameterized(
+    begun = { true, 1_000 },
+    not_begun = { false, 960 },
+)]
+fn begun_stream_may_go_on_until_the_deadline(has_begun: bool, end_ms: u64) {
+    let mut harness = harness();
+    let start = harness.now;
+    let mut request = relay_fake::request("/batch/1");
+    request.model = Some(relay_fake::name("small"));
+    request.timeout = Some(relay_fake::millis(1_000));
+    let id = harness.arrive(request);
+    assert_eq!(harness.dispatch(id).remaining, relay_fake::millis(1_000));
+    if has_begun {
+        harness.begin_stream(id);
+    }
+    let is_refused = |harness: &relay_fake::Harness| {
+        matches!(harness.last_command(id), Some(relay::Command::Refuse(_)))
+    };
+    while !is_refused(&harness) {
+        harness.advance(relay_fake::millis(25));
+    }
+    assert_eq!(harness.refusal(id).reason, relay::Reason::Timeout);
+    let elapsed = harness.now.since(start);
+    assert!(elapsed >= relay_fake::millis(end_ms), "{elapsed:?}");
+    let latest = relay_fake::millis(end_ms + 25);
+    assert!(elapsed <= latest, "{elapsed:?}");
+}
+
 /// How an upstream ends an attempt.
 #[derive(Clone, Copy, Debug)]
 enum End {
