feat(core): decide which new requests a late host refuses

Cause: a host with too little processor time serves everything in order of arrival. It finishes as many requests as it can, but each of them late, and callers leave without an answer. Change: a reducer of its own, `overload`, takes the delays of the host's timers, the new requests by priority and the requests that have ended. When the shortest delay of 0.2 s is above 20 ms, the host is late: it admits about as many requests as it finishes, less the longer its backlog is (multiplicative decrease with a floor that follows the measured capacity, additive increase), and refuses the others, the least urgent first, each priority up to 95%. A single pause of the process does not count. Where refusing does not help, only what exceeds the capacity is refused. The times of retries are spread the further the more is refused. Nothing calls it yet.

Tests without network: a host with one processor and a queue in order of arrival, 0.8 to 4 times what it can do for 3 and 10 s, short requests, streams and both, callers that do not retry, retry once as told, or three times at once. Where all refusals and retries take up to 0.35 of the processor, no request is left without an answer and requests from 2 s after the load on are all in time. With the refusal taken out, 14 of the 20 tests fail.

--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod meter;
 pub mod name;
 pub mod outcome;
+pub mod overload;
 pub mod placement;
 pub mod quarantine;
 pub mod rate;
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod key;
 mod membership;
 mod memory;
+mod overload;
 mod path;
 mod path_cluster;
 mod path_fake;
