feat(platform): refuse new requests while the host runs late

Cause: the process has more work than processor time, and each step of a request waits for all others. Take-ups of streams and requests without a known route or key go on as before.

--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -77,6 +77,22 @@
         }
     }
 
+    /// Returns the priority of a request, of which 0 is the most urgent; none if no route matches or the key is unknown.
+    #[must_use]
+    pub fn priority(&self, host: &str, path: &str, credential: &request::Credential) -> Option<u8> {
+        let config = self.config.as_ref()?;
+        let route = config.route(host, path)?;
+        let workspace = match credential {
+            request::Credential::Key(digest) => config.workspace_of(digest),
+            request::Credential::Absent | request::Credential::Ambiguous => None,
+        };
+        if config.requires_keys() && !route.public && workspace.is_none() {
+            return None;
+        }
+        let own = workspace.and_then(|workspace| workspace.priority);
+        Some(own.unwrap_or(route.priority))
+    }
+
     /// Returns the name of the workspace whose key the request carries.
     pub(super) fn workspace_of(&self, request: &request::Request) -> Option<name::Name> {
         let request::Credential::Key(digest) = &request.credential else {
--- a/crates/carawaycleat-core/src/relay/refusal.rs
+++ b/crates/carawaycleat-core/src/relay/refusal.rs
@@ -27,6 +27,8 @@
     UnknownOrigin,
     /// The process stops before a response has arrived.
     Stopping,
+    /// The host has more requests than processor time.
+    Overloaded,
 }
 
 impl Reason {
@@ -46,6 +48,7 @@
             Self::Quarantined => "quarantined",
             Self::UnknownOrigin => "unknown_origin",
             Self::Stopping => "stopping",
+            Self::Overloaded => "overloaded",
         }
     }
 }
