feat(explain): name a time limit instead of a failed attempt

For an attempt that ended as `timed_out`, `explain` said "after attempt_failed at" the engine, which points at an engine that only kept to the time it was given. It now says "after the time limit of" it. `tells_a_time_limit_from_a_failure` fails without the change.

--- a/crates/carawaycleat/src/explain.rs
+++ b/crates/carawaycleat/src/explain.rs
@@ -241,7 +241,10 @@
     let failures: Vec<_> = events
         .iter()
         .filter(|line| ["attempt_failed", "not_run"].contains(&text(line, "event").as_str()))
-        .map(|line| format!("{} at {}", text(line, "event"), text(line, "subject")))
+        .map(|line| match text(line, "failure").as_str() {
+            "timed_out" => format!("the time limit of {}", text(line, "subject")),
+            _ => format!("{} at {}", text(line, "event"), text(line, "subject")),
+        })
         .collect();
     let suffix = if failures.is_empty() {
         String::new()
--- a/crates/carawaycleat/tests/suite/explain.rs
+++ b/crates/carawaycleat/tests/suite/explain.rs
@@ -11,6 +11,8 @@
 {"time":1700,"host":"host-1","event":"disp
 {"time":1800,"uptime_us":700,"host":"host-2","boot":4,"event":"refused","request":"r-2","reason":"configuration_stale","status":503,"config_age_ms":3600}
 {"time":1900,"uptime_us":800,"host":"host-2","boot":4,"event":"dispatched","request":"r-3","subject":"engine-1","attempt":1}
+{"time":1950,"uptime_us":850,"host":"host-2","boot":4,"event":"attempt_failed","request":"r-4","subject":"engine-1","failure":"timed_out","sent":"true"}
+{"time":1950,"uptime_us":851,"host":"host-2","boot":4,"event":"refused","request":"r-4","reason":"timeout","status":504}
 "#;
 
 fn explain(test: &str, id: &str) -> fake::Output {
@@ -46,6 +48,14 @@
     );
 }
 
+/// Guards against an upstream that is named as the cause although it kept to its time limit.
+#[test]
+fn tells_a_time_limit_from_a_failure() {
+    let output = explain("explain-limit", "r-4");
+    let cause = "(the time for the request was over) after the time limit of engine-1";
+    assert!(output.out.contains(cause), "{}", output.out);
+}
+
 /// Guards against an invented cause for a request whose end is not in the log.
 #[test]
 fn reports_a_missing_end() {
