fix(platform): refuse requests that are still arriving when a host ends

A request whose head or body had arrived in part when the grace period of a stop ended got nothing: the process exited and the connection was closed or reset.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -275,8 +275,10 @@
         Ok(length)
     }
 
-    /// Reads the next bytes of a request. Refuses it if there are none until `deadline`.
+    /// Reads the next bytes of a request. Refuses it if there are none until `deadline`, or until the server refuses
+    /// incomplete requests.
     async fn read_more(&mut self, deadline: time::Instant) -> Result<(), Stop> {
+        let state = self.guard.state.clone();
         self.budget.turn().await;
         let read = async {
             match self.read().await? {
@@ -284,7 +286,8 @@
                 _ => Ok(()),
             }
         };
-        futures_lite::future::or(read, too_slow(deadline)).await
+        let refused = futures_lite::future::or(too_slow(deadline), shutting_down(&state));
+        futures_lite::future::or(read, refused).await
     }
 
     /// Reads a request. Sets its identifier, and counts it as in progress, once its head is read. Returns the request, its
@@ -410,6 +413,12 @@
     Err(refusal::Refusal::TOO_SLOW.into())
 }
 
+/// Waits until the server refuses incomplete requests, and refuses one.
+async fn shutting_down(state: &state::State) -> Result<(), Stop> {
+    state::signalled(&state.refuse_incomplete).await;
+    Err(refusal::Refusal::SHUTTING_DOWN.into())
+}
+
 /// Waits until the server closes its idle connections, and a connection that has just become idle has been so for
 /// [`KEEP_ALIVE_GRACE`].
 async fn idle_closed(state: &state::State) {
--- a/crates/carawaycleat-net/src/server/handle.rs
+++ b/crates/carawaycleat-net/src/server/handle.rs
@@ -43,6 +43,12 @@
         self.state.close_idle.close();
     }
 
+    /// Refuses each request that has arrived only in part, now or later, with status 503, and closes its connection.
+    pub fn refuse_incomplete(&self) {
+        self.state.close_after_responses();
+        self.state.refuse_incomplete.close();
+    }
+
     /// Closes the listener. Connections that callers have opened by then are still accepted. Open connections are closed
     /// after their next response.
     pub fn stop_accepting(&self) {
--- a/crates/carawaycleat-net/src/server/refusal.rs
+++ b/crates/carawaycleat-net/src/server/refusal.rs
@@ -22,6 +22,8 @@
         Self::new(503, "queue_full", "no memory is left for the body");
     pub(super) const TOO_SLOW: Self =
         Self::new(408, "invalid_request", "the request arrived too slowly");
+    pub(super) const SHUTTING_DOWN: Self =
+        Self::new(503, "shutting_down", "the server is shutting down");
     /// For a request that is on its way on a connection that is closed because it was idle.
     pub(super) const IDLE: Self = Self::new(408, "connection_idle", "the connection was idle");
 
--- a/crates/carawaycleat-net/src/server/state.rs
+++ b/crates/carawaycleat-net/src/server/state.rs
@@ -49,6 +49,7 @@
     pub(super) stopping: atomic::AtomicBool,
     pub(super) malformed: atomic::AtomicU64,
     pub(super) close_idle: Signal,
+    pub(super) refuse_incomplete: Signal,
     pub(super) abort: Signal,
     accepted: atomic::AtomicU64,
     /// When the latest connection was accepted.
@@ -64,7 +65,7 @@
     listener_closed: Signal,
     /// Notifies waiting tasks that a counter has reached zero while the server is stopping.
     zero_reached: (async_channel::Sender<()>, async_channel::Receiver<()>),
-    _senders: [async_channel::Sender<convert::Infallible>; 3],
+    _senders: [async_channel::Sender<convert::Infallible>; 4],
 }
 
 impl State {
@@ -75,6 +76,7 @@
     ) -> (Self, Signals) {
         let (accepting_sender, accepting) = async_channel::bounded(1);
         let (close_idle_sender, close_idle) = async_channel::bounded(1);
+        let (refuse_sender, refuse_incomplete) = async_channel::bounded(1);
         let (listening, listener_closed) = async_channel::bounded(1);
         let (abort_sender, abort) = async_channel::bounded(1);
         let state = Self {
@@ -87,6 +89,7 @@
             stopping: atomic::AtomicBool::new(false),
             malformed: atomic::AtomicU64::new(0),
             close_idle,
+            refuse_incomplete,
             abort,
             accepted: atomic::AtomicU64::new(0),
             last_accept: sync::Mutex::default(),
@@ -99,7 +102,12 @@
             accepting: accepting.clone(),
             listener_closed,
             zero_reached: async_channel::bounded(1),
-            _senders: [accepting_sender, close_idle_sender, abort_sender],
+            _senders: [
+                accepting_sender,
+                close_idle_sender,
+                refuse_sender,
+                abort_sender,
+            ],
         };
         let signals = Signals {
             accepting,
--- a/crates/carawaycleat-net/tests/suite/guard.rs
+++ b/crates/carawaycleat-net/tests/suite/guard.rs
@@ -241,6 +241,24 @@
     assert!(started.elapsed() < 20 * SHORT, "{:?}", started.elapsed());
 }
 
+/// Guards against a request that has arrived in part when the server ends, and gets no answer.
+#[yare::parameterized(
+    head = { "GET / HTTP/1.1\r\n" },
+    body = { &post("content-length: 9\r\n", "ab") },
+    chunked_body = { &post("transfer-encoding: chunked\r\n", "1\r\na\r\n") },
+)]
+fn refuses_incomplete_request_of_a_stopping_server(start: &str) {
+    let handle = peer::echo(http::Limits::default());
+    let stream = peer::connect(handle.local_address(), start.as_bytes());
+    // Lets the server read the first part.
+    thread::sleep(SHORT);
+    handle.refuse_incomplete();
+    check(&peer::read_all(&stream), 503, "shutting_down");
+    assert_eq!(handle.counts().requests, 0);
+    drop(stream);
+    futures_lite::future::block_on(handle.drain());
+}
+
 /// Guards against a limit on idle connections that cuts callers which send or read slowly.
 #[yare::parameterized(
     head = { "GET / HTTP/1.1\r\n", "host: a\r\n\r\n", "GET / " },
