fix(relay): don't take crashes under short time limits for time-outs

An upstream that breaks off within 25 ms before the end of its time counts as sound. A request whose whole time is 25 ms or less could therefore crash one upstream after another without a search for a crash, as could one that is sent after a long wait with little time left.

The tolerance is now at most an eighth of the time that the upstream was given.

Test: crash_well_before_a_short_limit_is_none_of_the_limit; its row very_short (20 ms, broken off after 2 ms) failed before, with no probe in place of one.

--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -77,8 +77,9 @@
 const RETURN_TIME: time::Duration = time::Duration::from_millis(40);
 /// An attempt ends early by at most the timeout divided by this.
 const MIN_TIMEOUT_PARTS: u32 = 8;
-/// How long before the deadline an upstream may end an attempt because of it: its clock may run slightly faster.
-const LIMIT_TOLERANCE: time::Duration = time::Duration::from_millis(25);
+/// How long before the deadline an upstream may end an attempt because of it: its clock may run slightly faster. The
+/// tolerance is at most the time given to the upstream divided by [`MIN_TIMEOUT_PARTS`].
+const MAX_LIMIT_TOLERANCE: time::Duration = time::Duration::from_millis(25);
 
 /// The delay of a waiting request in the queue for each priority level below the most urgent one.
 const PRIORITY_DELAY: time::Duration = time::Duration::from_millis(300);
@@ -153,9 +154,11 @@
 }
 
 impl Pending {
-    /// Returns whether the time that upstreams were given for the request is over, so that they may end their attempts.
-    pub(super) fn is_at_limit(&self, now: clock::Instant) -> bool {
-        now + LIMIT_TOLERANCE >= self.upstream_limit
+    /// Returns whether the time that an upstream was given for the attempt that was sent at `sent` is over, so that it may end
+    /// the attempt.
+    pub(super) fn is_at_limit(&self, now: clock::Instant, sent: clock::Instant) -> bool {
+        let given = self.upstream_limit.since(sent);
+        now + MAX_LIMIT_TOLERANCE.min(given / MIN_TIMEOUT_PARTS) >= self.upstream_limit
     }
 
     /// Returns when attempts have to end, so that the final response of a host that takes `delay` for it arrives in time. The
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -85,7 +85,7 @@
             return;
         };
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
-            if response.status == TIMEOUT_STATUS && request.is_at_limit(now) {
+            if response.status == TIMEOUT_STATUS && request.is_at_limit(now, sent) {
                 // It has only kept to the time that it was given.
                 entry.record_progress(now);
             } else {
@@ -370,17 +370,18 @@
             return;
         }
         let request = self.requests.get(&id);
-        let is_at_limit = request.is_some_and(|request| request.is_at_limit(now));
-        let failure = match failure {
-            failure::Failure::BrokenOff if is_at_limit => failure::Failure::TimedOut,
-            failure => failure,
-        };
         let head_received = request.is_some_and(pending::Pending::is_head_received);
         let is_without_event = request.is_some_and(pending::Pending::is_without_event);
         self.unpin_without_event(id);
         let Some((upstream, sent_at)) = self.release(id) else {
             return;
         };
+        let request = self.requests.get(&id);
+        let is_at_limit = request.is_some_and(|request| request.is_at_limit(now, sent_at));
+        let failure = match failure {
+            failure::Failure::BrokenOff if is_at_limit => failure::Failure::TimedOut,
+            failure => failure,
+        };
         self.record_evidence(now, &upstream, failure);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
--- a/crates/carawaycleat-core/tests/suite/relay_late.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_late.rs
@@ -292,6 +292,24 @@
     }
 }
 
+/// Guards against crashes that are never searched for because the requests that cause them have short time limits.
+#[yare::parameterized(
+    very_short = { 20, 2 },
+    short = { 60, 20 },
+)]
+fn crash_well_before_a_short_limit_is_none_of_the_limit(timeout_ms: u64, after_ms: u64) {
+    let mut harness = relay_fake::Harness::new();
+    harness.register(relay_fake::registration("one", "models", &["small"]));
+    let mut request = relay_fake::request("/live/1");
+    request.timeout = Some(relay_fake::millis(timeout_ms));
+    request.prompt = vec![relay_fake::name("part")];
+    let id = harness.arrive(request);
+    let attempt = harness.dispatch(id).attempt;
+    harness.now = harness.now + relay_fake::millis(after_ms);
+    harness.fail_attempt(id, attempt, true);
+    assert_eq!(harness.probes.len(), 1);
+}
+
 /// Guards against a take-up that is refused although the records that it waits for had arrived.
 #[test]
 fn records_that_arrived_meanwhile_are_read_before_a_take_up_is_refused() {
