--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -30,6 +30,19 @@
 const MIN_SEND_RATE: f64 = 1.0;
 
 impl super::Reducer {
+    /// Counts the upstreams that hold what a request needs.
+    pub(super) fn census(
+        &self,
+        now: clock::Instant,
+        request: &pending::Pending,
+    ) -> selection::Census {
+        self.service_of(request)
+            .map_or_else(selection::Census::default, |service| {
+                let selector = self.selector(now, &request.service, &service);
+                selector.census(&self.upstreams, request)
+            })
+    }
+
     /// Sends a request to an upstream, or queues it when none can take it.
     pub(super) fn dispatch_or_queue(
         &mut self,
--- a/crates/carawaycleat-core/src/relay/reducer/lateness.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/lateness.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::clock;
+use crate::relay::event;
 use crate::relay::pending;
 
 /// The time between two ticks of a host that is not late.
@@ -32,6 +33,13 @@
 }
 
 impl super::Reducer {
+    /// Returns when the attempts of a request have to end.
+    pub(super) fn limit(&self, id: event::Id) -> clock::Instant {
+        let delay = self.lateness.delay();
+        let request = self.requests.get(&id);
+        request.map_or_else(clock::Instant::default, |request| request.limit(delay))
+    }
+
     /// Excludes the time by which a tick is late from the silence of upstreams. Returns whether what had arrived by then
     /// goes before the timers, except for deadlines: at the first late tick in a row.
     pub(super) fn discount_lateness(&mut self, now: clock::Instant) -> bool {
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -12,7 +12,6 @@
 use crate::relay::pause;
 use crate::relay::pending;
 use crate::relay::refusal;
-use crate::relay::selection;
 use crate::relay::summary;
 use crate::relay::upstream;
 use crate::timeline;
@@ -445,13 +444,6 @@
         self.retry_or_refuse(now, id, refusal::Reason::UpstreamFailed, effects);
     }
 
-    /// Returns when the attempts of a request have to end.
-    fn limit(&self, id: event::Id) -> clock::Instant {
-        let delay = self.lateness.delay();
-        let request = self.requests.get(&id);
-        request.map_or_else(clock::Instant::default, |request| request.limit(delay))
-    }
-
     /// Retries a request after a failure, or refuses it for `reason`.
     pub(super) fn retry_or_refuse(
         &mut self,
@@ -574,15 +566,6 @@
         ));
     }
 
-    /// Counts the upstreams that hold what a request needs.
-    fn census(&self, now: clock::Instant, request: &pending::Pending) -> selection::Census {
-        self.service_of(request)
-            .map_or_else(selection::Census::default, |service| {
-                let selector = self.selector(now, &request.service, &service);
-                selector.census(&self.upstreams, request)
-            })
-    }
-
     /// Ends a request whose caller has disconnected.
     pub(super) fn handle_disconnect(
         &mut self,
