fix(net): limit how long a connection that was idle is read after its close

A caller who went on sending behind the 408 of an idle connection held the end of a stop for 10 s (seen in review: one byte each 100 ms). The time for which a connection is read after a refusal had become the same for both. An idle connection is read for 1 s at most now.

--- a/crates/carawaycleat-net/src/server/connection.rs
+++ b/crates/carawaycleat-net/src/server/connection.rs
@@ -22,19 +22,31 @@
 use crate::server::state;
 
 const READ_BYTES: usize = 4 * 1024;
-/// How long a closing connection still reads while nothing arrives. Closing a socket with unread bytes resets the
-/// connection, and the caller may then lose the response.
-const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// How long a closing connection still reads in all. A caller may send the whole body before it reads a refusal.
-const MAX_LINGER_TIME: time::Duration = time::Duration::from_secs(10);
+/// How long a closing connection still reads. Closing a socket with unread bytes resets the connection, and the caller may
+/// then lose the response.
+#[derive(Clone, Copy)]
+struct Linger {
+    /// How long while nothing arrives.
+    silence: time::Duration,
+    /// How long in all.
+    total: time::Duration,
+}
+
+/// A caller may send the whole body before it reads a refusal.
+const LINGER: Linger = Linger {
+    silence: time::Duration::from_secs(1),
+    total: time::Duration::from_secs(10),
+};
+/// For a connection that is closed because it was idle. A request that crosses the close arrives within a round trip.
+const IDLE_LINGER: Linger = Linger {
+    silence: time::Duration::from_millis(250),
+    total: time::Duration::from_secs(1),
+};
 /// How many bytes a closing connection still reads.
 const MAX_LINGER_BYTES: usize = 16 * 1024 * 1024;
 /// How long a connection stays open after it was accepted, or after a response whose head promised to keep it, even if
 /// idle connections are being closed. The caller's next request may follow at once; a round trip takes some milliseconds.
 const KEEP_ALIVE_GRACE: time::Duration = time::Duration::from_millis(250);
-/// How long a connection that is closed because it was idle still reads. A request that crosses the close arrives within a
-/// round trip.
-const IDLE_LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
 /// Why no request was received from a connection.
 enum Stop {
@@ -176,7 +188,7 @@
     /// Closes a connection after a response whose head has said so.
     async fn close(mut self) {
         let since = time::Instant::now();
-        linger(&self.stream, &mut self.buffer, LINGER_TIMEOUT).await;
+        linger(&self.stream, &mut self.buffer, LINGER).await;
         self.report_discarded(since);
     }
 
@@ -192,9 +204,10 @@
         }
         let since = time::Instant::now();
         let refusal = refusal::Refusal::IDLE;
-        let timeout = IDLE_LINGER_TIMEOUT;
+        let stall_timeout = IDLE_LINGER.silence;
         let discarded = &mut self.buffer;
-        let written = write_refusal(&self.stream, refusal, timeout, timeout, discarded).await;
+        let written =
+            write_refusal(&self.stream, refusal, stall_timeout, IDLE_LINGER, discarded).await;
         self.report_unserved(since, written.err().unwrap_or(refusal.reason()));
     }
 
@@ -396,14 +409,7 @@
         let since = time::Instant::now();
         let stall_timeout = state.limits().write_stall_timeout;
         let discarded = &mut Vec::new();
-        let written = write_refusal(
-            &self.stream,
-            refusal,
-            stall_timeout,
-            LINGER_TIMEOUT,
-            discarded,
-        )
-        .await;
+        let written = write_refusal(&self.stream, refusal, stall_timeout, LINGER, discarded).await;
         if let Err(reason) = written {
             state.report(entry::Entry::new(None, since).unanswered(reason));
         }
@@ -453,7 +459,7 @@
     let write = async {
         // The refusal is reported, and no request was read that could be lost.
         let discarded = &mut Vec::new();
-        let _ = write_refusal(&stream, refusal, LINGER_TIMEOUT, LINGER_TIMEOUT, discarded).await;
+        let _ = write_refusal(&stream, refusal, LINGER.silence, LINGER, discarded).await;
     };
     futures_lite::future::or(state::signalled(&abort), write).await;
 }
@@ -464,7 +470,7 @@
     stream: &async_io::Async<net::TcpStream>,
     refusal: refusal::Refusal,
     stall_timeout: time::Duration,
-    linger_timeout: time::Duration,
+    patience: Linger,
     discarded: &mut Vec<u8>,
 ) -> encoder::Result<()> {
     let method = http_types::Method::Get;
@@ -480,28 +486,28 @@
         discarded,
     )
     .await?;
-    linger(stream, discarded, linger_timeout).await;
+    linger(stream, discarded, patience).await;
     Ok(())
 }
 
-/// Closes the sending side and reads until the caller closes its own, until nothing arrives for `timeout`, and up to
-/// [`MAX_LINGER_TIME`] and [`MAX_LINGER_BYTES`]. What is read is discarded, except for the first bytes, which are appended
-/// to `buffer` while it has less than [`READ_BYTES`].
+/// Closes the sending side and reads until the caller closes its own, up to the times of `patience` and
+/// [`MAX_LINGER_BYTES`]. What is read is discarded, except for the first bytes, which are appended to `buffer` while it has
+/// less than [`READ_BYTES`].
 async fn linger(
     mut stream: &async_io::Async<net::TcpStream>,
     buffer: &mut Vec<u8>,
-    timeout: time::Duration,
+    patience: Linger,
 ) {
     if stream.get_ref().shutdown(net::Shutdown::Write).is_err() {
         return;
     }
-    let end = time::Instant::now() + MAX_LINGER_TIME;
+    let end = time::Instant::now() + patience.total;
     let mut discard = [0; READ_BYTES];
     let mut budget = budget::Budget::default();
     let mut total = 0;
     while total < MAX_LINGER_BYTES {
         budget.turn().await;
-        let deadline = end.min(time::Instant::now() + timeout);
+        let deadline = end.min(time::Instant::now() + patience.silence);
         let expired = async {
             async_io::Timer::at(deadline).await;
             Ok(0)
--- a/crates/carawaycleat-net/tests/suite/idle.rs
+++ b/crates/carawaycleat-net/tests/suite/idle.rs
@@ -4,6 +4,7 @@
 use std::net;
 use std::sync;
 use std::sync::atomic;
+use std::thread;
 use std::time;
 
 use carawaycleat_net as http;
@@ -78,6 +79,29 @@
     assert!(reports.is_empty());
 }
 
+/// Guards against a stop that waits for a caller who goes on sending on a connection that was closed because it was idle.
+#[test]
+fn caller_that_keeps_sending_does_not_hold_the_stop() {
+    const BOUND: time::Duration = time::Duration::from_secs(3);
+    let server = http::Server::bind(([127, 0, 0, 1], 0)).expect("a free port");
+    let handle = server.start(peer::background(), |_| async {
+        http::Response::new(200).body("done")
+    });
+    let stream = peer::connect(handle.local_address(), &get(1));
+    peer::read_until(&stream, "done");
+    close_idle(&handle);
+    wait_for_bytes(&stream);
+    let started = time::Instant::now();
+    thread::spawn(move || {
+        // The server ends the connection at the latest when it drops it.
+        while started.elapsed() < 4 * BOUND && (&stream).write_all(b"x").is_ok() {
+            thread::sleep(SHORT);
+        }
+    });
+    futures_lite::future::block_on(handle.drain());
+    assert!(started.elapsed() < BOUND, "{:?}", started.elapsed());
+}
+
 /// Guards against reports of idle connections whose callers send nothing, and against a stop that waits for such callers.
 #[test]
 fn closes_silent_connections_without_a_report() {
