--- a/crates/carawaycleat-core/tests/suite/balance_fleet.rs
+++ b/crates/carawaycleat-core/tests/suite/balance_fleet.rs
@@ -273,6 +273,32 @@
     assert_eq!(fleet.moved(), moved);
 }
 
+/// Guards against callers who leave a host that stands still and never come back: its entry does not lapse, and it writes it
+/// anew when it goes on.
+#[yare::parameterized(
+    one_zone = { 1, 2 },
+    four_zones = { 4, 4 },
+)]
+fn callers_return_to_a_host_that_stood_still(zones: usize, hosts: usize) {
+    let mut fleet = Fleet::new(zones, hosts, 0);
+    let before = fleet.run(10.0);
+    fleet.hosts[1].in_service = false;
+    fleet.hosts[1].is_running = false;
+    fleet.run(3.5);
+    fleet.hosts[1].is_running = true;
+    fleet.revision += 1;
+    let changes = balance_suite::joined(1, 1 % zones, fleet.revision);
+    fleet.tell(1, &changes);
+    fleet.run(0.5);
+    fleet.hosts[1].in_service = true;
+    fleet.run(9.5);
+    let after = fleet.run(4.0);
+    assert!(
+        after <= (before * 1.15).max(1.5),
+        "{before:.2} before, {after:.2} after"
+    );
+}
+
 /// Guards against hosts that close connections while the coordinator is gone, and shows what the return of callers is for.
 #[test]
 fn callers_stay_without_a_coordinator() {
