--- a/crates/carawaycleat-core/tests/suite/balance_fleet.rs
+++ b/crates/carawaycleat-core/tests/suite/balance_fleet.rs
@@ -226,6 +226,15 @@
         }
     }
 
+    /// Checks the busiest host's part of the requests, in terms of an equal part, against the one before.
+    fn assert_even(&mut self, before: f64) {
+        let after = self.run(4.0);
+        assert!(
+            after <= (before * 1.15).max(1.5),
+            "{before:.2} before, {after:.2} after"
+        );
+    }
+
     fn moved(&self) -> u32 {
         self.hosts.iter().map(|host| host.moved).sum()
     }
@@ -249,11 +258,7 @@
     let before = fleet.run(10.0);
     fleet.restart(stopped, gap);
     fleet.run(9.3);
-    let after = fleet.run(4.0);
-    assert!(
-        after <= (before * 1.15).max(1.5),
-        "{before:.2} before, {after:.2} after"
-    );
+    fleet.assert_even(before);
 }
 
 /// Guards against the cost of new connections: none while the fleet is complete, none for ever at a host whose natural share
@@ -292,11 +297,7 @@
     fleet.run(0.5);
     fleet.hosts[1].in_service = true;
     fleet.run(9.5);
-    let after = fleet.run(4.0);
-    assert!(
-        after <= (before * 1.15).max(1.5),
-        "{before:.2} before, {after:.2} after"
-    );
+    fleet.assert_even(before);
 }
 
 /// Guards against hosts that close connections while the coordinator is gone, and shows what the return of callers is for.
