--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -12,7 +12,7 @@
 pub struct Host {
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    pub log: PathBuf,
+    log: PathBuf,
     settings: PathBuf,
     child: Child,
 }
@@ -160,13 +160,6 @@
         self.child = Self::spawn(repository, &self.settings, &self.log);
     }
 
-    /// Kills the process and starts it again after `pause`.
-    pub fn restart(&mut self, repository: &Path, pause: Duration) {
-        self.kill();
-        thread::sleep(pause);
-        self.child = Self::spawn(repository, &self.settings, &self.log);
-    }
-
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -48,12 +48,14 @@
         has_trouble,
         now_ms: now.as_millis() as u64,
     };
-    let code = match case.as_str() {
+    let run = || match case.as_str() {
         "roll" => roll::run(&setup),
         "take-up" => take_up::run(&setup),
         "versions" => versions::run(&setup),
         _ => 2,
     };
+    // The processes of the case end with it, also when it fails.
+    let code = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)).unwrap_or(2);
     setup.record.line(&format!("exit code {code}"));
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&temporary);
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -81,16 +81,6 @@
         self.state.lock().expect("a lock").put(key, value, 0);
     }
 
-    /// Removes a key.
-    pub fn remove(&self, key: &str) {
-        self.state.lock().expect("a lock").remove(key);
-    }
-
-    /// Returns the text of a key.
-    pub fn has(&self, key: &str) -> bool {
-        self.state.lock().expect("a lock").items.contains_key(key)
-    }
-
     fn handle(&self, request: &http::Request) -> (u16, String) {
         let path = request.path();
         let number = |name: &str| request.query(name).parse::<u64>().unwrap_or(0);
