Add review case 9: streams refused when the only engine of their version with their model crashes

The placement knows no software versions. When the only engine of a version that holds a model crashes, its streams wait, and most are refused when callers take them up, while other engines of that version serve.

--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -145,9 +145,14 @@
         command.spawn().expect("the program, which the build of the deploy file makes")
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([format!("-{name}"), self.id().to_string()]).status();
+    }
+
     /// Sends SIGTERM to the process and waits until it has ended, as it has to within the grace period, or kills it then.
     pub fn stop(&mut self, grace: Duration) {
-        let _ = Command::new("kill").args(["-TERM", &self.id().to_string()]).status();
+        self.signal("TERM");
         let end = Instant::now() + grace;
         while !self.has_ended() && Instant::now() < end {
             thread::sleep(Duration::from_millis(20));
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,10 +4,12 @@
 //! environment, a case does the same without the disruption.
 
 mod engine;
+mod freeze;
 mod host;
 mod http;
 mod json;
 mod link;
+mod model;
 mod random;
 mod record;
 mod roll;
@@ -49,6 +51,8 @@
         now_ms: now.as_millis() as u64,
     };
     let run = || match case.as_str() {
+        "freeze" => freeze::run(&setup),
+        "model" => model::run(&setup),
         "roll" => roll::run(&setup),
         "take-up" => take_up::run(&setup),
         "versions" => versions::run(&setup),
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -81,6 +81,11 @@
         self.state.lock().expect("a lock").put(key, value, 0);
     }
 
+    /// Removes a key, as the platform does with the entry of an engine that is gone.
+    pub fn remove(&self, key: &str) {
+        self.state.lock().expect("a lock").remove(key);
+    }
+
     fn handle(&self, request: &http::Request) -> (u16, String) {
         let path = request.path();
         let number = |name: &str| request.query(name).parse::<u64>().unwrap_or(0);
