--- a/review/standins-2/versions.rs
+++ b/review/standins-2/versions.rs
@@ -17,11 +17,13 @@
 const EVENTS: u64 = 60;
 /// The callers that begin a stream at the same time in each round.
 const CALLERS: usize = 24;
-const ROUNDS: usize = 18;
-const ROUND_TIME: Duration = Duration::from_millis(5_400);
+const ROUNDS: usize = 21;
+const ROUND_TIME: Duration = Duration::from_millis(4_900);
 /// The silences of one engine in a round, another one in the next: as the callers come, and during the streams. Each is
 /// shorter than a second.
-const SILENCE_MS: std::ops::Range<u64> = 650..950;
+const FIRST_SILENCE_MS: std::ops::Range<u64> = 640..800;
+const SECOND_SILENCE_MS: std::ops::Range<u64> = 800..950;
+/// When the second one begins in a round.
 const SECOND_SILENCE: Duration = Duration::from_millis(2_000);
 /// More streams than this that hold events of two versions break the rule.
 const MAX_MIXED: u64 = 2;
@@ -66,12 +68,12 @@
     for round in 0..ROUNDS {
         let begun = Instant::now();
         let engine = &engines[round % engines.len()];
-        let fall_silent = || {
+        let fall_silent = |time| {
             if setup.has_trouble {
-                engine.fall_silent(Duration::from_millis(random::between(SILENCE_MS)));
+                engine.fall_silent(Duration::from_millis(random::between(time)));
             }
         };
-        fall_silent();
+        fall_silent(FIRST_SILENCE_MS);
         let callers: Vec<_> = (0..CALLERS)
             .map(|number| {
                 let (counts, mixed, record) = (counts.clone(), mixed.clone(), setup.record.clone());
@@ -95,7 +97,7 @@
             })
             .collect();
         thread::sleep(SECOND_SILENCE);
-        fall_silent();
+        fall_silent(SECOND_SILENCE_MS);
         for caller in callers {
             let _ = caller.join();
         }
