--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -34,6 +34,8 @@
 pub use allowance::Allowance;
 pub use command::Command;
 pub use command::Dispatch;
+pub use config::Balancing;
+pub use config::ColdStart;
 pub use config::Config;
 pub use config::EngineSpec;
 pub use config::Kind;
--- a/crates/carawaycleat-core/src/relay/config.rs
+++ b/crates/carawaycleat-core/src/relay/config.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Returns whether it is for streams whose latency objective is short.
+    #[must_use]
+    pub fn is_urgent_stream(&self) -> bool {
+        self.kind == Kind::Streaming
+            && !self.objective.is_zero()
+            && self.objective <= URGENT_OBJECTIVE
+    }
+
     /// Returns the service for a request, selected by `seed` according to the weights; none when there are no targets.
     #[must_use]
     pub fn select_service(&self, seed: u64) -> Option<&name::Name> {
@@ -110,6 +118,31 @@
     pub adapters: Vec<name::Name>,
 }
 
+/// The latency objective of a stream up to which it is urgent. Up to this time, waiting behind the prompt of one other request
+/// takes a large part of the objective, so that the number of requests in progress does not tell whether it is met.
+const URGENT_OBJECTIVE: time::Duration = time::Duration::from_millis(450);
+
+/// What the load of a deployment is measured by when requests, replicas and connections are distributed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Balancing {
+    /// The number of requests.
+    #[default]
+    Requests,
+    /// The expected work of the requests. Selected by configurations with urgent streams.
+    Work,
+}
+
+/// How an upstream is limited for some time after its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long it is cold.
+    pub duration: time::Duration,
+    /// The requests per second of all hosts together that it takes meanwhile.
+    pub rate: f64,
+}
+
 /// The capacity of the engines of a model service.
 #[derive(Clone, Debug)]
 pub struct EngineSpec {
@@ -125,6 +158,8 @@
     pub adapter_slots: usize,
     /// The maximum number of loads from the weight store that start per second, over all engines.
     pub loads_per_second: f64,
+    /// What the load of the deployment is measured by.
+    pub balancing: Balancing,
 }
 
 /// A group of interchangeable upstreams.
@@ -134,6 +169,10 @@
     pub max_connections: usize,
     /// The capacity of its engines; none for a service without models.
     pub engine: Option<EngineSpec>,
+    /// How its upstreams are limited after a start; none if they are not.
+    pub cold_start: Option<ColdStart>,
+    /// What the load of the deployment is measured by.
+    pub balancing: Balancing,
 }
 
 /// A workspace and its allowance of tokens.
@@ -180,7 +219,7 @@
 type Prefixes = collections::HashMap<sync::Arc<str>, sync::Arc<Route>>;
 
 impl Config {
-    /// Returns a configuration with indexes of the routes and keys.
+    /// Returns a configuration with indexes of the routes and keys. Urgent streams select [`Balancing::Work`] for all services.
     #[must_use]
     pub fn new(
         version: u64,
@@ -189,6 +228,11 @@
         workspaces: Vec<Workspace>,
         limits: Option<Limits>,
     ) -> Self {
+        let balancing = if routes.iter().any(Route::is_urgent_stream) {
+            Balancing::Work
+        } else {
+            Balancing::Requests
+        };
         let mut hosts = collections::HashMap::<_, Prefixes>::new();
         for route in routes {
             let prefixes = hosts.entry(route.host.clone()).or_default();
@@ -205,7 +249,7 @@
                 .map(move |digest| (*digest, grant.clone()))
         });
         let keys = grants.collect();
-        Self {
+        let config = Self {
             version,
             routes: hosts,
             services: services
@@ -218,7 +262,21 @@
                 .map(|workspace| (workspace.name.clone(), workspace))
                 .collect(),
             limits,
+        };
+        config.with_balancing(balancing)
+    }
+
+    /// Sets what the load is measured by, in place of what the routes select.
+    #[must_use]
+    pub fn with_balancing(mut self, balancing: Balancing) -> Self {
+        for service in self.services.values_mut() {
+            let service = sync::Arc::make_mut(service);
+            service.balancing = balancing;
+            if let Some(engine) = &mut service.engine {
+                engine.balancing = balancing;
+            }
         }
+        self
     }
 
     /// Returns the version, which grows with each change.
--- a/crates/carawaycleat-core/src/relay/policy.rs
+++ b/crates/carawaycleat-core/src/relay/policy.rs
@@ -1,3 +1,5 @@
+use super::config;
+
 /// How an upstream is selected among those with a free slot.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(serde::Deserialize)]
@@ -33,4 +35,6 @@
     pub routing: Routing,
     /// The order in which waiting requests are sent.
     pub queue: Queue,
+    /// What the load is measured by; none to follow the configuration.
+    pub balancing: Option<config::Balancing>,
 }
--- a/crates/carawaycleat-core/src/relay/registration.rs
+++ b/crates/carawaycleat-core/src/relay/registration.rs
@@ -46,6 +46,8 @@
     pub state: State,
     /// The time left until it stops, where it is known.
     pub remaining: Option<time::Duration>,
+    /// The time until it is no longer limited after its start, as of when the entry was written; none when the entry gives none.
+    pub cold_remaining: Option<time::Duration>,
     /// The models that it holds, each with the adapters listed in the entry.
     pub models: collections::BTreeMap<name::Name, Vec<name::Name>>,
     /// The models whose weights are in its host memory.
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -62,6 +62,7 @@
         weight_memory_mb: 200_000.0,
         adapter_slots: 2,
         loads_per_second: 1.4,
+        balancing: relay::Balancing::Requests,
     }
 }
 
@@ -91,10 +92,14 @@
     let plain = relay::Service {
         max_connections: 100,
         engine: None,
+        cold_start: None,
+        balancing: relay::Balancing::Requests,
     };
     let models = relay::Service {
         max_connections: 100,
         engine: Some(engine(&["small", "large", "rare"])),
+        cold_start: None,
+        balancing: relay::Balancing::Requests,
     };
     let services = [(name("plain"), plain), (name("models"), models)];
     relay::Config::new(
@@ -117,6 +122,7 @@
         slots: 4,
         state: relay::State::Ready,
         remaining: None,
+        cold_remaining: None,
         models: models.iter().map(|text| (name(text), Vec::new())).collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
--- a/crates/carawaycleat-core/tests/suite/relay_origin.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_origin.rs
@@ -624,6 +624,8 @@
     let service = || relay::Service {
         max_connections: 100,
         engine: Some(relay_fake::engine(&["small"])),
+        cold_start: None,
+        balancing: relay::Balancing::Requests,
     };
     let services = ["models", "other"].map(|text: &str| (relay_fake::name(text), service()));
     relay::Config::new(
