--- a/crates/carawaycleat-core/src/relay/config.rs
+++ b/crates/carawaycleat-core/src/relay/config.rs
@@ -285,6 +285,13 @@
         self.version
     }
 
+    /// Returns what the load is measured by.
+    #[must_use]
+    pub fn balancing(&self) -> Balancing {
+        let service = self.services.values().next();
+        service.map_or_else(Balancing::default, |service| service.balancing)
+    }
+
     /// Returns the limits on requests and connections; none means the defaults of the server.
     #[must_use]
     pub fn limits(&self) -> Option<Limits> {
