feat(relay,coordinator): limit requests to cold engines and apply evacuations

Cause: engines that are cold after a start crash above cold_per_s, and hosts sent them full traffic. Availability zones that an operator evacuates got requests as before.

Change: cold::Starts derives from entries, responses and ends of evacuations which engines are cold. The coordinator permits requests up to a ceiling per host (coordinator::cold), so that any window of a second stays within cold_overshoot and cold_slack whatever reports and views are lost, late or doubled; hosts apply it in relay::cold and send a little without a view. The key op/evacuate/ZONE takes upstreams out of the selection, of reserved slots and of the plan. Reports name the evacuations that hosts apply.

--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -4,9 +4,11 @@
 //! The entry host that holds the coordinator's lease runs a [`Reducer`]. It receives the reports of all hosts and the
 //! status of all engines, and sends orders to engines only while [`Term`] guarantees that no other host can send any.
 
+mod cold;
 mod effect;
 mod election;
 mod engine;
+mod evacuation;
 mod event;
 mod history;
 mod holders;
@@ -19,6 +21,7 @@
 mod share;
 mod term;
 
+pub use cold::Bound;
 pub use effect::Effect;
 pub use election::Candidacy;
 pub use election::Delays;
--- a/crates/carawaycleat-core/src/coordinator/event.rs
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -1,3 +1,5 @@
+use std::time;
+
 use crate::name;
 use crate::relay;
 
@@ -67,6 +69,21 @@
         /// All workspaces.
         workspaces: Vec<relay::Workspace>,
     },
+    /// The limits after a start have changed to these, by service.
+    ColdStartsConfigured(Vec<(name::Name, relay::ColdStart)>),
+    /// All entries in the store have been read.
+    Listed,
+    /// An upstream has said in a response for how long it is still cold after a start.
+    UpstreamCold {
+        /// The upstream.
+        upstream: name::Name,
+        /// The time left.
+        remaining: time::Duration,
+    },
+    /// An operator has evacuated an availability zone.
+    ZoneEvacuated(name::Name),
+    /// The evacuation of an availability zone has ended.
+    EvacuationEnded(name::Name),
     /// The set of entry hosts that may serve requests has changed to this one.
     HostsChanged(Vec<name::Name>),
     /// The registration of an upstream has been added or changed.
--- a/crates/carawaycleat-core/src/coordinator/options.rs
+++ b/crates/carawaycleat-core/src/coordinator/options.rs
@@ -1,5 +1,7 @@
 use std::time;
 
+use super::cold;
+
 /// Limits and thresholds of the coordinator.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -32,6 +34,8 @@
     pub rebalances: bool,
     /// The minimum time between the arrival of a replica and its eviction.
     pub min_residency: time::Duration,
+    /// The requests that a cold upstream may get in a second.
+    pub cold_bound: cold::Bound,
 }
 
 impl Default for Options {
@@ -51,6 +55,7 @@
             rebalances: true,
             conflict_backoff: time::Duration::from_millis(120),
             min_residency: time::Duration::from_millis(1_500),
+            cold_bound: cold::Bound::default(),
         }
     }
 }
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -105,6 +105,7 @@
         let engines = state.engines.values().filter(|engine| {
             engine.registration.service == *service
                 && engine.registration.state == relay::State::Ready
+                && !state.is_evacuated(engine)
         });
         let mut planner = Self {
             now,
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -3,8 +3,10 @@
 use std::collections;
 use std::time;
 
+use super::cold;
 use super::effect;
 use super::engine;
+use super::evacuation;
 use super::event;
 use super::limit;
 use super::options;
@@ -76,6 +78,8 @@
     shares: share::Shares,
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
+    cold: cold::Division,
+    evacuations: evacuation::Evacuations,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -95,6 +99,8 @@
     #[must_use]
     pub fn new(options: options::Options) -> Self {
         Self {
+            cold: cold::Division::new(options.cold_bound),
+            evacuations: evacuation::Evacuations::default(),
             options,
             epoch: 0,
             elected_at: None,
@@ -135,9 +141,31 @@
                     self.shares.configure(now, workspaces);
                 }
             }
-            event::Event::HostsChanged(hosts) => self.shares.set_hosts(hosts),
-            event::Event::UpstreamUpdated(registration) => self.update_engine(now, *registration),
+            event::Event::ColdStartsConfigured(services) => self.cold.configure(services),
+            event::Event::Listed => self.cold.record_listing(),
+            event::Event::UpstreamCold {
+                upstream,
+                remaining,
+            } => self
+                .cold
+                .starts
+                .record_response(now, &upstream, None, remaining),
+            event::Event::ZoneEvacuated(zone) => self.evacuations.begin(now, zone),
+            event::Event::EvacuationEnded(zone) => {
+                if self.evacuations.end(&zone) {
+                    self.cold.starts.record_evacuation_end(now, &zone);
+                }
+            }
+            event::Event::HostsChanged(hosts) => {
+                self.cold.set_hosts(&hosts);
+                self.shares.set_hosts(hosts);
+            }
+            event::Event::UpstreamUpdated(registration) => {
+                self.cold.record_entry(now, &registration);
+                self.update_engine(now, *registration);
+            }
             event::Event::UpstreamRemoved(id) => {
+                self.cold.starts.record_removal(now, &id);
                 self.engines.remove(&id);
             }
             event::Event::Reported(report) => self.record_report(now, *report),
@@ -160,6 +188,8 @@
         self.hosts.clear();
         self.reservations = reservation::Reservations::default();
         self.limits = limit::Limits::default();
+        self.cold.begin_term(now);
+        self.evacuations.begin_term();
         self.shares.restart(now);
         let registrations: Vec<_> = self
             .engines
@@ -216,6 +246,7 @@
         self.shares.record_usage(now, &report.host, &report.usage);
         self.reservations.record_report(&report);
         self.limits.record_report(now, &report);
+        self.cold.record_report(now, self.epoch, &report);
         let host = report.host.clone();
         self.hosts.insert(
             host,
@@ -349,6 +380,8 @@
             .retain_hosts(|host| self.hosts.contains_key(host));
         self.limits
             .retain(now, |host| self.hosts.contains_key(host));
+        self.cold.tick(now, may_order);
+        self.record_evacuations(now, effects);
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
         self.adapter_demand.remove_idle(now, DEMAND_RETENTION);
         let window = self.options.load_window;
@@ -371,6 +404,10 @@
                 let decision = timeline::Decision::new("limits").with("upstreams", summary);
                 effects.push(effect::Effect::Record(decision));
             }
+            if let Some(summary) = self.cold.summary(now) {
+                let decision = timeline::Decision::new("cold_limits").with("upstreams", summary);
+                effects.push(effect::Effect::Record(decision));
+            }
         }
         if self.is_isolated(now) {
             self.elected_at = None;
@@ -385,6 +422,25 @@
         }
     }
 
+    /// Logs evacuations that have ended, and those that all registered hosts have reported to apply.
+    fn record_evacuations(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
+        let hosts = &self.hosts;
+        let applies = |host: &name::Name, zone: &name::Name| {
+            let host = hosts.get(host);
+            host.is_some_and(|host| host.report.evacuated.contains(zone))
+        };
+        let shares = &self.shares;
+        let records = self.evacuations.records(now, |zone| {
+            shares.host_count() > 0 && shares.hosts().all(|host| applies(host, zone))
+        });
+        effects.extend(records.into_iter().map(effect::Effect::Record));
+    }
+
+    /// Returns whether an engine is in an evacuated availability zone, so that it gets no requests.
+    pub(super) fn is_evacuated(&self, engine: &engine::Engine) -> bool {
+        self.evacuations.contains(&engine.registration.zone)
+    }
+
     /// Returns whether most hosts cannot reach this one: fewer than half have reported within the host timeout.
     fn is_isolated(&self, now: clock::Instant) -> bool {
         let hosts = self.shares.host_count();
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -36,7 +36,9 @@
             None => (0, true, Vec::new()),
         };
         let grants = self.shares.grant(now, &token_requests, &reporting);
+        self.cold.prepare(now, host, report_number);
         self.reserve_slots(host);
+        let cold = self.cold.permit(now, host, report_number);
         let permits = self.limits.permit(now, host, report_number);
         let ready_in_ms = self.ready_in_ms(now);
         let engines = self.engine_views(now, host, full);
@@ -52,6 +54,7 @@
             permits,
             leaving: self.departures.among(&self.engines),
             loads: self.loads(),
+            cold,
         }
     }
 
@@ -75,6 +78,9 @@
     fn ready_in_ms(&self, now: clock::Instant) -> Vec<(name::Name, u64)> {
         let mut ready_in_ms = collections::BTreeMap::new();
         for engine in self.engines.values() {
+            if self.is_evacuated(engine) {
+                continue;
+            }
             if let Some((model, ready_at)) = engine.loading() {
                 let remaining_ms = millis(now, ready_at) + READY_SLACK_MS;
                 let entry = ready_in_ms.entry(model.clone()).or_insert(remaining_ms);
@@ -103,10 +109,11 @@
                 let holders = self
                     .engines
                     .iter()
-                    .filter(|(_, engine)| engine.can_run(demand));
+                    .filter(|(_, engine)| engine.can_run(demand) && !self.is_evacuated(engine));
                 let free = holders.map(|(id, engine)| {
                     let slots = engine.slots(spec);
                     let free = self.reservations.free_slots(id, slots);
+                    let free = self.cold.available(id).map_or(free, |cold| free.min(cold));
                     (
                         self.limits
                             .available(id)
@@ -118,6 +125,7 @@
                     Some((1.., id)) => {
                         self.reservations.reserve(host, id);
                         self.limits.reserve(host, id);
+                        self.cold.reserve(id);
                     }
                     _ => break,
                 }
--- a/crates/carawaycleat-core/src/coordinator/share.rs
+++ b/crates/carawaycleat-core/src/coordinator/share.rs
@@ -92,6 +92,11 @@
         self.hosts = hosts.into_iter().collect();
     }
 
+    /// Returns the hosts that may serve requests.
+    pub(super) fn hosts(&self) -> impl Iterator<Item = &name::Name> {
+        self.hosts.iter()
+    }
+
     /// Returns the number of hosts that may serve requests.
     pub(super) fn host_count(&self) -> usize {
         self.hosts.len()
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -6,6 +6,7 @@
 //! the fleet ([`View`]).
 
 mod allowance;
+mod cold;
 mod command;
 mod config;
 pub(crate) mod departure;
@@ -64,6 +65,8 @@
 pub use refusal::Refusal;
 pub use registration::Registration;
 pub use registration::State;
+pub use report::ColdUpstream;
+pub use report::Colds;
 pub use report::Demand;
 pub use report::Limit;
 pub use report::Report;
@@ -72,6 +75,8 @@
 pub use summary::Outcome;
 pub use summary::Summary;
 pub use upstream::Upstream;
+pub use view::ColdPermit;
+pub use view::ColdPermits;
 pub use view::EngineView;
 pub use view::Permit;
 pub use view::Share;
--- a/crates/carawaycleat-core/src/relay/command.rs
+++ b/crates/carawaycleat-core/src/relay/command.rs
@@ -40,6 +40,9 @@
     pub remaining: time::Duration,
     /// When the attempt was decided on.
     pub decided: clock::Instant,
+    /// The end of the time in which it may leave; none for any time. Later the request is not sent, as one that this host
+    /// could not send.
+    pub latest_departure: Option<clock::Instant>,
     /// The time limit for the head of the response.
     pub response_timeout: time::Duration,
     /// Whether the attempt in progress goes on beside this one.
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -83,6 +83,19 @@
         /// The start of its process when the request was sent; none when that is not known.
         started: Option<u64>,
     },
+    /// An upstream has said in a response for how long it is still cold after a start.
+    UpstreamCold {
+        /// The upstream.
+        upstream: name::Name,
+        /// The start of its process when the request was sent; none when that is not known.
+        started: Option<u64>,
+        /// The time left.
+        remaining: time::Duration,
+    },
+    /// An operator has evacuated an availability zone.
+    ZoneEvacuated(name::Name),
+    /// The evacuation of an availability zone has ended.
+    EvacuationEnded(name::Name),
     /// The registration of an upstream has been removed from the store.
     UpstreamRemoved(name::Name),
     /// An upstream has been probed after responses from it broke off.
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1,4 +1,5 @@
 mod admission;
+mod cold;
 mod crash;
 mod dispatch;
 mod lateness;
@@ -15,6 +16,7 @@
 use std::time;
 
 use super::allowance;
+use super::cold as cold_start;
 use super::config;
 use super::departure;
 use super::effect;
@@ -29,6 +31,7 @@
 use super::view;
 use crate::balance;
 use crate::clock;
+use crate::evacuation;
 use crate::meter;
 use crate::name;
 use crate::quarantine;
@@ -87,6 +90,10 @@
     departures: departure::Departures,
     /// The pauses of upstreams whose entries are gone.
     pauses: pause::Pauses,
+    /// The upstreams that are cold after a start.
+    cold: cold_start::State,
+    /// The availability zones whose upstreams get no requests.
+    evacuated: evacuation::Set,
     upstreams: upstream::Table,
     requests: collections::HashMap<event::Id, pending::Pending>,
     /// The requests that wait for an upstream, the most urgent first.
@@ -143,6 +150,8 @@
             restoration: restoration::Restoration::default(),
             departures: departure::Departures::default(),
             pauses: pause::Pauses::default(),
+            cold: cold_start::State::default(),
+            evacuated: evacuation::Set::default(),
             upstreams: upstream::Table::new(),
             requests: collections::HashMap::new(),
             waiting: collections::BTreeSet::new(),
@@ -304,6 +313,13 @@
             event::Event::UpstreamLeaving { upstream, started } => {
                 self.record_leaving(now, &upstream, started, &mut effects);
             }
+            event::Event::UpstreamCold {
+                upstream,
+                started,
+                remaining,
+            } => self.record_cold(now, &upstream, started, remaining, &mut effects),
+            event::Event::ZoneEvacuated(zone) => self.evacuate(now, zone, &mut effects),
+            event::Event::EvacuationEnded(zone) => self.end_evacuation(now, &zone, &mut effects),
             event::Event::UpstreamRemoved(id) => self.remove_upstream(now, &id, &mut effects),
             event::Event::UpstreamProbed { upstream, probe } => {
                 self.handle_probe(now, &upstream, probe, &mut effects);
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -166,7 +166,7 @@
         let is_limited = self
             .upstreams
             .values()
-            .any(|entry| entry.limit.is_some() && entry.registration.service == queue.0);
+            .any(|entry| entry.limits_requests(now) && entry.registration.service == queue.0);
         // The coordinator divides the slots of engines, and the requests under a limit, among the hosts that report
         // waiting requests.
         if self.waiting.insert(key) && (needs_model || is_limited) {
@@ -259,6 +259,7 @@
         upstream: &name::Name,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let latest_departure = self.latest_departure(now, upstream);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -311,6 +312,7 @@
             priority: request.priority.min(9),
             remaining,
             decided: now,
+            latest_departure,
             response_timeout: remaining,
             keeps_previous: !request.standbys.is_empty(),
             repeatable: request.may_repeat(),
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -3,7 +3,6 @@
 use std::collections;
 
 use crate::clock;
-use crate::name;
 use crate::relay::limit;
 use crate::relay::report;
 use crate::relay::upstream;
@@ -39,6 +38,7 @@
             }
         }
         let limits = self.limits(now);
+        let colds = self.cold_report(now, self.report_count);
         let demands = self.demands.drain().map(|(key, tokens)| {
             let waiting = waiting.get(&key).copied().unwrap_or(0);
             let (service, model, adapter) = key;
@@ -77,24 +77,25 @@
             zone: self.zone.clone(),
             requests_per_second: self.balance.load(now),
             stopping: self.stop.is_some(),
+            colds,
+            evacuated: self
+                .evacuated
+                .iter()
+                .map(|(zone, _)| zone.clone())
+                .collect(),
         }
     }
 
     /// Returns the limits on requests that upstreams have named or ended.
     fn limits(&self, now: clock::Instant) -> Vec<report::Limit> {
-        let mut limited = collections::HashMap::<&name::Name, u32>::new();
-        for entry in self.upstreams.values() {
-            if entry.limit.is_some() {
-                *limited.entry(&entry.registration.service).or_default() += 1;
-            }
-        }
-        let mut waiting = collections::HashMap::<&name::Name, u32>::new();
-        for (_, id) in self.waiting.iter().filter(|_| !limited.is_empty()) {
-            let request = self.requests.get(id);
-            if let Some(request) = request.filter(|request| request.model.is_none()) {
-                *waiting.entry(&request.service).or_default() += 1;
-            }
+        if self
+            .upstreams
+            .values()
+            .all(|entry| entry.limit.is_none() && entry.limit_ended.is_none())
+        {
+            return Vec::new();
         }
+        let waiting = self.waiting_at_limits(now);
         let limit = |entry: &upstream::Upstream| {
             let id = entry.registration.id.clone();
             let service = &entry.registration.service;
@@ -106,7 +107,7 @@
                     rate: Some(limit.rate),
                     age_ms: age_ms(limit.named_at),
                     sent: limit.sent,
-                    waiting: waiting.div_ceil(limited.get(service).copied().unwrap_or(1)),
+                    waiting,
                 }),
                 (None, Some(ended)) if now.since(ended) <= limit::LIMIT_LIFETIME => {
                     Some(report::Limit {
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -140,6 +140,7 @@
     ) {
         let id = registration.id.clone();
         let started = registration.started;
+        let entry = registration.clone();
         if self.departures.is_leaving(&id, started) {
             registration.state = registration::State::Draining;
         }
@@ -180,6 +181,8 @@
         if let Some(entry) = self.upstreams.get_mut(&id) {
             entry.distrusted_until = distrusted_until;
         }
+        self.record_start(now, &entry);
+        self.update_gates(now, Some(&id), effects);
         self.record_origin(now, &id, effects);
         self.dispatch_waiting(now, effects);
     }
@@ -244,6 +247,7 @@
             .filter(|regained| now.since(*regained) < removal_grace);
         let in_outage = self.store_failed && !self.is_current(now, OUTAGE_GAP);
         let outage_end = if in_outage { Some(now) } else { regained };
+        self.cold.starts.record_removal(now, id);
         let Some(entry) = self.upstreams.get_mut(id) else {
             return;
         };
@@ -295,6 +299,7 @@
                 entry.apply_permit(now, &permit);
             }
         }
+        self.apply_cold_permits(now, &view, effects);
         let (number, grants) = (view.report_number, std::mem::take(&mut view.grants));
         self.view = Some((now, view));
         self.apply_grants(now, number, grants, effects);
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -33,6 +33,35 @@
     pub waiting: u32,
 }
 
+/// The requests of one host to a cold upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ColdUpstream {
+    /// The upstream.
+    pub upstream: name::Name,
+    /// The requests sent to it since this host learned of it.
+    pub sent: u64,
+    /// The requests of this host that wait for an upstream of a service without models, divided among those that limit
+    /// requests.
+    pub waiting: u32,
+    /// The milliseconds for which it is still cold, as a recent response has named; 0 when none has.
+    pub named_ms: u64,
+}
+
+/// What one host knows of cold upstreams and of the coordinator's permits for them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Colds {
+    /// Identifies the process of the host: its reports are numbered from 1.
+    pub process: u64,
+    /// The fencing token of the coordinator that sent the last view with permits.
+    pub epoch: u64,
+    /// The number of the report that this view responded to; 0 before the first one.
+    pub held: u64,
+    /// The cold upstreams.
+    pub upstreams: Vec<ColdUpstream>,
+}
+
 /// The state of an entry host, as sent to the coordinator.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -65,4 +94,10 @@
     pub requests_per_second: f64,
     /// Whether the host takes no new connections any more.
     pub stopping: bool,
+    /// The cold upstreams.
+    #[serde(default)]
+    pub colds: Colds,
+    /// The availability zones whose evacuation the host applies.
+    #[serde(default)]
+    pub evacuated: Vec<name::Name>,
 }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -1,6 +1,7 @@
 use std::collections;
 use std::time;
 
+use super::cold;
 use super::limit;
 use super::registration;
 use super::view;
@@ -97,6 +98,10 @@
     pub(super) limit: Option<limit::Limit>,
     /// When a response that named no limit ended the last limit.
     pub(super) limit_ended: Option<clock::Instant>,
+    /// What may be sent to it while it is cold after a start.
+    pub(super) cold: cold::Gate,
+    /// Whether its availability zone is evacuated, so that it gets no requests.
+    pub(super) is_evacuated: bool,
     /// The models and adapters that it turned out not to hold, and when.
     missing: Vec<(name::Name, Option<name::Name>, clock::Instant)>,
 }
@@ -128,6 +133,8 @@
             paused_until: clock::Instant::default(),
             limit: None,
             limit_ended: None,
+            cold: cold::Gate::default(),
+            is_evacuated: false,
             missing: Vec::new(),
         }
     }
@@ -137,8 +144,11 @@
         let restarted = registration.started > self.registration.started;
         if restarted {
             let own_requests = self.own_requests;
+            // The coordinator's permits refer to the requests sent by this host under the identifier.
+            let cold = std::mem::take(&mut self.cold);
             *self = Self::new(registration);
             self.own_requests = own_requests;
+            self.cold = cold;
             return;
         }
         if registration.models != self.registration.models {
@@ -181,6 +191,7 @@
         removal_grace: time::Duration,
     ) -> bool {
         self.may_serve_later(now, removal_grace)
+            && !self.is_evacuated
             && self.distrusted_until.is_none_or(|until| now >= until)
     }
 
@@ -270,6 +281,12 @@
         if let Some(limit) = &mut self.limit {
             limit.record_send();
         }
+        self.cold.record_send(now);
+    }
+
+    /// Returns whether it takes only as many requests per second as the coordinator divides among the hosts.
+    pub(super) fn limits_requests(&self, now: clock::Instant) -> bool {
+        self.limit.is_some() || self.cold.is_cold(now)
     }
 
     /// Records that a request has ended. Its slot stays reserved for this host until the next view.
@@ -283,6 +300,7 @@
         now >= self.full_until
             && self.paused_until(now).is_none()
             && self.limit.as_ref().is_none_or(|limit| limit.may_send(now))
+            && self.cold.may_send(now)
             && (self.usable_slots > 0 || !self.has_current_view(now))
             && self.own_requests.saturating_add(self.other_requests) < slots
             && f64::from(self.own_requests) < self.concurrency_limit
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -47,6 +47,31 @@
     pub requests: u32,
 }
 
+/// The requests that a host may send to a cold upstream.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ColdPermit {
+    /// The upstream.
+    pub upstream: name::Name,
+    /// The milliseconds for which it is still cold.
+    pub remaining_ms: u64,
+    /// The number of requests up to which the host may send, counted like [`ColdUpstream::sent`](super::ColdUpstream).
+    pub ceiling: u64,
+}
+
+/// The requests that a host may send to cold upstreams.
+#[derive(Clone, Debug, Default)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct ColdPermits {
+    /// The process of the host that the permits are for, as in [`Colds::process`](super::Colds).
+    pub process: u64,
+    /// The milliseconds for which the host sends nothing to cold upstreams without permits, because the coordinator divides
+    /// all requests; 0 when it does not.
+    pub exclusive_ms: u64,
+    /// The cold upstreams for which the host has permits, or of which it does not know that they are cold.
+    pub permits: Vec<ColdPermit>,
+}
+
 /// The coordinator's state of the fleet, as sent to an entry host in response to a report.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -73,4 +98,7 @@
     pub leaving: Vec<(name::Name, u64)>,
     /// The load of each availability zone.
     pub loads: Vec<balance::Load>,
+    /// The requests that the host may send to cold upstreams.
+    #[serde(default)]
+    pub cold: ColdPermits,
 }
