--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -18,6 +18,7 @@
 mod reservation;
 mod share;
 mod term;
+mod traffic;
 
 pub use effect::Effect;
 pub use election::Candidacy;
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -1,6 +1,7 @@
 //! Decides which engine should load or unload which weights.
 
 mod adapter;
+mod spike;
 
 use std::collections;
 use std::time;
@@ -276,8 +277,12 @@
         }
     }
 
-    /// Returns the next step for a model, if one is worthwhile.
+    /// Returns the next step for a model, if one is worthwhile. Services that are balanced by work get theirs from
+    /// [`Self::placements`].
     pub(super) fn model_step(&self) -> Option<Step> {
+        if self.spec.balancing == relay::Balancing::Work {
+            return None;
+        }
         if let Some(step) = self.replacement_step().or_else(|| self.refill_step()) {
             return Some(step);
         }
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike.rs
@@ -0,0 +1,202 @@
+//! Chooses the replicas of a service that is balanced by work: each load is valued by the requests that it serves before
+//! their callers leave.
+
+mod board;
+mod value;
+
+use std::collections;
+use std::time;
+
+use super::Planner;
+use super::Step;
+use crate::coordinator::order;
+use crate::timeline;
+
+/// The utilization of a model's replicas from which it gets another one in free memory from the weight store.
+const STORE_FILL_UTILIZATION: f64 = 0.35;
+/// The utilization from which it gets one from the engine's disk or host memory.
+const CACHED_FILL_UTILIZATION: f64 = 0.1;
+/// The time added to that of a load when the values of models are compared. An order and its confirmation take as long.
+const ORDER_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// A step towards the replicas that demand calls for, and the decision for the log.
+#[derive(Clone, Debug)]
+pub(in crate::coordinator) struct Placement {
+    pub(in crate::coordinator) step: Step,
+    pub(in crate::coordinator) decision: timeline::Decision,
+}
+
+/// A model in the order of the values of its next replica.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    value: f64,
+    model: usize,
+}
+
+impl Ord for Ranked {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        let by_value = self.value.total_cmp(&other.value);
+        by_value.then(other.model.cmp(&self.model))
+    }
+}
+
+impl PartialOrd for Ranked {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Ranked {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Ranked {}
+
+impl Planner<'_> {
+    /// Returns the steps that the replicas of all models need now, at most `max` of them and one for each engine. Each takes
+    /// the ones before it into account.
+    pub(in crate::coordinator) fn placements(&self, max: usize) -> Vec<Placement> {
+        let may_order = |engine: &&super::engine::Engine| engine.accepts_orders(self.now);
+        if !self.engines.iter().any(may_order) {
+            return Vec::new();
+        }
+        let mut board = board::Board::new(self);
+        let mut placements = Vec::new();
+        // Each model is considered once, and again after each replica that it gets.
+        let mut ranked: collections::BinaryHeap<_> = (0..board.models.len())
+            .filter_map(|model| self.rank(&board, model))
+            .collect();
+        while let Some(next) = ranked.pop() {
+            if placements.len() >= max {
+                return placements;
+            }
+            let Some(candidate) = value::best_candidate(&board, self, next.model) else {
+                continue;
+            };
+            placements.push(self.place(&mut board, next.model, candidate));
+            ranked.extend(self.rank(&board, next.model));
+        }
+        if self.state.options.rebalances && self.is_demand_observed() {
+            self.fill(&mut board, max, &mut placements);
+        }
+        placements
+    }
+
+    /// Uses free memory for further replicas. Loads from the weight store leave half of the engines and of the loads that the
+    /// store allows for models that lack capacity.
+    fn fill(&self, board: &mut board::Board<'_>, max: usize, placements: &mut Vec<Placement>) {
+        let allowed = self.spec.loads_per_second * self.state.options.load_window.as_secs_f64();
+        let busy = board.engines.iter().filter(|e| !e.is_available).count();
+        let mut store_loads = (board.engines.len() / 2).saturating_sub(busy);
+        for number in 0..board.engines.len() {
+            if placements.len() >= max {
+                return;
+            }
+            let engine = &board.engines[number];
+            if !engine.is_available {
+                continue;
+            }
+            let may_use_store = store_loads > 0 && board.store_loads as f64 > allowed / 2.0;
+            let utilization =
+                |model: &board::Model<'_>| model.offered / model.room.max(f64::MIN_POSITIVE);
+            let models = board.models.iter().enumerate();
+            let useful = models.filter(|(model, wanted)| {
+                let source = engine.sources[*model];
+                let min_utilization = match (source.from_store, engine.models.is_empty()) {
+                    (true, _) => STORE_FILL_UTILIZATION,
+                    (false, false) => CACHED_FILL_UTILIZATION,
+                    (false, true) => 0.0,
+                } * board::TARGET_UTILIZATION;
+                wanted.is_asked_for()
+                    && engine.free_mb >= wanted.base.spec.weights_mb
+                    && !engine.models.contains(model)
+                    && (may_use_store || !source.from_store)
+                    && utilization(wanted) >= min_utilization
+            });
+            let best = useful
+                .max_by(|(_, one), (_, other)| utilization(one).total_cmp(&utilization(other)));
+            let Some((model, wanted)) = best else {
+                continue;
+            };
+            let source = engine.sources[model];
+            let candidate =
+                value::Candidate::in_free_memory(number, source.time, utilization(wanted));
+            store_loads -= usize::from(source.from_store);
+            placements.push(self.place(board, model, candidate));
+        }
+    }
+
+    /// Applies a load to the board and returns its first step: the load itself, or the unload of the model that makes way.
+    fn place(
+        &self,
+        board: &mut board::Board<'_>,
+        model: usize,
+        candidate: value::Candidate,
+    ) -> Placement {
+        let (wanted, engine) = (&board.models[model], &board.engines[candidate.engine]);
+        let id = engine.engine.registration.id.clone();
+        let source = engine.sources[model];
+        let evicted = candidate.evicted.map(|model| &board.models[model]);
+        let decision = timeline::Decision::new("replicas")
+            .with_subject(id.clone())
+            .with("model", wanted.base.name)
+            .with_some("evicted", evicted.map(|model| model.base.name))
+            .with("replicas", wanted.holders.len() as u64)
+            .with("offered", format!("{:.2}", wanted.offered))
+            .with("room", format!("{:.2}", wanted.room))
+            .with("waiting", wanted.base.waiting)
+            .with("arrivals", format!("{:.2}", wanted.estimate.arrivals))
+            .with("slot_time", format!("{:.3}", wanted.estimate.slot_time))
+            .with("urgency", format!("{:.2}", wanted.estimate.urgency))
+            .with("gain", format!("{:.2}", candidate.gain))
+            .with("loss", format!("{:.2}", candidate.loss))
+            .with("delay_ms", timeline::Value::millis(candidate.delay))
+            .with("from_store", source.from_store)
+            .with("engine_load", format!("{:.1}", engine.load));
+        let name = wanted.base.name.clone();
+        let step = match evicted {
+            None => Step {
+                engine: id,
+                operation: order::Operation::Load,
+                model: name,
+                adapter: None,
+                replacement: None,
+                duration: source.time,
+                from_store: source.from_store,
+            },
+            Some(evicted) => Step {
+                engine: id,
+                operation: order::Operation::Unload,
+                model: evicted.base.name.clone(),
+                adapter: None,
+                replacement: Some(name),
+                duration: value::UNLOAD_TIME,
+                from_store: false,
+            },
+        };
+        if source.from_store {
+            board.store_loads = board.store_loads.saturating_sub(1);
+        }
+        if let Some(evicted) = candidate.evicted {
+            board.remove_replica(candidate.engine, evicted);
+        }
+        board.add_replica(candidate.engine, model);
+        Placement { step, decision }
+    }
+
+    /// Returns the rank of the next replica of a model at an idle engine, none if it has no value.
+    fn rank(&self, board: &board::Board<'_>, model: usize) -> Option<Ranked> {
+        let wanted = &board.models[model];
+        if !wanted.holders.is_empty() && !self.state.options.rebalances {
+            return None;
+        }
+        let engines = board.engines.iter().filter(|engine| engine.is_available);
+        let times = engines.map(|engine| (engine.sources[model].time, engine.slots));
+        let (delay, slots) = times.min_by_key(|(time, _)| *time)?;
+        let gain = value::gain(wanted, slots * board::TARGET_UTILIZATION, delay);
+        let value = gain / (delay + ORDER_TIME).as_secs_f64();
+        (value > 0.0).then_some(Ranked { value, model })
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
@@ -0,0 +1,374 @@
+use std::collections;
+use std::time;
+
+use crate::clock;
+use crate::coordinator::engine;
+use crate::coordinator::plan;
+use crate::coordinator::traffic;
+use crate::name;
+use crate::relay::traffic::MAX_URGENCY;
+use crate::relay::traffic::PATIENCE_LIMITS_MS;
+
+/// The utilization up to which replicas carry the requests of their models. Above it, arrivals that come together fill the
+/// slots of an engine and wait.
+pub(super) const TARGET_UTILIZATION: f64 = 0.6;
+/// The utilization up to which other replicas can take the requests in progress at one that is unloaded.
+const MAX_UTILIZATION: f64 = 0.95;
+/// The part of the requests that an engine reports that counts as its load where more are reported than estimated. The
+/// report is of one moment, and includes the queue.
+const MEASURED_WEIGHT: f64 = 0.7;
+/// The passes over the models in which their load is distributed among engines.
+const ALLOCATION_PASSES: usize = 4;
+/// The slots below which a replica is not worth distributing load to.
+const MIN_SHARE: f64 = 0.05;
+/// The patience assumed of callers in the last class.
+const MAX_PATIENCE: time::Duration = time::Duration::from_secs(20);
+/// The class of waiting requests whose host does not report their patience: up to 3 s.
+const DEFAULT_CLASS: usize = 2;
+
+/// Waiting requests whose callers have about the same patience.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Waiting {
+    pub(super) requests: f64,
+    /// The sum of their urgencies, each up to 1.
+    pub(super) urgency: f64,
+}
+
+/// A replica of a model.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Holder {
+    /// The index of its engine.
+    pub(super) engine: usize,
+    /// The slots that its requests are expected to occupy.
+    pub(super) share: f64,
+    /// When it was loaded; none while it is being loaded.
+    pub(super) loaded_at: Option<clock::Instant>,
+}
+
+/// A model, what is asked of it and what its replicas can carry.
+#[derive(Debug)]
+pub(super) struct Model<'a> {
+    pub(super) base: &'a plan::Model<'a>,
+    pub(super) estimate: traffic::Estimate,
+    /// The slots that its arrivals occupy.
+    pub(super) offered: f64,
+    /// The waiting requests by the patience of their callers.
+    pub(super) waiting: [Waiting; PATIENCE_LIMITS_MS.len() + 1],
+    pub(super) holders: Vec<Holder>,
+    /// The slots up to the target utilization that its replicas have for it.
+    pub(super) room: f64,
+}
+
+impl Model<'_> {
+    /// Returns the slots that its replicas lack for its arrivals.
+    pub(super) fn deficit(&self) -> f64 {
+        (self.offered - self.room).max(0.0)
+    }
+
+    /// Returns the number of waiting requests.
+    pub(super) fn backlog(&self) -> f64 {
+        self.waiting.iter().map(|class| class.requests).sum()
+    }
+
+    /// Returns the waiting requests whose callers are still there after `delay`.
+    pub(super) fn waiting_after(&self, delay: time::Duration) -> Waiting {
+        let last = (MAX_PATIENCE.as_millis() as u64).max(PATIENCE_LIMITS_MS[3]);
+        let limits = PATIENCE_LIMITS_MS.iter().copied().chain([last]);
+        let delay_ms = delay.as_secs_f64() * 1_000.0;
+        let mut lower = 0.0;
+        let mut sum = Waiting::default();
+        for (class, limit) in self.waiting.iter().zip(limits) {
+            let upper = limit as f64;
+            // Callers of a class leave evenly between its limits.
+            let staying = ((upper - delay_ms) / (upper - lower)).clamp(0.0, 1.0);
+            sum.requests += class.requests * staying;
+            sum.urgency += class.urgency * staying;
+            lower = upper;
+        }
+        sum
+    }
+
+    pub(super) fn is_asked_for(&self) -> bool {
+        self.estimate.arrivals > 0.01 || self.base.waiting > 0
+    }
+
+    /// Returns whether an engine other than that with index `engine` serves it now.
+    pub(super) fn is_served_beside(&self, engine: usize) -> bool {
+        let mut others = self.holders.iter().filter(|h| h.engine != engine);
+        others.any(|holder| holder.loaded_at.is_some())
+    }
+}
+
+/// Where an engine loads weights from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Source {
+    pub(super) time: time::Duration,
+    pub(super) from_store: bool,
+}
+
+/// An engine and its expected load.
+#[derive(Debug)]
+pub(super) struct Engine<'a> {
+    pub(super) engine: &'a engine::Engine,
+    /// The slots that requests may occupy.
+    pub(super) slots: f64,
+    /// The slots that its requests are expected to occupy.
+    pub(super) load: f64,
+    pub(super) free_mb: f64,
+    /// Whether it takes an order and further replicas.
+    pub(super) is_available: bool,
+    /// The models that it holds or loads, by index.
+    pub(super) models: Vec<usize>,
+    /// Where it loads each model from, by index.
+    pub(super) sources: Vec<Source>,
+}
+
+impl Engine<'_> {
+    /// Returns the slots up to the target utilization that other load than `own` leaves.
+    pub(super) fn room(&self, own: f64) -> f64 {
+        (self.slots * TARGET_UTILIZATION - (self.load - own).max(0.0)).max(0.0)
+    }
+
+    /// Returns the slots that are not in use.
+    pub(super) fn spare(&self) -> f64 {
+        (self.slots * MAX_UTILIZATION - self.load).max(0.0)
+    }
+}
+
+/// The engines and models of a service, with the steps of the current decision applied.
+#[derive(Debug)]
+pub(super) struct Board<'a> {
+    pub(super) engines: Vec<Engine<'a>>,
+    pub(super) models: Vec<Model<'a>>,
+    /// The loads from the weight store that may still begin.
+    pub(super) store_loads: usize,
+}
+
+impl<'a> Board<'a> {
+    pub(super) fn new(planner: &'a plan::Planner<'a>) -> Self {
+        let index: collections::HashMap<&name::Name, usize> =
+            planner.models.keys().copied().zip(0..).collect();
+        let mut board = Self {
+            engines: Vec::with_capacity(planner.engines.len()),
+            models: planner
+                .models
+                .values()
+                .map(|base| model(planner, base))
+                .collect(),
+            store_loads: planner
+                .state
+                .available_store_loads(planner.spec.loads_per_second),
+        };
+        for demand in planner.state.recent_demands(planner.now, planner.service) {
+            let Some(model) = index.get(&demand.model).filter(|_| demand.waiting > 0) else {
+                continue;
+            };
+            let waiting = &mut board.models[*model].waiting;
+            if demand.traffic.waiting.is_empty() {
+                waiting[DEFAULT_CLASS].requests += f64::from(demand.waiting);
+                waiting[DEFAULT_CLASS].urgency += f64::from(demand.waiting) / 2.0;
+            }
+            for (class, (requests, urgency)) in waiting.iter_mut().zip(&demand.traffic.waiting) {
+                class.requests += f64::from(*requests);
+                class.urgency += *urgency as f64 / f64::from(MAX_URGENCY);
+            }
+        }
+        for engine in &planner.engines {
+            board.add_engine(planner, engine, &index);
+        }
+        board.allocate();
+        board.count_measured_requests();
+        for model in 0..board.models.len() {
+            board.update_room(model);
+        }
+        board
+    }
+
+    fn add_engine(
+        &mut self,
+        planner: &plan::Planner<'_>,
+        engine: &'a engine::Engine,
+        index: &collections::HashMap<&name::Name, usize>,
+    ) {
+        let number = self.engines.len();
+        let is_suspect = planner.state.is_suspect(&engine.registration.id);
+        let accepts_orders = engine.accepts_orders(planner.now);
+        let mut models = Vec::new();
+        for name in engine.served_models() {
+            let Some(model) = index.get(name).copied() else {
+                continue;
+            };
+            let loaded_at = engine.models.get(name).map(|replica| replica.loaded_at);
+            // The replacement is chosen again once its memory is free.
+            if loaded_at.is_none() && accepts_orders {
+                continue;
+            }
+            if let Some(next) = engine.replacement.as_ref().filter(|next| *next == name)
+                && loaded_at.is_none()
+                && engine.load_time(next, self.models[model].base.spec).1
+            {
+                self.store_loads = self.store_loads.saturating_sub(1);
+            }
+            models.push(model);
+            if !is_suspect {
+                let holder = Holder {
+                    engine: number,
+                    share: 0.0,
+                    loaded_at,
+                };
+                self.models[model].holders.push(holder);
+            }
+        }
+        let mut sources: Vec<_> = self
+            .models
+            .iter()
+            .map(|model| Source {
+                time: model.base.spec.store_load_time,
+                from_store: true,
+            })
+            .collect();
+        for (cached, in_memory) in [(&engine.on_disk, false), (&engine.in_memory, true)] {
+            for model in cached.iter().filter_map(|name| index.get(name).copied()) {
+                let spec = self.models[model].base.spec;
+                sources[model] = Source {
+                    time: if in_memory {
+                        spec.memory_load_time
+                    } else {
+                        spec.disk_load_time
+                    },
+                    from_store: false,
+                };
+            }
+        }
+        self.engines.push(Engine {
+            engine,
+            slots: f64::from(engine.slots(planner.spec)) * planner.capacity(engine),
+            load: 0.0,
+            free_mb: engine.free_mb(planner.spec),
+            is_available: accepts_orders && !is_suspect,
+            models,
+            sources,
+        });
+    }
+
+    /// Distributes the offered load of each model among its replicas, in proportion to the room that the other models leave
+    /// there.
+    fn allocate(&mut self) {
+        let Self {
+            engines, models, ..
+        } = self;
+        for model in models.iter_mut() {
+            let count = model.holders.len().max(1) as f64;
+            for holder in &mut model.holders {
+                holder.share = model.offered / count;
+                engines[holder.engine].load += holder.share;
+            }
+        }
+        for _ in 0..ALLOCATION_PASSES {
+            for model in models.iter_mut().filter(|model| model.holders.len() > 1) {
+                let room = |holder: &Holder| {
+                    let engine: &Engine<'_> = &engines[holder.engine];
+                    engine.room(holder.share).max(MIN_SHARE)
+                };
+                let rooms: Vec<_> = model.holders.iter().map(room).collect();
+                let total: f64 = rooms.iter().sum();
+                for (holder, room) in model.holders.iter_mut().zip(rooms) {
+                    let share = model.offered * room / total;
+                    engines[holder.engine].load += share - holder.share;
+                    holder.share = share;
+                }
+            }
+        }
+    }
+
+    /// Raises the load of engines that report more requests than estimated, as for a coordinator that has just begun, and
+    /// that of the models that they hold with it.
+    fn count_measured_requests(&mut self) {
+        for (number, engine) in self.engines.iter_mut().enumerate() {
+            let measured = f64::from(engine.engine.requests) * MEASURED_WEIGHT;
+            if measured <= engine.load {
+                continue;
+            }
+            let load = engine.load;
+            let held = engine.models.len().max(1) as f64;
+            engine.load = measured;
+            for model in &engine.models {
+                let model = &mut self.models[*model];
+                for holder in model.holders.iter_mut().filter(|h| h.engine == number) {
+                    holder.share = if load > MIN_SHARE {
+                        holder.share * measured / load
+                    } else {
+                        measured / held
+                    };
+                }
+            }
+        }
+        for model in &mut self.models {
+            let shares: f64 = model.holders.iter().map(|holder| holder.share).sum();
+            model.offered = model.offered.max(shares);
+        }
+    }
+
+    pub(super) fn update_room(&mut self, model: usize) {
+        let engines = &self.engines;
+        let room = |holder: &Holder| engines[holder.engine].room(holder.share);
+        self.models[model].room = self.models[model].holders.iter().map(room).sum();
+    }
+
+    /// Adds a replica of `model` that is being loaded.
+    pub(super) fn add_replica(&mut self, engine: usize, model: usize) {
+        let wanted = self.models[model].deficit() + self.models[model].backlog();
+        let target = &mut self.engines[engine];
+        let share = target.room(0.0).min(wanted);
+        target.is_available = false;
+        target.load += share;
+        target.free_mb -= self.models[model].base.spec.weights_mb;
+        target.models.push(model);
+        self.models[model].holders.push(Holder {
+            engine,
+            share,
+            loaded_at: None,
+        });
+        for model in self.engines[engine].models.clone() {
+            self.update_room(model);
+        }
+    }
+
+    /// Removes the replica of `model` from an engine and gives its load to the others.
+    pub(super) fn remove_replica(&mut self, engine: usize, model: usize) {
+        let Some(share) = self.share(engine, model) else {
+            return;
+        };
+        self.engines[engine].models.retain(|held| *held != model);
+        self.engines[engine].load -= share;
+        self.engines[engine].free_mb += self.models[model].base.spec.weights_mb;
+        let holders = &mut self.models[model].holders;
+        holders.retain(|holder| holder.engine != engine);
+        let part = share / holders.len().max(1) as f64;
+        for holder in holders {
+            holder.share += part;
+            self.engines[holder.engine].load += part;
+        }
+        self.update_room(model);
+    }
+
+    /// Returns the slots that the requests of a model are expected to occupy at an engine that holds it.
+    pub(super) fn share(&self, engine: usize, model: usize) -> Option<f64> {
+        let mut holders = self.models[model].holders.iter();
+        let holder = holders.find(|holder| holder.engine == engine)?;
+        Some(holder.share)
+    }
+}
+
+fn model<'a>(planner: &plan::Planner<'a>, base: &'a plan::Model<'a>) -> Model<'a> {
+    let key = (planner.service.clone(), base.name.clone());
+    let estimate = planner.state.traffic.estimate(planner.now, &key);
+    Model {
+        base,
+        estimate,
+        offered: estimate.arrivals * estimate.slot_time,
+        waiting: Default::default(),
+        holders: Vec::new(),
+        room: 0.0,
+    }
+}
--- /dev/null
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -0,0 +1,212 @@
+use std::time;
+
+use super::board;
+use crate::clock;
+use crate::coordinator::plan;
+
+/// The time over which a replica is valued. It is the time within which demand shifts, and longer than a load from the
+/// weight store.
+const HORIZON: time::Duration = time::Duration::from_secs(10);
+/// The factor for a model without a replica, whose requests are not served at all.
+const UNSERVED_FACTOR: f64 = 3.0;
+/// The value of a replica of a model without one that is not asked for.
+const IDLE_VALUE: f64 = 0.02;
+/// The loss from the last replica of a model that is idle and may have to be loaded again.
+const LAST_REPLICA_LOSS: f64 = 0.1;
+/// The loss for each slot in use, which selects the least used among replicas that are not needed.
+const SLOT_LOSS: f64 = 0.002;
+/// The value at or below which a further replica of a model is not worth an unload, in urgent requests.
+const MIN_GAIN: f64 = 0.5;
+/// The same where memory is free.
+const MIN_FREE_GAIN: f64 = 0.1;
+/// The ratio of gain to loss above which a replica takes the place of another one. It keeps two models of nearly the same
+/// demand from replacing each other.
+const GAIN_RATIO: f64 = 1.3;
+/// The time for which a replica stays. It is twice the time within which reports, views and statuses show its effect.
+const MIN_RESIDENCY: time::Duration = time::Duration::from_secs(3);
+/// The slots up to which requests in progress need not find room elsewhere.
+const NEGLIGIBLE_SLOTS: f64 = 0.5;
+/// The duration of an unload without requests in progress.
+pub(super) const UNLOAD_TIME: time::Duration = time::Duration::from_millis(50);
+/// The preference for an idle engine over one whose slots are all in use, in urgent requests.
+const UTILIZATION_COST: f64 = 0.1;
+/// The preference for the shorter of two loads of the same value, in urgent requests a second.
+const LOAD_TIME_COST: f64 = 0.01;
+
+/// A load that is considered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub(super) engine: usize,
+    /// The model that makes way; none where memory is free.
+    pub(super) evicted: Option<usize>,
+    /// The urgent requests that the replica serves within the horizon.
+    pub(super) gain: f64,
+    /// The urgent requests that the replica that makes way would serve and no other one can.
+    pub(super) loss: f64,
+    /// The time until the replica serves requests.
+    pub(super) delay: time::Duration,
+    /// What candidates are compared by.
+    score: f64,
+}
+
+impl Candidate {
+    /// Returns a load that takes no other replica's place.
+    pub(super) const fn in_free_memory(engine: usize, delay: time::Duration, gain: f64) -> Self {
+        Self {
+            engine,
+            evicted: None,
+            gain,
+            loss: 0.0,
+            delay,
+            score: gain,
+        }
+    }
+}
+
+/// Returns the value of a replica with `room` slots for the model that serves requests after `delay`.
+pub(super) fn gain(model: &board::Model<'_>, room: f64, delay: time::Duration) -> f64 {
+    let slot_time = model.estimate.slot_time;
+    let carried = model.deficit().min(room);
+    let served_time = HORIZON.saturating_sub(delay).as_secs_f64();
+    let arrivals = carried / slot_time * model.estimate.urgency * served_time;
+    let staying = model.waiting_after(delay);
+    // Replicas that have room for more than the arrivals also serve those that wait.
+    let drained = (model.room - model.offered).max(0.0) / slot_time * delay.as_secs_f64();
+    let left = (staying.requests - drained).max(0.0);
+    let taken = left.min((room - carried) * (1.0 / slot_time).max(1.0));
+    let waiting = if staying.requests > 0.0 {
+        staying.urgency * taken / staying.requests
+    } else {
+        0.0
+    };
+    let value = arrivals + waiting;
+    if !model.holders.is_empty() {
+        return value;
+    }
+    let idle = if model.base.is_reclaimable {
+        0.0
+    } else {
+        IDLE_VALUE
+    };
+    value * UNSERVED_FACTOR + idle
+}
+
+/// Returns the loss from the unload of `model` at an engine for `replacement`, or none if it may not be unloaded.
+fn loss(
+    board: &board::Board<'_>,
+    planner: &plan::Planner<'_>,
+    engine: usize,
+    model: usize,
+    replacement: &board::Model<'_>,
+) -> Option<f64> {
+    let model = &board.models[model];
+    let holder = model.holders.iter().find(|h| h.engine == engine)?;
+    let loaded_at = holder.loaded_at?;
+    if model.base.waiting > 0 || !has_stayed(planner, loaded_at) {
+        return None;
+    }
+    if !model.is_served_beside(engine) {
+        let may_evict = model.base.is_reclaimable && replacement.is_asked_for();
+        return may_evict.then_some(LAST_REPLICA_LOSS);
+    }
+    let is_urgent = replacement.holders.is_empty() && replacement.base.waiting > 0;
+    if !is_urgent && !planner.is_demand_observed() {
+        return None;
+    }
+    let others = model.holders.iter().filter(|h| h.engine != engine);
+    let others = others.filter(|h| h.loaded_at.is_some());
+    let spare: f64 = others.map(|h| board.engines[h.engine].spare()).sum();
+    if holder.share > NEGLIGIBLE_SLOTS.max(spare) {
+        return None;
+    }
+    let room = model.room - board.engines[engine].room(holder.share);
+    let lacking = (model.offered - room).max(0.0) - model.deficit();
+    let estimate = &model.estimate;
+    let unserved = lacking / estimate.slot_time * estimate.urgency * HORIZON.as_secs_f64();
+    Some(unserved + SLOT_LOSS * holder.share)
+}
+
+/// Returns whether a replica has stayed for the minimum residency. Those that were there when the coordinator was elected
+/// have, because their age is not known.
+fn has_stayed(planner: &plan::Planner<'_>, loaded_at: clock::Instant) -> bool {
+    let residency = planner.state.options.min_residency.max(MIN_RESIDENCY);
+    let is_older_than_term = planner.state.elected_at.is_some_and(|at| loaded_at <= at);
+    is_older_than_term || planner.now.since(loaded_at) >= residency
+}
+
+/// Returns the best load of a model, if one is worthwhile.
+pub(super) fn best_candidate(
+    board: &board::Board<'_>,
+    planner: &plan::Planner<'_>,
+    model: usize,
+) -> Option<Candidate> {
+    let wanted = &board.models[model];
+    let engines = board.engines.iter().enumerate();
+    let available = engines.filter(|(_, engine)| {
+        engine.is_available
+            && !engine.models.contains(&model)
+            && (board.store_loads > 0 || !engine.sources[model].from_store)
+    });
+    let size = wanted.base.spec.weights_mb;
+    let candidates = available.flat_map(|(number, engine)| {
+        let evicted: Vec<Option<usize>> = if engine.free_mb >= size {
+            vec![None]
+        } else {
+            let frees =
+                |held: &&usize| engine.free_mb + board.models[**held].base.spec.weights_mb >= size;
+            engine
+                .models
+                .iter()
+                .filter(frees)
+                .map(|m| Some(*m))
+                .collect()
+        };
+        let candidate = move |evicted| candidate(board, planner, model, number, evicted);
+        evicted.into_iter().filter_map(candidate)
+    });
+    candidates.max_by(|one, other| one.score.total_cmp(&other.score))
+}
+
+fn candidate(
+    board: &board::Board<'_>,
+    planner: &plan::Planner<'_>,
+    model: usize,
+    number: usize,
+    evicted: Option<usize>,
+) -> Option<Candidate> {
+    let (wanted, engine) = (&board.models[model], &board.engines[number]);
+    let mut delay = engine.sources[model].time;
+    let mut freed = 0.0;
+    let mut cost = 0.0;
+    if let Some(evicted) = evicted {
+        cost = loss(board, planner, number, evicted, wanted)?;
+        freed = board.share(number, evicted)?;
+        delay += UNLOAD_TIME;
+        if freed > NEGLIGIBLE_SLOTS {
+            // The requests in progress end before the weights are unloaded.
+            delay += time::Duration::from_secs_f64(board.models[evicted].estimate.slot_time);
+        }
+    }
+    // A model without a replica is served at a full engine too, rather than not at all.
+    let mut room = engine.room(freed);
+    if wanted.holders.is_empty() {
+        room = room.max(1.0);
+    }
+    let gain = gain(wanted, room, delay);
+    let is_worthwhile = match evicted {
+        None if wanted.holders.is_empty() => gain > 0.0,
+        None => gain > MIN_FREE_GAIN,
+        Some(_) if wanted.holders.is_empty() => gain > cost,
+        Some(_) => gain > MIN_GAIN && gain > cost * GAIN_RATIO,
+    };
+    let utilization = (engine.load - freed) / engine.slots.max(1.0);
+    let score = gain - cost - UTILIZATION_COST * utilization - LOAD_TIME_COST * delay.as_secs_f64();
+    is_worthwhile.then_some(Candidate {
+        engine: number,
+        evicted,
+        gain,
+        loss: cost,
+        delay,
+        score,
+    })
+}
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -12,6 +12,7 @@
 use super::plan;
 use super::reservation;
 use super::share;
+use super::traffic;
 use crate::clock;
 use crate::meter;
 use crate::name;
@@ -64,7 +65,7 @@
     pub(super) options: options::Options,
     epoch: u64,
     /// When this host was elected; none before that and after it has resigned.
-    elected_at: Option<clock::Instant>,
+    pub(super) elected_at: Option<clock::Instant>,
     config_version: u64,
     services: collections::BTreeMap<name::Name, relay::EngineSpec>,
     pub(super) engines: collections::BTreeMap<name::Name, engine::Engine>,
@@ -73,6 +74,8 @@
     pub(super) model_demand: meter::Meter<(name::Name, name::Name)>,
     /// The demand for each adapter by service and model, in tokens.
     pub(super) adapter_demand: meter::Meter<(name::Name, name::Name, name::Name)>,
+    /// The requests for each model by service.
+    pub(super) traffic: traffic::Traffic,
     shares: share::Shares,
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
@@ -104,6 +107,7 @@
             hosts: collections::BTreeMap::new(),
             model_demand: meter::Meter::default(),
             adapter_demand: meter::Meter::default(),
+            traffic: traffic::Traffic::default(),
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
             limits: limit::Limits::default(),
@@ -206,6 +210,7 @@
         for demand in &report.demands {
             let model = (demand.service.clone(), demand.model.clone());
             self.model_demand.add(now, &model, demand.tokens as f64);
+            self.traffic.record(now, &model, demand);
             if let Some(adapter) = &demand.adapter {
                 let (service, model) = model;
                 let key = (service, model, adapter.clone());
@@ -351,6 +356,7 @@
             .retain(now, |host| self.hosts.contains_key(host));
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
         self.adapter_demand.remove_idle(now, DEMAND_RETENTION);
+        self.traffic.remove_idle(now, DEMAND_RETENTION);
         let window = self.options.load_window;
         while self
             .store_loads
@@ -452,7 +458,8 @@
 
     /// Sends the orders that the current demand calls for.
     fn order(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        for _ in 0..MAX_ORDERS_PER_TICK {
+        let mut orders = 0;
+        while orders < MAX_ORDERS_PER_TICK {
             let step = self.services.iter().find_map(|(service, spec)| {
                 let planner = plan::Planner::new(now, self, service, spec);
                 planner.adapter_step().or_else(|| planner.model_step())
@@ -461,6 +468,20 @@
                 break;
             };
             self.send(now, step, effects);
+            orders += 1;
+        }
+        let mut placements: Vec<_> = self
+            .services
+            .iter()
+            .filter(|(_, spec)| spec.balancing == relay::Balancing::Work)
+            .flat_map(|(service, spec)| {
+                plan::Planner::new(now, self, service, spec).placements(MAX_ORDERS_PER_TICK)
+            })
+            .collect();
+        placements.truncate(MAX_ORDERS_PER_TICK - orders);
+        for placement in placements {
+            effects.push(effect::Effect::Record(placement.decision));
+            self.send(now, placement.step, effects);
         }
         if now.since(self.preloaded_at) >= PRELOAD_INTERVAL {
             self.preloaded_at = now;
@@ -530,6 +551,25 @@
         (self.store_loads.len() as f64) + 1.0 <= max_loads.max(1.0)
     }
 
+    /// Returns the number of loads that may begin from the weight store now when it allows `per_second` loads per second.
+    pub(super) fn available_store_loads(&self, per_second: f64) -> usize {
+        let max_loads = (per_second * self.options.load_window.as_secs_f64()).max(1.0);
+        (max_loads.floor() as usize).saturating_sub(self.store_loads.len())
+    }
+
+    /// Returns the demands of recent reports for the models of a service.
+    pub(super) fn recent_demands<'a>(
+        &'a self,
+        now: clock::Instant,
+        service: &'a name::Name,
+    ) -> impl Iterator<Item = &'a relay::Demand> {
+        self.hosts
+            .values()
+            .filter(move |host| now.since(host.received_at) < MAX_REPORT_AGE)
+            .flat_map(|host| &host.report.demands)
+            .filter(move |demand| demand.service == *service)
+    }
+
     /// Returns whether enough hosts get no responses from an upstream for all of them to avoid it.
     pub(super) fn is_suspect(&self, id: &name::Name) -> bool {
         self.suspects.contains(id)
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -28,6 +28,7 @@
 mod restoration;
 mod selection;
 mod summary;
+pub(crate) mod traffic;
 mod upstream;
 mod view;
 
@@ -71,6 +72,7 @@
 pub use request::Request;
 pub use summary::Outcome;
 pub use summary::Summary;
+pub use traffic::Traffic;
 pub use upstream::Upstream;
 pub use view::EngineView;
 pub use view::Permit;
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -25,6 +25,7 @@
 use super::refusal;
 use super::restoration;
 use super::selection;
+use super::traffic;
 use super::upstream;
 use super::view;
 use crate::balance;
@@ -70,6 +71,9 @@
 /// Orders the waiting requests by [`pending::Pending::queue_key`], then by identifier.
 type WaitingKey = (clock::Instant, event::Id);
 
+/// A service, a model and an adapter for it.
+type DemandKey = (name::Name, name::Name, Option<name::Name>);
+
 /// The state machine that admits, dispatches, retries and refuses the requests of one entry host.
 #[derive(Debug)]
 pub struct Reducer {
@@ -109,8 +113,8 @@
     host_count: usize,
     /// The last view of the coordinator and when it was received.
     view: Option<(clock::Instant, view::View)>,
-    /// The tokens requested since the last report, by service, model and adapter.
-    demands: collections::HashMap<(name::Name, name::Name, Option<name::Name>), u64>,
+    /// The tokens requested and the requests since the last report, by service, model and adapter.
+    demands: collections::HashMap<DemandKey, (u64, traffic::Traffic)>,
     /// The tokens requested since the last report, by workspace.
     token_usage: collections::HashMap<name::Name, u64>,
     last_report: clock::Instant,
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -184,14 +184,9 @@
                 has_tokens = false;
             }
         }
-        if let Some(model) = &request.model {
-            let key = (service.clone(), model.clone(), request.adapter.clone());
-            let (prompt, output) = request.tokens.unwrap_or((0, 1));
-            let demand = self.demands.entry(key).or_default();
-            let tokens = output.saturating_add(prompt / PROMPT_TOKENS_PER_OUTPUT_TOKEN);
-            *demand = demand.saturating_add(tokens);
-        }
-        Ok(pending::Pending {
+        let (prompt, output) = request.tokens.unwrap_or((0, 1));
+        let tokens = output.saturating_add(prompt / PROMPT_TOKENS_PER_OUTPUT_TOKEN);
+        let pending = pending::Pending {
             request_id: request.request_id,
             service: service.clone(),
             admitted_service: config.service(service).cloned(),
@@ -234,7 +229,14 @@
                     .filter(|_| route.kind == config::Kind::Streaming),
             ),
             route: route.clone(),
-        })
+        };
+        if let Some(model) = &pending.model {
+            let key = (service.clone(), model.clone(), pending.adapter.clone());
+            let (demand, traffic) = self.demands.entry(key).or_default();
+            *demand = demand.saturating_add(tokens);
+            traffic.record_arrival(pending.priority, pending.abandonment_time().since(now));
+        }
+        Ok(pending)
     }
 
     /// Returns this host's share of a workspace's allowance, between 0 and 1.
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::name;
 use crate::relay::limit;
+use crate::relay::pending;
 use crate::relay::report;
 use crate::relay::upstream;
 
@@ -35,11 +36,13 @@
                     request.adapter.clone(),
                 );
                 *waiting.entry(key.clone()).or_default() += 1;
-                self.demands.entry(key).or_default();
+                let (_, traffic) = self.demands.entry(key).or_default();
+                let patience = request.abandonment_time().since(now);
+                traffic.record_waiting(request.priority, patience);
             }
         }
         let limits = self.limits(now);
-        let demands = self.demands.drain().map(|(key, tokens)| {
+        let demands = self.demands.drain().map(|(key, (tokens, traffic))| {
             let waiting = waiting.get(&key).copied().unwrap_or(0);
             let (service, model, adapter) = key;
             report::Demand {
@@ -48,6 +51,7 @@
                 adapter,
                 tokens,
                 waiting,
+                traffic,
             }
         });
         let interval = now.since(self.last_report);
@@ -80,6 +84,20 @@
         }
     }
 
+    /// Records for the next report how long a request that ends was at its last upstream.
+    pub(super) fn record_slot_time(&mut self, now: clock::Instant, request: &pending::Pending) {
+        let sent = request.phase.sent_at().or(request.first_sent_at);
+        if let (Some(model), Some(sent)) = (&request.model, sent) {
+            let key = (
+                request.service.clone(),
+                model.clone(),
+                request.adapter.clone(),
+            );
+            let (_, traffic) = self.demands.entry(key).or_default();
+            traffic.record_end(now.since(sent));
+        }
+    }
+
     /// Returns the limits on requests that upstreams have named or ended.
     fn limits(&self, now: clock::Instant) -> Vec<report::Limit> {
         let mut limited = collections::HashMap::<&name::Name, u32>::new();
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -174,6 +174,7 @@
         if let Some(sent) = request.first_sent_at.filter(|_| status < 300) {
             self.durations.record(&request, now.since(sent));
         }
+        self.record_slot_time(now, &request);
         let overdue = (now > request.deadline).then(|| now.since(request.deadline));
         let outcome = if status < 500 {
             summary::Outcome::Completed
@@ -603,6 +604,9 @@
             return;
         };
         self.waiting.remove(&(request.queue_key(), id));
+        if in_progress.is_some() {
+            self.record_slot_time(now, &request);
+        }
         let outcome = summary::Outcome::CallerDisconnected;
         effects.push(effect::Effect::Measure(request.summary(now, outcome)));
         let decision = timeline::Decision::new("caller_gone")
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -1,3 +1,4 @@
+use super::traffic;
 use crate::name;
 
 /// The demand for a model or adapter at one host.
@@ -14,6 +15,9 @@
     pub tokens: u64,
     /// The requests that wait for an upstream.
     pub waiting: u32,
+    /// The requests by number, urgency and duration; empty from a host of an earlier version.
+    #[serde(default)]
+    pub traffic: traffic::Traffic,
 }
 
 /// The limit on requests of an upstream, as one host knows it.
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -90,6 +90,7 @@
             adapter: adapter.map(relay_fake::name),
             tokens,
             waiting,
+            traffic: relay::Traffic::default(),
         };
         let report = report("host-1", 1, demand);
         self.feed(coordinator::Event::Reported(Box::new(report)));
@@ -104,6 +105,7 @@
             adapter: None,
             tokens,
             waiting: 0,
+            traffic: relay::Traffic::default(),
         };
         let limit = |(engine, rate, sent): &(&str, f64, u64)| relay::Limit {
             upstream: relay_fake::name(engine),
@@ -134,6 +136,7 @@
             adapter: None,
             tokens: 0,
             waiting,
+            traffic: relay::Traffic::default(),
         };
         let report = relay::Report {
             running: vec![(relay_fake::name(running.0), running.1)],
@@ -148,13 +151,21 @@
 }
 
 fn report(host: &str, number: u64, demand: relay::Demand) -> relay::Report {
+    relay::Report {
+        demands: vec![demand],
+        ..empty_report(host, number)
+    }
+}
+
+/// Returns a report without demand.
+pub(crate) fn empty_report(host: &str, number: u64) -> relay::Report {
     relay::Report {
         host: relay_fake::name(host),
         number,
         full: true,
         token_requests: Vec::new(),
         interval_ms: 200,
-        demands: vec![demand],
+        demands: Vec::new(),
         running: Vec::new(),
         usage: Vec::new(),
         suspects: Vec::new(),
--- a/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
@@ -84,6 +84,7 @@
         adapter: None,
         tokens: u64::MAX,
         waiting: count,
+        traffic: relay::Traffic::default(),
     };
     relay::Report {
         host: host.clone(),
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod coordinator_load;
 mod coordinator_share;
 mod coordinator_silence;
+mod coordinator_spike;
 mod coordinator_succession;
 mod coordinator_term;
 mod entry_begun;
