--- a/crates/carawaycleat-core/src/coordinator/plan/spike.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike.rs
@@ -12,10 +12,13 @@
 use crate::coordinator::order;
 use crate::timeline;
 
-/// The utilization of a model's replicas from which it gets another one in free memory from the weight store.
-const STORE_FILL_UTILIZATION: f64 = 0.35;
-/// The utilization from which it gets one from the engine's disk or host memory.
+/// The part of the room of a model's replicas in use from which it gets another one in free memory from the weight store.
+const STORE_FILL_UTILIZATION: f64 = 0.7;
+/// The part in use from which it gets one from the engine's disk or host memory.
 const CACHED_FILL_UTILIZATION: f64 = 0.1;
+/// The part of the room of a model's replicas in use from which it still gets the one that memory was freed for. Demand that
+/// varies does not make an unload useless.
+const MIN_USED_ROOM: f64 = 0.7;
 /// The time added to that of a load when the values of models are compared. An order and its confirmation take as long.
 const ORDER_TIME: time::Duration = time::Duration::from_millis(300);
 
@@ -64,6 +67,7 @@
         }
         let mut board = board::Board::new(self);
         let mut placements = Vec::new();
+        self.replace(&mut board, max, &mut placements);
         // Each model is considered once, and again after each replica that it gets.
         let mut ranked: collections::BinaryHeap<_> = (0..board.models.len())
             .filter_map(|model| self.rank(&board, model))
@@ -72,6 +76,15 @@
             if placements.len() >= max {
                 return placements;
             }
+            // Engines that were available when the model was ranked may have got other models since.
+            match self.rank(&board, next.model) {
+                Some(current) if current.value < next.value => {
+                    ranked.push(current);
+                    continue;
+                }
+                Some(_) => {}
+                None => continue,
+            }
             let Some(candidate) = value::best_candidate(&board, self, next.model) else {
                 continue;
             };
@@ -84,6 +97,33 @@
         placements
     }
 
+    /// Loads the models for which memory has been freed, as long as they are of use and the weight store allows it. The
+    /// engines of the others are available for any model.
+    fn replace(&self, board: &mut board::Board<'_>, max: usize, placements: &mut Vec<Placement>) {
+        for number in 0..board.engines.len() {
+            let engine = &board.engines[number];
+            let Some(model) = engine.replacement.filter(|_| engine.is_available) else {
+                continue;
+            };
+            let source = engine.sources[model];
+            if source.from_store {
+                // The load has been counted already.
+                board.store_loads += 1;
+            }
+            board.remove_replica(number, model);
+            let (wanted, engine) = (&board.models[model], &board.engines[number]);
+            let room = engine.room(0.0).max(1.0);
+            let gain = value::gain(wanted, room, source.time);
+            let is_useful = gain > 0.0 || wanted.offered > wanted.room * MIN_USED_ROOM;
+            let is_allowed = board.store_loads > 0 || !source.from_store;
+            let fits = engine.free_mb >= wanted.base.spec.weights_mb;
+            if is_useful && is_allowed && fits && placements.len() < max {
+                let candidate = value::Candidate::in_free_memory(number, source.time, gain);
+                placements.push(self.place(board, model, candidate));
+            }
+        }
+    }
+
     /// Uses free memory for further replicas. Loads from the weight store leave half of the engines and of the loads that the
     /// store allows for models that lack capacity.
     fn fill(&self, board: &mut board::Board<'_>, max: usize, placements: &mut Vec<Placement>) {
@@ -108,15 +148,18 @@
                     (true, _) => STORE_FILL_UTILIZATION,
                     (false, false) => CACHED_FILL_UTILIZATION,
                     (false, true) => 0.0,
-                } * board::TARGET_UTILIZATION;
+                };
                 wanted.is_asked_for()
                     && engine.free_mb >= wanted.base.spec.weights_mb
                     && !engine.models.contains(model)
                     && (may_use_store || !source.from_store)
                     && utilization(wanted) >= min_utilization
             });
-            let best = useful
-                .max_by(|(_, one), (_, other)| utilization(one).total_cmp(&utilization(other)));
+            let is_cached = |model: &usize| !engine.sources[*model].from_store;
+            let best = useful.max_by(|(one, a), (other, b)| {
+                let by_source = is_cached(one).cmp(&is_cached(other));
+                by_source.then(utilization(a).total_cmp(&utilization(b)))
+            });
             let Some((model, wanted)) = best else {
                 continue;
             };
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
@@ -11,12 +11,15 @@
 
 /// The utilization up to which replicas carry the requests of their models. Above it, arrivals that come together fill the
 /// slots of an engine and wait.
-pub(super) const TARGET_UTILIZATION: f64 = 0.6;
+pub(super) const TARGET_UTILIZATION: f64 = 0.5;
 /// The utilization up to which other replicas can take the requests in progress at one that is unloaded.
 const MAX_UTILIZATION: f64 = 0.95;
 /// The part of the requests that an engine reports that counts as its load where more are reported than estimated. The
 /// report is of one moment, and includes the queue.
 const MEASURED_WEIGHT: f64 = 0.7;
+/// The longest time ahead for which arrivals are estimated. Demand shifts within eight seconds, so that a rise does not
+/// last longer.
+const MAX_LEAD: time::Duration = time::Duration::from_secs(3);
 /// The passes over the models in which their load is distributed among engines.
 const ALLOCATION_PASSES: usize = 4;
 /// The slots below which a replica is not worth distributing load to.
@@ -57,6 +60,8 @@
     pub(super) holders: Vec<Holder>,
     /// The slots up to the target utilization that its replicas have for it.
     pub(super) room: f64,
+    /// The slots up to the highest utilization that its replicas have for it.
+    pub(super) max_room: f64,
 }
 
 impl Model<'_> {
@@ -65,6 +70,11 @@
         (self.offered - self.room).max(0.0)
     }
 
+    /// Returns the slots that its replicas lack for its arrivals at the highest utilization.
+    pub(super) fn shortage(&self) -> f64 {
+        (self.offered - self.max_room).max(0.0)
+    }
+
     /// Returns the number of waiting requests.
     pub(super) fn backlog(&self) -> f64 {
         self.waiting.iter().map(|class| class.requests).sum()
@@ -117,6 +127,8 @@
     pub(super) free_mb: f64,
     /// Whether it takes an order and further replicas.
     pub(super) is_available: bool,
+    /// The model that is to be loaded into memory that has been freed for it, by index.
+    pub(super) replacement: Option<usize>,
     /// The models that it holds or loads, by index.
     pub(super) models: Vec<usize>,
     /// Where it loads each model from, by index.
@@ -199,10 +211,6 @@
                 continue;
             };
             let loaded_at = engine.models.get(name).map(|replica| replica.loaded_at);
-            // The replacement is chosen again once its memory is free.
-            if loaded_at.is_none() && accepts_orders {
-                continue;
-            }
             if let Some(next) = engine.replacement.as_ref().filter(|next| *next == name)
                 && loaded_at.is_none()
                 && engine.load_time(next, self.models[model].base.spec).1
@@ -246,6 +254,11 @@
             load: 0.0,
             free_mb: engine.free_mb(planner.spec),
             is_available: accepts_orders && !is_suspect,
+            replacement: engine
+                .replacement
+                .as_ref()
+                .and_then(|name| index.get(name).copied())
+                .filter(|_| accepts_orders),
             models,
             sources,
         });
@@ -312,7 +325,14 @@
     pub(super) fn update_room(&mut self, model: usize) {
         let engines = &self.engines;
         let room = |holder: &Holder| engines[holder.engine].room(holder.share);
-        self.models[model].room = self.models[model].holders.iter().map(room).sum();
+        let max_room = |holder: &Holder| engines[holder.engine].spare() + holder.share;
+        let holders = &self.models[model].holders;
+        let (room, max_room) = (
+            holders.iter().map(room).sum(),
+            holders.iter().map(max_room).sum(),
+        );
+        self.models[model].room = room;
+        self.models[model].max_room = max_room;
     }
 
     /// Adds a replica of `model` that is being loaded.
@@ -339,9 +359,16 @@
         let Some(share) = self.share(engine, model) else {
             return;
         };
-        self.engines[engine].models.retain(|held| *held != model);
-        self.engines[engine].load -= share;
-        self.engines[engine].free_mb += self.models[model].base.spec.weights_mb;
+        let target = &mut self.engines[engine];
+        target.models.retain(|held| *held != model);
+        target.load -= share;
+        if target
+            .engine
+            .models
+            .contains_key(self.models[model].base.name)
+        {
+            target.free_mb += self.models[model].base.spec.weights_mb;
+        }
         let holders = &mut self.models[model].holders;
         holders.retain(|holder| holder.engine != engine);
         let part = share / holders.len().max(1) as f64;
@@ -362,7 +389,8 @@
 
 fn model<'a>(planner: &plan::Planner<'a>, base: &'a plan::Model<'a>) -> Model<'a> {
     let key = (planner.service.clone(), base.name.clone());
-    let estimate = planner.state.traffic.estimate(planner.now, &key);
+    let lead = base.spec.store_load_time.min(MAX_LEAD);
+    let estimate = planner.state.traffic.estimate(planner.now, &key, lead);
     Model {
         base,
         estimate,
@@ -370,5 +398,6 @@
         waiting: Default::default(),
         holders: Vec::new(),
         room: 0.0,
+        max_room: 0.0,
     }
 }
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -7,6 +7,13 @@
 /// The time over which a replica is valued. It is the time within which demand shifts, and longer than a load from the
 /// weight store.
 const HORIZON: time::Duration = time::Duration::from_secs(10);
+/// The value of a slot up to the target utilization, relative to one without which requests are not served. Between the two
+/// they are served, but some wait for their first event.
+const COMFORT_VALUE: f64 = 0.2;
+/// The slots to the target utilization that a model may lack.
+const MIN_DEFICIT: f64 = 1.0;
+/// The further slots that it may lack, as a part of those that its arrivals occupy. Estimates vary as much.
+const DEFICIT_TOLERANCE: f64 = 0.1;
 /// The factor for a model without a replica, whose requests are not served at all.
 const UNSERVED_FACTOR: f64 = 3.0;
 /// The value of a replica of a model without one that is not asked for.
@@ -16,7 +23,7 @@
 /// The loss for each slot in use, which selects the least used among replicas that are not needed.
 const SLOT_LOSS: f64 = 0.002;
 /// The value at or below which a further replica of a model is not worth an unload, in urgent requests.
-const MIN_GAIN: f64 = 0.5;
+const MIN_GAIN: f64 = 2.0;
 /// The same where memory is free.
 const MIN_FREE_GAIN: f64 = 0.1;
 /// The ratio of gain to loss above which a replica takes the place of another one. It keeps two models of nearly the same
@@ -68,7 +75,8 @@
     let slot_time = model.estimate.slot_time;
     let carried = model.deficit().min(room);
     let served_time = HORIZON.saturating_sub(delay).as_secs_f64();
-    let arrivals = carried / slot_time * model.estimate.urgency * served_time;
+    let served = worth(model, model.deficit(), model.shortage(), room);
+    let arrivals = served / slot_time * model.estimate.urgency * served_time;
     let staying = model.waiting_after(delay);
     // Replicas that have room for more than the arrivals also serve those that wait.
     let drained = (model.room - model.offered).max(0.0) / slot_time * delay.as_secs_f64();
@@ -91,6 +99,15 @@
     value * UNSERVED_FACTOR + idle
 }
 
+/// Returns what `room` slots are worth to a model that lacks `deficit` slots to the target utilization, of which `shortage`
+/// to the highest one.
+fn worth(model: &board::Model<'_>, deficit: f64, shortage: f64, room: f64) -> f64 {
+    let tolerated = MIN_DEFICIT + model.offered * DEFICIT_TOLERANCE;
+    let shortage = shortage.min(room);
+    let comfort = (deficit - tolerated).min(room) - shortage;
+    shortage + comfort.max(0.0) * COMFORT_VALUE
+}
+
 /// Returns the loss from the unload of `model` at an engine for `replacement`, or none if it may not be unloaded.
 fn loss(
     board: &board::Board<'_>,
@@ -119,8 +136,12 @@
     if holder.share > NEGLIGIBLE_SLOTS.max(spare) {
         return None;
     }
-    let room = model.room - board.engines[engine].room(holder.share);
-    let lacking = (model.offered - room).max(0.0) - model.deficit();
+    let place = &board.engines[engine];
+    let room = model.room - place.room(holder.share);
+    let max_room = model.max_room - place.spare() - holder.share;
+    let deficit = (model.offered - room).max(0.0) - model.deficit();
+    let shortage = (model.offered - max_room).max(0.0) - model.shortage();
+    let lacking = worth(model, deficit, shortage, f64::INFINITY);
     let estimate = &model.estimate;
     let unserved = lacking / estimate.slot_time * estimate.urgency * HORIZON.as_secs_f64();
     Some(unserved + SLOT_LOSS * holder.share)
--- a/crates/carawaycleat-core/src/coordinator/traffic.rs
+++ b/crates/carawaycleat-core/src/coordinator/traffic.rs
@@ -11,6 +11,11 @@
 const RISE_TIME: time::Duration = time::Duration::from_millis(1_000);
 /// The time constant of the rate that follows a fall of demand.
 const FALL_TIME: time::Duration = time::Duration::from_millis(3_000);
+/// The highest expected rate, relative to the faster of the two.
+const MAX_TREND: f64 = 1.8;
+/// The ratio of the faster rate to the slower one up to which demand counts as steady. Arrivals vary, and a report covers
+/// those of a quarter of a second.
+const STEADY_RATIO: f64 = 1.15;
 /// The time constant of the mean time in a slot.
 const SLOT_TIME_MEMORY: time::Duration = time::Duration::from_secs(8);
 /// The time in a slot before any request of a service has completed, in seconds.
@@ -91,10 +96,20 @@
         }
     }
 
-    /// Returns what is known of the requests for a model. A rate rises within a second and falls within a few, so that a
+    /// Returns what is known of the requests for a model, with the arrivals that are expected after `lead` if their rate goes
+    /// on rising. A rate rises within a second and falls within a few, so that a
     /// pause in the arrivals of a model takes no replica from it.
-    pub(super) fn estimate(&self, now: clock::Instant, key: &Key) -> Estimate {
-        let falling = self.falling.rate(now, key);
+    pub(super) fn estimate(
+        &self,
+        now: clock::Instant,
+        key: &Key,
+        lead: time::Duration,
+    ) -> Estimate {
+        let (rising, falling) = (self.rising.rate(now, key), self.falling.rate(now, key));
+        // While a rate rises evenly, each of the two is behind it by its time constant.
+        let growth =
+            (rising - falling * STEADY_RATIO).max(0.0) / (FALL_TIME - RISE_TIME).as_secs_f64();
+        let trend = rising + growth * (RISE_TIME + lead).as_secs_f64();
         let service_completed = self.service_completed.rate(now, &key.0);
         let mean = if service_completed > 0.0 {
             self.service_slot_time.rate(now, &key.0) / service_completed
@@ -111,7 +126,7 @@
             DEFAULT_URGENCY
         };
         Estimate {
-            arrivals: self.rising.rate(now, key).max(falling),
+            arrivals: trend.min(rising * MAX_TREND).max(falling),
             urgency: urgency.clamp(0.01, 1.0),
             slot_time: slot_time.clamp(*SLOT_TIMES.start(), *SLOT_TIMES.end()),
         }
