fix(coordinator): keep the weight store's window and count no ended requests as demand

A full window with an unload in progress for a load from the store was counted as free by one. A report that only says that requests have ended counted as demand for their adapter. Both are corrected.

--- a/crates/carawaycleat-core/src/coordinator/plan/spike.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike.rs
@@ -2,6 +2,7 @@
 //! their callers leave.
 
 mod board;
+mod headroom;
 mod value;
 
 use std::collections;
@@ -12,13 +13,9 @@
 use crate::coordinator::order;
 use crate::timeline;
 
-/// The part of the room of a model's replicas in use from which it gets another one in free memory from the weight store.
-const STORE_FILL_UTILIZATION: f64 = 0.7;
-/// The part in use from which it gets one from the engine's disk or host memory.
-const CACHED_FILL_UTILIZATION: f64 = 0.1;
 /// The part of the room of a model's replicas in use from which it still gets the one that memory was freed for. Demand that
 /// varies does not make an unload useless.
-const MIN_USED_ROOM: f64 = 0.7;
+const MIN_USED_ROOM: f64 = 0.5;
 /// The time added to that of a load when the values of models are compared. An order and its confirmation take as long.
 const ORDER_TIME: time::Duration = time::Duration::from_millis(300);
 
@@ -93,6 +90,7 @@
         }
         if self.state.options.rebalances && self.is_demand_observed() {
             self.fill(&mut board, max, &mut placements);
+            self.balance(&mut board, max, &mut placements);
         }
         placements
     }
@@ -116,58 +114,17 @@
             let gain = value::gain(wanted, room, source.time);
             let is_useful = gain > 0.0 || wanted.offered > wanted.room * MIN_USED_ROOM;
             let is_allowed = board.store_loads > 0 || !source.from_store;
-            let fits = engine.free_mb >= wanted.base.spec.weights_mb;
-            if is_useful && is_allowed && fits && placements.len() < max {
-                let candidate = value::Candidate::in_free_memory(number, source.time, gain);
-                placements.push(self.place(board, model, candidate));
-            }
-        }
-    }
-
-    /// Uses free memory for further replicas. Loads from the weight store leave half of the engines and of the loads that the
-    /// store allows for models that lack capacity.
-    fn fill(&self, board: &mut board::Board<'_>, max: usize, placements: &mut Vec<Placement>) {
-        let allowed = self.spec.loads_per_second * self.state.options.load_window.as_secs_f64();
-        let busy = board.engines.iter().filter(|e| !e.is_available).count();
-        let mut store_loads = (board.engines.len() / 2).saturating_sub(busy);
-        for number in 0..board.engines.len() {
-            if placements.len() >= max {
-                return;
-            }
-            let engine = &board.engines[number];
-            if !engine.is_available {
+            if !is_useful || !is_allowed || placements.len() >= max {
                 continue;
             }
-            let may_use_store = store_loads > 0 && board.store_loads as f64 > allowed / 2.0;
-            let utilization =
-                |model: &board::Model<'_>| model.offered / model.room.max(f64::MIN_POSITIVE);
-            let models = board.models.iter().enumerate();
-            let useful = models.filter(|(model, wanted)| {
-                let source = engine.sources[*model];
-                let min_utilization = match (source.from_store, engine.models.is_empty()) {
-                    (true, _) => STORE_FILL_UTILIZATION,
-                    (false, false) => CACHED_FILL_UTILIZATION,
-                    (false, true) => 0.0,
-                };
-                wanted.is_asked_for()
-                    && engine.free_mb >= wanted.base.spec.weights_mb
-                    && !engine.models.contains(model)
-                    && (may_use_store || !source.from_store)
-                    && utilization(wanted) >= min_utilization
-            });
-            let is_cached = |model: &usize| !engine.sources[*model].from_store;
-            let best = useful.max_by(|(one, a), (other, b)| {
-                let by_source = is_cached(one).cmp(&is_cached(other));
-                by_source.then(utilization(a).total_cmp(&utilization(b)))
-            });
-            let Some((model, wanted)) = best else {
-                continue;
+            let candidate = if engine.free_mb >= wanted.base.spec.weights_mb {
+                Some(value::Candidate::in_free_memory(number, source.time, gain))
+            } else {
+                value::best_candidate_at(board, self, model, number)
             };
-            let source = engine.sources[model];
-            let candidate =
-                value::Candidate::in_free_memory(number, source.time, utilization(wanted));
-            store_loads -= usize::from(source.from_store);
-            placements.push(self.place(board, model, candidate));
+            if let Some(candidate) = candidate {
+                placements.push(self.place(board, model, candidate));
+            }
         }
     }
 
@@ -181,7 +138,7 @@
         let (wanted, engine) = (&board.models[model], &board.engines[candidate.engine]);
         let id = engine.engine.registration.id.clone();
         let source = engine.sources[model];
-        let evicted = candidate.evicted.map(|model| &board.models[model]);
+        let evicted = candidate.evicted[0].map(|model| &board.models[model]);
         let decision = timeline::Decision::new("replicas")
             .with_subject(id.clone())
             .with("model", wanted.base.name)
@@ -220,9 +177,9 @@
             },
         };
         if source.from_store {
-            board.store_loads = board.store_loads.saturating_sub(1);
+            board.store_loads -= 1;
         }
-        if let Some(evicted) = candidate.evicted {
+        for evicted in candidate.evicted.into_iter().flatten() {
             board.remove_replica(candidate.engine, evicted);
         }
         board.add_replica(candidate.engine, model);
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
@@ -152,8 +152,8 @@
 pub(super) struct Board<'a> {
     pub(super) engines: Vec<Engine<'a>>,
     pub(super) models: Vec<Model<'a>>,
-    /// The loads from the weight store that may still begin.
-    pub(super) store_loads: usize,
+    /// The loads from the weight store that may still begin, less those that unloads in progress are for.
+    pub(super) store_loads: i64,
 }
 
 impl<'a> Board<'a> {
@@ -215,7 +215,7 @@
                 && loaded_at.is_none()
                 && engine.load_time(next, self.models[model].base.spec).1
             {
-                self.store_loads = self.store_loads.saturating_sub(1);
+                self.store_loads -= 1;
             }
             models.push(model);
             if !is_suspect {
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -21,7 +21,7 @@
 /// The loss from the last replica of a model that is idle and may have to be loaded again.
 const LAST_REPLICA_LOSS: f64 = 0.1;
 /// The loss for each slot in use, which selects the least used among replicas that are not needed.
-const SLOT_LOSS: f64 = 0.002;
+pub(super) const SLOT_LOSS: f64 = 0.002;
 /// The value at or below which a further replica of a model is not worth an unload, in urgent requests.
 const MIN_GAIN: f64 = 2.0;
 /// The same where memory is free.
@@ -44,8 +44,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
     pub(super) engine: usize,
-    /// The model that makes way; none where memory is free.
-    pub(super) evicted: Option<usize>,
+    /// The models that make way, the first of them first; none where memory is free.
+    pub(super) evicted: [Option<usize>; 2],
     /// The urgent requests that the replica serves within the horizon.
     pub(super) gain: f64,
     /// The urgent requests that the replica that makes way would serve and no other one can.
@@ -57,11 +57,20 @@
 }
 
 impl Candidate {
+    /// Returns a load in the place of a replica that is not needed.
+    pub(super) const fn in_place_of(self, evicted: usize, loss: f64) -> Self {
+        Self {
+            evicted: [Some(evicted), None],
+            loss,
+            ..self
+        }
+    }
+
     /// Returns a load that takes no other replica's place.
     pub(super) const fn in_free_memory(engine: usize, delay: time::Duration, gain: f64) -> Self {
         Self {
             engine,
-            evicted: None,
+            evicted: [None, None],
             gain,
             loss: 0.0,
             delay,
@@ -109,7 +118,7 @@
 }
 
 /// Returns the loss from the unload of `model` at an engine for `replacement`, or none if it may not be unloaded.
-fn loss(
+pub(super) fn loss(
     board: &board::Board<'_>,
     planner: &plan::Planner<'_>,
     engine: usize,
@@ -161,31 +170,50 @@
     planner: &plan::Planner<'_>,
     model: usize,
 ) -> Option<Candidate> {
-    let wanted = &board.models[model];
-    let engines = board.engines.iter().enumerate();
-    let available = engines.filter(|(_, engine)| {
-        engine.is_available
-            && !engine.models.contains(&model)
-            && (board.store_loads > 0 || !engine.sources[model].from_store)
+    let candidates = (0..board.engines.len())
+        .filter_map(|engine| best_candidate_at(board, planner, model, engine));
+    candidates.max_by(|one, other| one.score.total_cmp(&other.score))
+}
+
+/// Returns the best load of a model at one engine, if one is worthwhile.
+pub(super) fn best_candidate_at(
+    board: &board::Board<'_>,
+    planner: &plan::Planner<'_>,
+    model: usize,
+    number: usize,
+) -> Option<Candidate> {
+    let engine = &board.engines[number];
+    let is_allowed = board.store_loads > 0 || !engine.sources[model].from_store;
+    if !engine.is_available || !is_allowed || engine.models.contains(&model) {
+        return None;
+    }
+    let weights = |model: usize| board.models[model].base.spec.weights_mb;
+    let missing = weights(model) - engine.free_mb;
+    let evaluate = |evicted| candidate(board, planner, model, number, evicted);
+    if missing <= 0.0 {
+        return evaluate([None, None]);
+    }
+    let held = || engine.models.iter().copied();
+    let single = held().filter(|one| weights(*one) >= missing);
+    let best = |one: &Candidate, other: &Candidate| one.score.total_cmp(&other.score);
+    let single = single
+        .filter_map(|one| evaluate([Some(one), None]))
+        .max_by(best);
+    if single.is_some() {
+        return single;
+    }
+    // Weights of different sizes may leave no single model whose memory is enough.
+    let pairs = held().flat_map(|one| {
+        held()
+            .filter(move |other| one < *other)
+            .map(move |other| (one, other))
     });
-    let size = wanted.base.spec.weights_mb;
-    let candidates = available.flat_map(|(number, engine)| {
-        let evicted: Vec<Option<usize>> = if engine.free_mb >= size {
-            vec![None]
-        } else {
-            let frees =
-                |held: &&usize| engine.free_mb + board.models[**held].base.spec.weights_mb >= size;
-            engine
-                .models
-                .iter()
-                .filter(frees)
-                .map(|m| Some(*m))
-                .collect()
-        };
-        let candidate = move |evicted| candidate(board, planner, model, number, evicted);
-        evicted.into_iter().filter_map(candidate)
+    let pairs = pairs.filter(|(one, other)| {
+        weights(*one).max(weights(*other)) < missing && weights(*one) + weights(*other) >= missing
     });
-    candidates.max_by(|one, other| one.score.total_cmp(&other.score))
+    pairs
+        .filter_map(|(one, other)| evaluate([Some(one), Some(other)]))
+        .max_by(best)
 }
 
 fn candidate(
@@ -193,20 +221,19 @@
     planner: &plan::Planner<'_>,
     model: usize,
     number: usize,
-    evicted: Option<usize>,
+    evicted: [Option<usize>; 2],
 ) -> Option<Candidate> {
     let (wanted, engine) = (&board.models[model], &board.engines[number]);
     let mut delay = engine.sources[model].time;
     let mut freed = 0.0;
     let mut cost = 0.0;
-    if let Some(evicted) = evicted {
-        cost = loss(board, planner, number, evicted, wanted)?;
-        freed = board.share(number, evicted)?;
-        delay += UNLOAD_TIME;
-        if freed > NEGLIGIBLE_SLOTS {
-            // The requests in progress end before the weights are unloaded.
-            delay += time::Duration::from_secs_f64(board.models[evicted].estimate.slot_time);
-        }
+    for evicted in evicted.into_iter().flatten() {
+        cost += loss(board, planner, number, evicted, wanted)?;
+        let share = board.share(number, evicted)?;
+        freed += share;
+        // The requests in progress end before the weights are unloaded.
+        let slot_time = board.models[evicted].estimate.slot_time;
+        delay += UNLOAD_TIME + time::Duration::from_secs_f64(slot_time * share.clamp(0.0, 1.0));
     }
     // A model without a replica is served at a full engine too, rather than not at all.
     let mut room = engine.room(freed);
@@ -214,11 +241,11 @@
         room = room.max(1.0);
     }
     let gain = gain(wanted, room, delay);
-    let is_worthwhile = match evicted {
-        None if wanted.holders.is_empty() => gain > 0.0,
-        None => gain > MIN_FREE_GAIN,
-        Some(_) if wanted.holders.is_empty() => gain > cost,
-        Some(_) => gain > MIN_GAIN && gain > cost * GAIN_RATIO,
+    let is_worthwhile = match (wanted.holders.is_empty(), evicted[0]) {
+        (true, None) => gain > 0.0,
+        (true, Some(_)) => gain > cost,
+        (false, None) => gain > MIN_FREE_GAIN,
+        (false, Some(_)) => gain > MIN_GAIN && gain > cost * GAIN_RATIO,
     };
     let utilization = (engine.load - freed) / engine.slots.max(1.0);
     let score = gain - cost - UTILIZATION_COST * utilization - LOAD_TIME_COST * delay.as_secs_f64();
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -204,11 +204,19 @@
                 engine.registration.state = relay::State::Draining;
             }
         }
-        if !report.demands.is_empty() {
+        if report
+            .demands
+            .iter()
+            .any(|demand| !demand.is_end_of_requests())
+        {
             self.demand_since.get_or_insert(now);
         }
         for demand in &report.demands {
             let model = (demand.service.clone(), demand.model.clone());
+            if demand.is_end_of_requests() {
+                self.traffic.record(now, &model, demand);
+                continue;
+            }
             self.model_demand.add(now, &model, demand.tokens as f64);
             self.traffic.record(now, &model, demand);
             if let Some(adapter) = &demand.adapter {
@@ -552,9 +560,9 @@
     }
 
     /// Returns the number of loads that may begin from the weight store now when it allows `per_second` loads per second.
-    pub(super) fn available_store_loads(&self, per_second: f64) -> usize {
+    pub(super) fn available_store_loads(&self, per_second: f64) -> i64 {
         let max_loads = (per_second * self.options.load_window.as_secs_f64()).max(1.0);
-        (max_loads.floor() as usize).saturating_sub(self.store_loads.len())
+        max_loads.min(MAX_STORE_LOADS as f64).floor() as i64 - self.store_loads.len() as i64
     }
 
     /// Returns the demands of recent reports for the models of a service.
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -4,6 +4,7 @@
 
 use crate::clock;
 use crate::name;
+use crate::relay::config;
 use crate::relay::limit;
 use crate::relay::pending;
 use crate::relay::report;
@@ -84,8 +85,12 @@
         }
     }
 
-    /// Records for the next report how long a request that ends was at its last upstream.
+    /// Records for the next report, if its service is balanced by work, how long a request that ends was at its last upstream.
     pub(super) fn record_slot_time(&mut self, now: clock::Instant, request: &pending::Pending) {
+        let service = request.admitted_service.as_ref();
+        if service.is_none_or(|service| service.balancing != config::Balancing::Work) {
+            return;
+        }
         let sent = request.phase.sent_at().or(request.first_sent_at);
         if let (Some(model), Some(sent)) = (&request.model, sent) {
             let key = (
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -20,6 +20,14 @@
     pub traffic: traffic::Traffic,
 }
 
+impl Demand {
+    /// Returns whether it only says that earlier requests have ended, so that nothing is asked for.
+    pub(crate) fn is_end_of_requests(&self) -> bool {
+        let ended = self.traffic.completed > 0 && self.traffic.arrivals == 0;
+        ended && self.tokens == 0 && self.waiting == 0
+    }
+}
+
 /// The limit on requests of an upstream, as one host knows it.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
