--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -20,6 +20,7 @@
 mod reservation;
 mod share;
 mod term;
+mod traffic;
 
 pub use cold::Bound;
 pub use effect::Effect;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -14,6 +14,7 @@
 use super::plan;
 use super::reservation;
 use super::share;
+use super::traffic;
 use crate::clock;
 use crate::meter;
 use crate::name;
@@ -66,7 +67,7 @@
     pub(super) options: options::Options,
     epoch: u64,
     /// When this host was elected; none before that and after it has resigned.
-    elected_at: Option<clock::Instant>,
+    pub(super) elected_at: Option<clock::Instant>,
     config_version: u64,
     services: collections::BTreeMap<name::Name, relay::EngineSpec>,
     pub(super) engines: collections::BTreeMap<name::Name, engine::Engine>,
@@ -75,6 +76,8 @@
     pub(super) model_demand: meter::Meter<(name::Name, name::Name)>,
     /// The demand for each adapter by service and model, in tokens.
     pub(super) adapter_demand: meter::Meter<(name::Name, name::Name, name::Name)>,
+    /// The requests for each model by service.
+    pub(super) traffic: traffic::Traffic,
     shares: share::Shares,
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
@@ -110,6 +113,7 @@
             hosts: collections::BTreeMap::new(),
             model_demand: meter::Meter::default(),
             adapter_demand: meter::Meter::default(),
+            traffic: traffic::Traffic::default(),
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
             limits: limit::Limits::default(),
@@ -230,12 +234,21 @@
                 engine.registration.state = relay::State::Draining;
             }
         }
-        if !report.demands.is_empty() {
+        if report
+            .demands
+            .iter()
+            .any(|demand| !demand.is_end_of_requests())
+        {
             self.demand_since.get_or_insert(now);
         }
         for demand in &report.demands {
             let model = (demand.service.clone(), demand.model.clone());
+            if demand.is_end_of_requests() {
+                self.traffic.record(now, &model, demand);
+                continue;
+            }
             self.model_demand.add(now, &model, demand.tokens as f64);
+            self.traffic.record(now, &model, demand);
             if let Some(adapter) = &demand.adapter {
                 let (service, model) = model;
                 let key = (service, model, adapter.clone());
@@ -384,6 +397,7 @@
         self.record_evacuations(now, effects);
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
         self.adapter_demand.remove_idle(now, DEMAND_RETENTION);
+        self.traffic.remove_idle(now, DEMAND_RETENTION);
         let window = self.options.load_window;
         while self
             .store_loads
@@ -508,7 +522,8 @@
 
     /// Sends the orders that the current demand calls for.
     fn order(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        for _ in 0..MAX_ORDERS_PER_TICK {
+        let mut orders = 0;
+        while orders < MAX_ORDERS_PER_TICK {
             let step = self.services.iter().find_map(|(service, spec)| {
                 let planner = plan::Planner::new(now, self, service, spec);
                 planner.adapter_step().or_else(|| planner.model_step())
@@ -517,6 +532,20 @@
                 break;
             };
             self.send(now, step, effects);
+            orders += 1;
+        }
+        let mut placements: Vec<_> = self
+            .services
+            .iter()
+            .filter(|(_, spec)| spec.balancing == relay::Balancing::Work)
+            .flat_map(|(service, spec)| {
+                plan::Planner::new(now, self, service, spec).placements(MAX_ORDERS_PER_TICK)
+            })
+            .collect();
+        placements.truncate(MAX_ORDERS_PER_TICK - orders);
+        for placement in placements {
+            effects.push(effect::Effect::Record(placement.decision));
+            self.send(now, placement.step, effects);
         }
         if now.since(self.preloaded_at) >= PRELOAD_INTERVAL {
             self.preloaded_at = now;
@@ -586,6 +615,25 @@
         (self.store_loads.len() as f64) + 1.0 <= max_loads.max(1.0)
     }
 
+    /// Returns the number of loads that may begin from the weight store now when it allows `per_second` loads per second.
+    pub(super) fn available_store_loads(&self, per_second: f64) -> i64 {
+        let max_loads = (per_second * self.options.load_window.as_secs_f64()).max(1.0);
+        max_loads.min(MAX_STORE_LOADS as f64).floor() as i64 - self.store_loads.len() as i64
+    }
+
+    /// Returns the demands of recent reports for the models of a service.
+    pub(super) fn recent_demands<'a>(
+        &'a self,
+        now: clock::Instant,
+        service: &'a name::Name,
+    ) -> impl Iterator<Item = &'a relay::Demand> {
+        self.hosts
+            .values()
+            .filter(move |host| now.since(host.received_at) < MAX_REPORT_AGE)
+            .flat_map(|host| &host.report.demands)
+            .filter(move |demand| demand.service == *service)
+    }
+
     /// Returns whether enough hosts get no responses from an upstream for all of them to avoid it.
     pub(super) fn is_suspect(&self, id: &name::Name) -> bool {
         self.suspects.contains(id)
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -29,6 +29,7 @@
 mod restoration;
 mod selection;
 mod summary;
+pub(crate) mod traffic;
 mod upstream;
 mod view;
 
@@ -74,6 +75,7 @@
 pub use request::Request;
 pub use summary::Outcome;
 pub use summary::Summary;
+pub use traffic::Traffic;
 pub use upstream::Upstream;
 pub use view::ColdPermit;
 pub use view::ColdPermits;
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -3,7 +3,10 @@
 use std::collections;
 
 use crate::clock;
+use crate::name;
+use crate::relay::config;
 use crate::relay::limit;
+use crate::relay::pending;
 use crate::relay::report;
 use crate::relay::upstream;
 
@@ -34,12 +37,14 @@
                     request.adapter.clone(),
                 );
                 *waiting.entry(key.clone()).or_default() += 1;
-                self.demands.entry(key).or_default();
+                let (_, traffic) = self.demands.entry(key).or_default();
+                let patience = request.abandonment_time().since(now);
+                traffic.record_waiting(request.priority, patience);
             }
         }
         let limits = self.limits(now);
         let colds = self.cold_report(now, self.report_count);
-        let demands = self.demands.drain().map(|(key, tokens)| {
+        let demands = self.demands.drain().map(|(key, (tokens, traffic))| {
             let waiting = waiting.get(&key).copied().unwrap_or(0);
             let (service, model, adapter) = key;
             report::Demand {
@@ -48,6 +53,7 @@
                 adapter,
                 tokens,
                 waiting,
+                traffic,
             }
         });
         let interval = now.since(self.last_report);
@@ -86,6 +92,24 @@
         }
     }
 
+    /// Records for the next report, if its service is balanced by work, how long a request that ends was at its last upstream.
+    pub(super) fn record_slot_time(&mut self, now: clock::Instant, request: &pending::Pending) {
+        let service = request.admitted_service.as_ref();
+        if service.is_none_or(|service| service.balancing != config::Balancing::Work) {
+            return;
+        }
+        let sent = request.phase.sent_at().or(request.first_sent_at);
+        if let (Some(model), Some(sent)) = (&request.model, sent) {
+            let key = (
+                request.service.clone(),
+                model.clone(),
+                request.adapter.clone(),
+            );
+            let (_, traffic) = self.demands.entry(key).or_default();
+            traffic.record_end(now.since(sent));
+        }
+    }
+
     /// Returns the limits on requests that upstreams have named or ended.
     fn limits(&self, now: clock::Instant) -> Vec<report::Limit> {
         if self
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -1,3 +1,4 @@
+use super::traffic;
 use crate::name;
 
 /// The demand for a model or adapter at one host.
@@ -14,6 +15,17 @@
     pub tokens: u64,
     /// The requests that wait for an upstream.
     pub waiting: u32,
+    /// The requests by number, urgency and duration; empty from a host of an earlier version.
+    #[serde(default)]
+    pub traffic: traffic::Traffic,
+}
+
+impl Demand {
+    /// Returns whether it only says that earlier requests have ended, so that nothing is asked for.
+    pub(crate) fn is_end_of_requests(&self) -> bool {
+        let ended = self.traffic.completed > 0 && self.traffic.arrivals == 0;
+        ended && self.tokens == 0 && self.waiting == 0
+    }
 }
 
 /// The limit on requests of an upstream, as one host knows it.
