feat(relay): choose upstreams by expected work

Cause: requests that look alike cost upstreams very different amounts of work, and upstreams differ in speed.

Change: work::Estimator learns the events of responses, work::Pace what prompt tokens and events take at each upstream, and work::Ledger keeps the remaining work. Under Balancing::Work the selection takes the lowest expected cost, with a random part and a turn against herding, and prefers the host's own availability zone. Reports and views carry the remaining work in milliseconds; lines dispatched and two metrics show the estimates. With Balancing::Requests no decision changes.

--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -15,6 +15,7 @@
 mod order;
 mod plan;
 mod reducer;
+mod remaining;
 mod reservation;
 mod share;
 mod term;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -10,6 +10,7 @@
 use super::options;
 use super::order;
 use super::plan;
+use super::remaining;
 use super::reservation;
 use super::share;
 use crate::clock;
@@ -75,6 +76,7 @@
     pub(super) adapter_demand: meter::Meter<(name::Name, name::Name, name::Name)>,
     shares: share::Shares,
     reservations: reservation::Reservations,
+    remaining: remaining::Remaining,
     pub(super) limits: limit::Limits,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
@@ -106,6 +108,7 @@
             adapter_demand: meter::Meter::default(),
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
+            remaining: remaining::Remaining::default(),
             limits: limit::Limits::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
@@ -215,6 +218,7 @@
         }
         self.shares.record_usage(now, &report.host, &report.usage);
         self.reservations.record_report(&report);
+        self.remaining.record_report(now, &report);
         self.limits.record_report(now, &report);
         let host = report.host.clone();
         self.hosts.insert(
@@ -347,6 +351,8 @@
             .retain(|_, host| now.since(host.received_at) < timeout);
         self.reservations
             .retain_hosts(|host| self.hosts.contains_key(host));
+        self.remaining
+            .retain_hosts(|host| self.hosts.contains_key(host));
         self.limits
             .retain(now, |host| self.hosts.contains_key(host));
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -37,6 +37,7 @@
         };
         let grants = self.shares.grant(now, &token_requests, &reporting);
         self.reserve_slots(host);
+        self.remaining.refresh(now);
         let permits = self.limits.permit(now, host, report_number);
         let ready_in_ms = self.ready_in_ms(now);
         let engines = self.engine_views(now, host, full);
@@ -147,6 +148,7 @@
             let spec = self.services.get(&engine.registration.service)?;
             engine.status_at.filter(|_| is_included(engine))?;
             let availability = self.reservations.availability(host, id, engine.slots(spec));
+            let (other_prompt_ms, other_work_ms) = self.remaining.others(now, host, id);
             Some(relay::EngineView {
                 upstream: id.clone(),
                 models: engine.models.keys().cloned().collect(),
@@ -159,6 +161,8 @@
                 adapters: engine.adapters.keys().cloned().collect(),
                 other_requests: availability.other_requests,
                 usable_slots: availability.usable_slots,
+                other_prompt_ms,
+                other_work_ms,
             })
         });
         views.collect()
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod side;
 pub mod stream;
 pub mod timeline;
+pub mod work;
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -8,6 +8,7 @@
 use super::summary;
 use crate::clock;
 use crate::name;
+use crate::work;
 
 /// Whether a request waits or an attempt is in progress.
 #[derive(Clone, Debug)]
@@ -103,6 +104,8 @@
     pub(super) requires_key: bool,
     /// The priority; 0 is the most urgent.
     pub(super) priority: u8,
+    /// The prompt tokens and the maximum of output tokens; none when the caller gives none.
+    pub(super) tokens: Option<(u64, u64)>,
     /// The tokens charged to the workspace.
     pub(super) cost: u64,
     /// Whether the tokens have been taken from the allowance or granted by the coordinator.
@@ -127,6 +130,8 @@
     pub(super) first_sent_at: Option<clock::Instant>,
     /// When the first byte of a response arrived.
     pub(super) first_byte_at: Option<clock::Instant>,
+    /// The time to the first event that was expected of the last attempt; none where requests are counted.
+    pub(super) expected_first: Option<time::Duration>,
     /// The number of the last attempt, counted from 1; 0 before the first one.
     pub(super) attempt: u32,
     /// The attempts that may have reached an upstream.
@@ -154,6 +159,17 @@
 }
 
 impl Pending {
+    /// Returns what the length of its response depends on.
+    pub(super) fn subject(&self) -> work::Subject<'_> {
+        work::Subject {
+            service: &self.service,
+            route: &self.route.name,
+            model: self.model.as_ref(),
+            adapter: self.adapter.as_ref(),
+            workspace: self.workspace.as_ref(),
+        }
+    }
+
     /// Returns whether the time that an upstream was given for the attempt that was sent at `sent` is over, so that it may end
     /// the attempt.
     pub(super) fn is_at_limit(&self, now: clock::Instant, sent: clock::Instant) -> bool {
@@ -235,9 +251,16 @@
             queue_time: since_arrival(self.first_sent_at.unwrap_or(now)),
             time_to_first_byte: self.first_byte_at.map(since_arrival),
             upstream_time: self.first_sent_at.map(|sent| now.since(sent)),
+            forecast_error: self.forecast_error(),
         }
     }
 
+    fn forecast_error(&self) -> Option<time::Duration> {
+        let expected = self.expected_first.filter(|_| self.attempt == 1)?;
+        let actual = self.first_byte_at?.since(self.first_sent_at?);
+        Some(actual.abs_diff(expected))
+    }
+
     /// Returns whether no attempt is in progress.
     pub(super) fn is_waiting(&self) -> bool {
         matches!(self.phase, Phase::Waiting)
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -9,6 +9,7 @@
 mod stop;
 mod tick;
 mod token;
+mod tracking;
 mod update;
 
 use std::collections;
@@ -25,6 +26,7 @@
 use super::refusal;
 use super::restoration;
 use super::selection;
+use super::selection::expected;
 use super::upstream;
 use super::view;
 use crate::balance;
@@ -34,6 +36,7 @@
 use crate::quarantine;
 use crate::retry;
 use crate::timeline;
+use crate::work;
 
 /// The age up to which the ready times of models in the coordinator's view are used.
 const MAX_VIEW_AGE: time::Duration = time::Duration::from_millis(2_500);
@@ -124,6 +127,8 @@
     stop: Option<stop::Stop>,
     /// How long requests take.
     durations: stop::Durations,
+    /// The expected work of requests and the remaining work of upstreams.
+    tracker: work::Tracker,
 }
 
 impl Reducer {
@@ -166,6 +171,7 @@
             origins: origin::Origins::default(),
             stop: None,
             durations: stop::Durations::default(),
+            tracker: work::Tracker::default(),
         }
     }
 
@@ -222,6 +228,15 @@
             sequence: self.dispatches,
             max_silence: None,
             unrecorded: self.origins.unrecorded(now, name),
+            knowledge: self.knowledge(),
+        }
+    }
+
+    fn knowledge(&self) -> expected::Knowledge<'_> {
+        expected::Knowledge {
+            tracker: &self.tracker,
+            host: &self.host,
+            hosts: self.host_count,
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -204,6 +204,7 @@
             priority: workspace
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
+            tokens: request.tokens,
             cost,
             has_tokens,
             arrived_at: now,
@@ -216,6 +217,7 @@
             is_unplaced: false,
             first_sent_at: None,
             first_byte_at: None,
+            expected_first: None,
             attempt: 0,
             sent_attempts: 0,
             possible_executions: 0,
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use super::tracking;
 use crate::clock;
 use crate::name;
 use crate::relay::command;
@@ -259,6 +260,7 @@
         upstream: &name::Name,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let forecast = self.forecast(now, id, upstream);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -275,6 +277,7 @@
             budget.record_request(now);
         }
         request.first_sent_at.get_or_insert(now);
+        request.expected_first = forecast.map(tracking::Forecast::first_event);
         request.attempt += 1;
         request.sent_attempts += 1;
         let was_tried = request.history.includes(upstream);
@@ -338,6 +341,10 @@
             )
             .with("remaining_ms", timeline::Value::millis(remaining))
             .with("config", config);
+        let decision = match forecast {
+            Some(forecast) => forecast.log(decision),
+            None => decision,
+        };
         effects.push(super::record(decision));
         effects.push(effect::Effect::Command(
             id,
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -28,9 +28,16 @@
     pub(super) fn release(&mut self, id: event::Id) -> Option<(name::Name, clock::Instant)> {
         let request = self.requests.get_mut(&id)?;
         let phase = std::mem::replace(&mut request.phase, pending::Phase::Waiting);
-        let pending::Phase::Sent { upstream, sent, .. } = phase else {
+        let pending::Phase::Sent {
+            attempt,
+            upstream,
+            sent,
+            ..
+        } = phase
+        else {
             return None;
         };
+        self.tracker.ledger.remove(&upstream, (id, attempt));
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_end();
         }
@@ -76,6 +83,7 @@
             && self.requests.get(&id).is_some_and(may_follow)
         {
             self.end_standbys(now, id, effects);
+            self.track_answer(now, id);
         }
         let Some((upstream, sent)) = self.release(id) else {
             return;
@@ -257,6 +265,7 @@
         last_event: Option<u64>,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.track_progress(now, id, attempt, last_event);
         if let Some(request) = self.requests.get_mut(&id) {
             request.is_caller_blocked = false;
         }
@@ -324,6 +333,7 @@
         }
         self.end_standbys(now, id, effects);
         self.forget_stream(id);
+        self.track_stream_end(now, id);
         let Some((upstream, _)) = self.release(id) else {
             return;
         };
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -143,6 +143,7 @@
         request.abandoned_attempts += 1;
         request.history.record_end(now, attempt);
         let was_replaced = request.phase.sent_at().is_some_and(|other| sent < other);
+        self.tracker.ledger.remove(&upstream, (id, attempt));
         if let Some(entry) = self.upstreams.get_mut(&upstream) {
             entry.record_end();
             if was_replaced {
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -228,6 +228,7 @@
             }
             is_kept
         });
+        self.forget_work();
     }
 
     /// Marks an upstream as removed. During an outage of the store, the entries of live upstreams may have lapsed, so it
@@ -286,6 +287,9 @@
             self.record_leaving(now, &upstream, Some(started), effects);
         }
         for engine in view.engines.drain(..) {
+            if self.upstreams.contains_key(&engine.upstream) {
+                self.track_view(now, &engine);
+            }
             if let Some(entry) = self.upstreams.get_mut(&engine.upstream) {
                 entry.update_view(now, engine);
             }
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -65,4 +65,8 @@
     pub requests_per_second: f64,
     /// Whether the host takes no new connections any more.
     pub stopping: bool,
+    /// The remaining work of this host's requests by upstream in milliseconds: that of unread prompts, and the whole. Empty where
+    /// requests are counted.
+    #[serde(default)]
+    pub work: Vec<(name::Name, u32, u32)>,
 }
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -1,5 +1,7 @@
 //! Selection of the upstream for a request.
 
+pub(super) mod expected;
+
 use std::time;
 
 use super::config;
@@ -58,6 +60,8 @@
     pub(super) max_silence: Option<time::Duration>,
     /// The versions of the service at which no stream may begin.
     pub(super) unrecorded: Vec<origin::Origin>,
+    /// What the choice under [`config::Balancing::Work`] is based on.
+    pub(super) knowledge: expected::Knowledge<'a>,
 }
 
 impl Selector<'_> {
@@ -69,6 +73,12 @@
         }
     }
 
+    /// Returns whether the expected work decides. The other policies are baselines for measurements.
+    fn is_by_work(&self) -> bool {
+        self.service.balancing == config::Balancing::Work
+            && self.policy.routing == policy::Routing::Cost
+    }
+
     /// Selects the upstream for a request. Upstreams that no attempt has been sent to take precedence.
     pub(super) fn select(
         &self,
@@ -165,6 +175,18 @@
                         .is_resting(self.now, &upstream.registration.id)
             })
             .collect();
+        if self.is_by_work() {
+            let candidates: Vec<_> = available
+                .iter()
+                .map(|upstream| (*upstream, self.slots(upstream)))
+                .collect();
+            let chosen =
+                self.knowledge
+                    .choose(self.now, self.zone, request, &candidates, self.sequence);
+            return chosen.map_or(Selection::NoFreeSlot, |upstream| {
+                Selection::Upstream(upstream.registration.id.clone())
+            });
+        }
         let fastest = available
             .iter()
             .filter_map(|upstream| upstream.mean_latency())
--- a/crates/carawaycleat-core/src/relay/summary.rs
+++ b/crates/carawaycleat-core/src/relay/summary.rs
@@ -47,4 +47,7 @@
     pub time_to_first_byte: Option<time::Duration>,
     /// From when it was first sent to an upstream until its end.
     pub upstream_time: Option<time::Duration>,
+    /// By how much the time from when it was first sent until the first byte differs from the expected one; none without an
+    /// expectation, without a response, or with several attempts.
+    pub forecast_error: Option<time::Duration>,
 }
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -19,6 +19,12 @@
     pub other_requests: u32,
     /// The further requests that this host may send before the next view, in addition to one for each that ends.
     pub usable_slots: u32,
+    /// The time for the unread prompts of the other hosts' requests, in milliseconds.
+    #[serde(default)]
+    pub other_prompt_ms: u32,
+    /// The remaining work of the other hosts' requests in milliseconds; 0 where requests are counted.
+    #[serde(default)]
+    pub other_work_ms: u32,
 }
 
 /// The share of a workspace's allowance that a host may use without a grant of the coordinator.
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -63,3 +63,4 @@
 mod side;
 mod stream;
 mod timeline;
+mod work_balance;
--- a/crates/carawaycleat-core/tests/suite/relay_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_extreme.rs
@@ -23,6 +23,8 @@
             adapters: Vec::new(),
             other_requests: u32::MAX,
             usable_slots: u32::MAX,
+            other_prompt_ms: u32::MAX,
+            other_work_ms: u32::MAX,
         }],
         suspects: Vec::new(),
         ready_in_ms: vec![(relay_fake::name("small"), u64::MAX)],
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -147,6 +147,8 @@
         adapters: Vec::new(),
         other_requests: 1,
         usable_slots,
+        other_prompt_ms: 0,
+        other_work_ms: 0,
     };
     harness.feed(relay::Event::ViewReceived(Box::new(relay_fake::view(
         vec![engine(1)],
