--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -17,6 +17,7 @@
 mod order;
 mod plan;
 mod reducer;
+mod remaining;
 mod reservation;
 mod share;
 mod term;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -12,6 +12,7 @@
 use super::options;
 use super::order;
 use super::plan;
+use super::remaining;
 use super::reservation;
 use super::share;
 use super::traffic;
@@ -80,6 +81,7 @@
     pub(super) traffic: traffic::Traffic,
     shares: share::Shares,
     reservations: reservation::Reservations,
+    remaining: remaining::Remaining,
     pub(super) limits: limit::Limits,
     cold: cold::Division,
     evacuations: evacuation::Evacuations,
@@ -116,6 +118,7 @@
             traffic: traffic::Traffic::default(),
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
+            remaining: remaining::Remaining::default(),
             limits: limit::Limits::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
@@ -258,6 +261,7 @@
         }
         self.shares.record_usage(now, &report.host, &report.usage);
         self.reservations.record_report(&report);
+        self.remaining.record_report(now, &report);
         self.limits.record_report(now, &report);
         self.cold.record_report(now, self.epoch, &report);
         let host = report.host.clone();
@@ -391,6 +395,8 @@
             .retain(|_, host| now.since(host.received_at) < timeout);
         self.reservations
             .retain_hosts(|host| self.hosts.contains_key(host));
+        self.remaining
+            .retain_hosts(|host| self.hosts.contains_key(host));
         self.limits
             .retain(now, |host| self.hosts.contains_key(host));
         self.cold.tick(now, may_order);
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -89,6 +89,7 @@
                 .iter()
                 .map(|(zone, _)| zone.clone())
                 .collect(),
+            work: self.remaining_work(now),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -112,4 +112,8 @@
     /// The availability zones whose evacuation the host applies.
     #[serde(default)]
     pub evacuated: Vec<name::Name>,
+    /// The remaining work of this host's requests by upstream in milliseconds: that of unread prompts, and the whole. Empty where
+    /// requests are counted.
+    #[serde(default)]
+    pub work: Vec<(name::Name, u32, u32)>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -176,6 +176,7 @@
         stopping: false,
         colds: relay::Colds::default(),
         evacuated: Vec::new(),
+        work: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
@@ -109,5 +109,6 @@
         stopping: false,
         colds: relay::Colds::default(),
         evacuated: Vec::new(),
+        work: Vec::new(),
     }
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -62,6 +62,7 @@
             stopping: false,
             colds: relay::Colds::default(),
             evacuated: Vec::new(),
+            work: Vec::new(),
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
         let name = relay_fake::name(&host_name(host));
--- a/crates/carawaycleat-core/tests/suite/coordinator_term.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_term.rs
@@ -52,6 +52,7 @@
                     stopping: false,
                     colds: relay::Colds::default(),
                     evacuated: Vec::new(),
+                    work: Vec::new(),
                 };
                 self.feed(coordinator::Event::Reported(Box::new(report)));
             }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -66,3 +66,4 @@
 mod side;
 mod stream;
 mod timeline;
+mod work_balance;
