feat(net): count and bound the connections of a pool by address

Cause: an upstream resets the connections beyond its cap, and a pool opened one for each request without an idle one. Nobody knew whether a request that ended while its connection was made had left.

Change: the pool counts connections in use and idle by address. `limit_connections` bounds them: idle ones beyond the limit are closed, the oldest one makes room for a request that needs a new connection, and nothing is opened beyond it (`Cause::Limited`). `send_observed` reports the stages of a request (connecting, connected, sent), and a request that is withdrawn before its first byte is not sent.

Tests: carawaycleat-net suite passes, with two new tests against a loopback peer that counts connections.

--- a/crates/carawaycleat-net/src/error.rs
+++ b/crates/carawaycleat-net/src/error.rs
@@ -34,6 +34,14 @@
         Closed {
             display("the receiver is closed")
         }
+        /// As many connections to the server are open as may be.
+        NoConnection {
+            display("no further connection to the server is permitted")
+        }
+        /// The request was withdrawn before its first byte was sent.
+        Withdrawn {
+            display("the request was withdrawn")
+        }
         /// The channel of a stream is full.
         Full {
             display("the stream is full")
--- a/crates/carawaycleat-net/src/pool.rs
+++ b/crates/carawaycleat-net/src/pool.rs
@@ -1,10 +1,13 @@
+mod counts;
 mod departure;
 mod exchange;
 mod failure;
 mod idle;
+mod ledger;
 mod reader;
 mod reply;
 mod source;
+mod stage;
 
 use std::net;
 use std::sync;
@@ -13,10 +16,12 @@
 use crate::error;
 use crate::request;
 
+pub use counts::Connections;
 pub use failure::Cause;
 pub use failure::Failure;
 pub use reader::Reader;
 pub use reply::Reply;
+pub use stage::Stage;
 
 /// The default time between two searches for idle connections that cannot be used any more.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
@@ -27,6 +32,7 @@
     connect_timeout: time::Duration,
     accepts_close_delimited: bool,
     idle: sync::Arc<idle::Idle>,
+    ledger: sync::Arc<ledger::Ledger>,
 }
 
 impl Default for Pool {
@@ -45,6 +51,7 @@
             connect_timeout,
             accepts_close_delimited: false,
             idle: sync::Arc::new(idle::Idle::new(max_idle_connections, SWEEP_INTERVAL)),
+            ledger: sync::Arc::default(),
         }
     }
 
@@ -61,6 +68,32 @@
         self.idle.len()
     }
 
+    /// Returns the number of connections by state, and of those made and refused since the start.
+    #[must_use]
+    pub fn connections(&self) -> Connections {
+        let (open, opened, refused) = self.ledger.totals();
+        let idle = self.idle.len();
+        Connections {
+            in_use: open.saturating_sub(idle),
+            idle,
+            opened,
+            refused,
+        }
+    }
+
+    /// Returns the number of connections to a server that are open or being made, idle ones included.
+    #[must_use]
+    pub fn open_connections(&self, address: net::SocketAddr) -> usize {
+        self.ledger.open_to(address)
+    }
+
+    /// Sets how many connections to a server may be open, idle ones included; none for no limit. Closes idle ones beyond it.
+    /// Those that carry requests stay open until these end.
+    pub fn limit_connections(&self, address: net::SocketAddr, limit: Option<usize>) {
+        let excess = self.ledger.set_limit(address, limit);
+        self.idle.close_oldest(address, excess);
+    }
+
     /// Closes the idle connections to a server, for example because it is silent.
     pub fn forget(&self, address: net::SocketAddr) {
         self.idle.forget(address);
@@ -87,11 +120,12 @@
         timeout: time::Duration,
         max_idle: time::Duration,
     ) -> Result<Reply, Failure> {
-        self.send_observed(address, request, timeout, max_idle, || ())
+        self.send_observed(address, request, timeout, max_idle, |_| true)
             .await
     }
 
-    /// Sends a request like [`Pool::send_fresh`], and calls `on_sent` when its first byte has been sent.
+    /// Sends a request like [`Pool::send_fresh`], and calls `observe` at each stage on its way. If that returns false before
+    /// the first byte has been sent, none is.
     ///
     /// # Errors
     ///
@@ -102,9 +136,9 @@
         request: request::Request,
         timeout: time::Duration,
         max_idle: time::Duration,
-        on_sent: impl FnOnce(),
+        observe: impl FnMut(Stage) -> bool,
     ) -> Result<Reply, Failure> {
-        let mut sent = departure::Departure::new(on_sent);
+        let mut sent = departure::Departure::new(observe);
         let exchange = self.exchange(address, request, max_idle, &mut sent);
         let expired = async {
             async_io::Timer::after(timeout).await;
@@ -144,23 +178,24 @@
         address: net::SocketAddr,
         request: request::Request,
         max_idle: time::Duration,
-        sent: &mut departure::Departure<impl FnOnce()>,
+        sent: &mut departure::Departure<impl FnMut(Stage) -> bool>,
     ) -> error::Result<Reply> {
         let head = exchange::encode(&request, address)?;
         let reused = self.idle.take(address, max_idle);
         let mut is_first = reused.is_none();
         let mut stream = match reused {
             Some(stream) => stream,
-            None => self.connect(address).await?,
+            None => self.connect(address, sent).await?,
         };
         let mut written = exchange::write(&stream, &head, &request.body, sent).await;
         while written.is_err() && !sent.is_sent() && !is_first {
             // The server closed the idle connection between the check and the first write.
             is_first = true;
-            stream = self.connect(address).await?;
+            drop(stream);
+            stream = self.connect(address, sent).await?;
             written = exchange::write(&stream, &head, &request.body, sent).await;
         }
-        let recycler = idle::Recycler::new(&self.idle, address);
+        let recycler = idle::Recycler::new(&self.idle, &self.ledger, address);
         match written {
             Ok(()) => {
                 let is_head_request = request.method == "HEAD";
@@ -184,14 +219,29 @@
         }
     }
 
-    async fn connect(&self, address: net::SocketAddr) -> error::Result<idle::Connection> {
-        let connect = async { Ok(async_io::Async::<net::TcpStream>::connect(address).await?) };
+    /// Makes a connection for a request of which nothing has been sent. Closes an idle one if as many are open as may be.
+    async fn connect(
+        &self,
+        address: net::SocketAddr,
+        sent: &mut departure::Departure<impl FnMut(Stage) -> bool>,
+    ) -> error::Result<idle::Connection> {
+        if !sent.may_pass(Stage::Connecting) {
+            return Err(error::Error::Withdrawn);
+        }
+        let mut permit = self.ledger.admit(address);
+        while permit.is_none() && self.idle.close_oldest(address, 1) > 0 {
+            permit = self.ledger.admit(address);
+        }
+        let permit = permit.ok_or_else(|| self.ledger.refuse())?;
+        let connect = async { Ok(ledger::Socket::connect(address, permit).await?) };
         let expired = async {
             async_io::Timer::after(self.connect_timeout).await;
             Err(error::Error::Timeout)
         };
         let stream = futures_lite::future::or(connect, expired).await?;
-        stream.get_ref().set_nodelay(true)?;
+        if !sent.may_pass(Stage::Connected) {
+            return Err(error::Error::Withdrawn);
+        }
         Ok(sync::Arc::new(stream))
     }
 }
--- a/crates/carawaycleat-net/src/pool/departure.rs
+++ b/crates/carawaycleat-net/src/pool/departure.rs
@@ -1,25 +1,33 @@
-/// Whether a byte of a request has been sent, and what to do when that is so.
+use crate::pool::stage;
+
+/// Whether a byte of a request has been sent, and whom to tell how far it has come.
 pub(super) struct Departure<F> {
-    /// Called with the first byte; none after that.
-    on_sent: Option<F>,
+    observe: F,
+    is_sent: bool,
 }
 
-impl<F: FnOnce()> Departure<F> {
-    /// Returns the state of a request of which nothing has been sent. `on_sent` is called with the first byte.
-    pub(super) const fn new(on_sent: F) -> Self {
+impl<F: FnMut(stage::Stage) -> bool> Departure<F> {
+    /// Returns the state of a request of which nothing has been sent. `observe` is called at each stage.
+    pub(super) const fn new(observe: F) -> Self {
         Self {
-            on_sent: Some(on_sent),
+            observe,
+            is_sent: false,
         }
     }
 
     pub(super) const fn is_sent(&self) -> bool {
-        self.on_sent.is_none()
+        self.is_sent
+    }
+
+    /// Returns whether the request may go on from a stage before its first byte has been sent.
+    pub(super) fn may_pass(&mut self, stage: stage::Stage) -> bool {
+        (self.observe)(stage)
     }
 
     /// Records that a byte has been sent.
     pub(super) fn record(&mut self) {
-        if let Some(on_sent) = self.on_sent.take() {
-            on_sent();
+        if !std::mem::replace(&mut self.is_sent, true) {
+            (self.observe)(stage::Stage::Sent);
         }
     }
 }
--- a/crates/carawaycleat-net/src/pool/exchange.rs
+++ b/crates/carawaycleat-net/src/pool/exchange.rs
@@ -16,6 +16,7 @@
 use crate::pool::reader;
 use crate::pool::reply;
 use crate::pool::source;
+use crate::pool::stage;
 use crate::request;
 use crate::scanner;
 
@@ -85,7 +86,7 @@
     mut stream: &async_io::Async<net::TcpStream>,
     head: &[u8],
     body: &[u8],
-    sent: &mut departure::Departure<impl FnOnce()>,
+    sent: &mut departure::Departure<impl FnMut(stage::Stage) -> bool>,
 ) -> io::Result<()> {
     let body = if body.len() <= MAX_JOINED_BODY_BYTES {
         &[]
--- a/crates/carawaycleat-net/src/pool/failure.rs
+++ b/crates/carawaycleat-net/src/pool/failure.rs
@@ -16,6 +16,8 @@
     Refused,
     /// Nothing was sent: there was no connection in time.
     Unconnected,
+    /// Nothing was sent: as many connections to the server are open as may be.
+    Limited,
     /// Nothing was sent: this process could not open a connection, or the request is invalid.
     Local,
 }
@@ -36,6 +38,7 @@
         match &self.error {
             _ if self.sent => Cause::Sent,
             error::Error::Timeout => Cause::Unconnected,
+            error::Error::NoConnection => Cause::Limited,
             error::Error::Io(error) => match error.kind() {
                 io::ErrorKind::ConnectionRefused
                 | io::ErrorKind::ConnectionReset
--- a/crates/carawaycleat-net/src/pool/idle.rs
+++ b/crates/carawaycleat-net/src/pool/idle.rs
@@ -4,11 +4,13 @@
 use std::sync;
 use std::time;
 
+use crate::pool::ledger;
+
 /// The idle time after which a connection is not reused. It is shorter than the idle timeout of the server, so that the
 /// server rarely closes a connection while a request is in transit.
 const MAX_IDLE_TIME: time::Duration = time::Duration::from_secs(30);
 
-pub(super) type Connection = sync::Arc<async_io::Async<net::TcpStream>>;
+pub(super) type Connection = sync::Arc<ledger::Socket>;
 
 type Connections = collections::HashMap<net::SocketAddr, Vec<Entry>>;
 
@@ -103,6 +105,19 @@
         drop(forgotten);
     }
 
+    /// Closes up to `count` connections to a server, those that were returned first, and returns how many.
+    pub(super) fn close_oldest(&self, address: net::SocketAddr, count: usize) -> usize {
+        let connections = &mut self.lock().connections;
+        let Some(entries) = connections.get_mut(&address) else {
+            return 0;
+        };
+        let closed = entries.drain(..count.min(entries.len())).count();
+        if entries.is_empty() {
+            connections.remove(&address);
+        }
+        closed
+    }
+
     fn put(
         &self,
         address: net::SocketAddr,
@@ -151,14 +166,20 @@
 #[derive(Debug)]
 pub(super) struct Recycler {
     idle: sync::Arc<Idle>,
+    ledger: sync::Arc<ledger::Ledger>,
     address: net::SocketAddr,
     keep_alive: Option<time::Duration>,
 }
 
 impl Recycler {
-    pub(super) fn new(idle: &sync::Arc<Idle>, address: net::SocketAddr) -> Self {
+    pub(super) fn new(
+        idle: &sync::Arc<Idle>,
+        ledger: &sync::Arc<ledger::Ledger>,
+        address: net::SocketAddr,
+    ) -> Self {
         Self {
             idle: idle.clone(),
+            ledger: ledger.clone(),
             address,
             keep_alive: None,
         }
@@ -169,7 +190,11 @@
         self.keep_alive = keep_alive;
     }
 
+    /// Keeps the connection, unless more are open than may be.
     pub(super) fn put(self, connection: Connection) {
+        if self.ledger.excess(self.address) > 0 {
+            return;
+        }
         self.idle.put(self.address, self.keep_alive, connection);
     }
 }
--- a/crates/carawaycleat-net/tests/suite/main.rs
+++ b/crates/carawaycleat-net/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the network crate, a module per feature.
 
 mod client;
+mod connections;
 mod guard;
 mod idle;
 mod late;
--- a/crates/carawaycleat/src/upstream/cause.rs
+++ b/crates/carawaycleat/src/upstream/cause.rs
@@ -10,6 +10,6 @@
     match cause {
         net::Cause::Sent | net::Cause::Refused => outcome::Reason::UpstreamFailed,
         net::Cause::Unconnected => outcome::Reason::UpstreamTimeout,
-        net::Cause::Local => outcome::Reason::NoUpstream,
+        net::Cause::Local | net::Cause::Limited => outcome::Reason::NoUpstream,
     }
 }
