feat(connection): share connections and slots of upstreams among hosts

Change, with `Balancing::Work`: each host has a share of the connections to each upstream, bounded in selection and in the pool. The coordinator moves shares to the hosts that report a need; what silent hosts may hold is kept for them, and a share is given away only after its host has reported without it. Hosts use balanced, stable subsets of plain upstreams (deferred acceptance, own availability zone first), and the coordinator divides 1.6 times their slots. Of three or more replicas a host prefers two. For all deployments: a request whose connection is being made has not run, which the pool's gate guarantees.

--- a/crates/carawaycleat-core/src/coordinator/event.rs
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -1,3 +1,4 @@
+use crate::connection;
 use crate::name;
 use crate::relay;
 
@@ -67,6 +68,8 @@
         /// All workspaces.
         workspaces: Vec<relay::Workspace>,
     },
+    /// The services whose connections are shared out among the hosts.
+    ConnectionsConfigured(Vec<connection::Spec>),
     /// The set of entry hosts that may serve requests has changed to this one.
     HostsChanged(Vec<name::Name>),
     /// The registration of an upstream has been added or changed.
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,3 +1,4 @@
+mod connection;
 mod view;
 
 use std::collections;
@@ -76,6 +77,8 @@
     shares: share::Shares,
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
+    /// The division of the connections to upstreams.
+    connections: connection::Connections,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -107,6 +110,7 @@
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
             limits: limit::Limits::default(),
+            connections: connection::Connections::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
@@ -135,7 +139,11 @@
                     self.shares.configure(now, workspaces);
                 }
             }
-            event::Event::HostsChanged(hosts) => self.shares.set_hosts(hosts),
+            event::Event::ConnectionsConfigured(specs) => self.connections.configure(specs),
+            event::Event::HostsChanged(hosts) => {
+                self.connections.ledger.set_hosts(now, &hosts);
+                self.shares.set_hosts(hosts);
+            }
             event::Event::UpstreamUpdated(registration) => self.update_engine(now, *registration),
             event::Event::UpstreamRemoved(id) => {
                 self.engines.remove(&id);
@@ -160,6 +168,7 @@
         self.hosts.clear();
         self.reservations = reservation::Reservations::default();
         self.limits = limit::Limits::default();
+        self.connections.ledger.restart(now);
         self.shares.restart(now);
         let registrations: Vec<_> = self
             .engines
@@ -216,6 +225,7 @@
         self.shares.record_usage(now, &report.host, &report.usage);
         self.reservations.record_report(&report);
         self.limits.record_report(now, &report);
+        self.connections.record_report(now, &report);
         let host = report.host.clone();
         self.hosts.insert(
             host,
@@ -349,6 +359,7 @@
             .retain_hosts(|host| self.hosts.contains_key(host));
         self.limits
             .retain(now, |host| self.hosts.contains_key(host));
+        self.connections.ledger.forget(now);
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
         self.adapter_demand.remove_idle(now, DEMAND_RETENTION);
         let window = self.options.load_window;
@@ -367,6 +378,7 @@
         if now.since(self.placement_logged_at) >= PLACEMENT_LOG_INTERVAL {
             self.placement_logged_at = now;
             self.log_placement(now, effects);
+            self.log_connections(now, effects);
             if let Some(summary) = self.limits.summary() {
                 let decision = timeline::Decision::new("limits").with("upstreams", summary);
                 effects.push(effect::Effect::Record(decision));
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -52,6 +52,7 @@
             permits,
             leaving: self.departures.among(&self.engines),
             loads: self.loads(),
+            connections: self.connection_grants(now, host),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/effect.rs
+++ b/crates/carawaycleat-core/src/relay/effect.rs
@@ -25,6 +25,8 @@
     /// Record in the store that the software versions are complete again after its restoration to this era. Only the
     /// coordinator's host writes it.
     StoreSettlement(u64),
+    /// Keep at most this many connections to an address open, idle ones included; none ends the limit.
+    LimitConnections(net::SocketAddr, Option<u32>),
     /// Add a request that has ended to the metrics.
     Measure(super::Summary),
     /// Log a decision.
--- a/crates/carawaycleat-core/src/relay/event.rs
+++ b/crates/carawaycleat-core/src/relay/event.rs
@@ -42,6 +42,9 @@
     StreamEnded(Id, u32),
     /// The first byte of an attempt that was sent beside another one has left. Not reported for other attempts.
     AttemptSent(Id, u32),
+    /// A new connection is about to be made for an attempt. Until [`Reducer::begin_send`](super::Reducer::begin_send), the
+    /// attempt has certainly not run.
+    AttemptConnecting(Id, u32),
     /// An attempt has failed.
     AttemptFailed {
         /// The request.
--- a/crates/carawaycleat-core/src/relay/failure.rs
+++ b/crates/carawaycleat-core/src/relay/failure.rs
@@ -6,6 +6,8 @@
     Refused,
     /// No connection was made in time, so that nothing was sent. The upstream may only be silent.
     Unconnected,
+    /// This host has as many connections to the upstream open as it may. That says nothing about the upstream.
+    Unshared,
     /// This host could not send the request, for example for want of a descriptor. That says nothing about the upstream.
     Local,
     /// A byte of the request may have left, and no complete response has arrived.
@@ -28,6 +30,7 @@
         match self {
             Self::Refused => "refused",
             Self::Unconnected => "unconnected",
+            Self::Unshared => "unshared",
             Self::Local => "local",
             Self::BrokenOff => "broken_off",
             Self::TimedOut => "timed_out",
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -23,6 +23,8 @@
         /// When the request left for the upstream; none while its connection is being made.
         departed: Option<clock::Instant>,
         last_progress: clock::Instant,
+        /// Whether its connection is being made, so that nothing of it has left.
+        is_connecting: bool,
         /// Whether the head of a stream has arrived.
         head_received: bool,
         /// Whether a whole event of a stream has arrived.
@@ -35,6 +37,17 @@
 }
 
 impl Phase {
+    /// Returns whether the connection of the attempt in progress is being made.
+    pub(super) fn is_connecting(&self) -> bool {
+        matches!(
+            self,
+            Self::Sent {
+                is_connecting: true,
+                ..
+            }
+        )
+    }
+
     /// Returns the number of the attempt in progress.
     pub(super) fn attempt(&self) -> Option<u32> {
         match self {
@@ -133,6 +146,9 @@
     pub(super) sent_attempts: u32,
     /// The ended attempts that may have run.
     pub(super) possible_executions: u32,
+    /// Those of the possible executions that certainly did not run, because they were ended while their connections were being
+    /// made.
+    pub(super) unsent_executions: u32,
     /// The ended attempts that this host gave up for another one, because their upstreams were silent.
     pub(super) abandoned_attempts: u32,
     /// The attempts in a row that broke off before they brought an event.
@@ -238,6 +254,11 @@
         }
     }
 
+    /// Returns whether an ended attempt may have run.
+    pub(super) const fn may_have_run(&self) -> bool {
+        self.possible_executions > self.unsent_executions
+    }
+
     /// Returns whether no attempt is in progress.
     pub(super) fn is_waiting(&self) -> bool {
         matches!(self.phase, Phase::Waiting)
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1,4 +1,5 @@
 mod admission;
+mod connection;
 mod crash;
 mod dispatch;
 mod lateness;
@@ -101,6 +102,7 @@
     lateness: lateness::Lateness,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
     budgets: collections::HashMap<name::Name, retry::Budget>,
+    connections: connection::Connections,
     /// The requests that wait for tokens of their workspace, in order of arrival.
     token_waiters: collections::VecDeque<TokenWaiter>,
     /// When the coordinator last denied tokens, by workspace.
@@ -153,6 +155,7 @@
             lateness: lateness::Lateness::default(),
             allowances: collections::HashMap::new(),
             budgets: collections::HashMap::new(),
+            connections: connection::Connections::default(),
             token_waiters: collections::VecDeque::new(),
             denials: collections::HashMap::new(),
             report_count: 0,
@@ -278,6 +281,7 @@
             event::Event::StreamEnded(id, attempt) => {
                 self.handle_stream_end(now, id, attempt, &mut effects)
             }
+            event::Event::AttemptConnecting(id, attempt) => self.record_connecting(id, attempt),
             event::Event::AttemptSent(id, attempt) => {
                 self.record_connection(id, attempt);
                 self.record_departure(now, id, attempt, &mut effects);
@@ -318,6 +322,7 @@
             }
             event::Event::HostsChanged(hosts) => self.set_hosts(now, hosts),
             event::Event::HostChanged(change) => {
+                self.connections.record_host(now, &change);
                 let confirmed = self.confirmed.unwrap_or(now);
                 self.balance.step(now, confirmed, change);
             }
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -220,6 +220,7 @@
             sent_attempts: 0,
             possible_executions: 0,
             abandoned_attempts: 0,
+            unsent_executions: 0,
             eventless_attempts: 0,
             history: history::History::default(),
             rejections: 0,
--- a/crates/carawaycleat-core/src/relay/reducer/crash.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/crash.rs
@@ -77,7 +77,9 @@
                 }
             }
             failure::Failure::TimedOut => entry.record_progress(now),
-            failure::Failure::Local => entry.record_local_failure(now),
+            failure::Failure::Local | failure::Failure::Unshared => {
+                entry.record_local_failure(now);
+            }
             failure::Failure::BrokenOff => {
                 entry.record_outcome(now, true);
                 entry.record_connection_failure(now);
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -169,7 +169,8 @@
             .any(|entry| entry.limit.is_some() && entry.registration.service == queue.0);
         // The coordinator divides the slots of engines, and the requests under a limit, among the hosts that report
         // waiting requests.
-        if self.waiting.insert(key) && (needs_model || is_limited) {
+        let is_shared = self.is_bounded(&queue.0);
+        if self.waiting.insert(key) && (needs_model || is_limited || is_shared) {
             effects.push(effect::Effect::Report);
         }
     }
@@ -286,6 +287,7 @@
             // The departure of an attempt beside another one is reported.
             departed: request.standbys.is_empty().then_some(now),
             last_progress: now,
+            is_connecting: false,
             head_received: false,
             event_received: false,
             first_byte_received: false,
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -77,6 +77,7 @@
             zone: self.zone.clone(),
             requests_per_second: self.balance.load(now),
             stopping: self.stop.is_some(),
+            connections: self.connection_uses(),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -477,11 +477,9 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if !self.retry(now, id, reason.as_str(), effects) {
-            let executions = self
-                .requests
-                .get(&id)
-                .map_or(0, |request| request.possible_executions);
-            let retry_after = (executions == 0).then_some(time::Duration::from_millis(300));
+            let request = self.requests.get(&id);
+            let may_have_run = request.is_some_and(pending::Pending::may_have_run);
+            let retry_after = (!may_have_run).then_some(time::Duration::from_millis(300));
             self.refuse(now, id, reason, retry_after, effects);
         }
     }
@@ -540,13 +538,15 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         self.end_standbys(now, id, effects);
+        let request = self.requests.get(&id);
+        let is_connecting = request.is_some_and(|request| request.phase.is_connecting());
         let in_progress = self.release(id);
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
         self.waiting.remove(&(request.queue_key(), id));
         let census = self.census(now, &request);
-        let may_have_run = request.possible_executions > 0 || in_progress.is_some();
+        let may_have_run = request.may_have_run() || in_progress.is_some() && !is_connecting;
         if !may_have_run && request.has_tokens {
             self.refund(&request);
         }
@@ -573,6 +573,7 @@
             .with("unplaced", request.is_unplaced)
             .with("attempts", request.attempt)
             .with("delivered", request.response_started)
+            .with("connecting", is_connecting)
             .with("holders", census.holders)
             .with("ejected", census.ejected)
             .with("paused", census.paused)
--- a/crates/carawaycleat-core/src/relay/reducer/standby.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/standby.rs
@@ -130,6 +130,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        request.unsent_executions += u32::from(standby.is_connecting());
         let pending::Phase::Sent {
             attempt,
             upstream,
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -40,6 +40,7 @@
         self.report_crashes(now, effects);
         self.tick_origins(now, effects);
         self.apply_limits(now, effects);
+        self.refresh_bounds(now, effects);
         let others = self.host_count.saturating_sub(1);
         for entry in self.upstreams.values_mut() {
             entry.estimate_other_requests(now, others);
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -295,6 +295,7 @@
                 entry.apply_permit(now, &permit);
             }
         }
+        self.record_grants(now, &mut view, effects);
         let (number, grants) = (view.report_number, std::mem::take(&mut view.grants));
         self.view = Some((now, view));
         self.apply_grants(now, number, grants, effects);
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -1,3 +1,4 @@
+use crate::connection;
 use crate::name;
 
 /// The demand for a model or adapter at one host.
@@ -65,4 +66,7 @@
     pub requests_per_second: f64,
     /// Whether the host takes no new connections any more.
     pub stopping: bool,
+    /// The connections that the host holds and wants, where that is more than every host has.
+    #[serde(default)]
+    pub connections: Vec<connection::Use>,
 }
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -1,5 +1,7 @@
 //! Selection of the upstream for a request.
 
+mod connection;
+
 use std::time;
 
 use super::config;
@@ -165,6 +167,7 @@
                         .is_resting(self.now, &upstream.registration.id)
             })
             .collect();
+        let available = self.narrow(available);
         let fastest = available
             .iter()
             .filter_map(|upstream| upstream.mean_latency())
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -5,6 +5,7 @@
 use super::registration;
 use super::view;
 use crate::clock;
+use crate::connection;
 use crate::name;
 
 /// The time in which the failure rate halves without new observations.
@@ -64,6 +65,10 @@
     pub(super) own_requests: u32,
     /// The requests of other hosts in progress: from the coordinator, or estimated.
     pub(super) other_requests: u32,
+    /// The most requests of this host in progress at a time since the last report.
+    pub(super) peak_requests: u32,
+    /// What this host may use of it; none where the connections are not shared out.
+    pub(super) bound: Option<connection::Bound>,
     /// The further requests that this host may send under the coordinator's reservation.
     usable_slots: u32,
     /// The maximum number of requests of this host in progress. It shrinks when the upstream was full and grows with
@@ -112,6 +117,8 @@
             distrusted_until: None,
             own_requests: 0,
             other_requests: 0,
+            peak_requests: 0,
+            bound: None,
             usable_slots: 0,
             last_progress: clock::Instant::default(),
             busy_since: clock::Instant::default(),
@@ -136,9 +143,10 @@
     pub(super) fn update(&mut self, now: clock::Instant, registration: registration::Registration) {
         let restarted = registration.started > self.registration.started;
         if restarted {
-            let own_requests = self.own_requests;
+            let (own_requests, bound) = (self.own_requests, self.bound);
             *self = Self::new(registration);
             self.own_requests = own_requests;
+            self.bound = bound;
             return;
         }
         if registration.models != self.registration.models {
@@ -244,7 +252,8 @@
 
     /// Estimates the requests of the `hosts` other hosts when there is no current view: each has as many as this host.
     pub(super) fn estimate_other_requests(&mut self, now: clock::Instant, hosts: usize) {
-        if !self.has_current_view(now) {
+        let has_places = self.bound.is_some_and(|bound| bound.places.is_some());
+        if !self.has_current_view(now) && !has_places {
             let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
             self.other_requests = self.own_requests.saturating_mul(hosts);
         }
@@ -266,6 +275,7 @@
             self.busy_since = now;
         }
         self.own_requests += 1;
+        self.peak_requests = self.peak_requests.max(self.own_requests);
         self.usable_slots = self.usable_slots.saturating_sub(1);
         if let Some(limit) = &mut self.limit {
             limit.record_send();
@@ -284,10 +294,18 @@
             && self.paused_until(now).is_none()
             && self.limit.as_ref().is_none_or(|limit| limit.may_send(now))
             && (self.usable_slots > 0 || !self.has_current_view(now))
-            && self.own_requests.saturating_add(self.other_requests) < slots
+            && self.has_room(slots)
             && f64::from(self.own_requests) < self.concurrency_limit
     }
 
+    /// Returns whether another request finds a slot, and a connection where these are shared out.
+    fn has_room(&self, slots: u32) -> bool {
+        match self.bound {
+            Some(bound) => bound.admits(self.own_requests, self.other_requests, slots),
+            None => self.own_requests.saturating_add(self.other_requests) < slots,
+        }
+    }
+
     /// Returns whether it is ejected. Ejected upstreams are used only when there are no others.
     pub(super) fn is_ejected(&self, now: clock::Instant) -> bool {
         now < self.ejected_until || self.is_ejected_for_silence(now)
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -1,4 +1,5 @@
 use crate::balance;
+use crate::connection;
 use crate::name;
 
 /// The coordinator's state of an engine, as sent to one host.
@@ -73,4 +74,7 @@
     pub leaving: Vec<(name::Name, u64)>,
     /// The load of each availability zone.
     pub loads: Vec<balance::Load>,
+    /// What the host may use of the upstreams that its report names.
+    #[serde(default)]
+    pub connections: Vec<connection::Grant>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -163,6 +163,7 @@
         zone: relay_fake::name("zone-1"),
         requests_per_second: 0.0,
         stopping: false,
+        connections: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
@@ -106,5 +106,6 @@
         zone: relay_fake::name("zone-1"),
         requests_per_second: 0.0,
         stopping: false,
+        connections: Vec::new(),
     }
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -60,6 +60,7 @@
             zone: relay_fake::name("zone-1"),
             requests_per_second: 0.0,
             stopping: false,
+            connections: Vec::new(),
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
         let name = relay_fake::name(&host_name(host));
--- a/crates/carawaycleat-core/tests/suite/coordinator_term.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_term.rs
@@ -50,6 +50,7 @@
                     zone: relay_fake::name("zone-1"),
                     requests_per_second: 0.0,
                     stopping: false,
+                    connections: Vec::new(),
                 };
                 self.feed(coordinator::Event::Reported(Box::new(report)));
             }
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -1,6 +1,7 @@
 //! A harness for the reducer of an entry host; the tests act as its upstreams, store and coordinator.
 
 use std::collections;
+use std::net;
 use std::time;
 
 use carawaycleat_core::clock;
@@ -163,6 +164,7 @@
         permits: Vec::new(),
         leaving: Vec::new(),
         loads: Vec::new(),
+        connections: Vec::new(),
     }
 }
 
@@ -202,6 +204,8 @@
     pub(crate) settlements: Vec<u64>,
     /// The summaries of requests that have ended.
     pub(crate) summaries: Vec<relay::Summary>,
+    /// The limits on connections, by address.
+    pub(crate) limits: collections::HashMap<net::SocketAddr, Option<u32>>,
 }
 
 impl Harness {
@@ -223,8 +227,13 @@
 
     /// Returns a host that has read nothing from the store.
     pub(crate) fn unconfigured(host: &str, options: relay::Options) -> Self {
+        Self::in_zone(host, "zone-a", options)
+    }
+
+    /// Returns a host in an availability zone that has read nothing from the store.
+    pub(crate) fn in_zone(host: &str, zone: &str, options: relay::Options) -> Self {
         Self {
-            reducer: relay::Reducer::new(name(host), name("zone-a"), options),
+            reducer: relay::Reducer::new(name(host), name(zone), options),
             now: clock::Instant::from_millis(100_000),
             next: 0,
             commands: collections::HashMap::new(),
@@ -237,6 +246,7 @@
             stored_versions: Vec::new(),
             settlements: Vec::new(),
             summaries: Vec::new(),
+            limits: collections::HashMap::new(),
         }
     }
 
@@ -252,6 +262,9 @@
                     self.commands.entry(id).or_default().push(command);
                 }
                 relay::Effect::Record(record) => self.records.push(record.event),
+                relay::Effect::LimitConnections(address, limit) => {
+                    self.limits.insert(address, limit);
+                }
                 relay::Effect::Measure(summary) => self.summaries.push(summary),
                 relay::Effect::Probe(upstream, _) => self.probes.push(upstream),
                 relay::Effect::Publish(crash) => self.crashes.push(crash),
