--- a/crates/carawaycleat-core/src/coordinator/event.rs
+++ b/crates/carawaycleat-core/src/coordinator/event.rs
@@ -1,5 +1,6 @@
 use std::time;
 
+use crate::connection;
 use crate::name;
 use crate::relay;
 
@@ -84,6 +85,8 @@
     ZoneEvacuated(name::Name),
     /// The evacuation of an availability zone has ended.
     EvacuationEnded(name::Name),
+    /// The services whose connections are shared out among the hosts.
+    ConnectionsConfigured(Vec<connection::Spec>),
     /// The set of entry hosts that may serve requests has changed to this one.
     HostsChanged(Vec<name::Name>),
     /// The registration of an upstream has been added or changed.
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,3 +1,4 @@
+mod connection;
 mod view;
 
 use std::collections;
@@ -85,6 +86,8 @@
     pub(super) limits: limit::Limits,
     cold: cold::Division,
     evacuations: evacuation::Evacuations,
+    /// The division of the connections to upstreams.
+    connections: connection::Connections,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -120,6 +123,7 @@
             reservations: reservation::Reservations::default(),
             remaining: remaining::Remaining::default(),
             limits: limit::Limits::default(),
+            connections: connection::Connections::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
@@ -148,6 +152,7 @@
                     self.shares.configure(now, workspaces);
                 }
             }
+            event::Event::ConnectionsConfigured(specs) => self.connections.configure(specs),
             event::Event::ColdStartsConfigured(services) => self.cold.configure(services),
             event::Event::Listed => self.cold.record_listing(),
             event::Event::UpstreamCold {
@@ -165,6 +170,7 @@
             }
             event::Event::HostsChanged(hosts) => {
                 self.cold.set_hosts(&hosts);
+                self.connections.ledger.set_hosts(now, &hosts);
                 self.shares.set_hosts(hosts);
             }
             event::Event::UpstreamUpdated(registration) => {
@@ -197,6 +203,7 @@
         self.limits = limit::Limits::default();
         self.cold.begin_term(now);
         self.evacuations.begin_term();
+        self.connections.ledger.restart(now);
         self.shares.restart(now);
         let registrations: Vec<_> = self
             .engines
@@ -264,6 +271,7 @@
         self.remaining.record_report(now, &report);
         self.limits.record_report(now, &report);
         self.cold.record_report(now, self.epoch, &report);
+        self.connections.record_report(now, &report);
         let host = report.host.clone();
         self.hosts.insert(
             host,
@@ -401,6 +409,7 @@
             .retain(now, |host| self.hosts.contains_key(host));
         self.cold.tick(now, may_order);
         self.record_evacuations(now, effects);
+        self.connections.ledger.forget(now);
         self.model_demand.remove_idle(now, DEMAND_RETENTION);
         self.adapter_demand.remove_idle(now, DEMAND_RETENTION);
         self.traffic.remove_idle(now, DEMAND_RETENTION);
@@ -420,6 +429,7 @@
         if now.since(self.placement_logged_at) >= PLACEMENT_LOG_INTERVAL {
             self.placement_logged_at = now;
             self.log_placement(now, effects);
+            self.log_connections(now, effects);
             if let Some(summary) = self.limits.summary() {
                 let decision = timeline::Decision::new("limits").with("upstreams", summary);
                 effects.push(effect::Effect::Record(decision));
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -56,6 +56,7 @@
             leaving: self.departures.among(&self.engines),
             loads: self.loads(),
             cold,
+            connections: self.connection_grants(now, host),
         }
     }
 
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 mod cold;
 pub mod config;
+pub mod connection;
 pub mod coordinator;
 pub mod entry;
 mod evacuation;
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -90,6 +90,7 @@
                 .map(|(zone, _)| zone.clone())
                 .collect(),
             work: self.remaining_work(now),
+            connections: self.connection_uses(),
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -42,6 +42,7 @@
         self.apply_limits(now, effects);
         self.cold.starts.forget(now);
         self.update_gates(now, None, effects);
+        self.refresh_bounds(now, effects);
         let others = self.host_count.saturating_sub(1);
         for entry in self.upstreams.values_mut() {
             entry.estimate_other_requests(now, others);
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -304,6 +304,7 @@
             }
         }
         self.apply_cold_permits(now, &view, effects);
+        self.record_grants(now, &mut view, effects);
         let (number, grants) = (view.report_number, std::mem::take(&mut view.grants));
         self.view = Some((now, view));
         self.apply_grants(now, number, grants, effects);
--- a/crates/carawaycleat-core/src/relay/report.rs
+++ b/crates/carawaycleat-core/src/relay/report.rs
@@ -1,4 +1,5 @@
 use super::traffic;
+use crate::connection;
 use crate::name;
 
 /// The demand for a model or adapter at one host.
@@ -116,4 +117,7 @@
     /// requests are counted.
     #[serde(default)]
     pub work: Vec<(name::Name, u32, u32)>,
+    /// The connections that the host holds and wants, where that is more than every host has.
+    #[serde(default)]
+    pub connections: Vec<connection::Use>,
 }
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -1,6 +1,7 @@
 //! Selection of the upstream for a request.
 
 pub(super) mod expected;
+mod connection;
 
 use std::time;
 
@@ -175,6 +176,7 @@
                         .is_resting(self.now, &upstream.registration.id)
             })
             .collect();
+        let available = self.narrow(available);
         if self.is_by_work() {
             let candidates: Vec<_> = available
                 .iter()
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -1,4 +1,5 @@
 use crate::balance;
+use crate::connection;
 use crate::name;
 
 /// The coordinator's state of an engine, as sent to one host.
@@ -107,4 +108,7 @@
     /// The requests that the host may send to cold upstreams.
     #[serde(default)]
     pub cold: ColdPermits,
+    /// What the host may use of the upstreams that its report names.
+    #[serde(default)]
+    pub connections: Vec<connection::Grant>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -177,6 +177,7 @@
         colds: relay::Colds::default(),
         evacuated: Vec::new(),
         work: Vec::new(),
+        connections: Vec::new(),
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_extreme.rs
@@ -110,5 +110,6 @@
         colds: relay::Colds::default(),
         evacuated: Vec::new(),
         work: Vec::new(),
+        connections: Vec::new(),
     }
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator_share.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_share.rs
@@ -63,6 +63,7 @@
             colds: relay::Colds::default(),
             evacuated: Vec::new(),
             work: Vec::new(),
+            connections: Vec::new(),
         };
         self.feed(coordinator::Event::Reported(Box::new(report)));
         let name = relay_fake::name(&host_name(host));
--- a/crates/carawaycleat-core/tests/suite/coordinator_term.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_term.rs
@@ -53,6 +53,7 @@
                     colds: relay::Colds::default(),
                     evacuated: Vec::new(),
                     work: Vec::new(),
+                    connections: Vec::new(),
                 };
                 self.feed(coordinator::Event::Reported(Box::new(report)));
             }
--- a/crates/carawaycleat-core/tests/suite/relay_change.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_change.rs
@@ -376,6 +376,7 @@
             leaving: Vec::new(),
             loads: Vec::new(),
             cold: relay::ColdPermits::default(),
+            connections: Vec::new(),
         };
         let received = relay::Event::ViewReceived(Box::new(view));
         self.harness.feed(received);
