feat(contention): order, fairness and refusals of waiting requests by work

Requests that could still meet their objective waited behind late ones, a workspace with a surge took the share of the others, and a burst at free slots was refused because the rate of a queue begins near zero.

With Balancing::Work, waiting requests are ordered by what they can still achieve, a workspace above its usual use and its fair share is delayed, the last slots of engines are left to urgent streams, and a request is refused only when the expected wait exceeds what its caller has left and no holder has a free slot. Retry-After is the expected wait, spread by the request's identifier. View gains overuse, the workspaces above their usual use over all hosts. Decisions with Balancing::Requests are as before.

--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -13,6 +13,7 @@
 use super::reservation;
 use super::share;
 use crate::clock;
+use crate::contention;
 use crate::meter;
 use crate::name;
 use crate::relay;
@@ -76,6 +77,8 @@
     shares: share::Shares,
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
+    /// The use of the workspaces over all hosts.
+    pub(super) usage: contention::Usage,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -107,6 +110,7 @@
             shares: share::Shares::default(),
             reservations: reservation::Reservations::default(),
             limits: limit::Limits::default(),
+            usage: contention::Usage::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
@@ -160,6 +164,7 @@
         self.hosts.clear();
         self.reservations = reservation::Reservations::default();
         self.limits = limit::Limits::default();
+        self.usage = contention::Usage::default();
         self.shares.restart(now);
         let registrations: Vec<_> = self
             .engines
@@ -214,6 +219,9 @@
             }
         }
         self.shares.record_usage(now, &report.host, &report.usage);
+        for (workspace, tokens) in &report.usage {
+            self.usage.record(now, workspace, *tokens);
+        }
         self.reservations.record_report(&report);
         self.limits.record_report(now, &report);
         let host = report.host.clone();
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -39,6 +39,7 @@
         self.reserve_slots(host);
         let permits = self.limits.permit(now, host, report_number);
         let ready_in_ms = self.ready_in_ms(now);
+        let overuse = self.overuse(now);
         let engines = self.engine_views(now, host, full);
         relay::View {
             epoch: self.epoch,
@@ -52,6 +53,17 @@
             permits,
             leaving: self.departures.among(&self.engines),
             loads: self.loads(),
+            overuse,
+        }
+    }
+
+    /// Returns the workspaces that use more than usual and than their fair share, where the load is measured by work.
+    fn overuse(&mut self, now: clock::Instant) -> Option<Vec<(name::Name, f64)>> {
+        let by_work = |spec: &relay::EngineSpec| spec.balancing == relay::Balancing::Work;
+        if self.services.values().any(by_work) {
+            self.usage.overuse(now)
+        } else {
+            None
         }
     }
 
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+mod contention;
 pub mod coordinator;
 pub mod entry;
 pub mod freshness;
--- a/crates/carawaycleat-core/src/meter.rs
+++ b/crates/carawaycleat-core/src/meter.rs
@@ -69,13 +69,16 @@
         }
     }
 
+    /// Returns the decayed sum of the amounts added to a key.
+    pub(crate) fn amount(&self, now: clock::Instant, key: &K) -> f64 {
+        self.entries
+            .get(key)
+            .map_or(0.0, |entry| entry.decayed(now, self.time_constant))
+    }
+
     /// Returns the rate of a key per second.
     pub(crate) fn rate(&self, now: clock::Instant, key: &K) -> f64 {
-        let amount = self
-            .entries
-            .get(key)
-            .map_or(0.0, |entry| entry.decayed(now, self.time_constant));
-        amount / self.time_constant.as_secs_f64()
+        self.amount(now, key) / self.time_constant.as_secs_f64()
     }
 
     /// Returns whether the rate of a key is known: the key was first seen at least one time constant ago.
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -6,6 +6,7 @@
 //! the fleet ([`View`]).
 
 mod allowance;
+mod capacity;
 mod command;
 mod config;
 pub(crate) mod departure;
--- a/crates/carawaycleat-core/src/relay/pending.rs
+++ b/crates/carawaycleat-core/src/relay/pending.rs
@@ -7,6 +7,7 @@
 use super::policy;
 use super::summary;
 use crate::clock;
+use crate::contention;
 use crate::name;
 
 /// Whether a request waits or an attempt is in progress.
@@ -110,6 +111,12 @@
     pub(super) arrived_at: clock::Instant,
     /// The queueing policy.
     pub(super) queue: policy::Queue,
+    /// Its place among the waiting requests, where the load is measured by work.
+    pub(super) rank: Option<clock::Instant>,
+    /// The time for which its caller has waited at hosts that refused it.
+    pub(super) waited_before: time::Duration,
+    /// Why it is refused for lack of a slot.
+    pub(super) verdict: Option<contention::Verdict>,
     /// Whether its next attempt has yet to be charged to the retry budget.
     pub(super) awaits_budget: bool,
     /// When the final response is due.
@@ -193,6 +200,9 @@
     /// the arrival under [`policy::Queue::FirstIn`]. A take-up precedes the new requests of its kind that still have a caller,
     /// because the events that its caller has would be lost with it.
     pub(super) fn queue_key(&self) -> clock::Instant {
+        if let Some(rank) = self.rank {
+            return rank;
+        }
         if self.queue == policy::Queue::FirstIn {
             return self.arrived_at;
         }
--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -1,4 +1,5 @@
 mod admission;
+mod contention;
 mod crash;
 mod dispatch;
 mod lateness;
@@ -56,7 +57,7 @@
 const TIMEOUT_RETRY: time::Duration = time::Duration::from_millis(500);
 
 /// Identifies a queue: the service and the model of the requests that wait in it.
-type QueueKey = (name::Name, Option<name::Name>);
+pub(super) type QueueKey = (name::Name, Option<name::Name>);
 
 /// A request that waits for tokens from the coordinator.
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +98,7 @@
     send_rates: meter::Meter<QueueKey>,
     /// The number of attempts sent since the start.
     dispatches: u64,
+    contention: contention::Contention,
     last_queue_check: clock::Instant,
     lateness: lateness::Lateness,
     allowances: collections::HashMap<name::Name, allowance::Allowance>,
@@ -149,6 +151,7 @@
             queue_lengths: collections::HashMap::new(),
             send_rates: meter::Meter::default(),
             dispatches: 0,
+            contention: contention::Contention::default(),
             last_queue_check: clock::Instant::default(),
             lateness: lateness::Lateness::default(),
             allowances: collections::HashMap::new(),
@@ -222,6 +225,7 @@
             sequence: self.dispatches,
             max_silence: None,
             unrecorded: self.origins.unrecorded(now, name),
+            yielding: None,
         }
     }
 
--- a/crates/carawaycleat-core/src/relay/reducer/admission.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/admission.rs
@@ -42,6 +42,7 @@
             Ok(request) => {
                 let has_tokens = request.has_tokens;
                 self.requests.insert(id, request);
+                self.begin_contention(now, id);
                 if self.refuse_unfinishable(now, id, effects) {
                     return;
                 }
@@ -157,6 +158,7 @@
                 Some(end.since(now)),
             ));
         }
+        let waited_before = super::contention::waited_before(route, request.timeout);
         let timeout = request.timeout.unwrap_or(route.timeout);
         let mut cost = 0;
         let mut has_tokens = true;
@@ -164,6 +166,7 @@
             cost = request.cost(workspace.default_cost);
             let usage = self.token_usage.entry(workspace.name.clone()).or_default();
             *usage = usage.saturating_add(cost);
+            self.contention.usage.record(now, &workspace.name, cost);
             let share = self.share(now, &workspace.name);
             let allowance = self
                 .allowances
@@ -209,6 +212,9 @@
             arrived_at: now,
             awaits_budget: false,
             queue: self.options.policy.queue,
+            rank: None,
+            waited_before,
+            verdict: None,
             deadline: now + route.timeout.min(timeout),
             is_overdue: false,
             upstream_limit: now + route.timeout.min(timeout),
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -59,6 +59,12 @@
         if request.stream.sought_since.is_some() {
             return;
         }
+        if request.attempt > 0 {
+            self.update_rank(now, id);
+        }
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
         let key = (request.queue_key(), id);
         let Some(service) = self.service_of(request) else {
             return self.refuse(now, id, refusal::Reason::NoUpstream, None, effects);
@@ -80,7 +86,9 @@
             self.waiting.insert(key);
             return;
         }
-        let selector = self.selector(now, &request.service, &service);
+        let queue = (request.service.clone(), request.model.clone());
+        let mut selector = self.selector(now, &request.service, &service);
+        selector.yielding = self.yielding(now, request, &queue);
         match selector.select(&self.upstreams, request) {
             selection::Selection::Upstream(upstream) => {
                 if self.charge_retry(now, id) {
@@ -144,12 +152,17 @@
             return;
         };
         request.is_unplaced = false;
-        let needs_model = request.model.is_some();
         if request.attempt > 0 || self.waiting.contains(&key) {
             self.waiting.insert(key);
             return;
         }
         let queue = (request.service.clone(), request.model.clone());
+        if request.rank.is_some() {
+            if !self.refuse_crowded_out(now, id, &key, &queue, effects) {
+                self.queue(key, &queue, effects);
+            }
+            return;
+        }
         let abandoned = request.abandonment_time();
         let ahead = if request.is_take_up() {
             self.count_ahead(&key, &queue)
@@ -163,6 +176,17 @@
             let retry_after = Some(wait.clamp(super::MIN_RETRY_AFTER, MAX_RETRY_AFTER));
             return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
         }
+        self.queue(key, &queue, effects);
+    }
+
+    /// Adds a request to the waiting ones, and requests a report where the coordinator divides what it waits for.
+    fn queue(
+        &mut self,
+        key: super::WaitingKey,
+        queue: &super::QueueKey,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let needs_model = queue.1.is_some();
         let is_limited = self
             .upstreams
             .values()
@@ -175,7 +199,7 @@
     }
 
     /// Returns how many requests wait in `queue` before the one with `key`.
-    fn count_ahead(&self, key: &super::WaitingKey, queue: &super::QueueKey) -> u32 {
+    pub(super) fn count_ahead(&self, key: &super::WaitingKey, queue: &super::QueueKey) -> u32 {
         let before = self.waiting.range(..key).take(MAX_SCANNED_REQUESTS);
         let is_ahead = |(_, id): &&super::WaitingKey| {
             let request = self.requests.get(id);
@@ -187,7 +211,12 @@
     /// Returns whether the rate of a queue tells how long a request will wait in it. A take-up is not refused because of the
     /// rate of a queue that has just begun, as all have after the host has started: new requests can be sent elsewhere or
     /// later, while a stream that is refused may be lost.
-    fn is_wait_known(&self, now: clock::Instant, id: event::Id, queue: &super::QueueKey) -> bool {
+    pub(super) fn is_wait_known(
+        &self,
+        now: clock::Instant,
+        id: event::Id,
+        queue: &super::QueueKey,
+    ) -> bool {
         let request = self.requests.get(&id);
         let is_take_up = request.is_some_and(pending::Pending::is_take_up);
         !is_take_up || self.send_rates.is_settled(now, queue)
@@ -223,10 +252,14 @@
             Some(ready_in) => {
                 now + ready_in + super::MIN_ATTEMPT_TIME >= request.abandonment_time()
             }
-            None => now.since(request.arrived_at) >= self.options.max_unplaced_wait,
+            None => now.since(request.arrived_at) >= self.max_unplaced_wait(request),
         };
         let may_wait =
             request.response_started || request.is_take_up() && !(is_missing && ready_in.is_some());
+        if is_too_late && !may_wait && request.rank.is_some() {
+            let wait = ready_in.unwrap_or(UNPLACED_RETRY);
+            return self.refuse_unplaced(now, id, wait, effects);
+        }
         if is_too_late && !may_wait {
             let retry_after = Some(ready_in.unwrap_or(UNPLACED_RETRY));
             return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
@@ -295,6 +328,7 @@
             },
         };
         entry.record_send(now);
+        self.contention.record_send(now, request, upstream);
         let config = self.config.as_ref().map_or(0, config::Config::version);
         let queue = (request.service.clone(), request.model.clone());
         self.send_rates.add(now, &queue, 1.0);
@@ -359,6 +393,7 @@
                 *self.queue_lengths.entry(queue).or_default() += 1;
             }
         }
+        self.record_urgent_waiting(&waiting);
         let mut unserved = collections::HashSet::new();
         for id in waiting {
             let Some(request) = self.requests.get(&id) else {
@@ -370,6 +405,7 @@
                 request.model.clone(),
                 request.adapter.clone(),
                 request.stream.pin.clone(),
+                super::contention::yields_slots(request),
             );
             if request.history.is_empty() && unserved.contains(&needs) {
                 continue;
@@ -410,6 +446,7 @@
     ) {
         let mut positions = collections::HashMap::<super::QueueKey, u32>::new();
         let mut unservable = Vec::new();
+        let mut contending = Vec::new();
         for id in self.waiting_in_order() {
             let Some(request) = self.requests.get(&id) else {
                 continue;
@@ -417,6 +454,10 @@
             if request.is_unplaced || request.attempt > 0 {
                 continue;
             }
+            if request.rank.is_some() {
+                contending.push(id);
+                continue;
+            }
             let queue = (request.service.clone(), request.model.clone());
             let position = positions.entry(queue.clone()).or_default();
             *position += 1;
@@ -431,5 +472,6 @@
             let retry_after = Some(wait.clamp(super::MIN_RETRY_AFTER, MAX_RETRY_AFTER));
             self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
         }
+        self.refuse_contending(now, &contending, effects);
     }
 }
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -173,6 +173,7 @@
         };
         if let Some(sent) = request.first_sent_at.filter(|_| status < 300) {
             self.durations.record(&request, now.since(sent));
+            self.record_service(&request, now.since(sent));
         }
         let overdue = (now > request.deadline).then(|| now.since(request.deadline));
         let outcome = if status < 500 {
@@ -546,6 +547,7 @@
         };
         self.waiting.remove(&(request.queue_key(), id));
         let census = self.census(now, &request);
+        let verdict = request.verdict;
         let may_have_run = request.possible_executions > 0 || in_progress.is_some();
         if !may_have_run && request.has_tokens {
             self.refund(&request);
@@ -581,6 +583,12 @@
                 "retry_after_ms",
                 refusal.retry_after.map(timeline::Value::millis),
             )
+            .with_some("cause", verdict.map(|verdict| verdict.cause))
+            .with_some("ahead", verdict.map(|verdict| verdict.ahead))
+            .with_some(
+                "expected_wait_ms",
+                verdict.map(|verdict| timeline::Value::millis(verdict.wait)),
+            )
             .with("config", self.config_version())
             .with_some("config_age_ms", self.config_age_field(now));
         effects.push(super::record(decision));
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -47,6 +47,7 @@
         }
         self.end_overlaps(now, effects);
         self.retry_stalled(now, effects);
+        self.update_contention(now, effects);
         self.dispatch_waiting(now, effects);
         if now.since(self.last_queue_check) >= QUEUE_CHECK_INTERVAL {
             self.last_queue_check = now;
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use super::capacity;
 use super::config;
 use super::origin;
 use super::pending;
@@ -58,11 +59,13 @@
     pub(super) max_silence: Option<time::Duration>,
     /// The versions of the service at which no stream may begin.
     pub(super) unrecorded: Vec<origin::Origin>,
+    /// What the request leaves free for urgent ones; none if it may use all slots.
+    pub(super) yielding: Option<capacity::Yielding<'a>>,
 }
 
 impl Selector<'_> {
     /// Returns the slots of an upstream; those of its service when its registration gives none.
-    fn slots(&self, upstream: &upstream::Upstream) -> u32 {
+    pub(super) fn slots(&self, upstream: &upstream::Upstream) -> u32 {
         match &self.service.engine {
             Some(engine) if upstream.registration.slots == 0 => engine.slots,
             _ => upstream.registration.slots,
@@ -159,7 +162,7 @@
         let available: Vec<_> = candidates
             .into_iter()
             .filter(|upstream| {
-                upstream.has_free_slot(self.now, self.slots(upstream))
+                upstream.has_free_slot(self.now, self.open_slots(upstream))
                     && !request
                         .history
                         .is_resting(self.now, &upstream.registration.id)
@@ -218,7 +221,11 @@
     }
 
     /// Returns whether an upstream accepts requests and holds the model and adapter of the request.
-    fn is_eligible(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
+    pub(super) fn is_eligible(
+        &self,
+        upstream: &upstream::Upstream,
+        request: &pending::Pending,
+    ) -> bool {
         upstream.registration.service == request.service
             && upstream.accepts_requests(self.now, self.removal_grace)
             && request.stream.permits(&upstream.registration)
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -278,6 +278,15 @@
         self.usable_slots = self.usable_slots.saturating_add(1);
     }
 
+    /// Returns the further requests that this host may send under the coordinator's reservation; 0 without a recent view.
+    pub(super) fn granted_slots(&self, now: clock::Instant) -> u32 {
+        if self.has_current_view(now) {
+            self.usable_slots
+        } else {
+            0
+        }
+    }
+
     /// Returns whether another request may be sent beside those in progress.
     pub(super) fn has_free_slot(&self, now: clock::Instant, slots: u32) -> bool {
         now >= self.full_until
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -73,4 +73,8 @@
     pub leaving: Vec<(name::Name, u64)>,
     /// The load of each availability zone.
     pub loads: Vec<balance::Load>,
+    /// The workspaces whose recent use over all hosts exceeds what is usual for them and their fair share, each with the
+    /// ratio; none when it is not known, or the load is not measured by work.
+    #[serde(default)]
+    pub overuse: Option<Vec<(name::Name, f64)>>,
 }
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -38,6 +38,7 @@
 mod relay_bounds;
 mod relay_change;
 mod relay_config;
+mod relay_contention;
 mod relay_crash;
 mod relay_cut;
 mod relay_evidence;
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -110,6 +110,7 @@
         permits: Vec::new(),
         leaving: Vec::new(),
         loads: Vec::new(),
+        overuse: None,
     };
     harness.feed(relay::Event::ViewReceived(Box::new(view)));
     let mut served = 0;
@@ -163,6 +164,7 @@
         permits: Vec::new(),
         leaving: Vec::new(),
         loads: Vec::new(),
+        overuse: None,
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_change.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_change.rs
@@ -375,6 +375,7 @@
             permits: Vec::new(),
             leaving: Vec::new(),
             loads: Vec::new(),
+            overuse: None,
         };
         let received = relay::Event::ViewReceived(Box::new(view));
         self.harness.feed(received);
--- a/crates/carawaycleat-core/tests/suite/relay_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_extreme.rs
@@ -34,6 +34,7 @@
         }],
         leaving: Vec::new(),
         loads: Vec::new(),
+        overuse: None,
     };
     let large = || relay::Request {
         tokens: Some((u64::MAX, u64::MAX)),
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -163,6 +163,7 @@
         permits: Vec::new(),
         leaving: Vec::new(),
         loads: Vec::new(),
+        overuse: None,
     }
 }
 
