feat(contention): estimate waits by the requests of all hosts that compete

A queue of one host and model has a request every few seconds in a fleet of 27 hosts and 106 models. Its rate was bounded by an equal part of the slots, so the third request in it was refused although no other host waited for the engine. View gains backlogs, the requests of all hosts that compete for the engines of each model; a host takes the part of its waiting requests of all slots of the holders. Until a request of a queue has ended, the mean service time of the service counts.

--- a/crates/carawaycleat-core/src/contention.rs
+++ b/crates/carawaycleat-core/src/contention.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use backlog::Backlogs;
 pub(crate) use backlog::Capacity;
+pub(crate) use backlog::Load;
 pub(crate) use backlog::Outlook;
 pub(crate) use backlog::Return;
 pub(crate) use backlog::Verdict;
--- a/crates/carawaycleat-core/src/contention/backlog.rs
+++ b/crates/carawaycleat-core/src/contention/backlog.rs
@@ -30,12 +30,27 @@
     pub(crate) holders: u32,
     /// The requests that this host may have in progress there.
     pub(crate) concurrency: f64,
+    /// The slots of these upstreams for all hosts.
+    pub(crate) slots: f64,
     /// Whether one of them has a free slot for this host.
     pub(crate) has_free_slot: bool,
     /// The shortest average time to the first byte there.
     pub(crate) latency: Option<time::Duration>,
 }
 
+/// The state of a queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Load {
+    /// The requests sent per second of late.
+    pub(crate) send_rate: f64,
+    /// The requests of this host that wait.
+    pub(crate) own: u32,
+    /// The requests of all hosts that compete with them; none if that is not known.
+    pub(crate) competing: Option<u32>,
+    /// The time until a further upstream holds what the requests need.
+    pub(crate) ready_in: Option<time::Duration>,
+}
+
 /// How the queue of a request drains.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Outlook {
@@ -130,25 +145,32 @@
         *average += NEWEST_WEIGHT * (latest - *average);
     }
 
-    /// Returns how a queue drains that sends `send_rate` requests per second of late. While slots were free, that was what
-    /// arrived and not what the holders can serve, so the latter counts if it is more.
+    /// Returns how a queue drains. While slots were free, the requests sent per second were what arrived and not what the
+    /// holders can serve, so the latter counts if it is more. Of that, this host gets the part that its requests have among
+    /// those of all hosts. `general` is the queue whose service time counts until one request of this queue has ended.
     pub(crate) fn outlook(
         &self,
         now: clock::Instant,
         queue: &K,
+        general: &K,
         capacity: Capacity,
-        send_rate: f64,
-        ready_in: Option<time::Duration>,
+        load: Load,
     ) -> Outlook {
-        let default = DEFAULT_SERVICE_TIME.as_secs_f64();
-        let service_time = self.service_times.get(queue).copied().unwrap_or(default);
-        let served = capacity.concurrency / service_time.max(0.001);
+        let known = |queue: &K| self.service_times.get(queue).copied();
+        let service_time = known(queue).or_else(|| known(general));
+        let service_time = service_time.unwrap_or(DEFAULT_SERVICE_TIME.as_secs_f64());
+        let granted = load.competing.map_or(0.0, |competing| {
+            // Requests may have arrived since the report that the coordinator counted.
+            let own = f64::from(load.own.max(1));
+            capacity.slots * own / f64::from(competing).max(own)
+        });
+        let served = capacity.concurrency.max(granted) / service_time.max(0.001);
         Outlook {
-            rate: send_rate.max(served).max(MIN_RATE),
+            rate: load.send_rate.max(served).max(MIN_RATE),
             arrivals: self.arrivals.rate(now, queue),
             lead: capacity.latency.unwrap_or_default().min(MAX_LEAD),
             holders: capacity.holders,
-            ready_in,
+            ready_in: load.ready_in,
             has_free_slot: capacity.has_free_slot,
         }
     }
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use super::backlog;
 use super::effect;
 use super::engine;
 use super::event;
@@ -79,6 +80,8 @@
     pub(super) limits: limit::Limits,
     /// The use of the workspaces over all hosts.
     pub(super) usage: contention::Usage,
+    /// The requests of all hosts that compete for the slots of engines.
+    backlogs: backlog::Backlogs,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -111,6 +114,7 @@
             reservations: reservation::Reservations::default(),
             limits: limit::Limits::default(),
             usage: contention::Usage::default(),
+            backlogs: backlog::Backlogs::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -39,7 +39,9 @@
         self.reserve_slots(host);
         let permits = self.limits.permit(now, host, report_number);
         let ready_in_ms = self.ready_in_ms(now);
-        let overuse = self.overuse(now);
+        let balances_work = self.balances_work();
+        let overuse = balances_work.then(|| self.usage.overuse(now)).flatten();
+        let backlogs = balances_work.then(|| self.backlogs(now));
         let engines = self.engine_views(now, host, full);
         relay::View {
             epoch: self.epoch,
@@ -54,17 +56,21 @@
             leaving: self.departures.among(&self.engines),
             loads: self.loads(),
             overuse,
+            backlogs,
         }
     }
 
-    /// Returns the workspaces that use more than usual and than their fair share, where the load is measured by work.
-    fn overuse(&mut self, now: clock::Instant) -> Option<Vec<(name::Name, f64)>> {
-        let by_work = |spec: &relay::EngineSpec| spec.balancing == relay::Balancing::Work;
-        if self.services.values().any(by_work) {
-            self.usage.overuse(now)
-        } else {
-            None
-        }
+    fn balances_work(&self) -> bool {
+        let mut services = self.services.values();
+        services.any(|spec| spec.balancing == relay::Balancing::Work)
+    }
+
+    /// Returns the requests that compete for the engines of each model that requests of hosts wait for.
+    fn backlogs(&mut self, now: clock::Instant) -> Vec<relay::Backlog> {
+        let hosts = self.hosts.values();
+        let recent = hosts.filter(|host| now.since(host.received_at) <= super::MAX_REPORT_AGE);
+        let demands = recent.flat_map(|host| &host.report.demands);
+        self.backlogs.update(now, &self.engines, demands)
     }
 
     /// Returns the load of each availability zone. A host that is stopping still has load, which the others will get.
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -73,6 +73,7 @@
 pub use summary::Outcome;
 pub use summary::Summary;
 pub use upstream::Upstream;
+pub use view::Backlog;
 pub use view::EngineView;
 pub use view::Permit;
 pub use view::Share;
--- a/crates/carawaycleat-core/src/relay/capacity.rs
+++ b/crates/carawaycleat-core/src/relay/capacity.rs
@@ -49,6 +49,7 @@
             // The coordinator divides slots that become free among the hosts whose requests wait.
             let equal = f64::from(slots) / hosts.max(1) as f64;
             capacity.holders += 1;
+            capacity.slots += f64::from(slots);
             capacity.concurrency += f64::from(used.min(slots)).max(equal);
             capacity.has_free_slot |= upstream.has_free_slot(self.now, slots);
             let latency = upstream.mean_latency().map(time::Duration::from_secs_f64);
--- a/crates/carawaycleat-core/src/relay/reducer/contention.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/contention.rs
@@ -13,6 +13,7 @@
 use crate::relay::pending;
 use crate::relay::policy;
 use crate::relay::refusal;
+use crate::relay::view;
 use crate::timeline;
 
 /// The longest `Retry-After` of a refusal for lack of a slot.
@@ -194,7 +195,10 @@
     pub(super) fn record_service(&mut self, request: &pending::Pending, time: time::Duration) {
         if request.rank.is_some() {
             let queue = (request.service.clone(), request.model.clone());
-            self.contention.backlogs.record_service(queue, time);
+            let general = (request.service.clone(), None);
+            let backlogs = &mut self.contention.backlogs;
+            backlogs.record_service(queue, time);
+            backlogs.record_service(general, time);
         }
     }
 
@@ -230,11 +234,34 @@
                     selector.capacity(&self.upstreams, request, self.host_count)
                 });
         let model = request.model.as_ref();
-        let ready_in = model.and_then(|model| self.time_until_ready(now, model));
-        let send_rate = self.send_rates.rate(now, queue);
-        self.contention
-            .backlogs
-            .outlook(now, queue, capacity, send_rate, ready_in)
+        let load = contention::Load {
+            send_rate: self.send_rates.rate(now, queue),
+            own: self.queue_lengths.get(queue).copied().unwrap_or(0),
+            competing: model.and_then(|model| self.competing(now, &request.service, model)),
+            ready_in: model.and_then(|model| self.time_until_ready(now, model)),
+        };
+        let general = (request.service.clone(), None);
+        let backlogs = &self.contention.backlogs;
+        backlogs.outlook(now, queue, &general, capacity, load)
+    }
+
+    /// Returns the requests of all hosts that compete for the engines which hold a model; none without a recent view that
+    /// tells it.
+    fn competing(
+        &self,
+        now: clock::Instant,
+        service: &name::Name,
+        model: &name::Name,
+    ) -> Option<u32> {
+        let (received, view) = self.view.as_ref()?;
+        let backlogs = view.backlogs.as_ref()?;
+        if now.since(*received) > super::MAX_VIEW_AGE {
+            return None;
+        }
+        let is_same =
+            |backlog: &&view::Backlog| backlog.model == *model && backlog.service == *service;
+        let backlog = backlogs.iter().find(is_same);
+        Some(backlog.map_or(0, |backlog| backlog.waiting))
     }
 
     /// Refuses a new request that would be sent only after its caller has disconnected. Returns whether it did. None is refused
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -47,6 +47,18 @@
     pub requests: u32,
 }
 
+/// The requests of all hosts that compete for the engines which hold a model.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Backlog {
+    /// The service.
+    pub service: name::Name,
+    /// The model.
+    pub model: name::Name,
+    /// The requests that wait for slots of these engines, whatever their models.
+    pub waiting: u32,
+}
+
 /// The coordinator's state of the fleet, as sent to an entry host in response to a report.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -77,4 +89,8 @@
     /// ratio; none when it is not known, or the load is not measured by work.
     #[serde(default)]
     pub overuse: Option<Vec<(name::Name, f64)>>,
+    /// The requests that compete for the engines of each model that requests wait for; none when it is not known, or the load
+    /// is not measured by work.
+    #[serde(default)]
+    pub backlogs: Option<Vec<Backlog>>,
 }
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -111,6 +111,7 @@
         leaving: Vec::new(),
         loads: Vec::new(),
         overuse: None,
+        backlogs: None,
     };
     harness.feed(relay::Event::ViewReceived(Box::new(view)));
     let mut served = 0;
@@ -165,6 +166,7 @@
         leaving: Vec::new(),
         loads: Vec::new(),
         overuse: None,
+        backlogs: None,
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_change.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_change.rs
@@ -376,6 +376,7 @@
             leaving: Vec::new(),
             loads: Vec::new(),
             overuse: None,
+            backlogs: None,
         };
         let received = relay::Event::ViewReceived(Box::new(view));
         self.harness.feed(received);
--- a/crates/carawaycleat-core/tests/suite/relay_contention.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_contention.rs
@@ -151,6 +151,44 @@
     assert!(range >= millis(500), "{range:?}");
 }
 
+/// Load: requests at one of 27 hosts for an engine that others use. Guards against refusals by an equal share of the engine
+/// when no other host has requests that wait for it, and against a long queue when all have. An engine of four slots
+/// and 0.5 s for each request serves 16 before a caller disconnects.
+#[yare::parameterized(
+    alone = { Some(0), 8, 17 },
+    all_wait = { Some(100), 0, 4 },
+    unknown = { None, 0, 4 },
+)]
+fn queue_depends_on_the_requests_of_other_hosts(competing: Option<u32>, min: usize, max: usize) {
+    let mut harness = world::host(WORK, 1);
+    harness.feed(relay::Event::HostsChanged(27));
+    let engine = relay::EngineView {
+        upstream: name("engine-0"),
+        models: vec![name("small")],
+        loading: Vec::new(),
+        unloading: Vec::new(),
+        adapters: Vec::new(),
+        other_requests: 4,
+        usable_slots: 0,
+    };
+    let backlog = |waiting| relay::Backlog {
+        service: name("models"),
+        model: name("small"),
+        waiting,
+    };
+    let view = relay::View {
+        backlogs: competing.map(|waiting| vec![backlog(waiting)]),
+        ..relay_fake::view(vec![engine])
+    };
+    harness.feed(relay::Event::ViewReceived(Box::new(view)));
+    for _ in 0..30 {
+        harness.arrive(world::request("one", "/live/1"));
+        harness.feed(relay::Event::Tick);
+    }
+    let (_, waiting) = harness.reducer.counts();
+    assert!((min..=max).contains(&waiting), "{waiting} wait");
+}
+
 /// Load: a full engine with a queue, and a caller who comes back after a refusal elsewhere. Guards against newer requests that
 /// are served first.
 #[test]
--- a/crates/carawaycleat-core/tests/suite/relay_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_extreme.rs
@@ -35,6 +35,7 @@
         leaving: Vec::new(),
         loads: Vec::new(),
         overuse: None,
+        backlogs: None,
     };
     let large = || relay::Request {
         tokens: Some((u64::MAX, u64::MAX)),
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -164,6 +164,7 @@
         leaving: Vec::new(),
         loads: Vec::new(),
         overuse: None,
+        backlogs: None,
     }
 }
 
