fix(contention): let a patient request use the last slots once its latest start is over

Waiting requests that find no upstream make later ones with the same needs be skipped. A patient request whose time had come was skipped behind one that still yields. What a request yields is now a part of its needs, and a late patient request no longer yields.

--- a/crates/carawaycleat-core/src/relay/reducer/contention.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/contention.rs
@@ -22,6 +22,8 @@
 const RETURN_TOLERANCE: time::Duration = time::Duration::from_millis(100);
 /// The time between two updates of the workspaces whose requests are delayed.
 const OVERUSE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// The time between two updates of the places of waiting requests.
+const ORDER_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// The ratio from which the overuse of a workspace is logged, and that from which its end is.
 const LOGGED_OVERUSE: f64 = 1.5;
 const ENDED_OVERUSE: f64 = 1.1;
@@ -43,6 +45,7 @@
     /// The workspaces whose requests are delayed, with the ratio of their use to what they may use.
     overuse: collections::HashMap<name::Name, f64>,
     overuse_updated: clock::Instant,
+    ordered_at: clock::Instant,
     /// The workspaces whose overuse was logged.
     logged: collections::BTreeSet<name::Name>,
 }
@@ -137,6 +140,10 @@
             self.contention.reserve.forget(now);
             self.contention.backlogs.forget(now);
         }
+        if now.since(self.contention.ordered_at) < ORDER_INTERVAL {
+            return;
+        }
+        self.contention.ordered_at = now;
         let waiting: Vec<_> = self.waiting.iter().map(|(_, id)| *id).collect();
         for id in waiting {
             self.update_rank(now, id);
@@ -202,22 +209,29 @@
         }
     }
 
-    /// Returns what a request leaves free for urgent ones; none if it may use all slots: it is urgent itself, has to be sent now
+    /// Returns whether a request leaves the last slots of engines to urgent ones: not if it is urgent itself, has to be sent now
     /// to meet its objective, or its caller has a part of the response.
+    pub(super) fn yields(&self, now: clock::Instant, request: &pending::Pending) -> bool {
+        request.rank.is_some()
+            && request.model.is_some()
+            && !request.route.is_urgent_stream()
+            && !request.has_received_part()
+            && now < standing(&self.contention, request).latest_start()
+    }
+
+    /// Returns what a request leaves free for urgent ones; none if it may use all slots.
     pub(super) fn yielding<'a>(
         &'a self,
         now: clock::Instant,
         request: &pending::Pending,
         queue: &'a super::QueueKey,
     ) -> Option<capacity::Yielding<'a>> {
-        let standing = standing(&self.contention, request);
-        let is_due = now >= standing.latest_start() && !standing.is_late(now);
-        let yields = yields_slots(request) && !is_due;
-        yields.then_some(capacity::Yielding {
+        let yielding = capacity::Yielding {
             reserve: &self.contention.reserve,
             queue,
             priority: request.priority,
-        })
+        };
+        self.yields(now, request).then_some(yielding)
     }
 
     /// Returns how the queue of a request drains.
@@ -438,11 +452,3 @@
 fn is_urgent(request: &pending::Pending) -> bool {
     request.rank.is_some() && request.model.is_some() && request.route.is_urgent_stream()
 }
-
-/// Returns whether a request leaves the last slots of engines to urgent ones.
-pub(super) fn yields_slots(request: &pending::Pending) -> bool {
-    request.rank.is_some()
-        && request.model.is_some()
-        && !request.route.is_urgent_stream()
-        && !request.has_received_part()
-}
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -405,7 +405,7 @@
                 request.model.clone(),
                 request.adapter.clone(),
                 request.stream.pin.clone(),
-                super::contention::yields_slots(request),
+                self.yields(now, request),
             );
             if request.history.is_empty() && unserved.contains(&needs) {
                 continue;
