feat(contention): spread the return of callers whose requests expire in the queue

A request that waited until its caller was about to leave was refused with a fixed Retry-After of 0.5 s, so that callers returned together.

--- a/crates/carawaycleat-core/src/contention/backlog.rs
+++ b/crates/carawaycleat-core/src/contention/backlog.rs
@@ -62,7 +62,7 @@
     pub(crate) lead: time::Duration,
     holders: u32,
     /// The time until a further upstream holds what the requests need.
-    ready_in: Option<time::Duration>,
+    pub(crate) ready_in: Option<time::Duration>,
     /// Whether a holder has a free slot for this host.
     pub(crate) has_free_slot: bool,
 }
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -99,6 +99,10 @@
             })
             .collect();
         for (id, reason, retry_after) in expired {
+            let is_timeout = reason == refusal::Reason::Timeout;
+            if is_timeout && self.refuse_expired_waiting(now, id, effects) {
+                continue;
+            }
             self.refuse(now, id, reason, Some(retry_after), effects);
         }
     }
