--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -5,6 +5,7 @@
 //! status of all engines, and sends orders to engines only while [`Term`] guarantees that no other host can send any.
 
 mod cold;
+mod backlog;
 mod effect;
 mod election;
 mod engine;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::cold;
+use super::backlog;
 use super::effect;
 use super::engine;
 use super::evacuation;
@@ -18,6 +19,7 @@
 use super::share;
 use super::traffic;
 use crate::clock;
+use crate::contention;
 use crate::meter;
 use crate::name;
 use crate::relay;
@@ -88,6 +90,10 @@
     evacuations: evacuation::Evacuations,
     /// The division of the connections to upstreams.
     connections: connection::Connections,
+    /// The use of the workspaces over all hosts.
+    pub(super) usage: contention::Usage,
+    /// The requests of all hosts that compete for the slots of engines.
+    backlogs: backlog::Backlogs,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -124,6 +130,8 @@
             remaining: remaining::Remaining::default(),
             limits: limit::Limits::default(),
             connections: connection::Connections::default(),
+            usage: contention::Usage::default(),
+            backlogs: backlog::Backlogs::default(),
             departures: departure::Departures::default(),
             suspects: collections::HashSet::new(),
             store_loads: collections::VecDeque::new(),
@@ -204,6 +212,7 @@
         self.cold.begin_term(now);
         self.evacuations.begin_term();
         self.connections.ledger.restart(now);
+        self.usage = contention::Usage::default();
         self.shares.restart(now);
         let registrations: Vec<_> = self
             .engines
@@ -267,6 +276,9 @@
             }
         }
         self.shares.record_usage(now, &report.host, &report.usage);
+        for (workspace, tokens) in &report.usage {
+            self.usage.record(now, workspace, *tokens);
+        }
         self.reservations.record_report(&report);
         self.remaining.record_report(now, &report);
         self.limits.record_report(now, &report);
--- a/crates/carawaycleat-core/src/coordinator/reducer/view.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/view.rs
@@ -42,6 +42,9 @@
         self.remaining.refresh(now);
         let permits = self.limits.permit(now, host, report_number);
         let ready_in_ms = self.ready_in_ms(now);
+        let balances_work = self.balances_work();
+        let overuse = balances_work.then(|| self.usage.overuse(now)).flatten();
+        let backlogs = balances_work.then(|| self.backlogs(now));
         let engines = self.engine_views(now, host, full);
         relay::View {
             epoch: self.epoch,
@@ -57,9 +60,24 @@
             loads: self.loads(),
             cold,
             connections: self.connection_grants(now, host),
+            overuse,
+            backlogs,
         }
     }
 
+    fn balances_work(&self) -> bool {
+        let mut services = self.services.values();
+        services.any(|spec| spec.balancing == relay::Balancing::Work)
+    }
+
+    /// Returns the requests that compete for the engines of each model that requests of hosts wait for.
+    fn backlogs(&mut self, now: clock::Instant) -> Vec<relay::Backlog> {
+        let hosts = self.hosts.values();
+        let recent = hosts.filter(|host| now.since(host.received_at) <= super::MAX_REPORT_AGE);
+        let demands = recent.flat_map(|host| &host.report.demands);
+        self.backlogs.update(now, &self.engines, demands)
+    }
+
     /// Returns the load of each availability zone. A host that is stopping still has load, which the others will get.
     fn loads(&self) -> Vec<balance::Load> {
         let mut loads = collections::BTreeMap::<&name::Name, (u32, f64)>::new();
--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -13,6 +13,7 @@
 mod cold;
 pub mod config;
 pub mod connection;
+mod contention;
 pub mod coordinator;
 pub mod entry;
 mod evacuation;
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -7,6 +7,7 @@
 
 mod allowance;
 mod cold;
+mod capacity;
 mod command;
 mod config;
 pub(crate) mod departure;
@@ -79,6 +80,7 @@
 pub use upstream::Upstream;
 pub use view::ColdPermit;
 pub use view::ColdPermits;
+pub use view::Backlog;
 pub use view::EngineView;
 pub use view::Permit;
 pub use view::Share;
--- a/crates/carawaycleat-core/src/relay/reducer/response.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/response.rs
@@ -181,6 +181,7 @@
         };
         if let Some(sent) = request.first_sent_at.filter(|_| status < 300) {
             self.durations.record(&request, now.since(sent));
+            self.record_service(&request, now.since(sent));
         }
         self.record_slot_time(now, &request);
         let overdue = (now > request.deadline).then(|| now.since(request.deadline));
@@ -557,6 +558,7 @@
         };
         self.waiting.remove(&(request.queue_key(), id));
         let census = self.census(now, &request);
+        let verdict = request.verdict;
         let may_have_run = request.may_have_run() || in_progress.is_some() && !is_connecting;
         if !may_have_run && request.has_tokens {
             self.refund(&request);
@@ -593,6 +595,12 @@
                 "retry_after_ms",
                 refusal.retry_after.map(timeline::Value::millis),
             )
+            .with_some("cause", verdict.map(|verdict| verdict.cause))
+            .with_some("ahead", verdict.map(|verdict| verdict.ahead))
+            .with_some(
+                "expected_wait_ms",
+                verdict.map(|verdict| timeline::Value::millis(verdict.wait)),
+            )
             .with("config", self.config_version())
             .with_some("config_age_ms", self.config_age_field(now));
         effects.push(super::record(decision));
--- a/crates/carawaycleat-core/src/relay/reducer/tick.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tick.rs
@@ -50,6 +50,7 @@
         }
         self.end_overlaps(now, effects);
         self.retry_stalled(now, effects);
+        self.update_contention(now, effects);
         self.dispatch_waiting(now, effects);
         if now.since(self.last_queue_check) >= QUEUE_CHECK_INTERVAL {
             self.last_queue_check = now;
@@ -101,6 +102,10 @@
             })
             .collect();
         for (id, reason, retry_after) in expired {
+            let is_timeout = reason == refusal::Reason::Timeout;
+            if is_timeout && self.refuse_expired_waiting(now, id, effects) {
+                continue;
+            }
             self.refuse(now, id, reason, Some(retry_after), effects);
         }
     }
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -5,6 +5,7 @@
 
 use std::time;
 
+use super::capacity;
 use super::config;
 use super::origin;
 use super::pending;
@@ -63,11 +64,13 @@
     pub(super) unrecorded: Vec<origin::Origin>,
     /// What the choice under [`config::Balancing::Work`] is based on.
     pub(super) knowledge: expected::Knowledge<'a>,
+    /// What the request leaves free for urgent ones; none if it may use all slots.
+    pub(super) yielding: Option<capacity::Yielding<'a>>,
 }
 
 impl Selector<'_> {
     /// Returns the slots of an upstream; those of its service when its registration gives none.
-    fn slots(&self, upstream: &upstream::Upstream) -> u32 {
+    pub(super) fn slots(&self, upstream: &upstream::Upstream) -> u32 {
         match &self.service.engine {
             Some(engine) if upstream.registration.slots == 0 => engine.slots,
             _ => upstream.registration.slots,
@@ -170,7 +173,7 @@
         let available: Vec<_> = candidates
             .into_iter()
             .filter(|upstream| {
-                upstream.has_free_slot(self.now, self.slots(upstream))
+                upstream.has_free_slot(self.now, self.open_slots(upstream))
                     && !request
                         .history
                         .is_resting(self.now, &upstream.registration.id)
@@ -242,7 +245,11 @@
     }
 
     /// Returns whether an upstream accepts requests and holds the model and adapter of the request.
-    fn is_eligible(&self, upstream: &upstream::Upstream, request: &pending::Pending) -> bool {
+    pub(super) fn is_eligible(
+        &self,
+        upstream: &upstream::Upstream,
+        request: &pending::Pending,
+    ) -> bool {
         upstream.registration.service == request.service
             && upstream.accepts_requests(self.now, self.removal_grace)
             && request.stream.permits(&upstream.registration)
--- a/crates/carawaycleat-core/src/relay/view.rs
+++ b/crates/carawaycleat-core/src/relay/view.rs
@@ -79,6 +79,18 @@
     pub permits: Vec<ColdPermit>,
 }
 
+/// The requests of all hosts that compete for the engines which hold a model.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize, serde::Serialize)]
+pub struct Backlog {
+    /// The service.
+    pub service: name::Name,
+    /// The model.
+    pub model: name::Name,
+    /// The requests that wait for slots of these engines, whatever their models.
+    pub waiting: u32,
+}
+
 /// The coordinator's state of the fleet, as sent to an entry host in response to a report.
 #[derive(Clone, Debug)]
 #[derive(serde::Deserialize, serde::Serialize)]
@@ -111,4 +123,12 @@
     /// What the host may use of the upstreams that its report names.
     #[serde(default)]
     pub connections: Vec<connection::Grant>,
+    /// The workspaces whose recent use over all hosts exceeds what is usual for them and their fair share, each with the
+    /// ratio; none when it is not known, or the load is not measured by work.
+    #[serde(default)]
+    pub overuse: Option<Vec<(name::Name, f64)>>,
+    /// The requests that compete for the engines of each model that requests wait for; none when it is not known, or the load
+    /// is not measured by work.
+    #[serde(default)]
+    pub backlogs: Option<Vec<Backlog>>,
 }
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -150,7 +150,7 @@
     }
 }
 
-fn report(host: &str, number: u64, demand: relay::Demand) -> relay::Report {
+pub(crate) fn report(host: &str, number: u64, demand: relay::Demand) -> relay::Report {
     relay::Report {
         demands: vec![demand],
         ..empty_report(host, number)
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -43,6 +43,7 @@
 mod relay_change;
 mod relay_config;
 mod relay_connection;
+mod relay_contention;
 mod relay_crash;
 mod relay_cut;
 mod relay_evidence;
--- a/crates/carawaycleat-core/tests/suite/relay_allowance.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_allowance.rs
@@ -112,6 +112,8 @@
         loads: Vec::new(),
         cold: relay::ColdPermits::default(),
         connections: Vec::new(),
+        overuse: None,
+        backlogs: None,
     };
     harness.feed(relay::Event::ViewReceived(Box::new(view)));
     let mut served = 0;
@@ -167,6 +169,8 @@
         loads: Vec::new(),
         cold: relay::ColdPermits::default(),
         connections: Vec::new(),
+        overuse: None,
+        backlogs: None,
     }
 }
 
--- a/crates/carawaycleat-core/tests/suite/relay_change.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_change.rs
@@ -377,6 +377,8 @@
             loads: Vec::new(),
             cold: relay::ColdPermits::default(),
             connections: Vec::new(),
+            overuse: None,
+            backlogs: None,
         };
         let received = relay::Event::ViewReceived(Box::new(view));
         self.harness.feed(received);
--- a/crates/carawaycleat-core/tests/suite/relay_extreme.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_extreme.rs
@@ -38,6 +38,8 @@
         loads: Vec::new(),
         cold: relay::ColdPermits::default(),
         connections: Vec::new(),
+        overuse: None,
+        backlogs: None,
     };
     let large = || relay::Request {
         tokens: Some((u64::MAX, u64::MAX)),
--- a/crates/carawaycleat-core/tests/suite/relay_fake.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_fake.rs
@@ -166,6 +166,8 @@
         loads: Vec::new(),
         cold: relay::ColdPermits::default(),
         connections: Vec::new(),
+        overuse: None,
+        backlogs: None,
     }
 }
 
