--- a/crates/carawaycleat-core/src/coordinator.rs
+++ b/crates/carawaycleat-core/src/coordinator.rs
@@ -4,8 +4,8 @@
 //! The entry host that holds the coordinator's lease runs a [`Reducer`]. It receives the reports of all hosts and the
 //! status of all engines, and sends orders to engines only while [`Term`] guarantees that no other host can send any.
 
-mod cold;
 mod backlog;
+mod cold;
 mod effect;
 mod election;
 mod engine;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -4,8 +4,8 @@
 use std::collections;
 use std::time;
 
-use super::cold;
 use super::backlog;
+use super::cold;
 use super::effect;
 use super::engine;
 use super::evacuation;
--- a/crates/carawaycleat-core/src/relay.rs
+++ b/crates/carawaycleat-core/src/relay.rs
@@ -6,8 +6,8 @@
 //! the fleet ([`View`]).
 
 mod allowance;
-mod cold;
 mod capacity;
+mod cold;
 mod command;
 mod config;
 pub(crate) mod departure;
@@ -78,9 +78,9 @@
 pub use summary::Summary;
 pub use traffic::Traffic;
 pub use upstream::Upstream;
+pub use view::Backlog;
 pub use view::ColdPermit;
 pub use view::ColdPermits;
-pub use view::Backlog;
 pub use view::EngineView;
 pub use view::Permit;
 pub use view::Share;
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -160,7 +160,7 @@
         let queue = (request.service.clone(), request.model.clone());
         if request.rank.is_some() {
             if !self.refuse_crowded_out(now, id, &key, &queue, effects) {
-                self.queue(key, &queue, effects);
+                self.queue(now, key, &queue, effects);
             }
             return;
         }
@@ -177,12 +177,13 @@
             let retry_after = Some(wait.clamp(super::MIN_RETRY_AFTER, MAX_RETRY_AFTER));
             return self.refuse(now, id, refusal::Reason::NoUpstream, retry_after, effects);
         }
-        self.queue(key, &queue, effects);
+        self.queue(now, key, &queue, effects);
     }
 
     /// Adds a request to the waiting ones, and requests a report where the coordinator divides what it waits for.
     fn queue(
         &mut self,
+        now: clock::Instant,
         key: super::WaitingKey,
         queue: &super::QueueKey,
         effects: &mut Vec<effect::Effect>,
--- a/crates/carawaycleat-core/src/relay/reducer/report.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/report.rs
@@ -3,7 +3,6 @@
 use std::collections;
 
 use crate::clock;
-use crate::name;
 use crate::relay::config;
 use crate::relay::limit;
 use crate::relay::pending;
--- a/crates/carawaycleat-core/src/relay/selection.rs
+++ b/crates/carawaycleat-core/src/relay/selection.rs
@@ -1,7 +1,7 @@
 //! Selection of the upstream for a request.
 
-pub(super) mod expected;
 mod connection;
+pub(super) mod expected;
 
 use std::time;
 
--- a/crates/carawaycleat-core/tests/suite/relay_contention.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_contention.rs
@@ -170,6 +170,8 @@
         adapters: Vec::new(),
         other_requests: 4,
         usable_slots: 0,
+        other_prompt_ms: 0,
+        other_work_ms: 0,
     };
     let backlog = |waiting| relay::Backlog {
         service: name("models"),
@@ -294,6 +296,7 @@
             adapter: None,
             tokens: 0,
             waiting: 0,
+            traffic: relay::Traffic::default(),
         };
         let report = relay::Report {
             usage: vec![(name("one"), 1_000), (name("two"), 1_000 * surge)],
