--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -42,6 +42,12 @@
 /// The time since the last request after which an adapter may be evicted for another one.
 const ADAPTER_IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
+/// The longest load from the weight store for which replicas follow spikes of demand. Callers of urgent streams wait 2 s, so
+/// that a slower load serves none of those for whom it is begun, while its engine serves fewer meanwhile.
+const MAX_SPIKE_LOAD_TIME: time::Duration = time::Duration::from_millis(2_200);
+/// The fraction of slots in use from which no replica of a model is evicted, where load is measured by work.
+const PROTECTED_UTILIZATION: f64 = 0.7;
+
 /// The demand for a model and its placement.
 #[derive(Clone, Debug)]
 struct Model<'a> {
@@ -278,10 +284,26 @@
         }
     }
 
-    /// Returns the next step for a model, if one is worthwhile. Services that are balanced by work get theirs from
+    /// Returns whether replicas follow spikes of demand, so that [`Self::placements`] decides in place of
+    /// [`Self::model_step`].
+    pub(super) fn follows_spikes(spec: &relay::EngineSpec) -> bool {
+        let load_times = spec.models.values().map(|model| model.store_load_time);
+        spec.balancing == relay::Balancing::Work
+            && load_times
+                .max()
+                .is_some_and(|longest| longest <= MAX_SPIKE_LOAD_TIME)
+    }
+
+    /// Returns whether a replica of a model is kept because its requests need it.
+    fn is_protected(&self, model: &Model<'_>) -> bool {
+        self.spec.balancing == relay::Balancing::Work
+            && (model.waiting > 0 || model.utilization >= PROTECTED_UTILIZATION)
+    }
+
+    /// Returns the next step for a model, if one is worthwhile. Services whose replicas follow spikes get theirs from
     /// [`Self::placements`].
     pub(super) fn model_step(&self) -> Option<Step> {
-        if self.spec.balancing == relay::Balancing::Work {
+        if Self::follows_spikes(self.spec) {
             return None;
         }
         if let Some(step) = self.replacement_step().or_else(|| self.refill_step()) {
@@ -402,6 +424,7 @@
             .iter()
             .filter(|(_, replica)| self.now.since(replica.loaded_at) >= options.min_residency)
             .filter_map(|(name, _)| self.models.get(name))
+            .filter(|model| !self.is_protected(model))
             .filter(|model| {
                 let fits = free_mb + model.spec.weights_mb >= replacement.spec.weights_mb;
                 // A last replica is evicted only when it is reclaimable, for a model without a replica that requests
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -565,7 +565,7 @@
         let mut placements: Vec<_> = self
             .services
             .iter()
-            .filter(|(_, spec)| spec.balancing == relay::Balancing::Work)
+            .filter(|(_, spec)| plan::Planner::follows_spikes(spec))
             .flat_map(|(service, spec)| {
                 plan::Planner::new(now, self, service, spec).placements(MAX_ORDERS_PER_TICK)
             })
