perf(coordinator): keep the sources of loads sparse

The board kept a source for each engine and model, and searched all engines for the rank of a model. Both are now linear in what the engines have at hand.

--- a/crates/carawaycleat-core/src/coordinator/plan/spike.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike.rs
@@ -103,7 +103,7 @@
             let Some(model) = engine.replacement.filter(|_| engine.is_available) else {
                 continue;
             };
-            let source = engine.sources[model];
+            let source = board.source(number, model);
             if source.from_store {
                 // The load has been counted already.
                 board.store_loads += 1;
@@ -112,7 +112,8 @@
             let (wanted, engine) = (&board.models[model], &board.engines[number]);
             let room = engine.room(0.0).max(1.0);
             let gain = value::gain(wanted, room, source.time);
-            let is_useful = gain > 0.0 || wanted.offered > wanted.room * MIN_USED_ROOM;
+            let is_useful =
+                gain > value::MIN_FREE_GAIN || wanted.offered > wanted.room * MIN_USED_ROOM;
             let is_allowed = board.store_loads > 0 || !source.from_store;
             if !is_useful || !is_allowed || placements.len() >= max {
                 continue;
@@ -137,7 +138,7 @@
     ) -> Placement {
         let (wanted, engine) = (&board.models[model], &board.engines[candidate.engine]);
         let id = engine.engine.registration.id.clone();
-        let source = engine.sources[model];
+        let source = board.source(candidate.engine, model);
         let evicted = candidate.evicted[0].map(|model| &board.models[model]);
         let decision = timeline::Decision::new("replicas")
             .with_subject(id.clone())
@@ -192,10 +193,9 @@
         if !wanted.holders.is_empty() && !self.state.options.rebalances {
             return None;
         }
-        let engines = board.engines.iter().filter(|engine| engine.is_available);
-        let times = engines.map(|engine| (engine.sources[model].time, engine.slots));
-        let (delay, slots) = times.min_by_key(|(time, _)| *time)?;
-        let gain = value::gain(wanted, slots * board::TARGET_UTILIZATION, delay);
+        let delay = wanted.shortest_load();
+        let room = f64::from(self.spec.slots) * board::TARGET_UTILIZATION;
+        let gain = value::gain(wanted, room, delay);
         let value = gain / (delay + ORDER_TIME).as_secs_f64();
         (value > 0.0).then_some(Ranked { value, model })
     }
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
@@ -62,6 +62,8 @@
     pub(super) room: f64,
     /// The slots up to the highest utilization that its replicas have for it.
     pub(super) max_room: f64,
+    /// The available engines that have its weights in host memory, and on disk only.
+    pub(super) cached_engines: (u32, u32),
 }
 
 impl Model<'_> {
@@ -75,6 +77,16 @@
         (self.offered - self.max_room).max(0.0)
     }
 
+    /// Returns the time of the shortest load at an available engine.
+    pub(super) fn shortest_load(&self) -> time::Duration {
+        let spec = self.base.spec;
+        match self.cached_engines {
+            (1.., _) => spec.memory_load_time,
+            (0, 1..) => spec.disk_load_time,
+            (0, 0) => spec.store_load_time,
+        }
+    }
+
     /// Returns the number of waiting requests.
     pub(super) fn backlog(&self) -> f64 {
         self.waiting.iter().map(|class| class.requests).sum()
@@ -98,6 +110,17 @@
         sum
     }
 
+    /// Returns the part of the room of its replicas that its arrivals use; more than 1 if they lack room.
+    pub(super) fn used_room(&self) -> f64 {
+        self.offered / self.room.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the slots that its arrivals occupy at each replica when there are `fewer` of them.
+    pub(super) fn slots_per_replica(&self, fewer: usize) -> f64 {
+        self.offered / self.holders.len().saturating_sub(fewer).max(1) as f64
+    }
+
+    /// Returns whether there are requests for it.
     pub(super) fn is_asked_for(&self) -> bool {
         self.estimate.arrivals > 0.01 || self.base.waiting > 0
     }
@@ -131,8 +154,8 @@
     pub(super) replacement: Option<usize>,
     /// The models that it holds or loads, by index.
     pub(super) models: Vec<usize>,
-    /// Where it loads each model from, by index.
-    pub(super) sources: Vec<Source>,
+    /// The models whose weights are in host memory or on disk, by index, and the times of their loads.
+    pub(super) cached: Vec<(usize, time::Duration)>,
 }
 
 impl Engine<'_> {
@@ -227,25 +250,23 @@
                 self.models[model].holders.push(holder);
             }
         }
-        let mut sources: Vec<_> = self
-            .models
-            .iter()
-            .map(|model| Source {
-                time: model.base.spec.store_load_time,
-                from_store: true,
-            })
-            .collect();
-        for (cached, in_memory) in [(&engine.on_disk, false), (&engine.in_memory, true)] {
-            for model in cached.iter().filter_map(|name| index.get(name).copied()) {
-                let spec = self.models[model].base.spec;
-                sources[model] = Source {
-                    time: if in_memory {
-                        spec.memory_load_time
-                    } else {
-                        spec.disk_load_time
-                    },
-                    from_store: false,
+        let is_available = accepts_orders && !is_suspect;
+        let mut cached: Vec<(usize, time::Duration)> = Vec::new();
+        for (names, in_memory) in [(&engine.in_memory, true), (&engine.on_disk, false)] {
+            for number in names.iter().filter_map(|name| index.get(name).copied()) {
+                if cached.iter().any(|(model, _)| *model == number) {
+                    continue;
+                }
+                let model = &mut self.models[number];
+                let (time, engines) = if in_memory {
+                    let spec = model.base.spec;
+                    (spec.memory_load_time, &mut model.cached_engines.0)
+                } else {
+                    let spec = model.base.spec;
+                    (spec.disk_load_time, &mut model.cached_engines.1)
                 };
+                *engines += u32::from(is_available);
+                cached.push((number, time));
             }
         }
         self.engines.push(Engine {
@@ -253,14 +274,14 @@
             slots: f64::from(engine.slots(planner.spec)) * planner.capacity(engine),
             load: 0.0,
             free_mb: engine.free_mb(planner.spec),
-            is_available: accepts_orders && !is_suspect,
+            is_available,
             replacement: engine
                 .replacement
                 .as_ref()
                 .and_then(|name| index.get(name).copied())
                 .filter(|_| accepts_orders),
             models,
-            sources,
+            cached,
         });
     }
 
@@ -322,6 +343,22 @@
         }
     }
 
+    /// Returns where an engine loads a model from.
+    pub(super) fn source(&self, engine: usize, model: usize) -> Source {
+        let mut cached = self.engines[engine].cached.iter();
+        match cached.find(|(cached, _)| *cached == model) {
+            Some((_, time)) => Source {
+                time: *time,
+                from_store: false,
+            },
+            None => Source {
+                time: self.models[model].base.spec.store_load_time,
+                from_store: true,
+            },
+        }
+    }
+
+    /// Computes the room of a model anew after a change of its replicas or of the load of their engines.
     pub(super) fn update_room(&mut self, model: usize) {
         let engines = &self.engines;
         let room = |holder: &Holder| engines[holder.engine].room(holder.share);
@@ -341,6 +378,15 @@
         let target = &mut self.engines[engine];
         let share = target.room(0.0).min(wanted);
         target.is_available = false;
+        for (cached, time) in &target.cached {
+            let model = &mut self.models[*cached];
+            let engines = if *time == model.base.spec.memory_load_time {
+                &mut model.cached_engines.0
+            } else {
+                &mut model.cached_engines.1
+            };
+            *engines = engines.saturating_sub(1);
+        }
         target.load += share;
         target.free_mb -= self.models[model].base.spec.weights_mb;
         target.models.push(model);
@@ -399,5 +445,6 @@
         holders: Vec::new(),
         room: 0.0,
         max_room: 0.0,
+        cached_engines: (0, 0),
     }
 }
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/headroom.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/headroom.rs
@@ -28,50 +28,57 @@
         max: usize,
         placements: &mut Vec<Placement>,
     ) {
-        let allowed = self.spec.loads_per_second * self.state.options.load_window.as_secs_f64();
         let busy = board.engines.iter().filter(|e| !e.is_available).count();
         let mut store_loads = (board.engines.len() / 2).saturating_sub(busy);
+        let from_store: Vec<_> = (0..board.models.len())
+            .filter(|model| board.models[*model].used_room() >= STORE_FILL_UTILIZATION)
+            .collect();
         for number in 0..board.engines.len() {
+            let engine = &board.engines[number];
             if placements.len() >= max {
                 return;
             }
-            let engine = &board.engines[number];
             if !engine.is_available {
                 continue;
             }
-            let may_use_store = store_loads > 0 && board.store_loads as f64 > allowed / 2.0;
-            let utilization =
-                |model: &board::Model<'_>| model.offered / model.room.max(f64::MIN_POSITIVE);
-            let models = board.models.iter().enumerate();
-            let useful = models.filter(|(model, wanted)| {
-                let source = engine.sources[*model];
-                let min_utilization = match (source.from_store, engine.models.is_empty()) {
-                    (true, _) => STORE_FILL_UTILIZATION,
-                    (false, false) => CACHED_FILL_UTILIZATION,
-                    (false, true) => 0.0,
-                };
+            let is_useful = |model: &usize, min_used: f64| {
+                let wanted = &board.models[*model];
                 wanted.is_asked_for()
                     && engine.free_mb >= wanted.base.spec.weights_mb
                     && !engine.models.contains(model)
-                    && (may_use_store || !source.from_store)
-                    && utilization(wanted) >= min_utilization
-            });
-            let is_cached = |model: &usize| !engine.sources[*model].from_store;
-            let best = useful.max_by(|(one, a), (other, b)| {
-                let by_source = is_cached(one).cmp(&is_cached(other));
-                by_source.then(utilization(a).total_cmp(&utilization(b)))
+                    && wanted.used_room() >= min_used
+            };
+            let min_used = if engine.models.is_empty() {
+                0.0
+            } else {
+                CACHED_FILL_UTILIZATION
+            };
+            let used = |model: &usize| board.models[*model].used_room();
+            let by_use = |one: &usize, other: &usize| used(one).total_cmp(&used(other));
+            let cached = engine.cached.iter().map(|(model, _)| *model);
+            let cached = cached.filter(|model| is_useful(model, min_used));
+            let best = cached.max_by(by_use).or_else(|| {
+                let models = from_store.iter().copied();
+                let models = models.filter(|model| is_useful(model, STORE_FILL_UTILIZATION));
+                let may_use_store = store_loads > 0 && self.has_spare_store_loads(board);
+                models.max_by(by_use).filter(|_| may_use_store)
             });
-            let Some((model, wanted)) = best else {
+            let Some(model) = best else {
                 continue;
             };
-            let source = engine.sources[model];
-            let candidate =
-                value::Candidate::in_free_memory(number, source.time, utilization(wanted));
+            let source = board.source(number, model);
+            let candidate = value::Candidate::in_free_memory(number, source.time, used(&model));
             store_loads -= usize::from(source.from_store);
             placements.push(self.place(board, model, candidate));
         }
     }
 
+    /// Returns whether the weight store allows half of its loads still.
+    fn has_spare_store_loads(&self, board: &board::Board<'_>) -> bool {
+        let allowed = self.spec.loads_per_second * self.state.options.load_window.as_secs_f64();
+        board.store_loads as f64 > allowed / 2.0
+    }
+
     /// Gives the places of replicas that are not needed to models with much more demand for each replica, at few engines at the
     /// same time.
     pub(super) fn balance(
@@ -80,59 +87,59 @@
         max: usize,
         placements: &mut Vec<Placement>,
     ) {
-        let allowed = self.spec.loads_per_second * self.state.options.load_window.as_secs_f64();
         let busy = board.engines.iter().filter(|e| !e.is_available).count();
-        let mut changes = board
-            .engines
-            .len()
-            .div_ceil(BALANCED_DIVISOR)
-            .saturating_sub(busy);
+        let changes = board.engines.len().div_ceil(BALANCED_DIVISOR);
+        let mut changes = changes.saturating_sub(busy);
+        let wanting: Vec<_> = (0..board.models.len())
+            .filter(|model| board.models[*model].used_room() >= BALANCED_UTILIZATION)
+            .collect();
         for number in 0..board.engines.len() {
             if changes == 0 || placements.len() >= max {
                 return;
             }
-            let engine = &board.engines[number];
-            if !engine.is_available {
+            if !board.engines[number].is_available {
                 continue;
             }
-            let may_use_store = board.store_loads as f64 > allowed / 2.0;
-            let per_replica =
-                |model: &board::Model<'_>, replicas: usize| model.offered / replicas.max(1) as f64;
-            let models = board.models.iter().enumerate();
-            let wanting = models.filter(|(model, wanted)| {
-                !engine.models.contains(model)
-                    && (may_use_store || !engine.sources[*model].from_store)
-                    && per_replica(wanted, wanted.holders.len()) >= MIN_BALANCED_SLOTS
-                    && wanted.offered >= wanted.room * BALANCED_UTILIZATION
+            let may_use_store = self.has_spare_store_loads(board);
+            let slots = |model: &usize| board.models[*model].slots_per_replica(0);
+            let wanting = wanting.iter().copied().filter(|model| {
+                !board.engines[number].models.contains(model)
+                    && slots(model) >= MIN_BALANCED_SLOTS
+                    && (may_use_store || !board.source(number, *model).from_store)
             });
-            let most = wanting.max_by(|(_, one), (_, other)| {
-                let slots = |model: &board::Model<'_>| per_replica(model, model.holders.len());
-                slots(one).total_cmp(&slots(other))
-            });
-            let Some((model, wanted)) = most else {
+            let most = wanting.max_by(|one, other| slots(one).total_cmp(&slots(other)));
+            let Some(model) = most else {
                 continue;
             };
-            let slots = per_replica(wanted, wanted.holders.len());
-            let unneeded = engine.models.iter().filter_map(|held| {
-                let other = &board.models[*held];
-                let fits =
-                    engine.free_mb + other.base.spec.weights_mb >= wanted.base.spec.weights_mb;
-                let after = per_replica(other, other.holders.len().saturating_sub(1));
-                if !fits || after * BALANCE_RATIO > slots || !other.is_served_beside(number) {
-                    return None;
-                }
-                let loss = value::loss(board, self, number, *held, wanted)?;
-                (loss <= value::SLOT_LOSS * engine.slots).then_some((*held, loss))
-            });
-            let Some((held, loss)) = unneeded.min_by(|(_, one), (_, other)| one.total_cmp(other))
-            else {
+            let Some((unneeded, loss)) = self.unneeded_replica(board, number, model) else {
                 continue;
             };
-            let candidate =
-                value::Candidate::in_free_memory(number, engine.sources[model].time, slots)
-                    .in_place_of(held, loss);
+            let time = board.source(number, model).time;
+            let candidate = value::Candidate::in_free_memory(number, time, slots(&model))
+                .in_place_of(unneeded, loss);
             changes -= 1;
             placements.push(self.place(board, model, candidate));
         }
     }
+
+    /// Returns the model whose replica at an engine is needed least, if `model` may take its place, and the loss from that.
+    fn unneeded_replica(
+        &self,
+        board: &board::Board<'_>,
+        number: usize,
+        model: usize,
+    ) -> Option<(usize, f64)> {
+        let (engine, wanted) = (&board.engines[number], &board.models[model]);
+        let unneeded = engine.models.iter().filter_map(|held| {
+            let other = &board.models[*held];
+            let fits = engine.free_mb + other.base.spec.weights_mb >= wanted.base.spec.weights_mb;
+            let slots = other.slots_per_replica(1) * BALANCE_RATIO;
+            if !fits || slots > wanted.slots_per_replica(0) || !other.is_served_beside(number) {
+                return None;
+            }
+            let loss = value::loss(board, self, number, *held, wanted)?;
+            (loss <= value::SLOT_LOSS * engine.slots).then_some((*held, loss))
+        });
+        unneeded.min_by(|(_, one), (_, other)| one.total_cmp(other))
+    }
 }
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -25,7 +25,7 @@
 /// The value at or below which a further replica of a model is not worth an unload, in urgent requests.
 const MIN_GAIN: f64 = 2.0;
 /// The same where memory is free.
-const MIN_FREE_GAIN: f64 = 0.1;
+pub(super) const MIN_FREE_GAIN: f64 = 0.1;
 /// The ratio of gain to loss above which a replica takes the place of another one. It keeps two models of nearly the same
 /// demand from replacing each other.
 const GAIN_RATIO: f64 = 1.3;
@@ -183,7 +183,7 @@
     number: usize,
 ) -> Option<Candidate> {
     let engine = &board.engines[number];
-    let is_allowed = board.store_loads > 0 || !engine.sources[model].from_store;
+    let is_allowed = board.store_loads > 0 || !board.source(number, model).from_store;
     if !engine.is_available || !is_allowed || engine.models.contains(&model) {
         return None;
     }
@@ -224,7 +224,7 @@
     evicted: [Option<usize>; 2],
 ) -> Option<Candidate> {
     let (wanted, engine) = (&board.models[model], &board.engines[number]);
-    let mut delay = engine.sources[model].time;
+    let mut delay = board.source(number, model).time;
     let mut freed = 0.0;
     let mut cost = 0.0;
     for evicted in evicted.into_iter().flatten() {
