--- a/crates/carawaycleat-core/tests/suite/coordinator_spike.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_spike.rs
@@ -119,6 +119,15 @@
         fleet
     }
 
+    /// Sets the size of each model and the memory of an engine, in megabytes.
+    fn resize(&mut self, sizes: &[f64], memory_mb: f64) {
+        for (model, size) in self.spec.models.values_mut().zip(sizes) {
+            model.weights_mb = *size;
+        }
+        self.spec.weight_memory_mb = memory_mb;
+        self.harness.configure(self.spec.clone());
+    }
+
     /// Writes an engine's registration.
     fn register(&mut self, engine: usize) {
         let started = self.engines[engine].started;
@@ -210,11 +219,12 @@
                 UNLOAD_MS
             }
             coordinator::Operation::Load => {
-                assert!(
-                    engine.models.len() < 3,
-                    "{} has no free memory",
-                    order.engine
-                );
+                let weights = |model: &usize| {
+                    self.spec.models[&relay_fake::name(&model_name(*model))].weights_mb
+                };
+                let held: f64 = engine.models.iter().map(weights).sum();
+                let fits = held + weights(&model) <= self.spec.weight_memory_mb;
+                assert!(fits, "{} has no free memory", order.engine);
                 if engine.on_disk.contains(&model) {
                     1_200
                 } else {
@@ -519,7 +529,11 @@
     fleet.demands[99].per_second = 100.0;
     fleet.run(1_500);
     fleet.replace_coordinator();
-    fleet.run(8_000);
+    fleet.run(500);
+    let is_used = |engine: &&Engine| engine.models.len() == 3 || engine.order.is_some();
+    let used = fleet.engines.iter().filter(is_used).count();
+    assert_eq!(used, 49, "memory that was freed for a load stays unused");
+    fleet.run(7_500);
     fleet.take_served(0..100);
     let unloads: u32 = fleet.unloads.iter().sum();
     fleet.run(10_000);
@@ -538,3 +552,40 @@
         "{alternations} unloads while demand stays"
     );
 }
+
+/// Load: a spike of a large model at engines that are full of small ones. Guards against engines that count as too small
+/// because no single model that could make way has the size of the large one.
+#[test]
+fn small_models_make_way_for_a_large_one() {
+    let run = |balancing| {
+        // Each engine holds five of twenty small models; one holds the large one.
+        let mut held: Vec<Vec<usize>> = (0..16)
+            .map(|engine| (0..5).map(|place| (engine * 5 + place) % 20).collect())
+            .collect();
+        held[0] = vec![20, 0, 1];
+        let mut demands = steady(21, 2.0);
+        demands[20].per_second = 10.0;
+        let mut fleet = Fleet::new(balancing, demands, held);
+        let mut sizes = vec![16_100.0; 20];
+        sizes.push(34_300.0);
+        fleet.resize(&sizes, 83_000.0);
+        for engine in &mut fleet.engines {
+            engine.on_disk.push(20);
+        }
+        fleet.run(4_000);
+        fleet.demands[20].per_second = 100.0;
+        fleet.run(6_000);
+        fleet.take_served(0..21);
+        fleet.run(6_000);
+        let (large, small) = (fleet.take_served(20..21), fleet.take_served(0..20));
+        println!("{balancing:?}: large {large:.3} small {small:.3}");
+        (large, small)
+    };
+    let (before, _) = run(relay::Balancing::Requests);
+    let (large, small) = run(relay::Balancing::Work);
+    assert!(
+        large >= 0.99 && large >= before,
+        "{large} of the large model, {before} before"
+    );
+    assert!(small >= 0.99, "{small} of the small models");
+}
--- a/crates/carawaycleat-core/tests/suite/relay_load.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_load.rs
@@ -280,3 +280,35 @@
     assert_eq!(spread(relay::Routing::LeastLoad), ["two", "two"]);
     assert_eq!(spread(relay::Routing::RoundRobin), ["one", "two"]);
 }
+
+/// Pattern: requests that run, wait and end at a service that is balanced by work. Guards against replicas that follow a
+/// wrong number of requests, a wrong time in a slot, or callers that have left.
+#[test]
+fn reports_count_requests_and_their_time_in_a_slot() {
+    let mut harness = relay_fake::Harness::new();
+    let config = relay_fake::config(2, 1_000_000).with_balancing(relay::Balancing::Work);
+    harness.feed(relay::Event::Configured(Box::new(config)));
+    harness.confirm();
+    harness.register(relay_fake::registration("one", "models", &["small"]));
+    let running: Vec<_> = (0..5).map(|_| arrive(&mut harness, "small")).collect();
+    let traffic = |harness: &mut relay_fake::Harness| {
+        let report = harness.reducer.report(harness.now, true);
+        let demand = report.demands.into_iter().next().expect("a demand");
+        (demand.waiting, demand.traffic)
+    };
+    // Four have a slot. The caller of the fifth has priority 1 and leaves after 2 s.
+    let (waiting, arrived) = traffic(&mut harness);
+    assert_eq!(
+        (arrived.arrivals, arrived.urgency, arrived.completed),
+        (5, 250, 0)
+    );
+    assert_eq!(
+        (waiting, arrived.waiting),
+        (1, vec![(0, 0), (0, 0), (1, 50), (0, 0), (0, 0)])
+    );
+    harness.advance(relay_fake::millis(100));
+    finish(&mut harness, running[0]);
+    let (waiting, ended) = traffic(&mut harness);
+    assert_eq!((waiting, ended.arrivals), (0, 0));
+    assert_eq!((ended.completed, ended.slot_ms), (1, 100));
+}
