refactor(coordinator): separate the orders and models of the placement by work

Also prefers replicas without requests in progress to make way, and the test with another coordinator loses reports and orders.

--- a/crates/carawaycleat-core/src/coordinator/plan/spike.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike.rs
@@ -3,6 +3,7 @@
 
 mod board;
 mod headroom;
+mod model;
 mod value;
 
 use std::collections;
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -1,6 +1,7 @@
 use std::time;
 
 use super::board;
+use super::model;
 use crate::clock;
 use crate::coordinator::plan;
 
@@ -21,7 +22,7 @@
 /// The loss from the last replica of a model that is idle and may have to be loaded again.
 const LAST_REPLICA_LOSS: f64 = 0.1;
 /// The loss for each slot in use, which selects the least used among replicas that are not needed.
-pub(super) const SLOT_LOSS: f64 = 0.002;
+pub(super) const SLOT_LOSS: f64 = 0.02;
 /// The value at or below which a further replica of a model is not worth an unload, in urgent requests.
 const MIN_GAIN: f64 = 2.0;
 /// The same where memory is free.
@@ -80,7 +81,7 @@
 }
 
 /// Returns the value of a replica with `room` slots for the model that serves requests after `delay`.
-pub(super) fn gain(model: &board::Model<'_>, room: f64, delay: time::Duration) -> f64 {
+pub(super) fn gain(model: &model::Model<'_>, room: f64, delay: time::Duration) -> f64 {
     let slot_time = model.estimate.slot_time;
     let carried = model.deficit().min(room);
     let served_time = HORIZON.saturating_sub(delay).as_secs_f64();
@@ -110,7 +111,7 @@
 
 /// Returns what `room` slots are worth to a model that lacks `deficit` slots to the target utilization, of which `shortage`
 /// to the highest one.
-fn worth(model: &board::Model<'_>, deficit: f64, shortage: f64, room: f64) -> f64 {
+fn worth(model: &model::Model<'_>, deficit: f64, shortage: f64, room: f64) -> f64 {
     let tolerated = MIN_DEFICIT + model.offered * DEFICIT_TOLERANCE;
     let shortage = shortage.min(room);
     let comfort = (deficit - tolerated).min(room) - shortage;
@@ -123,7 +124,7 @@
     planner: &plan::Planner<'_>,
     engine: usize,
     model: usize,
-    replacement: &board::Model<'_>,
+    replacement: &model::Model<'_>,
 ) -> Option<f64> {
     let model = &board.models[model];
     let holder = model.holders.iter().find(|h| h.engine == engine)?;
--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,3 +1,4 @@
+mod placement;
 mod view;
 
 use std::collections;
@@ -478,19 +479,7 @@
             self.send(now, step, effects);
             orders += 1;
         }
-        let mut placements: Vec<_> = self
-            .services
-            .iter()
-            .filter(|(_, spec)| spec.balancing == relay::Balancing::Work)
-            .flat_map(|(service, spec)| {
-                plan::Planner::new(now, self, service, spec).placements(MAX_ORDERS_PER_TICK)
-            })
-            .collect();
-        placements.truncate(MAX_ORDERS_PER_TICK - orders);
-        for placement in placements {
-            effects.push(effect::Effect::Record(placement.decision));
-            self.send(now, placement.step, effects);
-        }
+        self.place_by_work(now, MAX_ORDERS_PER_TICK - orders, effects);
         if now.since(self.preloaded_at) >= PRELOAD_INTERVAL {
             self.preloaded_at = now;
             let services = self.services.iter();
@@ -559,25 +548,6 @@
         (self.store_loads.len() as f64) + 1.0 <= max_loads.max(1.0)
     }
 
-    /// Returns the number of loads that may begin from the weight store now when it allows `per_second` loads per second.
-    pub(super) fn available_store_loads(&self, per_second: f64) -> i64 {
-        let max_loads = (per_second * self.options.load_window.as_secs_f64()).max(1.0);
-        max_loads.min(MAX_STORE_LOADS as f64).floor() as i64 - self.store_loads.len() as i64
-    }
-
-    /// Returns the demands of recent reports for the models of a service.
-    pub(super) fn recent_demands<'a>(
-        &'a self,
-        now: clock::Instant,
-        service: &'a name::Name,
-    ) -> impl Iterator<Item = &'a relay::Demand> {
-        self.hosts
-            .values()
-            .filter(move |host| now.since(host.received_at) < MAX_REPORT_AGE)
-            .flat_map(|host| &host.report.demands)
-            .filter(move |demand| demand.service == *service)
-    }
-
     /// Returns whether enough hosts get no responses from an upstream for all of them to avoid it.
     pub(super) fn is_suspect(&self, id: &name::Name) -> bool {
         self.suspects.contains(id)
--- a/crates/carawaycleat-core/tests/suite/coordinator_spike.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_spike.rs
@@ -64,6 +64,9 @@
     spec: relay::EngineSpec,
     at: u64,
     term: u64,
+    /// Whether each third report and each fifth order is lost.
+    is_lossy: bool,
+    orders: usize,
 }
 
 fn model_name(model: usize) -> String {
@@ -111,6 +114,8 @@
             spec,
             at: 0,
             term: 41,
+            is_lossy: false,
+            orders: 0,
         };
         fleet.harness.configure(fleet.spec.clone());
         for engine in 0..fleet.engines.len() {
@@ -208,6 +213,11 @@
     fn accept(&mut self, order: &coordinator::Order) {
         let number: usize = order.engine.as_str()[7..].parse().expect("a number");
         let model: usize = order.model.as_str()[6..].parse().expect("a number");
+        self.orders += 1;
+        if self.is_lossy && self.orders.is_multiple_of(5) {
+            self.harness.resolve(order, coordinator::Outcome::Unknown);
+            return;
+        }
         let engine = &mut self.engines[number];
         if engine.is_lost || engine.order.is_some() || engine.sequence != order.sequence {
             self.harness.resolve(order, coordinator::Outcome::Conflict);
@@ -343,8 +353,10 @@
             demands: demands.into_iter().filter(|d| !is_empty(d)).collect(),
             ..fixture::empty_report(&format!("host-{}", self.at / TICK_MS % HOSTS), self.at)
         };
-        self.harness
-            .feed(coordinator::Event::Reported(Box::new(report)));
+        if !self.is_lossy || !(self.at / TICK_MS).is_multiple_of(3) {
+            let event = coordinator::Event::Reported(Box::new(report));
+            self.harness.feed(event);
+        }
     }
 
     fn lose(&mut self, engine: usize) {
@@ -521,10 +533,12 @@
     }
 }
 
-/// Load: a spike, and another coordinator in the middle of it. Guards against loads that the new one repeats or undoes.
+/// Load: a spike, and another coordinator in the middle of it, with lost reports and orders. Guards against loads that the
+/// new one repeats or undoes.
 #[test]
 fn another_coordinator_goes_on_with_a_spike() {
     let mut fleet = Fleet::new(relay::Balancing::Work, steady(100, 2.0), spread(100));
+    fleet.is_lossy = true;
     fleet.run(5_000);
     fleet.demands[99].per_second = 100.0;
     fleet.run(1_500);
