--- a/crates/carawaycleat-core/tests/suite/coordinator_spike.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator_spike.rs
@@ -378,13 +378,6 @@
         self.left[models].fill(0);
         f64::from(served) / f64::from((served + left).max(1))
     }
-
-    fn replicas(&self, model: usize) -> usize {
-        self.engines
-            .iter()
-            .filter(|engine| engine.models.contains(&model))
-            .count()
-    }
 }
 
 /// Returns the models of 49 engines: each of `models` at one engine at least, those left over at a second one.
@@ -406,7 +399,7 @@
     ]
 }
 
-/// Load: one of 100 models gets tenfold and then a hundredfold demand within eight seconds, beside idle engines. Guards
+/// Load: one of 100 models gets tenfold demand within eight seconds, beside idle engines. Guards
 /// against replicas that follow one at a time, and against replicas that alternate while demand stays.
 #[test]
 fn replicas_follow_a_spike_in_time() {
@@ -428,19 +421,15 @@
         let unloads: u32 = fleet.unloads.iter().sum();
         fleet.run(10_000);
         let alternations = fleet.unloads.iter().sum::<u32>() - unloads;
-        println!(
-            "{balancing:?}: spike {spike:.3} others {others:.3} replicas {} unloads {unloads} then {alternations}",
-            fleet.replicas(99)
-        );
         (spike, others, alternations)
     };
     // With the weights on the disk of some engines, and in the weight store only, from where a load takes 6 s of the spike.
-    for (on_disk, min_served) in [(20, 0.98), (0, 0.9)] {
+    for (on_disk, min_served) in [(20, 0.98), (0, 0.98)] {
         let (before, _, _) = spike(relay::Balancing::Requests, on_disk);
         let (served, others, alternations) = spike(relay::Balancing::Work, on_disk);
         assert!(
-            served >= min_served,
-            "{served} of the spike, {before} with balancing by requests"
+            served >= min_served && served >= before - 0.01,
+            "{served} of the spike, {before} before"
         );
         assert!(others >= 0.99, "{others} of the others");
         assert!(
@@ -454,61 +443,44 @@
 /// that make way for them, and against rare ones whose callers leave before they are served.
 #[test]
 fn rare_models_are_served_beside_a_hot_one() {
-    let run = |balancing| {
-        let mut demands = steady(96, 0.0);
-        demands[0].per_second = 1_500.0;
-        for demand in &mut demands[1..76] {
-            demand.per_second = 1.0;
-        }
-        let mut held = vec![vec![0]; 49];
-        for place in 0..98 {
-            held[place % 49].push(1 + place % 75);
-        }
-        let mut fleet = Fleet::new(balancing, demands, held);
-        for engine in &mut fleet.engines {
-            engine.on_disk.extend(76..96);
-        }
-        fleet.run(4_000);
-        fleet.take_served(0..96);
-        for demand in &mut fleet.demands[76..96] {
-            *demand = Demand {
-                per_second: 0.3,
-                patience_ms: 10_000,
-                urgency: 30,
-                ..URGENT
-            };
-        }
-        fleet.run(15_000);
-        let (hot, rare) = (fleet.take_served(0..1), fleet.take_served(76..96));
-        println!(
-            "{balancing:?}: hot {hot:.3} rare {rare:.3} hot replicas {} unloads of hot {}",
-            fleet.replicas(0),
-            fleet.unloads[0]
-        );
-        (hot, rare, fleet.unloads[0])
-    };
-    run(relay::Balancing::Requests);
-    let (hot, rare, unloads) = run(relay::Balancing::Work);
+    let mut demands = steady(96, 0.0);
+    demands[0].per_second = 1_500.0;
+    for demand in &mut demands[1..76] {
+        demand.per_second = 1.0;
+    }
+    let mut held = vec![vec![0]; 49];
+    for place in 0..98 {
+        held[place % 49].push(1 + place % 75);
+    }
+    let mut fleet = Fleet::new(relay::Balancing::Work, demands, held);
+    for engine in &mut fleet.engines {
+        engine.on_disk.extend(76..96);
+    }
+    fleet.run(4_000);
+    fleet.take_served(0..96);
+    for demand in &mut fleet.demands[76..96] {
+        *demand = Demand {
+            per_second: 0.3,
+            patience_ms: 10_000,
+            urgency: 30,
+            ..URGENT
+        };
+    }
+    fleet.run(15_000);
+    let (hot, rare) = (fleet.take_served(0..1), fleet.take_served(76..96));
     assert!(rare >= 0.98, "{rare} of the rare models");
-    assert!(
-        hot >= 0.7 && unloads <= 2,
-        "{hot} of the hot model with {unloads} unloads"
-    );
+    // All slots serve 0.78 of the hot model's requests beside those of the others.
+    assert!(hot >= 0.77, "{hot} of the hot model");
+    assert_eq!(fleet.unloads[0], 0);
 }
 
 /// Load: a third of the engines is lost at once, then all come back empty with weights on disk. Guards against engines that
 /// are filled one after the other, and against models that stay without a replica.
 #[test]
 fn lost_engines_are_replaced_and_empty_ones_filled() {
-    for (balancing, lost) in [
-        (relay::Balancing::Requests, 16),
-        (relay::Balancing::Work, 16),
-        (relay::Balancing::Requests, 49),
-        (relay::Balancing::Work, 49),
-    ] {
+    let run = |balancing, lost| {
         let mut fleet = Fleet::new(balancing, steady(100, 3.0), spread(100));
         fleet.run(5_000);
-        fleet.take_served(0..100);
         for engine in 0..lost {
             fleet.lose(engine);
         }
@@ -518,18 +490,20 @@
             fleet.engines[engine].started = 2;
             fleet.register(engine);
         }
-        let during = fleet.take_served(0..100);
+        fleet.take_served(0..100);
         fleet.run(5_000);
         let refill = fleet.take_served(0..100);
         fleet.run(4_000);
-        let after = fleet.take_served(0..100);
-        println!("{balancing:?} {lost}: during {during:.3} refill {refill:.3} after {after:.3}");
-        if balancing == relay::Balancing::Work {
-            assert!(
-                after >= 0.99,
-                "{after} served after {lost} engines were lost"
-            );
-        }
+        (refill, fleet.take_served(0..100))
+    };
+    for lost in [16, 49] {
+        let (before, _) = run(relay::Balancing::Requests, lost);
+        let (refill, after) = run(relay::Balancing::Work, lost);
+        assert!(
+            refill > before,
+            "{refill} while engines are filled, {before} before"
+        );
+        assert!(after >= 0.99, "{after} after {lost} engines were lost");
     }
 }
 
@@ -553,10 +527,6 @@
     fleet.run(10_000);
     let (spike, others) = (fleet.take_served(99..100), fleet.take_served(0..99));
     let alternations = fleet.unloads.iter().sum::<u32>() - unloads;
-    println!(
-        "spike {spike:.3} others {others:.3} replicas {} unloads {unloads} then {alternations}",
-        fleet.replicas(99)
-    );
     assert!(
         spike >= 0.99 && others >= 0.99,
         "{spike} of the spike, {others} of the others"
@@ -592,7 +562,6 @@
         fleet.take_served(0..21);
         fleet.run(6_000);
         let (large, small) = (fleet.take_served(20..21), fleet.take_served(0..20));
-        println!("{balancing:?}: large {large:.3} small {small:.3}");
         (large, small)
     };
     let (before, _) = run(relay::Balancing::Requests);
