feat(coordinator): load sooner where a load in progress ends later

A model whose first replica was still being loaded counted as served. An engine that comes back with its weights on disk now loads them when it is ready first.

--- a/crates/carawaycleat-core/src/coordinator/plan/spike.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike.rs
@@ -184,7 +184,7 @@
         for evicted in candidate.evicted.into_iter().flatten() {
             board.remove_replica(candidate.engine, evicted);
         }
-        board.add_replica(candidate.engine, model);
+        board.add_replica(candidate.engine, model, candidate.delay);
         Placement { step, decision }
     }
 
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
@@ -132,10 +132,17 @@
             }
             models.push(model);
             if !is_suspect {
+                let spec = self.models[model].base.spec;
+                let ready_in = match engine.loading() {
+                    _ if loaded_at.is_some() => time::Duration::ZERO,
+                    Some((loading, ready_at)) if loading == name => ready_at.since(planner.now),
+                    _ => engine.load_time(name, spec).0,
+                };
                 let holder = model::Holder {
                     engine: number,
                     share: 0.0,
                     loaded_at,
+                    ready_in,
                 };
                 self.models[model].holders.push(holder);
             }
@@ -262,8 +269,8 @@
         self.models[model].max_room = max_room;
     }
 
-    /// Adds a replica of `model` that is being loaded.
-    pub(super) fn add_replica(&mut self, engine: usize, model: usize) {
+    /// Adds a replica of `model` that serves requests after `ready_in`.
+    pub(super) fn add_replica(&mut self, engine: usize, model: usize, ready_in: time::Duration) {
         let wanted = self.models[model].deficit() + self.models[model].backlog();
         let target = &mut self.engines[engine];
         let share = target.room(0.0).min(wanted);
@@ -284,6 +291,7 @@
             engine,
             share,
             loaded_at: None,
+            ready_in,
         });
         for model in self.engines[engine].models.clone() {
             self.update_room(model);
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/model.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/model.rs
@@ -28,6 +28,8 @@
     pub(super) share: f64,
     /// When it was loaded; none while it is being loaded.
     pub(super) loaded_at: Option<clock::Instant>,
+    /// The time until it serves requests.
+    pub(super) ready_in: time::Duration,
 }
 
 /// A model, what is asked of it and what its replicas can carry.
@@ -75,6 +77,11 @@
         (self.offered - self.max_room).max(0.0)
     }
 
+    /// Returns the time until its first replica serves requests; none without a replica.
+    pub(super) fn ready_in(&self) -> Option<time::Duration> {
+        self.holders.iter().map(|holder| holder.ready_in).min()
+    }
+
     /// Returns the time of the shortest load at an available engine.
     pub(super) fn shortest_load(&self) -> time::Duration {
         let spec = self.base.spec;
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -98,8 +98,11 @@
         0.0
     };
     let value = arrivals + waiting;
-    if !model.holders.is_empty() {
-        return value;
+    if let Some(ready_in) = model.ready_in() {
+        // A load that is in progress may end later, as when an engine comes back with the weights on its disk.
+        let lead = ready_in.saturating_sub(delay).as_secs_f64();
+        let meanwhile = model.offered.min(room) / slot_time * model.estimate.urgency * lead;
+        return value + meanwhile;
     }
     let idle = if model.base.is_reclaimable {
         0.0
