--- a/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/board.rs
@@ -1,13 +1,11 @@
 use std::collections;
 use std::time;
 
-use crate::clock;
+use super::model;
 use crate::coordinator::engine;
 use crate::coordinator::plan;
-use crate::coordinator::traffic;
 use crate::name;
 use crate::relay::traffic::MAX_URGENCY;
-use crate::relay::traffic::PATIENCE_LIMITS_MS;
 
 /// The utilization up to which replicas carry the requests of their models. Above it, arrivals that come together fill the
 /// slots of an engine and wait.
@@ -17,98 +15,13 @@
 /// The part of the requests that an engine reports that counts as its load where more are reported than estimated. The
 /// report is of one moment, and includes the queue.
 const MEASURED_WEIGHT: f64 = 0.7;
-/// The longest time ahead for which arrivals are estimated. Demand shifts within eight seconds, so that a rise does not
-/// last longer.
-const MAX_LEAD: time::Duration = time::Duration::from_secs(3);
 /// The passes over the models in which their load is distributed among engines.
 const ALLOCATION_PASSES: usize = 4;
 /// The slots below which a replica is not worth distributing load to.
 const MIN_SHARE: f64 = 0.05;
-/// The patience assumed of callers in the last class.
-const MAX_PATIENCE: time::Duration = time::Duration::from_secs(20);
 /// The class of waiting requests whose host does not report their patience: up to 3 s.
 const DEFAULT_CLASS: usize = 2;
 
-/// Waiting requests whose callers have about the same patience.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Waiting {
-    pub(super) requests: f64,
-    /// The sum of their urgencies, each up to 1.
-    pub(super) urgency: f64,
-}
-
-/// A replica of a model.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Holder {
-    /// The index of its engine.
-    pub(super) engine: usize,
-    /// The slots that its requests are expected to occupy.
-    pub(super) share: f64,
-    /// When it was loaded; none while it is being loaded.
-    pub(super) loaded_at: Option<clock::Instant>,
-}
-
-/// A model, what is asked of it and what its replicas can carry.
-#[derive(Debug)]
-pub(super) struct Model<'a> {
-    pub(super) base: &'a plan::Model<'a>,
-    pub(super) estimate: traffic::Estimate,
-    /// The slots that its arrivals occupy.
-    pub(super) offered: f64,
-    /// The waiting requests by the patience of their callers.
-    pub(super) waiting: [Waiting; PATIENCE_LIMITS_MS.len() + 1],
-    pub(super) holders: Vec<Holder>,
-    /// The slots up to the target utilization that its replicas have for it.
-    pub(super) room: f64,
-    /// The slots up to the highest utilization that its replicas have for it.
-    pub(super) max_room: f64,
-}
-
-impl Model<'_> {
-    /// Returns the slots that its replicas lack for its arrivals.
-    pub(super) fn deficit(&self) -> f64 {
-        (self.offered - self.room).max(0.0)
-    }
-
-    /// Returns the slots that its replicas lack for its arrivals at the highest utilization.
-    pub(super) fn shortage(&self) -> f64 {
-        (self.offered - self.max_room).max(0.0)
-    }
-
-    /// Returns the number of waiting requests.
-    pub(super) fn backlog(&self) -> f64 {
-        self.waiting.iter().map(|class| class.requests).sum()
-    }
-
-    /// Returns the waiting requests whose callers are still there after `delay`.
-    pub(super) fn waiting_after(&self, delay: time::Duration) -> Waiting {
-        let last = (MAX_PATIENCE.as_millis() as u64).max(PATIENCE_LIMITS_MS[3]);
-        let limits = PATIENCE_LIMITS_MS.iter().copied().chain([last]);
-        let delay_ms = delay.as_secs_f64() * 1_000.0;
-        let mut lower = 0.0;
-        let mut sum = Waiting::default();
-        for (class, limit) in self.waiting.iter().zip(limits) {
-            let upper = limit as f64;
-            // Callers of a class leave evenly between its limits.
-            let staying = ((upper - delay_ms) / (upper - lower)).clamp(0.0, 1.0);
-            sum.requests += class.requests * staying;
-            sum.urgency += class.urgency * staying;
-            lower = upper;
-        }
-        sum
-    }
-
-    pub(super) fn is_asked_for(&self) -> bool {
-        self.estimate.arrivals > 0.01 || self.base.waiting > 0
-    }
-
-    /// Returns whether an engine other than that with index `engine` serves it now.
-    pub(super) fn is_served_beside(&self, engine: usize) -> bool {
-        let mut others = self.holders.iter().filter(|h| h.engine != engine);
-        others.any(|holder| holder.loaded_at.is_some())
-    }
-}
-
 /// Where an engine loads weights from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Source {
@@ -131,8 +44,8 @@
     pub(super) replacement: Option<usize>,
     /// The models that it holds or loads, by index.
     pub(super) models: Vec<usize>,
-    /// Where it loads each model from, by index.
-    pub(super) sources: Vec<Source>,
+    /// The models whose weights are in host memory or on disk, by index, and the times of their loads.
+    pub(super) cached: Vec<(usize, time::Duration)>,
 }
 
 impl Engine<'_> {
@@ -151,7 +64,7 @@
 #[derive(Debug)]
 pub(super) struct Board<'a> {
     pub(super) engines: Vec<Engine<'a>>,
-    pub(super) models: Vec<Model<'a>>,
+    pub(super) models: Vec<model::Model<'a>>,
     /// The loads from the weight store that may still begin, less those that unloads in progress are for.
     pub(super) store_loads: i64,
 }
@@ -165,7 +78,7 @@
             models: planner
                 .models
                 .values()
-                .map(|base| model(planner, base))
+                .map(|base| model::Model::new(planner, base))
                 .collect(),
             store_loads: planner
                 .state
@@ -219,33 +132,38 @@
             }
             models.push(model);
             if !is_suspect {
-                let holder = Holder {
+                let spec = self.models[model].base.spec;
+                let ready_in = match engine.loading() {
+                    _ if loaded_at.is_some() => time::Duration::ZERO,
+                    Some((loading, ready_at)) if loading == name => ready_at.since(planner.now),
+                    _ => engine.load_time(name, spec).0,
+                };
+                let holder = model::Holder {
                     engine: number,
                     share: 0.0,
                     loaded_at,
+                    ready_in,
                 };
                 self.models[model].holders.push(holder);
             }
         }
-        let mut sources: Vec<_> = self
-            .models
-            .iter()
-            .map(|model| Source {
-                time: model.base.spec.store_load_time,
-                from_store: true,
-            })
-            .collect();
-        for (cached, in_memory) in [(&engine.on_disk, false), (&engine.in_memory, true)] {
-            for model in cached.iter().filter_map(|name| index.get(name).copied()) {
-                let spec = self.models[model].base.spec;
-                sources[model] = Source {
-                    time: if in_memory {
-                        spec.memory_load_time
-                    } else {
-                        spec.disk_load_time
-                    },
-                    from_store: false,
+        let is_available = accepts_orders && !is_suspect;
+        let mut cached: Vec<(usize, time::Duration)> = Vec::new();
+        for (names, in_memory) in [(&engine.in_memory, true), (&engine.on_disk, false)] {
+            for number in names.iter().filter_map(|name| index.get(name).copied()) {
+                if cached.iter().any(|(model, _)| *model == number) {
+                    continue;
+                }
+                let model = &mut self.models[number];
+                let (time, engines) = if in_memory {
+                    let spec = model.base.spec;
+                    (spec.memory_load_time, &mut model.cached_engines.0)
+                } else {
+                    let spec = model.base.spec;
+                    (spec.disk_load_time, &mut model.cached_engines.1)
                 };
+                *engines += u32::from(is_available);
+                cached.push((number, time));
             }
         }
         self.engines.push(Engine {
@@ -253,14 +171,14 @@
             slots: f64::from(engine.slots(planner.spec)) * planner.capacity(engine),
             load: 0.0,
             free_mb: engine.free_mb(planner.spec),
-            is_available: accepts_orders && !is_suspect,
+            is_available,
             replacement: engine
                 .replacement
                 .as_ref()
                 .and_then(|name| index.get(name).copied())
                 .filter(|_| accepts_orders),
             models,
-            sources,
+            cached,
         });
     }
 
@@ -279,7 +197,7 @@
         }
         for _ in 0..ALLOCATION_PASSES {
             for model in models.iter_mut().filter(|model| model.holders.len() > 1) {
-                let room = |holder: &Holder| {
+                let room = |holder: &model::Holder| {
                     let engine: &Engine<'_> = &engines[holder.engine];
                     engine.room(holder.share).max(MIN_SHARE)
                 };
@@ -322,10 +240,26 @@
         }
     }
 
+    /// Returns where an engine loads a model from.
+    pub(super) fn source(&self, engine: usize, model: usize) -> Source {
+        let mut cached = self.engines[engine].cached.iter();
+        match cached.find(|(cached, _)| *cached == model) {
+            Some((_, time)) => Source {
+                time: *time,
+                from_store: false,
+            },
+            None => Source {
+                time: self.models[model].base.spec.store_load_time,
+                from_store: true,
+            },
+        }
+    }
+
+    /// Computes the room of a model anew after a change of its replicas or of the load of their engines.
     pub(super) fn update_room(&mut self, model: usize) {
         let engines = &self.engines;
-        let room = |holder: &Holder| engines[holder.engine].room(holder.share);
-        let max_room = |holder: &Holder| engines[holder.engine].spare() + holder.share;
+        let room = |holder: &model::Holder| engines[holder.engine].room(holder.share);
+        let max_room = |holder: &model::Holder| engines[holder.engine].spare() + holder.share;
         let holders = &self.models[model].holders;
         let (room, max_room) = (
             holders.iter().map(room).sum(),
@@ -335,19 +269,29 @@
         self.models[model].max_room = max_room;
     }
 
-    /// Adds a replica of `model` that is being loaded.
-    pub(super) fn add_replica(&mut self, engine: usize, model: usize) {
+    /// Adds a replica of `model` that serves requests after `ready_in`.
+    pub(super) fn add_replica(&mut self, engine: usize, model: usize, ready_in: time::Duration) {
         let wanted = self.models[model].deficit() + self.models[model].backlog();
         let target = &mut self.engines[engine];
         let share = target.room(0.0).min(wanted);
         target.is_available = false;
+        for (cached, time) in &target.cached {
+            let model = &mut self.models[*cached];
+            let engines = if *time == model.base.spec.memory_load_time {
+                &mut model.cached_engines.0
+            } else {
+                &mut model.cached_engines.1
+            };
+            *engines = engines.saturating_sub(1);
+        }
         target.load += share;
         target.free_mb -= self.models[model].base.spec.weights_mb;
         target.models.push(model);
-        self.models[model].holders.push(Holder {
+        self.models[model].holders.push(model::Holder {
             engine,
             share,
             loaded_at: None,
+            ready_in,
         });
         for model in self.engines[engine].models.clone() {
             self.update_room(model);
@@ -386,18 +330,3 @@
         Some(holder.share)
     }
 }
-
-fn model<'a>(planner: &plan::Planner<'a>, base: &'a plan::Model<'a>) -> Model<'a> {
-    let key = (planner.service.clone(), base.name.clone());
-    let lead = base.spec.store_load_time.min(MAX_LEAD);
-    let estimate = planner.state.traffic.estimate(planner.now, &key, lead);
-    Model {
-        base,
-        estimate,
-        offered: estimate.arrivals * estimate.slot_time,
-        waiting: Default::default(),
-        holders: Vec::new(),
-        room: 0.0,
-        max_room: 0.0,
-    }
-}
--- a/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan/spike/value.rs
@@ -1,6 +1,7 @@
 use std::time;
 
 use super::board;
+use super::model;
 use crate::clock;
 use crate::coordinator::plan;
 
@@ -21,11 +22,11 @@
 /// The loss from the last replica of a model that is idle and may have to be loaded again.
 const LAST_REPLICA_LOSS: f64 = 0.1;
 /// The loss for each slot in use, which selects the least used among replicas that are not needed.
-pub(super) const SLOT_LOSS: f64 = 0.002;
+pub(super) const SLOT_LOSS: f64 = 0.02;
 /// The value at or below which a further replica of a model is not worth an unload, in urgent requests.
 const MIN_GAIN: f64 = 2.0;
 /// The same where memory is free.
-const MIN_FREE_GAIN: f64 = 0.1;
+pub(super) const MIN_FREE_GAIN: f64 = 0.1;
 /// The ratio of gain to loss above which a replica takes the place of another one. It keeps two models of nearly the same
 /// demand from replacing each other.
 const GAIN_RATIO: f64 = 1.3;
@@ -80,7 +81,7 @@
 }
 
 /// Returns the value of a replica with `room` slots for the model that serves requests after `delay`.
-pub(super) fn gain(model: &board::Model<'_>, room: f64, delay: time::Duration) -> f64 {
+pub(super) fn gain(model: &model::Model<'_>, room: f64, delay: time::Duration) -> f64 {
     let slot_time = model.estimate.slot_time;
     let carried = model.deficit().min(room);
     let served_time = HORIZON.saturating_sub(delay).as_secs_f64();
@@ -97,8 +98,11 @@
         0.0
     };
     let value = arrivals + waiting;
-    if !model.holders.is_empty() {
-        return value;
+    if let Some(ready_in) = model.ready_in() {
+        // A load that is in progress may end later, as when an engine comes back with the weights on its disk.
+        let lead = ready_in.saturating_sub(delay).as_secs_f64();
+        let meanwhile = model.offered.min(room) / slot_time * model.estimate.urgency * lead;
+        return value + meanwhile;
     }
     let idle = if model.base.is_reclaimable {
         0.0
@@ -110,7 +114,7 @@
 
 /// Returns what `room` slots are worth to a model that lacks `deficit` slots to the target utilization, of which `shortage`
 /// to the highest one.
-fn worth(model: &board::Model<'_>, deficit: f64, shortage: f64, room: f64) -> f64 {
+fn worth(model: &model::Model<'_>, deficit: f64, shortage: f64, room: f64) -> f64 {
     let tolerated = MIN_DEFICIT + model.offered * DEFICIT_TOLERANCE;
     let shortage = shortage.min(room);
     let comfort = (deficit - tolerated).min(room) - shortage;
@@ -123,7 +127,7 @@
     planner: &plan::Planner<'_>,
     engine: usize,
     model: usize,
-    replacement: &board::Model<'_>,
+    replacement: &model::Model<'_>,
 ) -> Option<f64> {
     let model = &board.models[model];
     let holder = model.holders.iter().find(|h| h.engine == engine)?;
@@ -183,7 +187,7 @@
     number: usize,
 ) -> Option<Candidate> {
     let engine = &board.engines[number];
-    let is_allowed = board.store_loads > 0 || !engine.sources[model].from_store;
+    let is_allowed = board.store_loads > 0 || !board.source(number, model).from_store;
     if !engine.is_available || !is_allowed || engine.models.contains(&model) {
         return None;
     }
@@ -224,7 +228,7 @@
     evicted: [Option<usize>; 2],
 ) -> Option<Candidate> {
     let (wanted, engine) = (&board.models[model], &board.engines[number]);
-    let mut delay = engine.sources[model].time;
+    let mut delay = board.source(number, model).time;
     let mut freed = 0.0;
     let mut cost = 0.0;
     for evicted in evicted.into_iter().flatten() {
