--- a/crates/carawaycleat-core/tests/suite/relay_contention.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_contention.rs
@@ -314,3 +314,24 @@
     assert!(known[0].0 == name("two") && known[0].1 > 1.2, "{known:?}");
     assert_eq!(known.len(), 1);
 }
+
+/// Load: requests of two hosts that wait for models which share an engine. Guards against hosts that take the slots for their
+/// own because others wait for another model, and against an engine that counts requests which others can serve.
+#[test]
+fn coordinator_counts_competing_requests() {
+    let models = ["small", "large", "rare"];
+    let mut fleet = coordinator::Harness::new(&models);
+    fleet.configure(relay::EngineSpec {
+        balancing: WORK,
+        ..relay_fake::engine(&models)
+    });
+    fleet.add_engine("one", &["small", "large"]);
+    fleet.add_engine("two", &["large", "rare"]);
+    fleet.report_from("host-1", 1, "small", 3, ("one", 1));
+    fleet.report_from("host-2", 1, "large", 8, ("one", 1));
+    let view = fleet.reducer.respond(fleet.now, &name("host-1"));
+    let backlogs = view.backlogs.expect("counted").into_iter();
+    let waiting = backlogs.map(|backlog| (backlog.model.as_str().to_owned(), backlog.waiting));
+    let expected = [("large".to_owned(), 11), ("small".to_owned(), 7)];
+    assert_eq!(waiting.collect::<Vec<_>>(), expected);
+}
