--- a/crates/carawaycleat-core/src/coordinator/cold/ledger.rs
+++ b/crates/carawaycleat-core/src/coordinator/cold/ledger.rs
@@ -163,19 +163,15 @@
         let Some(account) = account.filter(|account| account.number == number && is_settled) else {
             return;
         };
-        let begin = clock::Instant::default();
-        let sent: u64 = self.sent.iter().map(|(_, sent)| sent).sum();
-        let outstanding = |since| -> u64 {
-            let accounts = self.accounts.values();
-            accounts
-                .map(|account| account.outstanding_since(since))
-                .sum()
-        };
-        let earlier = self.accounts.values().flat_map(|account| &account.earlier);
-        let earlier: u64 = earlier.map(|(_, count)| count).sum();
-        let counted = sent + outstanding(begin) + earlier;
+        let mut counted: u64 = self.sent.iter().map(|(_, sent)| sent).sum();
+        let mut permitted = 0;
+        for account in self.accounts.values() {
+            let earlier: u64 = account.earlier.iter().map(|(_, count)| count).sum();
+            counted += account.outstanding_since(clock::Instant::default()) + earlier;
+            permitted += account.outstanding_since(now);
+        }
         let within_bound = bound - counted as f64;
-        let within_rate = self.level - outstanding(now) as f64;
+        let within_rate = self.level - permitted as f64;
         let more = within_bound.min(within_rate).floor();
         if within_bound < 0.0 {
             return;
