--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,3 +1,5 @@
+mod evacuation;
+mod suspicion;
 mod view;
 
 use std::collections;
@@ -6,7 +8,7 @@
 use super::cold;
 use super::effect;
 use super::engine;
-use super::evacuation;
+use super::evacuation as evacuations;
 use super::event;
 use super::limit;
 use super::options;
@@ -31,11 +33,6 @@
 const DEMAND_RETENTION: time::Duration = time::Duration::from_secs(60);
 /// The time between two probes of an engine whose order should be complete or whose state is not known.
 const PENDING_PROBE_INTERVAL: time::Duration = time::Duration::from_millis(150);
-/// One in this many hosts must suspect an upstream before all hosts avoid it. A host suspects the upstreams that it has
-/// ejected, unless they have only been silent for a short time.
-const SUSPICION_DIVISOR: usize = 8;
-/// The minimum number of hosts that must suspect an upstream before all hosts avoid it.
-const MIN_SUSPECTING_HOSTS: usize = 2;
 /// The interval at which the placement is logged.
 const PLACEMENT_LOG_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// The time after which an order that got no response is sent again.
@@ -79,7 +76,7 @@
     reservations: reservation::Reservations,
     pub(super) limits: limit::Limits,
     cold: cold::Division,
-    evacuations: evacuation::Evacuations,
+    evacuations: evacuations::Evacuations,
     /// The upstreams that have said to a host that they leave.
     departures: departure::Departures,
     /// The upstreams that all hosts should avoid because they do not respond.
@@ -100,7 +97,7 @@
     pub fn new(options: options::Options) -> Self {
         Self {
             cold: cold::Division::new(options.cold_bound),
-            evacuations: evacuation::Evacuations::default(),
+            evacuations: evacuations::Evacuations::default(),
             options,
             epoch: 0,
             elected_at: None,
@@ -141,21 +138,6 @@
                     self.shares.configure(now, workspaces);
                 }
             }
-            event::Event::ColdStartsConfigured(services) => self.cold.configure(services),
-            event::Event::Listed => self.cold.record_listing(),
-            event::Event::UpstreamCold {
-                upstream,
-                remaining,
-            } => self
-                .cold
-                .starts
-                .record_response(now, &upstream, None, remaining),
-            event::Event::ZoneEvacuated(zone) => self.evacuations.begin(now, zone),
-            event::Event::EvacuationEnded(zone) => {
-                if self.evacuations.end(&zone) {
-                    self.cold.starts.record_evacuation_end(now, &zone);
-                }
-            }
             event::Event::HostsChanged(hosts) => {
                 self.cold.set_hosts(&hosts);
                 self.shares.set_hosts(hosts);
@@ -176,6 +158,7 @@
             event::Event::Tick { may_order } => {
                 self.tick(now, may_order, &mut effects);
             }
+            event => self.record_notice(now, event),
         }
         effects
     }
@@ -422,25 +405,6 @@
         }
     }
 
-    /// Logs evacuations that have ended, and those that all registered hosts have reported to apply.
-    fn record_evacuations(&mut self, now: clock::Instant, effects: &mut Vec<effect::Effect>) {
-        let hosts = &self.hosts;
-        let applies = |host: &name::Name, zone: &name::Name| {
-            let host = hosts.get(host);
-            host.is_some_and(|host| host.report.evacuated.contains(zone))
-        };
-        let shares = &self.shares;
-        let records = self.evacuations.records(now, |zone| {
-            shares.host_count() > 0 && shares.hosts().all(|host| applies(host, zone))
-        });
-        effects.extend(records.into_iter().map(effect::Effect::Record));
-    }
-
-    /// Returns whether an engine is in an evacuated availability zone, so that it gets no requests.
-    pub(super) fn is_evacuated(&self, engine: &engine::Engine) -> bool {
-        self.evacuations.contains(&engine.registration.zone)
-    }
-
     /// Returns whether most hosts cannot reach this one: fewer than half have reported within the host timeout.
     fn is_isolated(&self, now: clock::Instant) -> bool {
         let hosts = self.shares.host_count();
@@ -586,35 +550,6 @@
         (self.store_loads.len() as f64) + 1.0 <= max_loads.max(1.0)
     }
 
-    /// Returns whether enough hosts get no responses from an upstream for all of them to avoid it.
-    pub(super) fn is_suspect(&self, id: &name::Name) -> bool {
-        self.suspects.contains(id)
-    }
-
-    /// Finds the upstreams that enough hosts get no responses from.
-    fn find_suspects(&mut self, now: clock::Instant) {
-        let fresh = self
-            .hosts
-            .values()
-            .filter(|host| now.since(host.received_at) < MAX_REPORT_AGE);
-        let mut counts = collections::HashMap::<&name::Name, usize>::new();
-        let mut hosts = 0;
-        for host in fresh {
-            hosts += 1;
-            for id in &host.report.suspects {
-                *counts.entry(id).or_default() += 1;
-            }
-        }
-        // In a large fleet most hosts send few requests to any one upstream, so few of them notice a failure.
-        let threshold = (hosts / SUSPICION_DIVISOR)
-            .max(MIN_SUSPECTING_HOSTS)
-            .min(hosts);
-        let suspects = counts
-            .into_iter()
-            .filter(|(_, count)| *count >= threshold.max(1));
-        self.suspects = suspects.map(|(id, _)| id.clone()).collect();
-    }
-
     /// Returns the demands with waiting requests, from recent reports.
     fn waiting(&self, now: clock::Instant) -> impl Iterator<Item = &relay::Demand> {
         self.hosts
