--- a/crates/carawaycleat-core/tests/suite/cold.rs
+++ b/crates/carawaycleat-core/tests/suite/cold.rs
@@ -5,9 +5,7 @@
 use carawaycleat_core::relay;
 
 use crate::relay_fake;
-use fleet::Fault;
-use fleet::Fleet;
-use fleet::Load;
+use fleet::{Fault, Fleet, Load, State};
 
 const SOUND: Load = Load {
     hosts: 27,
@@ -29,18 +27,25 @@
 /// Kills, cuts, freezes and changes of the coordinator, each while the others go on.
 const FAULTS: &[(u64, Fault)] = &[
     (5_000, Fault::Kill(2)),
-    (6_000, Fault::CutOff(0)),
-    (6_000, Fault::CutOff(1)),
-    (7_000, Fault::Freeze(2)),
+    (6_000, Fault::Hosts(0, 2, State::CutOff)),
+    (7_000, Fault::Hosts(2, 3, State::Frozen)),
     (9_000, Fault::KillCoordinator),
-    (10_100, Fault::Thaw(2)),
-    (14_000, Fault::Rejoin(0)),
+    (10_100, Fault::Hosts(2, 3, State::Sound)),
+    (14_000, Fault::Hosts(0, 1, State::Sound)),
     (15_000, Fault::Kill(1)),
     (16_000, Fault::ReleaseCoordinator),
-    (18_500, Fault::Rejoin(1)),
+    (18_500, Fault::Hosts(1, 2, State::Sound)),
     (20_000, Fault::CutCoordinatorOff),
 ];
 
+/// A third of the hosts without the coordinator, and then frozen, while the others use what the upstream takes.
+const PART: &[(u64, Fault)] = &[
+    (6_000, Fault::Hosts(0, 9, State::CutOff)),
+    (14_000, Fault::Hosts(0, 9, State::Sound)),
+    (18_000, Fault::Hosts(0, 9, State::Frozen)),
+    (21_000, Fault::Hosts(0, 9, State::Sound)),
+];
+
 // Guards against sums over hosts above the bound, which crash the upstream: every window of a second is counted from the
 // outside. Guards as well against upstreams that get too little while nothing fails.
 #[yare::parameterized(
@@ -50,6 +55,7 @@
     faulty_links = { FAULTY, 0.2 },
     three_hosts = { Load { hosts: 3, faults: FAULTS, ..FAULTY }, 0.0 },
     slow_upstream_and_failures = { Load { rate: 2.0, faults: FAULTS, ..FAULTY }, 0.0 },
+    part_of_the_hosts = { Load { faults: PART, arrivals: 300.0, ..SOUND }, 0.7 },
     failures = { Load { faults: FAULTS, ..SOUND }, 0.4 },
     failures_and_faulty_links = { Load { faults: FAULTS, ..FAULTY }, 0.1 },
     hundred_hosts_and_failures = { Load { hosts: 100, faults: FAULTS, ..FAULTY }, 0.0 },
@@ -61,6 +67,9 @@
         let bound = load.rate * 1.5 + 5.0;
         let (peak, mean) = (fleet.peak(), fleet.mean(4_000, 26_000));
         assert!(peak as f64 <= bound, "seed {seed}: {peak} in a second");
+        // Here requests leave when they are decided on, so that what is kept for those that leave later is not used.
+        let usable = load.rate * 1.25 + 4.0;
+        assert!(peak as f64 <= usable, "seed {seed}: {peak} in a second");
         assert!(mean <= load.rate * 1.1, "seed {seed}: mean {mean}");
         assert!(mean >= load.rate * least, "seed {seed}: mean {mean}");
     }
@@ -80,13 +89,7 @@
     /// Time passes, in milliseconds.
     Passed(u64),
 }
-use Event::Confirmed;
-use Event::Entry;
-use Event::Evacuated;
-use Event::Passed;
-use Event::Readmitted;
-use Event::Removed;
-use Event::Response;
+use Event::{Confirmed, Entry, Evacuated, Passed, Readmitted, Removed, Response};
 
 // Guards against upstreams that get full traffic while they are cold, and against some that are limited without reason.
 #[yare::parameterized(
@@ -148,3 +151,31 @@
         assert_eq!(host.is_sent(id), !expected);
     }
 }
+
+// Guards against permits that a host uses in a later second, or that are of an earlier process of it.
+#[yare::parameterized(timely = { 500, 0, true }, late = { 650, 0, false }, other_process = { 5, 1, false })]
+fn permit_is_used(delay_ms: u64, process: u64, expected: bool) {
+    let mut host = relay_fake::Harness::unconfigured("host-1", relay::Options::default());
+    host.feed(relay::Event::Configured(Box::new(fleet::config(
+        5.0, 4_000,
+    ))));
+    host.confirm();
+    host.register(relay_fake::registration("u", "plain", &[]));
+    let report = host.reducer.report(host.now, true);
+    host.now = host.now + relay_fake::millis(delay_ms);
+    let (upstream, process) = (relay_fake::name("u"), report.colds.process + process);
+    let mut view = relay_fake::view(Vec::new());
+    view.report_number = report.number;
+    view.cold = relay::ColdPermits {
+        process,
+        exclusive_ms: 9_000,
+        permits: vec![relay::ColdPermit {
+            upstream,
+            remaining_ms: 4_000,
+            ceiling: 1,
+        }],
+    };
+    host.feed(relay::Event::ViewReceived(Box::new(view)));
+    let ids = [0, 1].map(|_| host.arrive(relay_fake::request("/read/1")));
+    assert_eq!(ids.map(|id| host.is_sent(id)), [expected, false]);
+}
