--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -69,4 +69,5 @@
 mod side;
 mod stream;
 mod timeline;
+mod work;
 mod work_balance;
