feat(connection): prefer idle connections, and stretch times in large fleets

Cause: requests that may run once reuse a connection for 0.4 s only, so that a choice by load alone makes new ones; and in a fleet of more than 40 hosts reports come less often than the times after which grants were old.

Change: among upstreams that are not clearly busier, those with a connection idle for less than 0.35 s go first. Times for views and reports grow with the fleet. Waiting requests at plain upstreams no longer request reports at once: the coordinator would get one each 27 ms from every host.

--- a/crates/carawaycleat-core/src/connection/amount.rs
+++ b/crates/carawaycleat-core/src/connection/amount.rs
@@ -1,4 +1,6 @@
-//! How many connections and places a host has without a grant.
+//! How many connections and places a host has without a grant, and how long what it knows counts.
+
+use std::time;
 
 /// The part of an upstream's connections that hosts use. The rest covers probes, and connections that the upstream has not
 /// closed yet.
@@ -7,6 +9,8 @@
 const BASE_DIVISOR: u32 = 2;
 /// The hosts that a host assumes at least while it cannot know all of them.
 const MIN_ASSUMED_HOSTS: u32 = 64;
+/// The largest fleet whose hosts report often enough for the usual times: each 0.5 s. The interval grows with the hosts.
+const MAX_USUAL_HOSTS: usize = 40;
 /// The requests in progress at an upstream without models, as a multiple of its slots: all slots in use and a short queue.
 const OCCUPANCY: f64 = 1.6;
 
@@ -52,3 +56,8 @@
 pub fn places(slots: u32) -> f64 {
     f64::from(slots) * OCCUPANCY
 }
+
+/// Returns a time after which a message counts as missing or old, in a fleet of `hosts` hosts.
+pub(super) fn stretch(time: time::Duration, hosts: usize) -> time::Duration {
+    time * u32::try_from(hosts.div_ceil(MAX_USUAL_HOSTS).max(1)).unwrap_or(u32::MAX)
+}
--- a/crates/carawaycleat-core/src/connection/holding.rs
+++ b/crates/carawaycleat-core/src/connection/holding.rs
@@ -69,10 +69,15 @@
             .collect();
     }
 
-    /// Returns the grant of an upstream in a recent view.
+    /// Returns the grant of an upstream in a recent view, in a fleet of `hosts` hosts.
     #[must_use]
-    pub fn grant(&self, now: clock::Instant, upstream: &name::Name) -> Option<&message::Grant> {
-        let is_recent = now.since(self.since) < MAX_GRANT_AGE;
+    pub fn grant(
+        &self,
+        now: clock::Instant,
+        upstream: &name::Name,
+        hosts: usize,
+    ) -> Option<&message::Grant> {
+        let is_recent = now.since(self.since) < amount::stretch(MAX_GRANT_AGE, hosts);
         self.grants.get(upstream).filter(|_| is_recent)
     }
 
@@ -87,7 +92,7 @@
     ) -> u32 {
         let age = now.since(self.since);
         let equal = amount::equal(usable, hosts);
-        if age >= SETTLING_TIME {
+        if age >= amount::stretch(SETTLING_TIME, hosts) {
             return equal;
         }
         if !self.has_view {
@@ -95,7 +100,7 @@
         }
         let granted = self.grants.get(upstream).map(|grant| grant.connections);
         let granted = granted.unwrap_or_else(|| amount::base(usable, hosts));
-        if age < MAX_GRANT_AGE {
+        if age < amount::stretch(MAX_GRANT_AGE, hosts) {
             granted.min(usable)
         } else {
             granted.min(equal)
--- a/crates/carawaycleat-core/src/connection/ledger.rs
+++ b/crates/carawaycleat-core/src/connection/ledger.rs
@@ -48,9 +48,9 @@
 }
 
 impl Host {
-    fn is_silent(&self, now: clock::Instant) -> bool {
+    fn is_silent(&self, now: clock::Instant, hosts: usize) -> bool {
         let at = self.reported_at;
-        at.is_none_or(|at| now.since(at) >= MAX_SILENCE)
+        at.is_none_or(|at| now.since(at) >= amount::stretch(MAX_SILENCE, hosts))
     }
 
     /// Returns the connections that it may have open now, or soon by itself.
@@ -63,11 +63,11 @@
     ) -> u32 {
         let account = self.accounts.get(upstream);
         let held = account.map_or(0, |account| account.held);
-        if !self.is_silent(now) {
+        if !self.is_silent(now, hosts) {
             return held.max(amount::base(usable, hosts));
         }
         let at = self.reported_at;
-        let may_hold = at.is_some_and(|at| now.since(at) < MAX_HELD_TIME);
+        let may_hold = at.is_some_and(|at| now.since(at) < amount::stretch(MAX_HELD_TIME, hosts));
         let equal = amount::equal(usable, hosts);
         if may_hold { held.max(equal) } else { equal }
     }
@@ -118,9 +118,11 @@
 
     /// Forgets the hosts that left long ago and do not report.
     pub fn forget(&mut self, now: clock::Instant) {
+        let count = self.hosts.len();
         self.hosts.retain(|_, host| {
-            let is_away = |left: clock::Instant| now.since(left) >= DEPARTURE_TIME;
-            !host.left_at.is_some_and(is_away) || !host.is_silent(now)
+            let is_away =
+                |left: clock::Instant| now.since(left) >= amount::stretch(DEPARTURE_TIME, count);
+            !host.left_at.is_some_and(is_away) || !host.is_silent(now, count)
         });
     }
 
@@ -191,7 +193,7 @@
             if name != host {
                 committed = committed.saturating_add(may_hold);
             }
-            let account = account.filter(|_| !other.is_silent(now));
+            let account = account.filter(|_| !other.is_silent(now, count));
             if let Some(account) = account {
                 weights += weight(account);
                 wanted += account.wanted;
@@ -216,7 +218,8 @@
         let share = spare * weight(own) / weights.max(EQUAL_WEIGHT);
         let target = base.saturating_add(share as u32);
         let available = divisible.saturating_sub(committed);
-        let connections = if now.since(self.started_at) < TAKE_OVER_TIME {
+        let take_over = amount::stretch(TAKE_OVER_TIME, count);
+        let connections = if now.since(self.started_at) < take_over {
             own.held.max(base)
         } else {
             target.min(available).max(base)
--- a/crates/carawaycleat-core/src/relay/reducer/connection.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/connection.rs
@@ -96,13 +96,6 @@
 }
 
 impl super::Reducer {
-    /// Returns whether the connections to the upstreams of a service are shared out.
-    pub(super) fn is_bounded(&self, service: &name::Name) -> bool {
-        let config = self.config.as_ref();
-        let service = config.and_then(|config| config.service(service));
-        service.is_some_and(|service| service.balancing == config::Balancing::Work)
-    }
-
     /// Applies the grants of a view. They are as old as the report that it responds to.
     pub(super) fn record_grants(
         &mut self,
@@ -234,12 +227,16 @@
         });
         let bound = |entry: &upstream::Upstream| {
             let id = &entry.registration.id;
-            let affinity = connection::affinity(self.host.as_str(), id.as_str());
+            // The names of a host and an upstream do not change, so that the digest is computed once.
+            let affinity = match entry.bound {
+                Some(bound) => bound.affinity,
+                None => connection::affinity(self.host.as_str(), id.as_str()),
+            };
             let share = holding.share(now, id, usable, hosts);
             let chance = CHOSEN_FRACTION * f64::from(usable) / (hosts + 1) as f64;
             let is_chosen = (affinity as f64 / u64::MAX as f64) < chance;
             let places = |slots: u32| {
-                let grant = holding.grant(now, id);
+                let grant = holding.grant(now, id, hosts);
                 if is_own(entry) {
                     let hosts = assignment.map_or(1, |subsets| subsets.host_count(id));
                     let equal = (connection::places(slots) / hosts.max(1) as f64) as u32;
@@ -266,7 +263,7 @@
             .collect();
         for (id, bound) in bounds {
             let holding = self.connections.holding.as_ref();
-            let grant = holding.and_then(|holding| holding.grant(now, &id));
+            let grant = holding.and_then(|holding| holding.grant(now, &id, hosts));
             let others = grant.map(|grant| grant.others);
             if let Some(entry) = self.upstreams.get_mut(&id) {
                 entry.bound = bound;
--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -169,8 +169,7 @@
             .any(|entry| entry.limit.is_some() && entry.registration.service == queue.0);
         // The coordinator divides the slots of engines, and the requests under a limit, among the hosts that report
         // waiting requests.
-        let is_shared = self.is_bounded(&queue.0);
-        if self.waiting.insert(key) && (needs_model || is_limited || is_shared) {
+        if self.waiting.insert(key) && (needs_model || is_limited) {
             effects.push(effect::Effect::Report);
         }
     }
--- a/crates/carawaycleat-core/src/relay/selection/connection.rs
+++ b/crates/carawaycleat-core/src/relay/selection/connection.rs
@@ -10,12 +10,13 @@
 /// The replicas that a host prefers. Requests that may run once reuse a connection for 0.4 s only, so that the requests of a
 /// host have to stay together.
 const PREFERRED_REPLICAS: usize = 2;
-/// By how much the load of a preferred replica may exceed the mean, as a fraction of its slots. Views are up to 0.35 s old, so
+/// By how much the load of a preferred upstream may exceed the mean, as a fraction of its slots. Views are up to 0.35 s old, so
 /// that smaller differences say little.
 const MAX_EXTRA_LOAD: f64 = 0.15;
 
 impl super::Selector<'_> {
-    /// Returns those of the available upstreams that the host prefers, or all if these are clearly busier.
+    /// Returns those of the available upstreams that the host prefers, or all if these are clearly busier; of them those with an
+    /// idle connection, if there are any that are not clearly busier.
     pub(super) fn narrow<'a>(
         &self,
         available: Vec<&'a upstream::Upstream>,
@@ -32,13 +33,36 @@
             };
             available.iter().copied().filter(is_own).collect()
         };
-        if preferred.is_empty() {
+        let candidates = if preferred.is_empty() {
             available
         } else {
             preferred
+        };
+        let max_load = self.max_load(&candidates);
+        let is_connected = |upstream: &&upstream::Upstream| {
+            upstream.has_idle_connection(self.now) && self.load_of(upstream) <= max_load
+        };
+        let connected: Vec<_> = candidates.iter().copied().filter(is_connected).collect();
+        if connected.is_empty() {
+            candidates
+        } else {
+            connected
         }
     }
 
+    fn load_of(&self, upstream: &upstream::Upstream) -> f64 {
+        upstream.load(self.slots(upstream))
+    }
+
+    /// Returns the load from which an upstream is clearly busier than the others.
+    fn max_load(&self, upstreams: &[&upstream::Upstream]) -> f64 {
+        let sum: f64 = upstreams
+            .iter()
+            .map(|upstream| self.load_of(upstream))
+            .sum();
+        sum / upstreams.len().max(1) as f64 + MAX_EXTRA_LOAD
+    }
+
     /// Returns the preferred replicas that are not clearly busier than the others: those of the host's availability zone first.
     fn preferred_replicas<'a>(
         &self,
@@ -47,9 +71,7 @@
         if available.len() < MIN_REPLICAS {
             return Vec::new();
         }
-        let load = |upstream: &upstream::Upstream| upstream.load(self.slots(upstream));
-        let sum: f64 = available.iter().map(|upstream| load(upstream)).sum();
-        let max_load = sum / available.len() as f64 + MAX_EXTRA_LOAD;
+        let max_load = self.max_load(available);
         let mut ordered = available.to_vec();
         ordered.sort_by_key(|upstream| {
             let affinity = upstream.bound.map_or(0, |bound| bound.affinity);
@@ -57,7 +79,7 @@
             (is_remote, cmp::Reverse(affinity))
         });
         ordered.truncate(PREFERRED_REPLICAS);
-        ordered.retain(|upstream| load(upstream) <= max_load);
+        ordered.retain(|upstream| self.load_of(upstream) <= max_load);
         ordered
     }
 }
--- a/crates/carawaycleat-core/src/relay/upstream.rs
+++ b/crates/carawaycleat-core/src/relay/upstream.rs
@@ -39,6 +39,11 @@
 /// The time for which no request is sent to an upstream after this host could not send one.
 const LOCAL_BACKOFF: time::Duration = time::Duration::from_millis(40);
 
+/// The idle time up to which requests that may run once reuse a connection, less the time until such a request is written.
+const MAX_IDLE_TIME: time::Duration = time::Duration::from_millis(350);
+/// The most idle connections that are remembered.
+const MAX_IDLE_CONNECTIONS: usize = 32;
+
 /// The ejections of an upstream that is silent.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
@@ -65,6 +70,8 @@
     pub(super) own_requests: u32,
     /// The requests of other hosts in progress: from the coordinator, or estimated.
     pub(super) other_requests: u32,
+    /// When the connections that are idle now brought their last bytes, the oldest first.
+    idle_since: Vec<clock::Instant>,
     /// The most requests of this host in progress at a time since the last report.
     pub(super) peak_requests: u32,
     /// What this host may use of it; none where the connections are not shared out.
@@ -117,6 +124,7 @@
             distrusted_until: None,
             own_requests: 0,
             other_requests: 0,
+            idle_since: Vec::new(),
             peak_requests: 0,
             bound: None,
             usable_slots: 0,
@@ -276,6 +284,7 @@
         }
         self.own_requests += 1;
         self.peak_requests = self.peak_requests.max(self.own_requests);
+        self.idle_since.pop();
         self.usable_slots = self.usable_slots.saturating_sub(1);
         if let Some(limit) = &mut self.limit {
             limit.record_send();
@@ -286,6 +295,18 @@
     pub(super) fn record_end(&mut self) {
         self.own_requests = self.own_requests.saturating_sub(1);
         self.usable_slots = self.usable_slots.saturating_add(1);
+        if self.bound.is_some() {
+            if self.idle_since.len() >= MAX_IDLE_CONNECTIONS {
+                self.idle_since.remove(0);
+            }
+            self.idle_since.push(self.last_progress);
+        }
+    }
+
+    /// Returns whether a connection is probably idle that requests of any kind may use.
+    pub(super) fn has_idle_connection(&self, now: clock::Instant) -> bool {
+        let last = self.idle_since.last();
+        last.is_some_and(|since| now.since(*since) < MAX_IDLE_TIME)
     }
 
     /// Returns whether another request may be sent beside those in progress.
--- a/crates/carawaycleat-core/tests/suite/connection.rs
+++ b/crates/carawaycleat-core/tests/suite/connection.rs
@@ -96,7 +96,7 @@
             let moved = moved.filter(|pair| !after.contains(*pair)).count();
             // Only as many as the host's own places, and some that follow from them.
             assert!(
-                moved <= 4 * size,
+                moved <= 3 * size,
                 "{moved} of {} without {}",
                 before.len(),
                 gone.name
@@ -193,10 +193,6 @@
     let waits = fleet.waits.entry(0).or_default();
     waits.sort();
     let late = waits[waits.len() * 95 / 100];
-    println!(
-        "share {busy} and {idle}, 95% within {late} ms of {}",
-        waits.len()
-    );
     // A third of the objective of bookings.
     assert!(late <= 100, "95% within {late} ms of {}", waits.len());
 }
@@ -216,10 +212,6 @@
     let steady: Vec<_> = steady.copied().collect();
     let mean = steady.iter().sum::<u32>() as f64 / steady.len() as f64;
     let highest = steady.iter().max().copied().unwrap_or(0);
-    println!(
-        "rate {rate} {fault:?}: mean {mean:.1}, highest {highest}, served {}",
-        fleet.served
-    );
     assert!(f64::from(highest) <= most, "{highest}, mean {mean}");
     let capacity = 5.0 * 6.0 / 0.06 * 10.0;
     let expected = (27.0 * rate * 10.0_f64).min(capacity);
--- a/crates/carawaycleat-core/tests/suite/relay_connection.rs
+++ b/crates/carawaycleat-core/tests/suite/relay_connection.rs
@@ -147,3 +147,33 @@
     harness.advance(relay_fake::millis(200));
     assert!(harness.limits.values().all(Option::is_none));
 }
+
+/// Guards against a request that makes a new connection while another replica has an idle one, and against one that goes to a
+/// clearly busier replica because of its idle connection.
+#[yare::parameterized(
+    idle = { 0, true },
+    clearly_busier = { 6, false },
+)]
+fn replica_with_an_idle_connection_is_used_again(others: u32, is_expected: bool) {
+    let mut harness = harness(relay::Balancing::Work);
+    harness.advance(relay_fake::millis(5_000));
+    let ids = [1, 2].map(|_| harness.arrive(relay_fake::request("/live/1")));
+    let [first, second] = ids.map(|id| harness.upstream(id));
+    assert_ne!(first, second);
+    let attempt = harness.begin_stream(ids[1]);
+    harness.feed(relay::Event::StreamProgress(ids[1], attempt, Some(1)));
+    harness.feed(relay::Event::StreamEnded(ids[1], attempt));
+    let engines = ENGINES.map(|(id, _)| relay::EngineView {
+        upstream: relay_fake::name(id),
+        models: vec![relay_fake::name("small")],
+        loading: Vec::new(),
+        unloading: Vec::new(),
+        adapters: Vec::new(),
+        other_requests: if id == second { others } else { 0 },
+        usable_slots: 8,
+    });
+    let view = relay_fake::view(engines.into());
+    harness.feed(relay::Event::ViewReceived(Box::new(view)));
+    let next = harness.arrive(relay_fake::request("/live/1"));
+    assert_eq!(harness.upstream(next) == second, is_expected);
+}
