--- a/crates/carawaycleat-core/src/coordinator/reducer.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer.rs
@@ -1,6 +1,6 @@
 mod connection;
-mod placement;
 mod evacuation;
+mod placement;
 mod suspicion;
 mod view;
 
--- a/crates/carawaycleat-core/tests/suite/work.rs
+++ b/crates/carawaycleat-core/tests/suite/work.rs
@@ -105,6 +105,7 @@
         adapter: None,
         tokens: 0,
         waiting: 0,
+        traffic: relay::Traffic::default(),
     };
     let mut report = coordinator_suite::report("host-2", 1, demand);
     report.running = vec![(relay_fake::name("one"), 2)];
