fix(connection): give hosts of small fleets their equal part of the slots, and four connections at the start

Cause: with few hosts, a grant that follows what the host wanted lately left one place at a plain upstream, and a host that had just started had one connection to an upstream with a cap of 100. Seen in a trial that ran the process tests with urgent streams: reads that should be in progress at the same time were refused.

--- a/crates/carawaycleat-core/src/connection/amount.rs
+++ b/crates/carawaycleat-core/src/connection/amount.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+/// The connections of a host that does not know the others yet, unless an equal share is less. With one connection, a host of a
+/// small fleet would refuse most of its first requests.
+const MIN_STARTING: u32 = 4;
 /// The part of an upstream's connections that hosts use. The rest covers probes, and connections that the upstream has not
 /// closed yet.
 const USABLE_PERCENT: u64 = 90;
@@ -43,7 +46,9 @@
 /// Returns the share of a host that does not know the others yet.
 pub(super) fn starting(usable: u32, hosts: usize) -> u32 {
     let assumed = MIN_ASSUMED_HOSTS as usize;
-    equal(usable, hosts.max(assumed))
+    equal(usable, assumed)
+        .max(MIN_STARTING)
+        .min(equal(usable, hosts))
 }
 
 /// Returns the connections that the coordinator divides. The rest is for hosts that start, of which it does not know yet.
--- a/crates/carawaycleat-core/src/relay/reducer/connection.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/connection.rs
@@ -240,7 +240,8 @@
                 if is_own(entry) {
                     let hosts = assignment.map_or(1, |subsets| subsets.host_count(id));
                     let equal = (connection::places(slots) / hosts.max(1) as f64) as u32;
-                    return grant.map_or(equal, |grant| grant.places).max(1);
+                    // A grant follows what the host wanted lately, and few hosts need not wait for it.
+                    return grant.map_or(1, |grant| grant.places).max(equal).max(1);
                 }
                 match grant {
                     Some(grant) if grant.others.saturating_add(entry.own_requests) < slots => {
