feat(relay): keep work away from engines that few others can replace

Cause: the turn weighed more than the load, so a model held everywhere went as often to engines that were busy with a model which few others hold. Nothing tested the estimates by themselves.

Change: the turn costs half as much, the random part half, occupancy 1.5 times. The key of an upstream and a model derives from the keys of both, tables of averages use the digests as hashes, and views are recorded only where work is balanced. The suite has tests of the estimates, of the pace and of the coordinator's sums; work_balance has a row with a model at four of nine engines, two models in each row, and a bound of 0.4 on requests to other availability zones. Its tolerance of 0.005 stays; the bound on the busiest of uneven engines falls from 1.9 to 1.5.

The rest of the suite was not run.

--- a/crates/carawaycleat-core/src/relay/reducer/tracking.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/tracking.rs
@@ -143,6 +143,12 @@
         }
     }
 
+    /// Returns whether a service of the configuration is balanced by work.
+    pub(super) fn balances_by_work(&self) -> bool {
+        let mut services = self.config.iter().flat_map(config::Config::services);
+        services.any(|(_, service)| service.balancing == config::Balancing::Work)
+    }
+
     /// Records the work of the other hosts at an upstream as of the coordinator's view.
     pub(super) fn track_view(&mut self, now: clock::Instant, view: &view::EngineView) {
         let load = work::Load {
--- a/crates/carawaycleat-core/src/relay/reducer/update.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/update.rs
@@ -216,6 +216,7 @@
     pub(super) fn record_departures(&mut self, now: clock::Instant) {
         let removal_grace = self.options.removal_grace;
         self.pauses.forget(now);
+        let before = self.upstreams.len();
         self.upstreams.retain(|id, entry| {
             let has_left = entry.has_left(now, removal_grace);
             if has_left {
@@ -228,7 +229,9 @@
             }
             is_kept
         });
-        self.forget_work();
+        if self.upstreams.len() < before {
+            self.forget_work();
+        }
     }
 
     /// Marks an upstream as removed. During an outage of the store, the entries of live upstreams may have lapsed, so it
@@ -286,8 +289,9 @@
         for (upstream, started) in view.leaving.drain(..) {
             self.record_leaving(now, &upstream, Some(started), effects);
         }
+        let is_by_work = self.balances_by_work();
         for engine in view.engines.drain(..) {
-            if self.upstreams.contains_key(&engine.upstream) {
+            if is_by_work && self.upstreams.contains_key(&engine.upstream) {
                 self.track_view(now, &engine);
             }
             if let Some(entry) = self.upstreams.get_mut(&engine.upstream) {
--- a/crates/carawaycleat-core/src/relay/selection/expected.rs
+++ b/crates/carawaycleat-core/src/relay/selection/expected.rs
@@ -22,15 +22,16 @@
 /// The cost in milliseconds of each millisecond for which the slots of an upstream will be in use on average. It spreads work over
 /// upstreams at which the first event would take equally long, so that slots stay free everywhere. In the test `work_balance` with
 /// 27 hosts, 0.925 of the first events were in time with 0.12 and 0.970 with 0.05, because all hosts followed the same old view.
-const OCCUPANCY_COST: f64 = 0.03;
+const OCCUPANCY_COST: f64 = 0.045;
 /// The cost of a failure rate of 1, in milliseconds.
 const FAILURE_COST_MS: f64 = 2_000.0;
 /// The scale of the random part of the cost, as a part of the time for an event, of a host that knows nothing of what the others
 /// have sent since the last view. Without it, all hosts choose the upstream that the same view shows as the emptiest.
-const RANDOM_PART: f64 = 0.3;
+const RANDOM_PART: f64 = 0.15;
 /// The cost of the upstream that this host has sent to last, as a part of the time for an event, under the same condition. Turns
-/// spread the requests of a host more evenly than chance does.
-const TURN_PART: f64 = 1.8;
+/// spread the requests of a host more evenly than chance does. With 1.8, too many went to engines that are busy with a model which
+/// few others hold: 0.953 of the first events in time, and 0.964 with 0.9.
+const TURN_PART: f64 = 0.9;
 /// The age of a view from which the load is unknown but for this host's own part.
 const FULL_UNCERTAINTY_MS: f64 = 300.0;
 /// The part that is unknown at a new view: it shows what other hosts had sent by their last reports.
@@ -92,9 +93,7 @@
         upstream: &upstream::Upstream,
     ) -> (work::Load, work::Expectation) {
         let id = &upstream.registration.id;
-        let load = self.tracker.load(now, job, id, upstream.other_requests);
-        let expected = self.tracker.expect(now, job, id, &load);
-        (load, expected)
+        self.tracker.expect(now, job, id, upstream.other_requests)
     }
 
     /// Chooses one of `candidates`, each with its slots. `sequence` differs for each choice.
--- a/crates/carawaycleat-core/src/work/average.rs
+++ b/crates/carawaycleat-core/src/work/average.rs
@@ -1,4 +1,5 @@
 use std::collections;
+use std::hash;
 use std::time;
 
 use crate::clock;
@@ -67,18 +68,40 @@
     }
 }
 
+/// Passes keys on as hashes, because they are digests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Digest(u64);
+
+impl hash::Hasher for Digest {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(*byte);
+        }
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        self.0 = number;
+    }
+}
+
+type Table = collections::HashMap<u64, Average, hash::BuildHasherDefault<Digest>>;
+
 /// Averages by key that share a time constant.
 #[derive(Clone, Debug)]
 pub(super) struct Averages {
     time_constant: time::Duration,
-    averages: collections::HashMap<u64, Average>,
+    averages: Table,
 }
 
 impl Averages {
     pub(super) fn new(time_constant: time::Duration) -> Self {
         Self {
             time_constant,
-            averages: collections::HashMap::new(),
+            averages: Table::default(),
         }
     }
 
--- a/crates/carawaycleat-core/src/work/pace.rs
+++ b/crates/carawaycleat-core/src/work/pace.rs
@@ -106,12 +106,13 @@
     fn new(key: &job::Key<'_>) -> Self {
         let service = Some(key.service.as_str());
         let model = key.model.map(|name| name.as_str());
-        let upstream = Some(key.upstream.as_str());
+        let model = super::key(1, &[service, model]);
+        let upstream = super::key(2, &[Some(key.upstream.as_str())]);
         Self {
             service: super::key(0, &[service]),
-            model: super::key(1, &[service, model]),
-            upstream: super::key(2, &[upstream]),
-            pair: super::key(3, &[upstream, model]),
+            model,
+            upstream,
+            pair: model.rotate_left(1) ^ upstream,
         }
     }
 }
--- a/crates/carawaycleat-core/src/work/tracker.rs
+++ b/crates/carawaycleat-core/src/work/tracker.rs
@@ -23,39 +23,29 @@
 }
 
 impl Tracker {
-    /// Returns what a request costs at an upstream beside the requests in `load`.
+    /// Returns the remaining work of an upstream at which other hosts have `other_requests` requests, and what a request costs there.
+    /// As far as nothing is known of the other requests, they count as like this one.
     #[must_use]
     pub fn expect(
         &self,
         now: clock::Instant,
         job: &job::Job<'_>,
         upstream: &name::Name,
-        load: &load::Load,
-    ) -> expectation::Expectation {
+        other_requests: u32,
+    ) -> (load::Load, expectation::Expectation) {
         let (token_ms, event_ms) = self.pace.get(now, &job.at(upstream));
-        expectation::Expectation {
-            wait_ms: load.prompt_ms,
+        let mut expected = expectation::Expectation {
+            wait_ms: 0.0,
             prompt_ms: job.prompt_tokens * token_ms,
             event_ms,
             events: job.events.events,
             spread: job.events.spread,
-        }
-    }
-
-    /// Returns the remaining work of an upstream at which other hosts have `other_requests` requests like `job`, as far as nothing
-    /// is known of them.
-    #[must_use]
-    pub fn load(
-        &self,
-        now: clock::Instant,
-        job: &job::Job<'_>,
-        upstream: &name::Name,
-        other_requests: u32,
-    ) -> load::Load {
-        let (token_ms, event_ms) = self.pace.get(now, &job.at(upstream));
+        };
         // On average, half of a request in progress is left.
-        let typical_ms = (job.prompt_tokens * token_ms + job.events.events * event_ms) / 2.0;
-        self.ledger.load(now, upstream, other_requests, typical_ms)
+        let typical_ms = expected.work_ms() / 2.0;
+        let load = self.ledger.load(now, upstream, other_requests, typical_ms);
+        expected.wait_ms = load.prompt_ms;
+        (load, expected)
     }
 
     /// Records that events of an attempt have arrived, the last one with the identifier `last`. `was_blocked` means that its caller
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -147,7 +147,7 @@
     }
 }
 
-fn report(host: &str, number: u64, demand: relay::Demand) -> relay::Report {
+pub(crate) fn report(host: &str, number: u64, demand: relay::Demand) -> relay::Report {
     relay::Report {
         host: relay_fake::name(host),
         number,
--- a/crates/carawaycleat-core/tests/suite/main.rs
+++ b/crates/carawaycleat-core/tests/suite/main.rs
@@ -63,4 +63,5 @@
 mod side;
 mod stream;
 mod timeline;
+mod work;
 mod work_balance;
--- a/crates/carawaycleat-core/tests/suite/work_balance.rs
+++ b/crates/carawaycleat-core/tests/suite/work_balance.rs
@@ -16,23 +16,31 @@
 /// Eight plays of each policy leave a standard error of about 0.002 of the share within the objective.
 const SEEDS: [u64; 8] = [1, 2, 3, 4, 5, 6, 7, 8];
 
+/// The share of first events in time that the preference for the own availability zone may cost. The baselines send more than half of
+/// the requests to other zones.
+const ZONE_ALLOWANCE: f64 = 0.005;
+
 /// A kind of request: prompt tokens, events, requests per second.
 type Kind = (u64, u64, f64);
 
+const USUAL: &[Kind] = &[(700, 35, 62.0), (380, 6, 60.0)];
+
 /// Guards against a choice by work that serves fewer first events within 250 ms than any choice by the number of requests, or
 /// that loads one engine more than the others. Each row names its load: hosts, speeds of the engines, whether one of them takes four
-/// times as long for half a second in every two, whether models differ in cost, and the requests.
+/// times as long for half a second in every two, the cost of the model at all engines, how many engines hold the other model as
+/// well, and the requests.
 #[yare::parameterized(
-    uneven_speeds_and_a_slowed_engine = { 6, &[0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 0.6, 1.0, 1.6], true, false, &[(700, 35, 62.0), (380, 6, 60.0)], 1.9 },
-    short_and_long_requests = { 6, &[1.0; 9], false, false, &[(200, 2, 120.0), (3_500, 119, 14.0)], 1.5 },
-    many_hosts_with_old_views = { 27, &[1.0; 9], false, false, &[(700, 35, 62.0), (380, 6, 60.0)], 1.4 },
-    models_that_differ_in_cost = { 6, &[1.0; 9], false, true, &[(700, 35, 62.0), (380, 6, 60.0)], 1.6 },
+    uneven_speeds_and_a_slowed_engine = { 6, &[0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 0.6, 1.0, 1.6], true, (1.0, 9), USUAL, 1.5 },
+    short_and_long_requests = { 6, &[1.0; 9], false, (1.0, 9), &[(200, 2, 120.0), (3_500, 119, 14.0)], 1.5 },
+    many_hosts_with_old_views = { 27, &[1.0; 9], false, (1.0, 9), USUAL, 1.4 },
+    models_that_differ_in_cost = { 6, &[1.0; 9], false, (0.13, 9), USUAL, 1.6 },
+    place_for_a_model_that_few_engines_hold = { 27, &[1.0; 9], false, (1.0, 4), USUAL, 1.6 },
 )]
 fn work_serves_most_first_events_in_time(
     hosts: usize,
     speeds: &[f64],
     is_one_slowed: bool,
-    is_cost_uneven: bool,
+    models: (f64, usize),
     kinds: &[Kind],
     max_busiest: f64,
 ) {
@@ -40,7 +48,8 @@
         hosts,
         speeds,
         is_one_slowed,
-        is_cost_uneven,
+        small_cost: models.0,
+        large_engines: models.1,
         kinds,
     };
     let mut outcomes = Vec::new();
@@ -63,6 +72,11 @@
     }
     let (work, baselines) = outcomes.split_last().expect("four policies");
     let best = baselines.iter().map(|run| run.within).fold(0.0, f64::max);
-    assert!(work.within + 0.005 >= best, "{} < {best}", work.within);
+    assert!(
+        work.within + ZONE_ALLOWANCE >= best,
+        "{} < {best}",
+        work.within
+    );
+    assert!(work.remote < 0.4, "{}", work.remote);
     assert!(work.busiest <= max_busiest, "{}", work.busiest);
 }
--- a/crates/carawaycleat-core/tests/suite/work_balance/world.rs
+++ b/crates/carawaycleat-core/tests/suite/work_balance/world.rs
@@ -13,13 +13,18 @@
 const OBJECTIVE_MS: u64 = 250;
 /// The time between two views of a host; they show the other hosts as of their last reports.
 const VIEW_MS: u64 = 350;
-const MODELS: [(&str, f64); 2] = [("small", 0.13), ("large", 1.0)];
+/// The first one is at all engines.
+const MODELS: [&str; 2] = ["small", "large"];
+const LARGE_SHARE: f64 = 0.4;
 
 pub(super) struct Load<'a> {
     pub(super) hosts: usize,
     pub(super) speeds: &'a [f64],
     pub(super) is_one_slowed: bool,
-    pub(super) is_cost_uneven: bool,
+    /// The cost of the model that all engines hold; that of the other one is 1.
+    pub(super) small_cost: f64,
+    /// How many engines hold the other model, which 40% of the requests ask for.
+    pub(super) large_engines: usize,
     pub(super) kinds: &'a [super::Kind],
 }
 
@@ -55,6 +60,14 @@
     format!("zone-{}", index % 3)
 }
 
+/// Returns the models that an engine holds.
+fn held(load: &Load<'_>, engine: usize) -> &'static [&'static str] {
+    match engine < load.large_engines {
+        true => &MODELS,
+        false => &MODELS[..1],
+    }
+}
+
 fn engine_name(index: usize) -> String {
     format!("engine-{index}")
 }
@@ -88,9 +101,9 @@
     }
 
     fn arrive(&mut self, host: usize, id: u64, kind: super::Kind, random: &mut fastrand::Rng) {
-        let (model, cost) = match self.load.is_cost_uneven {
-            true => MODELS[random.usize(..2)],
-            false => MODELS[1],
+        let (model, cost) = match random.f64() < LARGE_SHARE {
+            true => (MODELS[1], 1.0),
+            false => (MODELS[0], self.load.small_cost),
         };
         let request = Request {
             arrived: self.now_ms,
@@ -161,7 +174,10 @@
             let taken: u32 = self.reports.iter().map(running).sum();
             let free = (engine::SLOTS as u32).saturating_sub(taken);
             relay::EngineView {
-                models: MODELS.map(|(model, _)| relay_fake::name(model)).to_vec(),
+                models: held(self.load, index)
+                    .iter()
+                    .map(|model| relay_fake::name(model))
+                    .collect(),
                 loading: Vec::new(),
                 unloading: Vec::new(),
                 adapters: Vec::new(),
@@ -177,7 +193,7 @@
     }
 }
 
-fn host(index: usize, routing: Option<relay::Routing>, engines: usize) -> relay::Reducer {
+fn host(index: usize, routing: Option<relay::Routing>, load: &Load<'_>) -> relay::Reducer {
     let now = clock::Instant::from_millis(100_000);
     let mut options = relay::Options::default();
     options.policy.routing = routing.unwrap_or_default();
@@ -208,9 +224,9 @@
     let config = config.with_balancing(balancing);
     reducer.step(now, relay::Event::Configured(Box::new(config)));
     reducer.step(now, relay::Event::ConfigConfirmed(now));
-    for engine in 0..engines {
-        let models = MODELS.map(|(model, _)| model);
-        let mut registration = relay_fake::registration(&engine_name(engine), "models", &models);
+    for engine in 0..load.speeds.len() {
+        let models = held(load, engine);
+        let mut registration = relay_fake::registration(&engine_name(engine), "models", models);
         registration.slots = engine::SLOTS as u32;
         registration.zone = relay_fake::name(&zone(engine));
         reducer.step(now, relay::Event::UpstreamUpdated(Box::new(registration)));
@@ -220,7 +236,7 @@
 
 pub(super) fn play(load: &Load<'_>, routing: Option<relay::Routing>, seed: u64) -> Outcome {
     let mut hosts: Vec<_> = (0..load.hosts)
-        .map(|index| host(index, routing, load.speeds.len()))
+        .map(|index| host(index, routing, load))
         .collect();
     let now = clock::Instant::from_millis(100_000);
     for host in &mut hosts {
