--- a/crates/carawaycleat-core/src/relay/selection/connection.rs
+++ b/crates/carawaycleat-core/src/relay/selection/connection.rs
@@ -34,7 +34,7 @@
             available.iter().copied().filter(is_own).collect()
         };
         let candidates = if preferred.is_empty() {
-            available
+            self.without_busy(available)
         } else {
             preferred
         };
@@ -50,6 +50,18 @@
         }
     }
 
+    /// Returns the upstreams that are not clearly busier than the others; all of them where there are few.
+    fn without_busy<'a>(
+        &self,
+        mut upstreams: Vec<&'a upstream::Upstream>,
+    ) -> Vec<&'a upstream::Upstream> {
+        if upstreams.len() >= MIN_REPLICAS && self.service.engine.is_some() {
+            let max_load = self.max_load(&upstreams);
+            upstreams.retain(|upstream| self.load_of(upstream) <= max_load);
+        }
+        upstreams
+    }
+
     fn load_of(&self, upstream: &upstream::Upstream) -> f64 {
         upstream.load(self.slots(upstream))
     }
