--- a/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
+++ b/crates/carawaycleat-core/src/relay/reducer/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::relay::pending;
 use crate::relay::refusal;
 use crate::relay::selection;
+use crate::relay::upstream;
 use crate::retry;
 use crate::timeline;
 
@@ -92,6 +93,11 @@
         selector.yielding = self.yielding(now, request, &queue);
         match selector.select(&self.upstreams, request) {
             selection::Selection::Upstream(upstream) => {
+                if self.would_end_late(now, request, &upstream) {
+                    let retry_after = Some(super::MIN_RETRY_AFTER);
+                    let reason = refusal::Reason::NoUpstream;
+                    return self.refuse(now, id, reason, retry_after, effects);
+                }
                 if self.charge_retry(now, id) {
                     self.waiting.remove(&key);
                     self.send(now, id, &upstream, effects);
@@ -118,6 +124,28 @@
         }
     }
 
+    /// Returns whether the response to a new request that is no stream would come after its time limit, where the load is
+    /// measured by work. In an overload, such requests would use slots that others could use.
+    fn would_end_late(
+        &self,
+        now: clock::Instant,
+        request: &pending::Pending,
+        upstream: &name::Name,
+    ) -> bool {
+        let service = request.admitted_service.as_ref();
+        let is_by_work =
+            service.is_some_and(|service| service.balancing == config::Balancing::Work);
+        let is_new = request.attempt == 0 && request.route.kind != config::Kind::Streaming;
+        let entry = self
+            .upstreams
+            .get(upstream)
+            .filter(|_| is_by_work && is_new);
+        let latency = entry.and_then(upstream::Upstream::mean_latency);
+        latency.is_some_and(|seconds| {
+            now + time::Duration::from_secs_f64(seconds) > request.limit(self.lateness.delay())
+        })
+    }
+
     /// Charges the next attempt of a request to the retry budget, if that has yet to be done. Returns whether it may be
     /// sent.
     fn charge_retry(&mut self, now: clock::Instant, id: event::Id) -> bool {
