--- a/crates/carawaycleat-core/src/lib.rs
+++ b/crates/carawaycleat-core/src/lib.rs
@@ -7,6 +7,7 @@
 extern crate quick_error;
 
 pub mod admission;
+pub mod audit;
 pub mod balance;
 pub mod claim;
 pub mod clock;
