--- a/crates/carawaycleat-core/src/relay/reducer.rs
+++ b/crates/carawaycleat-core/src/relay/reducer.rs
@@ -4,6 +4,7 @@
 mod contention;
 mod crash;
 mod dispatch;
+mod ending;
 mod lateness;
 mod origin;
 mod report;
