fix(coordinator): leave the placement by spikes off by default

The coordinator's test fixture sets the option, which has an effect only for services balanced by work.

--- a/crates/carawaycleat-core/src/coordinator/options.rs
+++ b/crates/carawaycleat-core/src/coordinator/options.rs
@@ -32,6 +32,8 @@
     pub conflict_backoff: time::Duration,
     /// Whether replicas are added and moved as demand changes. Otherwise only models that no engine holds are loaded.
     pub rebalances: bool,
+    /// Whether replicas follow spikes of demand where load is measured by work and loads are quick.
+    pub follows_spikes: bool,
     /// The minimum time between the arrival of a replica and its eviction.
     pub min_residency: time::Duration,
     /// The requests that a cold upstream may get in a second.
@@ -53,6 +55,8 @@
             loaded_utilization: 0.35,
             saturated_utilization: 0.8,
             rebalances: true,
+            // It serves more under failures and less under plain high load, so it is not in force without a policy file.
+            follows_spikes: false,
             conflict_backoff: time::Duration::from_millis(120),
             min_residency: time::Duration::from_millis(1_500),
             cold_bound: cold::Bound::default(),
--- a/crates/carawaycleat-core/src/coordinator/plan.rs
+++ b/crates/carawaycleat-core/src/coordinator/plan.rs
@@ -286,9 +286,10 @@
 
     /// Returns whether replicas follow spikes of demand, so that [`Self::placements`] decides in place of
     /// [`Self::model_step`].
-    pub(super) fn follows_spikes(spec: &relay::EngineSpec) -> bool {
+    pub(super) fn follows_spikes(state: &reducer::Reducer, spec: &relay::EngineSpec) -> bool {
         let load_times = spec.models.values().map(|model| model.store_load_time);
-        spec.balancing == relay::Balancing::Work
+        state.options.follows_spikes
+            && spec.balancing == relay::Balancing::Work
             && load_times
                 .max()
                 .is_some_and(|longest| longest <= MAX_SPIKE_LOAD_TIME)
@@ -303,7 +304,7 @@
     /// Returns the next step for a model, if one is worthwhile. Services whose replicas follow spikes get theirs from
     /// [`Self::placements`].
     pub(super) fn model_step(&self) -> Option<Step> {
-        if Self::follows_spikes(self.spec) {
+        if Self::follows_spikes(self.state, self.spec) {
             return None;
         }
         if let Some(step) = self.replacement_step().or_else(|| self.refill_step()) {
--- a/crates/carawaycleat-core/src/coordinator/reducer/placement.rs
+++ b/crates/carawaycleat-core/src/coordinator/reducer/placement.rs
@@ -15,7 +15,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let services = self.services.iter();
-        let services = services.filter(|(_, spec)| plan::Planner::follows_spikes(spec));
+        let services = services.filter(|(_, spec)| plan::Planner::follows_spikes(self, spec));
         let placements = services.flat_map(|(service, spec)| {
             plan::Planner::new(now, self, service, spec).placements(max)
         });
--- a/crates/carawaycleat-core/tests/suite/coordinator.rs
+++ b/crates/carawaycleat-core/tests/suite/coordinator.rs
@@ -16,7 +16,11 @@
 impl Harness {
     pub(crate) fn new(models: &[&str]) -> Self {
         let mut harness = Self {
-            reducer: coordinator::Reducer::new(coordinator::Options::default()),
+            reducer: coordinator::Reducer::new(coordinator::Options {
+                // Takes effect only for services whose load is measured by work.
+                follows_spikes: true,
+                ..coordinator::Options::default()
+            }),
             now: clock::Instant::from_millis(100_000),
             orders: Vec::new(),
         };
