--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -141,9 +141,12 @@
         let _ = self.child.wait();
     }
 
-    /// Starts the process again with the same settings.
+    /// Starts the process again with the same settings, but not as at the first start of the whole system.
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
+        let text = fs::read_to_string(&self.settings)?;
+        let text = text.replace("bootstrap = true", "bootstrap = false");
+        fs::write(&self.settings, text)?;
         self.child = spawn(&self.settings, &self.log)?;
         Ok(())
     }
