Add a review case on streams of hosts that are killed with the coordinator

Five hosts, three of which are killed at once, the coordinator among them; a tenant that uses half of its allowance.

--- a/review/standin-3/endless.rs
+++ b/review/standin-3/endless.rs
@@ -36,9 +36,9 @@
 const TIMEOUT_MS: u64 = 12_000;
 /// The time after a stream that was not complete until the client sends the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// A client takes this many bytes in this time: 13 Mbit/s.
+/// A client takes this many bytes in this time: 2 Mbit/s.
 const READ_BYTES: usize = 16 * 1024;
-const READ_INTERVAL: Duration = Duration::from_millis(10);
+const READ_INTERVAL: Duration = Duration::from_millis(64);
 /// The bytes of an engine in trouble between two line feeds.
 const LINE_BYTES: usize = 200_000;
 /// The memory of a host, in the larger sense of a megabyte.
@@ -46,7 +46,7 @@
 /// The time after which a host that was killed starts again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 const WARM_UP_TIME: Duration = Duration::from_secs(4);
-const TROUBLE_TIME: Duration = Duration::from_secs(25);
+const TROUBLE_TIME: Duration = Duration::from_secs(45);
 /// A host counts as faulty when its process ends by itself this often, and the rule is broken by this many such hosts.
 const MIN_ENDS: usize = 3;
 const MIN_FAULTY_HOSTS: usize = 2;
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -20,8 +20,7 @@
 pub const SERVICE: &str = "reports";
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
-/// The number of events of a stream, and the time between two of them.
-pub const EVENTS: u64 = 120;
+/// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// One process of an engine.
@@ -30,6 +29,8 @@
     version: &'static str,
     address: SocketAddr,
     slots: u32,
+    /// The number of events of a stream.
+    events: u64,
     born: u64,
     has_ended: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
@@ -50,9 +51,10 @@
         id: &str,
         version: &'static str,
         slots: u32,
+        events: u64,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        Self::run(listener, store, record, id, version, slots)
+        Self::run(listener, store, record, id, version, slots, events)
     }
 
     fn run(
@@ -62,6 +64,7 @@
         id: &str,
         version: &'static str,
         slots: u32,
+        events: u64,
     ) -> Self {
         listener.set_nonblocking(true).expect("a socket");
         let process = Arc::new(Process {
@@ -69,6 +72,7 @@
             version,
             address: listener.local_addr().expect("a bound address"),
             slots,
+            events,
             born: unix_millis(),
             has_ended: AtomicBool::new(false),
             connections: Mutex::default(),
@@ -111,7 +115,9 @@
         let old = &self.process;
         let listener = TcpListener::bind(old.address)?;
         let (store, record) = (&old.store, &old.record);
-        *self = Self::run(listener, store, record, &old.id, version, old.slots);
+        *self = Self::run(
+            listener, store, record, &old.id, version, old.slots, old.events,
+        );
         Ok(())
     }
 }
@@ -196,7 +202,7 @@
             )
             .as_bytes(),
         )?;
-        for number in last + 1..=EVENTS {
+        for number in last + 1..=self.events {
             thread::sleep(EVENT_INTERVAL);
             if self.has_ended() {
                 return Err(io::ErrorKind::ConnectionAborted.into());
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod record;
+mod shares;
 mod store;
 mod versions;
 
@@ -45,6 +46,7 @@
     let is_disturbed = env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "endless" => endless::run(&folder, is_disturbed),
+        "shares" => shares::run(&folder, is_disturbed),
         "versions" => versions::run(&folder, is_disturbed),
         other => Err(format!("unknown case {other:?}").into()),
     };
--- a/review/standin-3/versions.rs
+++ b/review/standin-3/versions.rs
@@ -17,6 +17,8 @@
 
 const STREAMS: usize = 24;
 const KEY: &str = "i9n73hh2b9wu3fexd9dn";
+/// The events of a stream, which takes 6 s.
+const EVENTS: u64 = 120;
 /// The slots of an engine.
 const SLOTS: u32 = 64;
 /// Time from the first event to the crash, and from the crash to the start of the next process.
@@ -47,7 +49,7 @@
     let store = Store::start();
     store.put("op/config", &config());
     // Of three engines, two run the new version already.
-    let mut last = Engine::start(&store, record, "i-000000a1", "v1", SLOTS);
+    let mut last = Engine::start(&store, record, "i-000000a1", "v1", SLOTS, EVENTS);
     let mut hosts = ["entry-1", "entry-2"]
         .map(|name| Host::start(temporary, name, store.address))
         .into_iter()
@@ -65,8 +67,8 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(500));
-    let _upgraded =
-        ["i-000000a2", "i-000000a3"].map(|id| Engine::start(&store, record, id, "v2", SLOTS));
+    let _upgraded = ["i-000000a2", "i-000000a3"]
+        .map(|id| Engine::start(&store, record, id, "v2", SLOTS, EVENTS));
     thread::sleep(TIME_BEFORE_CRASH);
     if is_disturbed {
         last.crash();
@@ -110,7 +112,7 @@
     let mut received = Received::default();
     record.add(format!("client sends {id}"));
     let result = receive(address, id, &mut received);
-    received.is_complete = result.is_ok() && received.events.len() as u64 == engine::EVENTS;
+    received.is_complete = result.is_ok() && received.events.len() as u64 == EVENTS;
     let mut versions = Vec::<(&str, u64, u64)>::new();
     for (number, version) in &received.events {
         match versions.last_mut() {
