Add a review case on slots that a host counts for killed hosts

The host that is left takes it that each other host has as many requests at an engine as it has itself, so that engines of 64 slots look full with 13 to 20 requests, and refuses streams that are taken up with 503.

The stand-in engines keep to their slots now.

--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -21,6 +22,8 @@
 pub const SERVICE: &str = "reports";
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// The requests that wait for a slot at most.
+const MAX_QUEUED: u32 = 4;
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -30,6 +33,9 @@
     version: &'static str,
     address: SocketAddr,
     slots: u32,
+    /// The requests that run, and those that wait for a slot.
+    running: AtomicU32,
+    queued: AtomicU32,
     /// The number of events of a stream.
     events: u64,
     born: u64,
@@ -73,6 +79,8 @@
             version,
             address: listener.local_addr().expect("a bound address"),
             slots,
+            running: AtomicU32::new(0),
+            queued: AtomicU32::new(0),
             events,
             born: unix_millis(),
             has_ended: AtomicBool::new(false),
@@ -179,12 +187,38 @@
                     self.born
                 );
                 connection.respond(200, &instance, &report)?;
+            } else if self.take_slot() {
+                let result = self.stream(&request, &mut connection);
+                self.running.fetch_sub(1, Ordering::SeqCst);
+                result?;
             } else {
-                self.stream(&request, &mut connection)?;
+                let echoed = request.header("x-request-id").unwrap_or_default();
+                let headers = format!("X-Request-Id: {echoed}\r\nX-Not-Executed: 1\r\n");
+                connection.respond(503, &headers, "")?;
             }
         }
     }
 
+    /// Waits for a slot. Returns false if the queue is full.
+    fn take_slot(&self) -> bool {
+        if self.queued.fetch_add(1, Ordering::SeqCst) >= MAX_QUEUED + self.free_slots() {
+            self.queued.fetch_sub(1, Ordering::SeqCst);
+            return false;
+        }
+        let has_room = |running| (running < self.slots).then_some(running + 1);
+        let order = Ordering::SeqCst;
+        while self.running.fetch_update(order, order, has_room).is_err() {
+            thread::sleep(POLL_INTERVAL);
+        }
+        self.queued.fetch_sub(1, Ordering::SeqCst);
+        true
+    }
+
+    fn free_slots(&self) -> u32 {
+        self.slots
+            .saturating_sub(self.running.load(Ordering::SeqCst))
+    }
+
     /// Sends the events after the last one that the request names.
     fn stream(&self, request: &http::Message, connection: &mut http::Connection) -> io::Result<()> {
         let id = request.header("x-request-id").unwrap_or_default();
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -46,7 +46,8 @@
     let is_disturbed = env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case.as_str() {
         "endless" => endless::run(&folder, is_disturbed),
-        "shares" => shares::run(&folder, is_disturbed),
+        "shares" => shares::run(&folder, is_disturbed, &shares::ALLOWANCE),
+        "slots" => shares::run(&folder, is_disturbed, &shares::SLOTS_IN_USE),
         "versions" => versions::run(&folder, is_disturbed),
         other => Err(format!("unknown case {other:?}").into()),
     };
--- a/review/standin-3/shares.rs
+++ b/review/standin-3/shares.rs
@@ -1,4 +1,5 @@
-//! Streams of hosts that are killed at the same moment, the coordinator among them, and the allowance of their tenant.
+//! Streams of hosts that are killed at the same moment, the coordinator among them, and what the hosts that are left may use:
+//! the allowance of the tenant, or the slots of the engines.
 
 use std::io;
 use std::net::SocketAddr;
@@ -20,9 +21,8 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// The hosts of the first site, and how many of them are killed: 0.6 of them.
+/// The hosts of the first site.
 const HOSTS: usize = 5;
-const KILLED_HOSTS: usize = 3;
 const ENGINES: usize = 4;
 const SLOTS: u32 = 64;
 /// The events of a stream, which takes 2.4 s.
@@ -31,9 +31,6 @@
 /// Tokens of a stream: 715 of the prompt and 282 that it may write.
 const TOKEN_COUNT: &str = "715,282";
 const TOKENS: u64 = 997;
-/// The streams that begin per second over all hosts, and the allowance of the tenant in terms of their tokens.
-const STREAMS_PER_SECOND: u64 = 50;
-const ALLOWANCE_FACTOR: f64 = 1.8;
 const TIMEOUT_MS: u64 = 12_000;
 /// The time from the beginning of the traffic to the kills, until the hosts that were killed start again, and to the end.
 const TIME_BEFORE_KILLS: Duration = Duration::from_secs(12);
@@ -42,6 +39,30 @@
 /// The streams from which the rule judges.
 const MIN_TAKE_UPS: usize = 12;
 
+/// What differs between the cases.
+pub struct Plan {
+    /// The hosts that are killed.
+    killed: usize,
+    /// The streams that begin per second over all hosts.
+    streams_per_second: u64,
+    /// The allowance of the tenant in terms of the tokens of these streams; none for a tenant without a limit.
+    allowance_factor: Option<f64>,
+}
+
+/// A tenant within its allowance, and engines whose slots are half used.
+pub const ALLOWANCE: Plan = Plan {
+    killed: 3,
+    streams_per_second: 50,
+    allowance_factor: Some(1.8),
+};
+
+/// A tenant without a limit, and engines whose slots are used to four fifths.
+pub const SLOTS_IN_USE: Plan = Plan {
+    killed: 4,
+    streams_per_second: 88,
+    allowance_factor: None,
+};
+
 /// What has become of the streams.
 #[derive(Clone, Default)]
 struct Counts {
@@ -51,16 +72,16 @@
     gone_on: Arc<AtomicUsize>,
 }
 
-pub fn run(folder: &Path, is_disturbed: bool) -> crate::Result {
+pub fn run(folder: &Path, is_disturbed: bool, plan: &Plan) -> crate::Result {
     crate::in_temporary_folder(|temporary| {
         let record = Record::create(&folder.join("record.txt"))?;
-        play(temporary, &record, is_disturbed)
+        play(temporary, &record, is_disturbed, plan)
     })
 }
 
-fn play(temporary: &Path, record: &Record, is_disturbed: bool) -> crate::Result {
+fn play(temporary: &Path, record: &Record, is_disturbed: bool, plan: &Plan) -> crate::Result {
     let store = Store::start();
-    store.put("op/config", &config());
+    store.put("op/config", &config(plan));
     let _engines: Vec<_> = (0..ENGINES)
         .map(|number| {
             Engine::start(
@@ -90,13 +111,13 @@
     let mut kills = is_disturbed.then_some(TIME_BEFORE_KILLS);
     let mut restart = None;
     let mut killed = Vec::new();
-    let interval = Duration::from_nanos(1_000_000_000 / STREAMS_PER_SECOND);
+    let interval = Duration::from_nanos(1_000_000_000 / plan.streams_per_second);
     let mut number = 0;
     while started.elapsed() < TIME_BEFORE_KILLS + TIME_AFTER_KILLS {
         if kills.is_some_and(|at| started.elapsed() >= at) {
             kills = None;
             restart = Some(started.elapsed() + DOWN_TIME);
-            killed = with_the_coordinator(&hosts);
+            killed = with_the_coordinator(&hosts, plan.killed);
             for index in &killed {
                 is_up[*index].store(false, Ordering::SeqCst);
             }
@@ -165,7 +186,7 @@
 }
 
 /// Returns the hosts to kill: the coordinator, which is the host elected last, and the next ones.
-fn with_the_coordinator(hosts: &[Host]) -> Vec<usize> {
+fn with_the_coordinator(hosts: &[Host], count: usize) -> Vec<usize> {
     let elections = hosts
         .iter()
         .map(|host| host.log().matches("\"event\":\"elected\"").count());
@@ -173,15 +194,16 @@
     let coordinator = (0..hosts.len())
         .max_by_key(|index| elections[*index])
         .unwrap_or(0);
-    (0..KILLED_HOSTS)
+    (0..count)
         .map(|next| (coordinator + next) % hosts.len())
         .collect()
 }
 
 /// Returns the operator's configuration.
-fn config() -> String {
+fn config(plan: &Plan) -> String {
     let service = engine::SERVICE;
-    let rate = (STREAMS_PER_SECOND * TOKENS) as f64 * ALLOWANCE_FACTOR;
+    let tokens_per_second = (plan.streams_per_second * TOKENS) as f64;
+    let rate = plan.allowance_factor.unwrap_or(0.0) * tokens_per_second;
     let rate = rate as u64;
     format!(
         r#"{{"version":7,"routes":[{{"name":"r-1","hostname":"ficu95.example","prefix":"/lohu930/","route_type":"streaming","timeout_ms":{TIMEOUT_MS},"target_latency_ms":500,"priority":1,"service":"{service}","max_attempts":2,"public":false,"sticky":false,"resumable":true,"gap_aim_ms":150}}],"services":[{{"name":"{service}","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"hule930","api_keys":["{KEY}"],"priority":1,"unit":"tokens","plain_tokens":200,"rate_per_s":{rate},"burst":{rate}}}]}}"#
